--- /dev/null
+++ b/include/waxwingloft/process/clock.h
@@ -0,0 +1,41 @@
+#ifndef WAXWINGLOFT_PROCESS_CLOCK_H
+#define WAXWINGLOFT_PROCESS_CLOCK_H
+
+#include <chrono>
+#include <cstdint>
+
+namespace waxwingloft {
+
+using Millis = std::chrono::milliseconds;
+
+/** A point on a process's monotonic clock, in milliseconds since an arbitrary start. */
+using Instant = std::chrono::time_point<std::chrono::steady_clock, Millis>;
+
+/** Source of time. Passed to every decision so that tests and benchmarks run on virtual time. */
+class Clock
+{
+public:
+    virtual ~Clock() = default;
+
+    /** Monotonic time; the only one that leases and deadlines use. */
+    virtual Instant now() const = 0;
+
+    /** Wall time in milliseconds since the Unix epoch; only for the time line. */
+    virtual std::int64_t wallMillis() const = 0;
+
+    /** Blocks the calling thread for @p duration. */
+    virtual void sleepFor(Millis duration) = 0;
+};
+
+/** The machine's clocks. */
+class SystemClock : public Clock
+{
+public:
+    Instant now() const override;
+    std::int64_t wallMillis() const override;
+    void sleepFor(Millis duration) override;
+};
+
+} // namespace waxwingloft
+
+#endif
--- /dev/null
+++ b/include/waxwingloft/process/duty.h
@@ -0,0 +1,83 @@
+#ifndef WAXWINGLOFT_PROCESS_DUTY_H
+#define WAXWINGLOFT_PROCESS_DUTY_H
+
+#include "waxwingloft/process/clock.h"
+#include "waxwingloft/process/eventlog.h"
+#include "waxwingloft/process/ids.h"
+#include "waxwingloft/process/tablestore.h"
+
+#include <mutex>
+#include <optional>
+#include <string>
+
+namespace waxwingloft {
+
+/** Times of a lease on a duty. */
+struct LeaseTerms {
+    Millis term = Millis(3000); ///< how long a grant lasts for everyone else
+    Millis safety = Millis(500); ///< how much earlier the holder counts it as lapsed
+};
+
+/** A grant as written to the table. */
+struct DutyRecord {
+    NodeId holder;
+    std::string address; ///< RPC address of the holder
+    Epoch epoch = 0;
+    Millis term = Millis(0);
+};
+
+/** Returns the row value of @p record. */
+std::string encodeDuty(const DutyRecord &record);
+
+/** Parses the row value of a duty. */
+Result<DutyRecord> parseDuty(const std::string &value);
+
+/**
+ * One duty that any live process may hold by lease, such as placing the jobs of a region.
+ *
+ * The table keeps holder and epoch, no wall time: another process counts a grant as lapsed when the
+ * row has not changed for the whole term on its own monotonic clock. The holder counts from before
+ * it sent its renewal and stops earlier. Thread safe.
+ */
+class Duty
+{
+public:
+    /** @p name is the row's key below "duty/", such as "placer/vejle". */
+    Duty(TableStore &table, Clock &clock, EventLog &events, IdSource &ids, std::string name, NodeId self, std::string address, LeaseTerms terms);
+
+    /** Renews the lease, or tries to take it over when the holder's has lapsed. Returns whether it is held now. */
+    bool pursue();
+
+    /** Returns the epoch while the lease is held. Check again after every wait. */
+    std::optional<Epoch> heldEpoch() const;
+
+    /** Returns the latest known record of the duty, its own or another's. */
+    std::optional<DutyRecord> lastKnown() const;
+
+    /** Gives the lease up so that a successor need not wait for it to lapse. */
+    void release();
+
+private:
+    bool write(const DutyRecord &record, std::uint64_t revision, Instant sentAt);
+    void observe(const std::optional<Row> &row, Instant now);
+    bool lapsedForOthers(Instant now) const;
+
+    TableStore &table;
+    Clock &clock;
+    EventLog &events;
+    IdSource &ids;
+    const std::string name;
+    const NodeId self;
+    const std::string address;
+    const LeaseTerms terms;
+
+    mutable std::mutex mutex;
+    std::uint64_t seenRevision = 0;
+    std::optional<DutyRecord> seen;
+    std::optional<Instant> seenUnchangedSince;
+    std::optional<Instant> heldUntil;
+};
+
+} // namespace waxwingloft
+
+#endif
--- /dev/null
+++ b/include/waxwingloft/request/gangscheduler.h
@@ -0,0 +1,130 @@
+#ifndef WAXWINGLOFT_REQUEST_GANGSCHEDULER_H
+#define WAXWINGLOFT_REQUEST_GANGSCHEDULER_H
+
+#include "waxwingloft/process/runtimelearner.h"
+#include "waxwingloft/request/drainbook.h"
+#include "waxwingloft/request/gangjob.h"
+#include "waxwingloft/request/victimchooser.h"
+#include "waxwingloft/version/reservationbook.h"
+
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace waxwingloft {
+
+/** Decides which gang runs where. One interface for the product's policy and the naive baseline. */
+class GangPolicy
+{
+public:
+    virtual ~GangPolicy() = default;
+
+    /** Takes a job in. InvalidInput when its shape never fits; the message says what would. */
+    virtual Status submit(const GangJob &job) = 0;
+
+    /** Notes that a job's tasks have ended everywhere; its room is free again. */
+    virtual void ended(const JobId &job, Instant now) = 0;
+
+    /** Notes that a job's tasks were stopped before their end; it waits again. */
+    virtual void stopped(const JobId &job, Instant now) = 0;
+
+    /** Drops a waiting job. */
+    virtual void withdraw(const JobId &job) = 0;
+
+    /** Returns what to do now. Room for every start is already taken in the accounts. */
+    virtual std::vector<GangDecision> decide(Instant now) = 0;
+};
+
+/**
+ * The placement policy of a region: guarantees, reclaim, fair shares, best fit, and drains for
+ * starved gangs.
+ *
+ * A pure decision object: it knows no network and no clock, and its owner carries out what decide()
+ * returns. Not thread safe.
+ */
+class GangScheduler : public GangPolicy
+{
+public:
+    GangScheduler(FleetBook &fleet, ReservationBook &reservations, RuntimeLearner &learner, const ShapePlanner &planner, std::string region, SchedulerTerms terms);
+
+    Status submit(const GangJob &job) override;
+    void ended(const JobId &job, Instant now) override;
+    void stopped(const JobId &job, Instant now) override;
+    void withdraw(const JobId &job) override;
+    std::vector<GangDecision> decide(Instant now) override;
+
+    /** Takes in a job that already runs, when a successor rebuilds its state. */
+    void adopt(const GangJob &job, const Placement &placement, HoldingClass holdingClass, Instant startedAt);
+
+    /** Takes over the settings' guarantees and weights. */
+    void setSettings(const Settings &settings);
+
+    /** Notes that a running job has written a checkpoint. */
+    void checkpointed(const JobId &job, Instant now);
+
+    /** Says in words what a waiting job waits for; empty for a job that does not wait. */
+    std::string explain(const JobId &job, Instant now) const;
+
+    bool isRunning(const JobId &job) const;
+    std::size_t waitingCount() const;
+
+private:
+    struct Running {
+        GangJob job;
+        Instant startedAt;
+        Instant checkpointedAt;
+        bool isStopping = false;
+    };
+
+    /** A job whose workers are being cleared of lent work. */
+    struct Reclaim {
+        GangJob job;
+        Placement placement;
+        std::set<JobId> victims;
+    };
+
+    using Decisions = std::vector<GangDecision>;
+    using Waiting = std::deque<GangJob>;
+
+    void enqueue(const GangJob &job);
+    void endImpossible(Instant now, Decisions &decisions);
+    void startReclaimed(Instant now, Decisions &decisions);
+    void startWaiting(Instant now, Decisions &decisions);
+    bool tryStart(const GangJob &job, Instant now, Decisions &decisions);
+    bool tryGuaranteed(const GangJob &job, Instant now, Decisions &decisions);
+    bool reclaimFor(const GangJob &job, ReservationIndex index, Instant now, Decisions &decisions);
+    bool tryOverGuarantee(const GangJob &job, Instant now, Decisions &decisions);
+    void start(const GangJob &job, const Placement &placement, HoldingClass holdingClass, Instant now, Decisions &decisions);
+    void stop(const JobId &victim, const JobId &owner, Millis grace, Decisions &decisions);
+    void updateDrains(Instant now, Decisions &decisions);
+    void migrateOut(const GangJob &job, const Drain &drain, Instant now, Decisions &decisions);
+    Instant expectedEnd(const JobId &job, Instant now) const;
+    double stopCost(const JobId &job, Instant now) const;
+    Millis graceFor(const GangJob &owner) const;
+    std::map<WorkspaceId, double> usedShares() const;
+    void forget(const JobId &job);
+
+    FleetBook &fleet;
+    ReservationBook &reservations;
+    RuntimeLearner &learner;
+    const ShapePlanner &planner;
+    const std::string region;
+    const SchedulerTerms terms;
+    const VictimChooser chooser;
+
+    std::map<WorkspaceId, Waiting> waiting; ///< in order of urgency, then of submission
+    std::unordered_map<JobId, Running> running;
+    std::unordered_map<JobId, Reclaim> reclaims;
+    DrainBook drains;
+    std::unordered_map<JobId, Instant> impossibleSince;
+    std::map<WorkspaceId, double> weights;
+    std::map<WorkspaceId, Millis> graces;
+    std::vector<std::pair<Shape, HoldingClass>> failedShapes; ///< that found no room in this pass
+};
+
+} // namespace waxwingloft
+
+#endif
--- /dev/null
+++ b/include/waxwingloft/version/reservationbook.h
@@ -0,0 +1,94 @@
+#ifndef WAXWINGLOFT_VERSION_RESERVATIONBOOK_H
+#define WAXWINGLOFT_VERSION_RESERVATIONBOOK_H
+
+#include "waxwingloft/process/fleetbook.h"
+#include "waxwingloft/version/settings.h"
+#include "waxwingloft/version/shapeplanner.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace waxwingloft {
+
+/** One instance of a guaranteed shape and the workers that are kept for it. */
+struct Reservation {
+    WorkspaceId workspace;
+    Shape shape;
+    std::optional<Placement> placement; ///< absent while no workers can be found for it
+    std::optional<JobId> claimedBy; ///< job of the workspace that runs on it
+
+    bool isClaimed() const
+    {
+        return this->claimedBy.has_value();
+    }
+};
+
+/** Index of a reservation in its book; valid until the guarantees are set again. */
+using ReservationIndex = std::size_t;
+
+/**
+ * Explicit workers for every guaranteed shape of every workspace.
+ *
+ * As long as each reservation has a placement, all unclaimed shapes embed at once in what is free
+ * or lent: reservations are disjoint by account, and firm work keeps clear of them. Not thread safe.
+ */
+class ReservationBook
+{
+public:
+    ReservationBook(FleetBook &fleet, std::string region, const ShapePlanner &planner);
+    ~ReservationBook();
+    ReservationBook(const ReservationBook &) = delete;
+    ReservationBook &operator=(const ReservationBook &) = delete;
+
+    /** Takes over the guarantees of @p settings; keeps the placement of those that stay, largest shapes first. */
+    void setGuarantees(const Settings &settings);
+
+    /** Finds new workers for reservations whose workers are lost. Returns how many stay without. */
+    std::size_t repair();
+
+    const std::vector<Reservation> &all() const;
+
+    /** Returns an unclaimed, placed reservation of @p workspace into which @p shape fits, the smallest first. */
+    std::optional<ReservationIndex> findFor(const WorkspaceId &workspace, const Shape &shape) const;
+
+    /** Moves an unclaimed reservation onto workers with free room, when there are any. Returns whether it stands on free room. */
+    bool moveToFree(ReservationIndex index);
+
+    /** Puts an unclaimed reservation onto @p placement, which the caller has planned in RoomKind::Reclaimable. */
+    void moveTo(ReservationIndex index, const Placement &placement);
+
+    /** Takes an unclaimed reservation out of the accounts, to plan a new place for it; follow with moveTo(). */
+    void lift(ReservationIndex index);
+
+    void claim(ReservationIndex index, const JobId &job);
+    void unclaim(const JobId &job);
+
+    /** Returns the tasks of @p shape laid into the placement of a reservation. */
+    Placement placeInside(ReservationIndex index, const Shape &shape) const;
+
+    /** Returns the first guarantee that has no workers, in words, or nothing. */
+    std::optional<std::string> findUnplaced() const;
+
+private:
+    bool place(Reservation &reservation);
+    void unplace(Reservation &reservation);
+    bool standsOnLostWorker(const Reservation &reservation) const;
+    bool replaceOthersFor(Reservation &reservation);
+
+    FleetBook &fleet;
+    const std::string region;
+    const ShapePlanner &planner;
+    std::vector<Reservation> reservations;
+};
+
+/**
+ * Says whether the guarantees of @p settings embed at once in the empty workers of @p fleet.
+ *
+ * The error names the first shape that does not fit and what would.
+ */
+Status checkGuaranteesEmbed(const Settings &settings, const FleetBook &fleet);
+
+} // namespace waxwingloft
+
+#endif
--- /dev/null
+++ b/src/process/clock.cpp
@@ -0,0 +1,22 @@
+#include "waxwingloft/process/clock.h"
+
+#include <thread>
+
+namespace waxwingloft {
+
+Instant SystemClock::now() const
+{
+    return std::chrono::time_point_cast<Millis>(std::chrono::steady_clock::now());
+}
+
+std::int64_t SystemClock::wallMillis() const
+{
+    return std::chrono::duration_cast<Millis>(std::chrono::system_clock::now().time_since_epoch()).count();
+}
+
+void SystemClock::sleepFor(Millis duration)
+{
+    std::this_thread::sleep_for(duration);
+}
+
+} // namespace waxwingloft
--- /dev/null
+++ b/src/process/duty.cpp
@@ -0,0 +1,137 @@
+#include "waxwingloft/process/duty.h"
+
+#include <nlohmann/json.hpp>
+
+namespace waxwingloft {
+
+std::string encodeDuty(const DutyRecord &record)
+{
+    return nlohmann::json{{"holder", record.holder.value}, {"address", record.address}, {"epoch", record.epoch}, {"term_ms", record.term.count()}}.dump();
+}
+
+Result<DutyRecord> parseDuty(const std::string &value)
+{
+    const auto json = nlohmann::json::parse(value, nullptr, false);
+    if (!json.is_object()) {
+        return makeError(ErrorKind::Internal, "a duty row of the table is not a JSON object");
+    }
+    DutyRecord record;
+    record.holder.value = json.value("holder", "");
+    record.address = json.value("address", "");
+    record.epoch = json.value("epoch", Epoch(0));
+    record.term = Millis(json.value("term_ms", std::int64_t(0)));
+    return record;
+}
+
+Duty::Duty(TableStore &table, Clock &clock, EventLog &events, IdSource &ids, std::string name, NodeId self, std::string address, LeaseTerms terms)
+    : table(table)
+    , clock(clock)
+    , events(events)
+    , ids(ids)
+    , name(std::move(name))
+    , self(std::move(self))
+    , address(std::move(address))
+    , terms(terms)
+{
+}
+
+bool Duty::pursue()
+{
+    const auto row = this->table.get("duty/" + this->name);
+    const auto now = this->clock.now();
+    if (!succeeded(row)) {
+        return this->heldEpoch().has_value();
+    }
+    DutyRecord next{this->self, this->address, 1, this->terms.term};
+    std::uint64_t revision = 0;
+    {
+        const std::lock_guard<std::mutex> guard(this->mutex);
+        this->observe(valueOf(row), now);
+        revision = this->seenRevision;
+        if (this->seen) {
+            const bool isRenewal = this->heldUntil.has_value() && this->seen->holder == this->self && now < *this->heldUntil;
+            if (!isRenewal && !this->lapsedForOthers(now)) {
+                return false;
+            }
+            next.epoch = isRenewal ? this->seen->epoch : this->seen->epoch + 1;
+        }
+    }
+    return this->write(next, revision, now);
+}
+
+std::optional<Epoch> Duty::heldEpoch() const
+{
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    if (!this->heldUntil || this->clock.now() >= *this->heldUntil) {
+        return std::nullopt;
+    }
+    return this->seen->epoch;
+}
+
+std::optional<DutyRecord> Duty::lastKnown() const
+{
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    return this->seen;
+}
+
+void Duty::release()
+{
+    DutyRecord released;
+    std::uint64_t revision = 0;
+    {
+        const std::lock_guard<std::mutex> guard(this->mutex);
+        if (!this->heldUntil) {
+            return;
+        }
+        this->heldUntil.reset();
+        released = DutyRecord{NodeId{}, "", this->seen->epoch, Millis(0)};
+        revision = this->seenRevision;
+    }
+    const auto key = "duty/" + this->name;
+    this->table.commit(Transaction{this->ids.next(), {{key, revision}}, {{key, encodeDuty(released)}}});
+    this->events.record(EventKind::LeaseLost, this->name, {}, "released");
+}
+
+bool Duty::write(const DutyRecord &record, std::uint64_t revision, Instant sentAt)
+{
+    const auto key = "duty/" + this->name;
+    const auto committed = this->table.commit(Transaction{this->ids.next(), {{key, revision}}, {{key, encodeDuty(record)}}});
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    if (!succeeded(committed)) {
+        return this->heldUntil.has_value() && this->clock.now() < *this->heldUntil;
+    }
+    const bool isNew = !this->seen || this->seen->epoch != record.epoch;
+    this->seen = record;
+    this->seenRevision = valueOf(committed).revision;
+    this->seenUnchangedSince = this->clock.now();
+    this->heldUntil = sentAt + this->terms.term - this->terms.safety;
+    if (isNew) {
+        this->events.record(EventKind::LeaseTaken, this->name, {}, "epoch " + std::to_string(record.epoch));
+    }
+    return this->clock.now() < *this->heldUntil;
+}
+
+void Duty::observe(const std::optional<Row> &row, Instant now)
+{
+    const std::uint64_t revision = row ? row->revision : 0;
+    if (revision == this->seenRevision && this->seenUnchangedSince) {
+        return;
+    }
+    this->seenRevision = revision;
+    this->seenUnchangedSince = now;
+    this->seen.reset();
+    if (row) {
+        const auto record = parseDuty(row->value);
+        this->seen = succeeded(record) ? valueOf(record) : DutyRecord{};
+    }
+    if (!this->seen || this->seen->holder != this->self) {
+        this->heldUntil.reset();
+    }
+}
+
+bool Duty::lapsedForOthers(Instant now) const
+{
+    return this->seen->holder.isEmpty() || now >= *this->seenUnchangedSince + this->seen->term;
+}
+
+} // namespace waxwingloft
--- /dev/null
+++ b/src/process/workerhealth.cpp
@@ -0,0 +1,86 @@
+#include "waxwingloft/process/workerhealth.h"
+
+#include <algorithm>
+
+namespace waxwingloft {
+
+WorkerHealth::WorkerHealth(Clock &clock, HealthTerms terms)
+    : clock(clock)
+    , terms(terms)
+{
+}
+
+void WorkerHealth::noteSuccess(const NodeId &worker, const std::string &job)
+{
+    this->workers.erase(worker);
+    this->failedOn.erase(job);
+}
+
+HealthVerdict WorkerHealth::noteFailure(const NodeId &worker, const std::string &job)
+{
+    auto &record = this->workers[worker];
+    auto &workersOfJob = this->failedOn[job];
+    workersOfJob.insert(worker);
+    record.failedJobs.insert(job);
+
+    const auto isSuspect = [this](const NodeId &node) { return this->workers[node].onProbation || this->workers[node].failedJobs.size() > 1; };
+    const auto healthyWitnesses = std::count_if(workersOfJob.begin(), workersOfJob.end(), [&isSuspect](const NodeId &node) { return !isSuspect(node); });
+    if (healthyWitnesses >= this->terms.workersToBlameJob) {
+        for (const auto &node : workersOfJob) {
+            this->workers[node].failedJobs.erase(job);
+        }
+        return HealthVerdict::EndJob;
+    }
+    const auto failedOnlyHere = [this](const std::string &other) {
+        const auto found = this->failedOn.find(other);
+        return found == this->failedOn.end() || found->second.size() <= 1;
+    };
+    const auto ownFailures = std::count_if(record.failedJobs.begin(), record.failedJobs.end(), failedOnlyHere);
+    if (record.onProbation || ownFailures >= this->terms.failuresToQuarantine) {
+        return this->quarantine(record) ? HealthVerdict::QuarantineWorker : HealthVerdict::None;
+    }
+    return HealthVerdict::None;
+}
+
+bool WorkerHealth::isQuarantined(const NodeId &worker) const
+{
+    const auto found = this->workers.find(worker);
+    return found != this->workers.end() && found->second.onProbation && this->clock.now() < found->second.quarantinedUntil;
+}
+
+std::vector<NodeId> WorkerHealth::quarantined() const
+{
+    std::vector<NodeId> nodes;
+    for (const auto &[node, record] : this->workers) {
+        if (record.onProbation) {
+            nodes.push_back(node);
+        }
+    }
+    return nodes;
+}
+
+std::vector<NodeId> WorkerHealth::evidenceAgainst(const std::string &job) const
+{
+    const auto found = this->failedOn.find(job);
+    return found == this->failedOn.end() ? std::vector<NodeId>{} : std::vector<NodeId>(found->second.begin(), found->second.end());
+}
+
+void WorkerHealth::forgetJob(const std::string &job)
+{
+    this->failedOn.erase(job);
+}
+
+bool WorkerHealth::quarantine(Record &record)
+{
+    const auto now = this->clock.now();
+    if (record.onProbation && now < record.quarantinedUntil) {
+        return false;
+    }
+    const int doublings = std::min(record.failedProbes, 10);
+    record.quarantinedUntil = now + std::min(this->terms.probeLimit, this->terms.probeAfter * (1 << doublings));
+    record.onProbation = true;
+    ++record.failedProbes;
+    return true;
+}
+
+} // namespace waxwingloft
--- /dev/null
+++ b/src/request/drainbook.cpp
@@ -0,0 +1,127 @@
+#include "waxwingloft/request/drainbook.h"
+
+#include <algorithm>
+
+namespace waxwingloft {
+
+namespace {
+
+using DomainOf = std::uint64_t (*)(const FleetBook &, WorkerIndex);
+
+constexpr std::array<DomainOf, NameTable<Adjacency>::names.size()> DomainKeys = {
+    [](const FleetBook &, WorkerIndex worker) -> std::uint64_t { return worker; },
+    [](const FleetBook &fleet, WorkerIndex worker) -> std::uint64_t { return fleet.rackOf(worker); },
+    [](const FleetBook &fleet, WorkerIndex worker) -> std::uint64_t { return fleet.racks()[fleet.rackOf(worker)].dataCentre; },
+    [](const FleetBook &fleet, WorkerIndex worker) -> std::uint64_t { return fleet.racks()[fleet.rackOf(worker)].region; },
+};
+
+} // namespace
+
+DrainBook::DrainBook(const FleetBook &fleet, std::string region)
+    : fleet(fleet)
+    , region(std::move(region))
+{
+}
+
+bool DrainBook::plan(const GangJob &job, const EndEstimate &endOf, Instant now)
+{
+    std::map<std::uint64_t, std::vector<WorkerIndex>> domains;
+    const auto keyOf = DomainKeys.at(static_cast<std::size_t>(job.shape.adjacency));
+    for (WorkerIndex worker = 0; worker < this->fleet.workerCount(); ++worker) {
+        const bool isHere = this->region.empty() || this->fleet.locationOf(worker).region == this->region;
+        const bool isUp = this->fleet.conditionOf(worker) == WorkerCondition::Up;
+        if (isHere && isUp && this->fleet.capacityOf(worker).covers(job.shape.perTask) && this->mayUse(worker, job.id, Instant::max())) {
+            domains[keyOf(this->fleet, worker)].push_back(worker);
+        }
+    }
+    std::optional<Drain> best;
+    for (auto &[key, workers] : domains) {
+        auto drain = this->planDomain(std::move(workers), job, endOf, now);
+        if (drain && (!best || drain->expectedAt < best->expectedAt)) {
+            best = std::move(drain);
+        }
+    }
+    if (!best) {
+        this->drains.erase(job.id);
+        return false;
+    }
+    this->drains[job.id] = std::move(*best);
+    return true;
+}
+
+void DrainBook::drop(const JobId &job)
+{
+    this->drains.erase(job);
+}
+
+void DrainBook::keepOnly(const std::function<bool(const JobId &)> &isStarved)
+{
+    std::erase_if(this->drains, [&isStarved](const auto &entry) { return !isStarved(entry.first); });
+}
+
+bool DrainBook::mayUse(WorkerIndex worker, const JobId &job, Instant expectedEnd) const
+{
+    const auto forbids = [&](const auto &entry) {
+        const auto &[owner, drain] = entry;
+        return owner != job && expectedEnd > drain.expectedAt && std::binary_search(drain.workers.begin(), drain.workers.end(), worker);
+    };
+    return std::none_of(this->drains.begin(), this->drains.end(), forbids);
+}
+
+const Drain *DrainBook::find(const JobId &job) const
+{
+    const auto found = this->drains.find(job);
+    return found == this->drains.end() ? nullptr : &found->second;
+}
+
+std::size_t DrainBook::size() const
+{
+    return this->drains.size();
+}
+
+std::optional<Drain> DrainBook::planDomain(std::vector<WorkerIndex> workers, const GangJob &job, const EndEstimate &endOf, Instant now) const
+{
+    struct Emptying {
+        Instant at;
+        WorkerIndex worker = 0;
+        std::int64_t tasks = 0;
+    };
+    std::vector<Emptying> order;
+    for (const auto worker : workers) {
+        const auto room = lesser(this->fleet.capacityOf(worker), this->fleet.roomOf(worker, RoomKind::Reclaimable));
+        const auto unreserved = job.isReclaimable() ? this->fleet.capacityOf(worker) : room;
+        const auto tasks = timesCovered(unreserved, job.shape.perTask, job.shape.tasks);
+        if (tasks > 0) {
+            order.push_back({this->emptyAt(worker, endOf, now), worker, tasks});
+        }
+    }
+    std::sort(order.begin(), order.end(), [](const Emptying &left, const Emptying &right) {
+        return left.at != right.at ? left.at < right.at : left.worker < right.worker;
+    });
+    Drain drain{{}, now};
+    auto missing = static_cast<std::int64_t>(job.shape.tasks);
+    for (const auto &emptying : order) {
+        if (missing <= 0) {
+            break;
+        }
+        drain.workers.push_back(emptying.worker);
+        drain.expectedAt = std::max(drain.expectedAt, emptying.at);
+        missing -= emptying.tasks;
+    }
+    if (missing > 0) {
+        return std::nullopt;
+    }
+    std::sort(drain.workers.begin(), drain.workers.end());
+    return drain;
+}
+
+Instant DrainBook::emptyAt(WorkerIndex worker, const EndEstimate &endOf, Instant now) const
+{
+    auto latest = now;
+    for (const auto &job : this->fleet.jobsOn(worker)) {
+        latest = std::max(latest, endOf(job));
+    }
+    return latest;
+}
+
+} // namespace waxwingloft
--- /dev/null
+++ b/src/request/gangscheduler.cpp
@@ -0,0 +1,439 @@
+#include "waxwingloft/request/gangscheduler.h"
+
+#include <algorithm>
+
+namespace waxwingloft {
+
+namespace {
+
+constexpr double EndQuantile = 0.9; ///< quantile of learned run times that drains and backfill count on
+constexpr double CheckpointOverheadSeconds = 10.0; ///< work that a clean checkpoint and restart costs an accelerator
+constexpr double ProcessorsPerAccelerator = 16.0; ///< weight of a core against an accelerator in costs and shares
+constexpr double MillisPerSecond = 1000.0;
+
+double sizeOf(const Resources &amount)
+{
+    return static_cast<double>(amount.accelerators) + static_cast<double>(amount.processors) / ProcessorsPerAccelerator;
+}
+
+bool comesBefore(const GangJob &left, const GangJob &right)
+{
+    return left.urgency != right.urgency ? left.urgency < right.urgency : left.submittedAt < right.submittedAt;
+}
+
+std::string minutesText(Millis duration)
+{
+    return std::to_string(std::max<std::int64_t>(1, duration.count() / 60000)) + " min";
+}
+
+} // namespace
+
+GangScheduler::GangScheduler(FleetBook &fleet,
+                             ReservationBook &reservations,
+                             RuntimeLearner &learner,
+                             const ShapePlanner &planner,
+                             std::string region,
+                             SchedulerTerms terms)
+    : fleet(fleet)
+    , reservations(reservations)
+    , learner(learner)
+    , planner(planner)
+    , region(region)
+    , terms(terms)
+    , chooser(fleet, planner, region)
+    , drains(fleet, region)
+{
+}
+
+Status GangScheduler::submit(const GangJob &job)
+{
+    auto checked = checkShape(job.shape);
+    if (!succeeded(checked)) {
+        return checked;
+    }
+    if (!couldEverFit(this->fleet, job.shape, this->region)) {
+        return describeMisfit(this->fleet, job.shape, this->region);
+    }
+    this->enqueue(job);
+    return Done{};
+}
+
+void GangScheduler::ended(const JobId &job, Instant now)
+{
+    const auto found = this->running.find(job);
+    if (found == this->running.end()) {
+        return;
+    }
+    this->learner.observe(found->second.job.workspace, found->second.job.kind, now - found->second.startedAt);
+    this->forget(job);
+}
+
+void GangScheduler::stopped(const JobId &job, Instant /*now*/)
+{
+    const auto found = this->running.find(job);
+    if (found == this->running.end()) {
+        return;
+    }
+    const auto stoppedJob = found->second.job;
+    this->forget(job);
+    this->enqueue(stoppedJob);
+}
+
+void GangScheduler::withdraw(const JobId &job)
+{
+    for (auto &[workspace, jobs] : this->waiting) {
+        std::erase_if(jobs, [&job](const GangJob &candidate) { return candidate.id == job; });
+    }
+    const auto reclaim = this->reclaims.find(job);
+    if (reclaim != this->reclaims.end()) {
+        this->fleet.expect(reclaim->second.placement, reclaim->second.job.shape.perTask, -1);
+        this->reservations.unclaim(job);
+        this->reclaims.erase(reclaim);
+    }
+    this->drains.drop(job);
+    this->impossibleSince.erase(job);
+}
+
+std::vector<GangDecision> GangScheduler::decide(Instant now)
+{
+    Decisions decisions;
+    this->failedShapes.clear();
+    this->endImpossible(now, decisions);
+    this->startReclaimed(now, decisions);
+    this->startWaiting(now, decisions);
+    this->updateDrains(now, decisions);
+    return decisions;
+}
+
+void GangScheduler::adopt(const GangJob &job, const Placement &placement, HoldingClass holdingClass, Instant startedAt)
+{
+    this->fleet.hold({job.id, job.workspace, holdingClass, job.shape.perTask, placement});
+    this->running.emplace(job.id, Running{job, startedAt, startedAt, false});
+}
+
+void GangScheduler::setSettings(const Settings &settings)
+{
+    this->weights.clear();
+    this->graces.clear();
+    for (const auto &[id, workspace] : settings.workspaces) {
+        this->weights[id] = workspace.weight;
+        this->graces[id] = workspace.reclaimGrace;
+    }
+    this->reservations.setGuarantees(settings);
+}
+
+void GangScheduler::checkpointed(const JobId &job, Instant now)
+{
+    const auto found = this->running.find(job);
+    if (found != this->running.end()) {
+        found->second.checkpointedAt = now;
+    }
+}
+
+std::string GangScheduler::explain(const JobId &job, Instant now) const
+{
+    const auto reclaim = this->reclaims.find(job);
+    if (reclaim != this->reclaims.end()) {
+        return "waits for " + std::to_string(reclaim->second.victims.size()) + " lent jobs to stop on its guaranteed workers";
+    }
+    for (const auto &[workspace, jobs] : this->waiting) {
+        const auto found = std::find_if(jobs.begin(), jobs.end(), [&job](const GangJob &candidate) { return candidate.id == job; });
+        if (found == jobs.end()) {
+            continue;
+        }
+        const auto room = found->isReclaimable() ? RoomKind::Free : RoomKind::Firm;
+        const auto fitting = mostTasksThatFit(this->fleet, found->shape, PlanScope{room, this->region, nullptr, std::nullopt});
+        auto text = "waits with room for " + std::to_string(fitting) + " of its " + std::to_string(found->shape.tasks) + " tasks in one "
+            + std::string(nameOf(found->shape.adjacency));
+        const auto *const drain = this->drains.find(job);
+        if (drain != nullptr) {
+            text += "; " + std::to_string(drain->workers.size()) + " workers are drained for it, the last is empty in about " + minutesText(drain->expectedAt - now);
+        }
+        return text;
+    }
+    return {};
+}
+
+bool GangScheduler::isRunning(const JobId &job) const
+{
+    return this->running.contains(job);
+}
+
+std::size_t GangScheduler::waitingCount() const
+{
+    std::size_t count = this->reclaims.size();
+    for (const auto &[workspace, jobs] : this->waiting) {
+        count += jobs.size();
+    }
+    return count;
+}
+
+void GangScheduler::enqueue(const GangJob &job)
+{
+    auto &jobs = this->waiting[job.workspace];
+    jobs.insert(std::upper_bound(jobs.begin(), jobs.end(), job, &comesBefore), job);
+}
+
+void GangScheduler::endImpossible(Instant now, Decisions &decisions)
+{
+    std::map<std::string, bool> fits;
+    std::vector<std::pair<JobId, Shape>> impossible;
+    for (const auto &[workspace, jobs] : this->waiting) {
+        for (const auto &job : jobs) {
+            const auto [known, isNew] = fits.emplace(toString(job.shape), false);
+            if (isNew) {
+                known->second = couldEverFit(this->fleet, job.shape, this->region);
+            }
+            if (known->second) {
+                this->impossibleSince.erase(job.id);
+            } else if (now - this->impossibleSince.emplace(job.id, now).first->second >= this->terms.neverRunnableAfter) {
+                impossible.emplace_back(job.id, job.shape);
+            }
+        }
+    }
+    for (const auto &[job, shape] : impossible) {
+        this->withdraw(job);
+        decisions.push_back(EndGangDecision{job, describeMisfit(this->fleet, shape, this->region)});
+    }
+}
+
+void GangScheduler::startReclaimed(Instant now, Decisions &decisions)
+{
+    std::vector<JobId> ready;
+    for (auto &[owner, reclaim] : this->reclaims) {
+        std::erase_if(reclaim.victims, [this](const JobId &victim) { return !this->running.contains(victim); });
+        if (reclaim.victims.empty()) {
+            ready.push_back(owner);
+        }
+    }
+    for (const auto &owner : ready) {
+        const auto reclaim = this->reclaims.at(owner);
+        this->reclaims.erase(owner);
+        this->fleet.expect(reclaim.placement, reclaim.job.shape.perTask, -1);
+        this->start(reclaim.job, reclaim.placement, HoldingClass::Guaranteed, now, decisions);
+    }
+}
+
+/** Serves the workspace with the smallest weighted share first, as long as any of its jobs starts. */
+void GangScheduler::startWaiting(Instant now, Decisions &decisions)
+{
+    auto shares = this->usedShares();
+    std::set<WorkspaceId> open;
+    for (const auto &[workspace, jobs] : this->waiting) {
+        if (!jobs.empty()) {
+            open.insert(workspace);
+        }
+    }
+    while (!open.empty()) {
+        const auto next = *std::min_element(open.begin(), open.end(), [&shares](const auto &left, const auto &right) { return shares[left] < shares[right]; });
+        auto &jobs = this->waiting[next];
+        const auto started = std::find_if(jobs.begin(), jobs.end(), [&](const GangJob &job) { return this->tryStart(job, now, decisions); });
+        if (started == jobs.end()) {
+            open.erase(next);
+            continue;
+        }
+        shares[next] += sizeOf(started->shape.total()) / std::max(this->weights[next], 0.01);
+        this->drains.drop(started->id);
+        jobs.erase(started);
+    }
+}
+
+bool GangScheduler::tryStart(const GangJob &job, Instant now, Decisions &decisions)
+{
+    return this->tryGuaranteed(job, now, decisions) || this->tryOverGuarantee(job, now, decisions);
+}
+
+bool GangScheduler::tryGuaranteed(const GangJob &job, Instant now, Decisions &decisions)
+{
+    const auto index = this->reservations.findFor(job.workspace, job.shape);
+    if (!index) {
+        return false;
+    }
+    const auto roomIsFree = [this, &job](const Placement &placement) {
+        return std::all_of(placement.begin(), placement.end(), [this, &job](const PlacementPart &part) {
+            return this->fleet.roomOf(part.worker, RoomKind::Free).covers(job.shape.perTask * part.tasks);
+        });
+    };
+    auto inside = this->reservations.placeInside(*index, job.shape);
+    if (!roomIsFree(inside)) {
+        this->reservations.moveToFree(*index);
+        inside = this->reservations.placeInside(*index, job.shape);
+    }
+    if (!roomIsFree(inside)) {
+        return this->reclaimFor(job, *index, now, decisions);
+    }
+    this->reservations.claim(*index, job.id);
+    this->start(job, inside, HoldingClass::Guaranteed, now, decisions);
+    return true;
+}
+
+/** Stops the cheapest lent work that stands on, or could make, room for the reservation. */
+bool GangScheduler::reclaimFor(const GangJob &job, ReservationIndex index, Instant now, Decisions &decisions)
+{
+    const auto &reservation = this->reservations.all()[index];
+    const auto costOf = [this, now](const JobId &victim) { return this->stopCost(victim, now); };
+    const auto home = *reservation.placement;
+    this->reservations.lift(index);
+    auto plan = this->chooser.choose(reservation.shape, costOf);
+    this->reservations.moveTo(index, plan ? plan->placement : home);
+    const auto inside = this->reservations.placeInside(index, job.shape);
+    const auto needed = this->chooser.victimsOn(inside, job.shape.perTask, costOf);
+    if (!needed) {
+        return false;
+    }
+    this->reservations.claim(index, job.id);
+    this->fleet.expect(inside, job.shape.perTask, 1);
+    Reclaim reclaim{job, inside, {}};
+    for (const auto &victim : needed->victims) {
+        this->stop(victim, job.id, this->graceFor(job), decisions);
+        reclaim.victims.insert(victim);
+    }
+    this->reclaims.emplace(job.id, std::move(reclaim));
+    return true;
+}
+
+bool GangScheduler::tryOverGuarantee(const GangJob &job, Instant now, Decisions &decisions)
+{
+    const auto holdingClass = job.isReclaimable() ? HoldingClass::Lent : HoldingClass::Firm;
+    const std::pair<Shape, HoldingClass> key{job.shape, holdingClass};
+    const bool isDrained = this->drains.find(job.id) != nullptr;
+    if (!isDrained && std::find(this->failedShapes.begin(), this->failedShapes.end(), key) != this->failedShapes.end()) {
+        return false;
+    }
+    const auto end = now + this->learner.estimate(job.workspace, job.kind, job.declaredRunTime, EndQuantile);
+    const std::function<bool(WorkerIndex)> allows = [this, &job, end](WorkerIndex worker) { return this->drains.mayUse(worker, job.id, end); };
+    const auto room = job.isReclaimable() ? RoomKind::Free : RoomKind::Firm;
+    const auto placement = this->planner.plan(this->fleet, job.shape, PlanScope{room, this->region, this->drains.size() == 0 ? nullptr : &allows, std::nullopt});
+    if (!placement) {
+        this->failedShapes.push_back(key);
+        return false;
+    }
+    this->start(job, *placement, holdingClass, now, decisions);
+    return true;
+}
+
+void GangScheduler::start(const GangJob &job, const Placement &placement, HoldingClass holdingClass, Instant now, Decisions &decisions)
+{
+    this->fleet.hold({job.id, job.workspace, holdingClass, job.shape.perTask, placement});
+    this->running.emplace(job.id, Running{job, now, now, false});
+    decisions.push_back(StartGangDecision{job.id, placement, holdingClass});
+}
+
+void GangScheduler::stop(const JobId &victim, const JobId &owner, Millis grace, Decisions &decisions)
+{
+    auto &entry = this->running.at(victim);
+    if (!entry.isStopping) {
+        entry.isStopping = true;
+        decisions.push_back(StopGangDecision{victim, owner, grace});
+    }
+}
+
+/** Drains workers for the jobs that have waited longest, largest first among equals. */
+void GangScheduler::updateDrains(Instant now, Decisions &decisions)
+{
+    std::vector<const GangJob *> starved;
+    for (const auto &[workspace, jobs] : this->waiting) {
+        for (const auto &job : jobs) {
+            if (now - job.submittedAt >= this->terms.starvationAge) {
+                starved.push_back(&job);
+            }
+        }
+    }
+    std::sort(starved.begin(), starved.end(), [](const GangJob *left, const GangJob *right) {
+        const auto leftSize = sizeOf(left->shape.total());
+        const auto rightSize = sizeOf(right->shape.total());
+        return leftSize != rightSize ? leftSize > rightSize : left->submittedAt < right->submittedAt;
+    });
+    starved.resize(std::min(starved.size(), this->terms.maxDrains));
+    const auto isStarved = [&starved](const JobId &job) {
+        return std::any_of(starved.begin(), starved.end(), [&job](const GangJob *candidate) { return candidate->id == job; });
+    };
+    this->drains.keepOnly(isStarved);
+    const EndEstimate endOf = [this, now](const JobId &job) { return this->expectedEnd(job, now); };
+    for (const auto *job : starved) {
+        if (this->drains.plan(*job, endOf, now)) {
+            this->migrateOut(*job, *this->drains.find(job->id), now, decisions);
+        }
+    }
+}
+
+/** Moves checkpointable lent work off a drain when nothing else is left on it and the move is cheap. */
+void GangScheduler::migrateOut(const GangJob &job, const Drain &drain, Instant now, Decisions &decisions)
+{
+    std::set<JobId> holders;
+    for (const auto worker : drain.workers) {
+        holders.insert(this->fleet.jobsOn(worker).begin(), this->fleet.jobsOn(worker).end());
+    }
+    double cost = 0.0;
+    for (const auto &holder : holders) {
+        const auto found = this->running.find(holder);
+        const bool isMovable = found != this->running.end() && found->second.job.checkpointable && this->fleet.holdingOf(holder)->holdingClass == HoldingClass::Lent;
+        if (!isMovable) {
+            return;
+        }
+        cost += CheckpointOverheadSeconds * sizeOf(found->second.job.shape.total()) * found->second.job.worth;
+    }
+    const double waited = static_cast<double>((now - job.submittedAt).count()) / MillisPerSecond;
+    if (cost > waited * sizeOf(job.shape.total()) * job.worth) {
+        return;
+    }
+    for (const auto &holder : holders) {
+        this->stop(holder, job.id, this->graceFor(job), decisions);
+    }
+}
+
+Instant GangScheduler::expectedEnd(const JobId &job, Instant now) const
+{
+    const auto found = this->running.find(job);
+    if (found == this->running.end()) {
+        return now;
+    }
+    const auto &entry = found->second;
+    const auto estimate = this->learner.estimate(entry.job.workspace, entry.job.kind, entry.job.declaredRunTime, EndQuantile);
+    const auto end = entry.startedAt + estimate;
+    return end > now ? end : now + (now - entry.startedAt) / 2;
+}
+
+double GangScheduler::stopCost(const JobId &job, Instant now) const
+{
+    const auto &entry = this->running.at(job);
+    const auto size = sizeOf(entry.job.shape.total()) * entry.job.worth;
+    if (entry.isStopping) {
+        return 0.0;
+    }
+    const auto lostSeconds = static_cast<double>((now - entry.checkpointedAt).count()) / MillisPerSecond;
+    return size * (entry.job.checkpointable ? std::min(lostSeconds, CheckpointOverheadSeconds) : lostSeconds);
+}
+
+Millis GangScheduler::graceFor(const GangJob &owner) const
+{
+    if (owner.urgency == Urgency::Urgent) {
+        return this->terms.urgentGrace;
+    }
+    const auto found = this->graces.find(owner.workspace);
+    return found == this->graces.end() ? this->terms.urgentGrace : found->second;
+}
+
+std::map<WorkspaceId, double> GangScheduler::usedShares() const
+{
+    std::map<WorkspaceId, double> shares;
+    for (const auto &[job, holding] : this->fleet.holdings()) {
+        for (const auto &part : holding.placement) {
+            shares[holding.workspace] += sizeOf(holding.perTask * part.tasks);
+        }
+    }
+    for (auto &[workspace, share] : shares) {
+        const auto weight = this->weights.find(workspace);
+        share /= weight == this->weights.end() ? 1.0 : weight->second;
+    }
+    return shares;
+}
+
+void GangScheduler::forget(const JobId &job)
+{
+    this->fleet.release(job);
+    this->reservations.unclaim(job);
+    this->running.erase(job);
+}
+
+} // namespace waxwingloft
--- /dev/null
+++ b/src/request/victimchooser.cpp
@@ -0,0 +1,110 @@
+#include "waxwingloft/request/victimchooser.h"
+
+#include <algorithm>
+
+namespace waxwingloft {
+
+namespace {
+
+/** Returns what the job's holding takes on one worker. */
+Resources heldOn(const Holding &holding, WorkerIndex worker)
+{
+    Resources amount;
+    for (const auto &part : holding.placement) {
+        if (part.worker == worker) {
+            amount += holding.perTask * part.tasks;
+        }
+    }
+    return amount;
+}
+
+bool contains(const std::vector<JobId> &jobs, const JobId &job)
+{
+    return std::find(jobs.begin(), jobs.end(), job) != jobs.end();
+}
+
+} // namespace
+
+VictimChooser::VictimChooser(const FleetBook &fleet, const ShapePlanner &planner, std::string region)
+    : fleet(fleet)
+    , planner(planner)
+    , region(std::move(region))
+{
+}
+
+std::optional<VictimPlan> VictimChooser::choose(const Shape &shape, const StopCost &costOf) const
+{
+    std::optional<VictimPlan> best;
+    for (const auto &placement : this->candidatePlacements(shape)) {
+        auto plan = this->victimsOn(placement, shape.perTask, costOf);
+        if (plan && (!best || plan->cost < best->cost)) {
+            best = std::move(plan);
+        }
+    }
+    return best;
+}
+
+std::optional<VictimPlan> VictimChooser::victimsOn(const Placement &placement, const Resources &perTask, const StopCost &costOf) const
+{
+    VictimPlan plan{placement, {}, 0.0};
+    for (const auto &part : placement) {
+        const auto needed = perTask * part.tasks;
+        auto room = this->fleet.roomOf(part.worker, RoomKind::Free);
+        std::vector<std::pair<double, const Holding *>> lent;
+        for (const auto &job : this->fleet.jobsOn(part.worker)) {
+            const auto *const holding = this->fleet.holdingOf(job);
+            if (holding->holdingClass != HoldingClass::Lent) {
+                continue;
+            }
+            if (contains(plan.victims, job)) {
+                room += heldOn(*holding, part.worker);
+            } else {
+                lent.emplace_back(costOf(job), holding);
+            }
+        }
+        std::sort(lent.begin(), lent.end(), [](const auto &left, const auto &right) { return left.first < right.first; });
+        for (const auto &[cost, holding] : lent) {
+            if (room.covers(needed)) {
+                break;
+            }
+            plan.victims.push_back(holding->job);
+            plan.cost += cost;
+            room += heldOn(*holding, part.worker);
+        }
+        if (!room.covers(needed)) {
+            return std::nullopt;
+        }
+    }
+    return plan;
+}
+
+std::vector<Placement> VictimChooser::candidatePlacements(const Shape &shape) const
+{
+    std::vector<Placement> placements;
+    const auto add = [this, &shape, &placements](std::optional<std::uint32_t> rack) {
+        auto placement = this->planner.plan(this->fleet, shape, PlanScope{RoomKind::Reclaimable, this->region, nullptr, rack});
+        if (placement) {
+            placements.push_back(std::move(*placement));
+        }
+    };
+    if (shape.tasks == 1 || shape.adjacency == Adjacency::Worker) {
+        const auto needed = shape.total();
+        for (WorkerIndex worker = 0; worker < this->fleet.workerCount(); ++worker) {
+            const bool isHere = this->region.empty() || this->fleet.locationOf(worker).region == this->region;
+            if (isHere && this->fleet.roomOf(worker, RoomKind::Reclaimable).covers(needed)) {
+                placements.push_back({{worker, shape.tasks}});
+            }
+        }
+        return placements;
+    }
+    if (shape.adjacency == Adjacency::Rack) {
+        for (std::uint32_t rack = 0; rack < this->fleet.racks().size(); ++rack) {
+            add(rack);
+        }
+        return placements;
+    }
+    add(std::nullopt);
+    return placements;
+}
+
+} // namespace waxwingloft
--- /dev/null
+++ b/src/version/reservationbook.cpp
@@ -0,0 +1,261 @@
+#include "waxwingloft/version/reservationbook.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace waxwingloft {
+
+namespace {
+
+std::int64_t sizeOf(const Shape &shape)
+{
+    return shape.total().accelerators;
+}
+
+/** Narrow adjacency and large tasks are hardest to place and go first. */
+bool isHarder(const Reservation &left, const Reservation &right)
+{
+    if (left.shape.perTask.accelerators != right.shape.perTask.accelerators) {
+        return left.shape.perTask.accelerators > right.shape.perTask.accelerators;
+    }
+    if (left.shape.adjacency != right.shape.adjacency) {
+        return left.shape.adjacency < right.shape.adjacency;
+    }
+    return sizeOf(left.shape) > sizeOf(right.shape);
+}
+
+std::vector<Reservation> expand(const Settings &settings)
+{
+    std::vector<Reservation> wanted;
+    for (const auto &[id, workspace] : settings.workspaces) {
+        for (const auto &guarantee : workspace.guarantees) {
+            wanted.insert(wanted.end(), guarantee.count, Reservation{id, guarantee.shape, std::nullopt, std::nullopt});
+        }
+    }
+    std::stable_sort(wanted.begin(), wanted.end(), &isHarder);
+    return wanted;
+}
+
+} // namespace
+
+ReservationBook::ReservationBook(FleetBook &fleet, std::string region, const ShapePlanner &planner)
+    : fleet(fleet)
+    , region(std::move(region))
+    , planner(planner)
+{
+}
+
+ReservationBook::~ReservationBook()
+{
+    for (auto &reservation : this->reservations) {
+        this->unplace(reservation);
+    }
+}
+
+void ReservationBook::setGuarantees(const Settings &settings)
+{
+    auto wanted = expand(settings);
+    for (auto &reservation : wanted) {
+        const auto isSame = [&reservation](const Reservation &old) {
+            return old.placement && old.workspace == reservation.workspace && old.shape == reservation.shape;
+        };
+        auto kept = std::find_if(this->reservations.begin(), this->reservations.end(), isSame);
+        if (kept != this->reservations.end()) {
+            reservation = std::move(*kept);
+            kept->placement.reset();
+        }
+    }
+    for (auto &dropped : this->reservations) {
+        this->unplace(dropped);
+    }
+    this->reservations = std::move(wanted);
+    this->repair();
+}
+
+std::size_t ReservationBook::repair()
+{
+    std::size_t unplaced = 0;
+    for (auto &reservation : this->reservations) {
+        if (reservation.placement && this->standsOnLostWorker(reservation)) {
+            this->unplace(reservation);
+        }
+    }
+    for (auto &reservation : this->reservations) {
+        const bool isPlaced = reservation.placement || this->place(reservation) || this->replaceOthersFor(reservation);
+        unplaced += isPlaced ? 0 : 1;
+    }
+    return unplaced;
+}
+
+const std::vector<Reservation> &ReservationBook::all() const
+{
+    return this->reservations;
+}
+
+std::optional<ReservationIndex> ReservationBook::findFor(const WorkspaceId &workspace, const Shape &shape) const
+{
+    std::optional<ReservationIndex> best;
+    for (ReservationIndex index = 0; index < this->reservations.size(); ++index) {
+        const auto &reservation = this->reservations[index];
+        const bool isUsable = reservation.workspace == workspace && reservation.placement && !reservation.isClaimed() && fitsInside(shape, reservation.shape);
+        if (isUsable && (!best || sizeOf(reservation.shape) < sizeOf(this->reservations[*best].shape))) {
+            best = index;
+        }
+    }
+    return best;
+}
+
+bool ReservationBook::moveToFree(ReservationIndex index)
+{
+    auto &reservation = this->reservations.at(index);
+    const auto old = *reservation.placement;
+    this->unplace(reservation);
+    const auto free = this->planner.plan(this->fleet, reservation.shape, PlanScope{RoomKind::Firm, this->region, nullptr, std::nullopt});
+    this->moveTo(index, free.value_or(old));
+    return free.has_value();
+}
+
+void ReservationBook::moveTo(ReservationIndex index, const Placement &placement)
+{
+    auto &reservation = this->reservations.at(index);
+    this->unplace(reservation);
+    reservation.placement = placement;
+    this->fleet.reserve(placement, reservation.shape.perTask, 1);
+}
+
+void ReservationBook::lift(ReservationIndex index)
+{
+    this->unplace(this->reservations.at(index));
+}
+
+void ReservationBook::claim(ReservationIndex index, const JobId &job)
+{
+    this->reservations.at(index).claimedBy = job;
+}
+
+void ReservationBook::unclaim(const JobId &job)
+{
+    for (auto &reservation : this->reservations) {
+        if (reservation.claimedBy == job) {
+            reservation.claimedBy.reset();
+        }
+    }
+}
+
+Placement ReservationBook::placeInside(ReservationIndex index, const Shape &shape) const
+{
+    const auto &reservation = this->reservations.at(index);
+    const auto tasksInOne = timesCovered(reservation.shape.perTask, shape.perTask, MaxGangTasks);
+    auto left = shape.tasks;
+    Placement placement;
+    for (const auto &part : *reservation.placement) {
+        const auto taken = static_cast<std::uint32_t>(std::min<std::int64_t>(left, tasksInOne * part.tasks));
+        if (taken > 0) {
+            placement.push_back({part.worker, taken});
+        }
+        left -= taken;
+    }
+    return placement;
+}
+
+std::optional<std::string> ReservationBook::findUnplaced() const
+{
+    for (const auto &reservation : this->reservations) {
+        if (!reservation.placement) {
+            return "workspace " + reservation.workspace.value + ": " + toString(reservation.shape);
+        }
+    }
+    return std::nullopt;
+}
+
+bool ReservationBook::place(Reservation &reservation)
+{
+    const auto place = [this, &reservation](RoomKind room) {
+        return this->planner.plan(this->fleet, reservation.shape, PlanScope{room, this->region, nullptr, std::nullopt});
+    };
+    auto found = place(RoomKind::Firm);
+    if (!found) {
+        found = place(RoomKind::Reclaimable);
+    }
+    if (!found) {
+        return false;
+    }
+    this->fleet.reserve(*found, reservation.shape.perTask, 1);
+    reservation.placement = std::move(found);
+    return true;
+}
+
+void ReservationBook::unplace(Reservation &reservation)
+{
+    if (reservation.placement) {
+        this->fleet.reserve(*reservation.placement, reservation.shape.perTask, -1);
+        reservation.placement.reset();
+    }
+}
+
+bool ReservationBook::standsOnLostWorker(const Reservation &reservation) const
+{
+    const auto isLost = [this, &reservation](const PlacementPart &part) {
+        const auto condition = this->fleet.conditionOf(part.worker);
+        return reservation.isClaimed() ? condition == WorkerCondition::Lost : condition != WorkerCondition::Up;
+    };
+    return std::any_of(reservation.placement->begin(), reservation.placement->end(), isLost);
+}
+
+/** Places every unclaimed reservation anew, the hardest first; puts the old places back when that does not help. */
+bool ReservationBook::replaceOthersFor(Reservation &reservation)
+{
+    std::vector<std::optional<Placement>> old;
+    for (auto &other : this->reservations) {
+        old.push_back(other.placement);
+        if (!other.isClaimed()) {
+            this->unplace(other);
+        }
+    }
+    bool keepsAll = this->place(reservation);
+    for (std::size_t index = 0; index < this->reservations.size() && keepsAll; ++index) {
+        auto &other = this->reservations[index];
+        keepsAll = other.placement || !old[index] || this->place(other);
+    }
+    if (keepsAll) {
+        return true;
+    }
+    for (std::size_t index = 0; index < this->reservations.size(); ++index) {
+        auto &other = this->reservations[index];
+        if (other.isClaimed()) {
+            continue;
+        }
+        this->unplace(other);
+        if (old[index]) {
+            this->fleet.reserve(*old[index], other.shape.perTask, 1);
+            other.placement = old[index];
+        }
+    }
+    return false;
+}
+
+Status checkGuaranteesEmbed(const Settings &settings, const FleetBook &fleet)
+{
+    FleetBook empty;
+    for (WorkerIndex worker = 0; worker < fleet.workerCount(); ++worker) {
+        if (fleet.conditionOf(worker) != WorkerCondition::Lost) {
+            empty.putWorker(fleet.nodeOf(worker), fleet.locationOf(worker), fleet.capacityOf(worker));
+        }
+    }
+    const BestFitPlanner planner;
+    ReservationBook book(empty, "", planner);
+    book.setGuarantees(settings);
+    for (const auto &reservation : book.all()) {
+        if (reservation.placement) {
+            continue;
+        }
+        const auto fitting = mostTasksThatFit(empty, reservation.shape, PlanScope{RoomKind::Firm, "", nullptr, std::nullopt});
+        return makeError(ErrorKind::InvalidInput,
+                         "the guarantees do not fit the fleet together: workspace \"" + reservation.workspace.value + "\" asks for " + toString(reservation.shape)
+                             + " and there is room for " + std::to_string(fitting) + " of its " + std::to_string(reservation.shape.tasks) + " tasks",
+                         "lower a guarantee, or add workers first");
+    }
+    return Done{};
+}
+
+} // namespace waxwingloft
--- /dev/null
+++ b/src/version/shapeplanner.cpp
@@ -0,0 +1,186 @@
+#include "waxwingloft/version/shapeplanner.h"
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <tuple>
+
+namespace waxwingloft {
+
+namespace {
+
+/** A worker that has room for at least one task. */
+struct Candidate {
+    WorkerIndex worker = 0;
+    std::uint32_t rack = 0;
+    std::uint32_t tasks = 0; ///< tasks that fit, at most the shape's
+    Resources room;
+};
+
+using DomainOf = std::uint64_t (*)(const FleetBook &, const Candidate &);
+
+constexpr std::array<DomainOf, NameTable<Adjacency>::names.size()> DomainKeys = {
+    [](const FleetBook &, const Candidate &candidate) -> std::uint64_t { return candidate.worker; },
+    [](const FleetBook &, const Candidate &candidate) -> std::uint64_t { return candidate.rack; },
+    [](const FleetBook &fleet, const Candidate &candidate) -> std::uint64_t { return fleet.racks()[candidate.rack].dataCentre; },
+    [](const FleetBook &fleet, const Candidate &candidate) -> std::uint64_t { return fleet.racks()[candidate.rack].region; },
+};
+
+bool isInScope(const FleetBook &fleet, WorkerIndex worker, const PlanScope &scope)
+{
+    return (scope.region.empty() || fleet.locationOf(worker).region == scope.region) && (scope.allows == nullptr || (*scope.allows)(worker));
+}
+
+std::vector<Candidate> findCandidates(const FleetBook &fleet, const Shape &shape, const PlanScope &scope)
+{
+    std::vector<Candidate> candidates;
+    const auto consider = [&](WorkerIndex worker) {
+        const auto room = fleet.roomOf(worker, scope.room);
+        if (room.covers(shape.perTask) && isInScope(fleet, worker, scope)) {
+            const auto tasks = static_cast<std::uint32_t>(timesCovered(room, shape.perTask, shape.tasks));
+            candidates.push_back({worker, fleet.rackOf(worker), tasks, room});
+        }
+    };
+    if (scope.rack) {
+        const auto &workers = fleet.racks().at(*scope.rack).workers;
+        std::for_each(workers.begin(), workers.end(), consider);
+        return candidates;
+    }
+    const auto count = static_cast<WorkerIndex>(fleet.workerCount());
+    for (WorkerIndex worker = 0; worker < count; ++worker) {
+        consider(worker);
+    }
+    return candidates;
+}
+
+/** Orders workers so that those with the least left over come first. */
+bool leavesLess(const Candidate &left, const Candidate &right)
+{
+    return std::tie(left.room.accelerators, left.room.processors, left.worker) < std::tie(right.room.accelerators, right.room.processors, right.worker);
+}
+
+/** Fills the workers of one domain, the fullest first. */
+Placement fill(std::vector<Candidate> candidates, std::uint32_t tasks)
+{
+    std::sort(candidates.begin(), candidates.end(), leavesLess);
+    Placement placement;
+    for (const auto &candidate : candidates) {
+        const auto taken = std::min(candidate.tasks, tasks);
+        placement.push_back({candidate.worker, taken});
+        tasks -= taken;
+        if (tasks == 0) {
+            break;
+        }
+    }
+    return placement;
+}
+
+/** Returns the one worker that holds all tasks with the least left over, in the rack with the least free. */
+std::optional<Placement> planOnOneWorker(const std::vector<Candidate> &candidates, const Shape &shape)
+{
+    const Candidate *best = nullptr;
+    for (const auto &candidate : candidates) {
+        if (candidate.tasks >= shape.tasks && (best == nullptr || leavesLess(candidate, *best))) {
+            best = &candidate;
+        }
+    }
+    return best == nullptr ? std::nullopt : std::optional<Placement>(Placement{{best->worker, shape.tasks}});
+}
+
+struct Domain {
+    std::uint64_t tasks = 0;
+    std::int64_t accelerators = 0;
+    std::int64_t processors = 0;
+};
+
+/** Returns the placement in the tightest domain of @p level that holds the whole shape. */
+std::optional<Placement> planInDomain(const FleetBook &fleet, const std::vector<Candidate> &candidates, const Shape &shape, Adjacency level)
+{
+    const auto keyOf = DomainKeys.at(static_cast<std::size_t>(level));
+    std::map<std::uint64_t, Domain> domains;
+    for (const auto &candidate : candidates) {
+        auto &domain = domains[keyOf(fleet, candidate)];
+        domain.tasks += candidate.tasks;
+        domain.accelerators += candidate.room.accelerators;
+        domain.processors += candidate.room.processors;
+    }
+    const std::pair<const std::uint64_t, Domain> *best = nullptr;
+    for (const auto &entry : domains) {
+        const auto isTighter = [&entry](const Domain &other) {
+            return std::tie(entry.second.accelerators, entry.second.processors) < std::tie(other.accelerators, other.processors);
+        };
+        if (entry.second.tasks >= shape.tasks && (best == nullptr || isTighter(best->second))) {
+            best = &entry;
+        }
+    }
+    if (best == nullptr) {
+        return std::nullopt;
+    }
+    std::vector<Candidate> inside;
+    std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(inside), [&](const Candidate &candidate) {
+        return keyOf(fleet, candidate) == best->first;
+    });
+    return fill(std::move(inside), shape.tasks);
+}
+
+} // namespace
+
+std::optional<Placement> BestFitPlanner::plan(const FleetBook &fleet, const Shape &shape, const PlanScope &scope) const
+{
+    const auto candidates = findCandidates(fleet, shape, scope);
+    if (shape.tasks == 1 || shape.adjacency == Adjacency::Worker) {
+        return planOnOneWorker(candidates, shape);
+    }
+    for (auto level = static_cast<std::size_t>(Adjacency::Rack); level <= static_cast<std::size_t>(shape.adjacency); ++level) {
+        auto placement = planInDomain(fleet, candidates, shape, static_cast<Adjacency>(level));
+        if (placement) {
+            return placement;
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<Placement> FirstFitPlanner::plan(const FleetBook &fleet, const Shape &shape, const PlanScope &scope) const
+{
+    const auto keyOf = DomainKeys.at(static_cast<std::size_t>(shape.adjacency));
+    std::map<std::uint64_t, std::pair<Placement, std::uint32_t>> partial;
+    for (const auto &candidate : findCandidates(fleet, shape, scope)) {
+        auto &[placement, placed] = partial[keyOf(fleet, candidate)];
+        const auto taken = std::min(candidate.tasks, shape.tasks - placed);
+        placement.push_back({candidate.worker, taken});
+        placed += taken;
+        if (placed == shape.tasks) {
+            return placement;
+        }
+    }
+    return std::nullopt;
+}
+
+std::uint32_t mostTasksThatFit(const FleetBook &fleet, const Shape &shape, const PlanScope &scope)
+{
+    const auto keyOf = DomainKeys.at(static_cast<std::size_t>(shape.adjacency));
+    std::map<std::uint64_t, std::uint64_t> fitting;
+    std::uint64_t most = 0;
+    for (const auto &candidate : findCandidates(fleet, shape, scope)) {
+        auto &tasks = fitting[keyOf(fleet, candidate)];
+        tasks += candidate.tasks;
+        most = std::max(most, tasks);
+    }
+    return static_cast<std::uint32_t>(std::min<std::uint64_t>(most, shape.tasks));
+}
+
+bool couldEverFit(const FleetBook &fleet, const Shape &shape, const std::string &region)
+{
+    return mostTasksThatFit(fleet, shape, PlanScope{RoomKind::Whole, region, nullptr, std::nullopt}) == shape.tasks;
+}
+
+Error describeMisfit(const FleetBook &fleet, const Shape &shape, const std::string &region)
+{
+    const auto fitting = mostTasksThatFit(fleet, shape, PlanScope{RoomKind::Whole, region, nullptr, std::nullopt});
+    const auto place = region.empty() ? std::string("the fleet") : "region " + region;
+    return makeError(ErrorKind::InvalidInput,
+                     toString(shape) + " never fits into " + place,
+                     fitting == 0 ? "ask for less for each task; no worker is that large" : "ask for at most " + std::to_string(fitting) + " such tasks, or for a wider adjacency");
+}
+
+} // namespace waxwingloft
