--- /dev/null
+++ b/include/waxwingloft/process/ticker.h
@@ -0,0 +1,44 @@
+#ifndef WAXWINGLOFT_PROCESS_TICKER_H
+#define WAXWINGLOFT_PROCESS_TICKER_H
+
+#include "waxwingloft/process/clock.h"
+
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+#include <thread>
+
+namespace waxwingloft {
+
+/** A thread that calls a function at intervals, and at once when it is nudged. Sleeps in between. */
+class Ticker
+{
+public:
+    Ticker(Millis interval, std::function<void()> task);
+
+    /** Stops the thread after the call in hand. */
+    ~Ticker();
+
+    Ticker(const Ticker &) = delete;
+    Ticker &operator=(const Ticker &) = delete;
+
+    /** Makes the next call happen now. */
+    void nudge();
+
+    void stop();
+
+private:
+    void run();
+
+    const Millis interval;
+    const std::function<void()> task;
+    std::mutex mutex;
+    std::condition_variable wakeUp;
+    bool isNudged = false;
+    bool isStopping = false;
+    std::thread thread;
+};
+
+} // namespace waxwingloft
+
+#endif
--- a/include/waxwingloft/process/workerhealth.h
+++ b/include/waxwingloft/process/workerhealth.h
@@ -46,6 +46,9 @@
     /** Whether new work must keep away from @p worker. Turns false when its probe is due. */
     bool isQuarantined(const NodeId &worker) const;
 
+    /** Returns the end of the worker's quarantine; in the past when there is none. */
+    Instant quarantinedUntil(const NodeId &worker) const;
+
     /** Returns the quarantined workers, for the status page. */
     std::vector<NodeId> quarantined() const;
 
--- /dev/null
+++ b/include/waxwingloft/request/ganghead.h
@@ -0,0 +1,73 @@
+#ifndef WAXWINGLOFT_REQUEST_GANGHEAD_H
+#define WAXWINGLOFT_REQUEST_GANGHEAD_H
+
+#include "waxwingloft/connection/messages.h"
+#include "waxwingloft/process/clock.h"
+#include "waxwingloft/process/outcome.h"
+
+#include <map>
+#include <optional>
+#include <string>
+
+namespace waxwingloft {
+
+/** How a gang ended, as its head saw it. */
+struct GangVerdict {
+    Outcome outcome = Outcome::Unknown;
+    std::string reason;
+    Instant provenEndedAt; ///< when every member has surely stopped
+};
+
+/** Writes to the table how a gang ended, or where its latest checkpoint is. */
+class GangRecorder
+{
+public:
+    virtual ~GangRecorder() = default;
+
+    /** Records the end of an attempt; false when it must be tried again later. */
+    virtual bool recordEnd(const JobId &job, const AttemptId &attempt, const GangVerdict &verdict) = 0;
+
+    /** Records the latest whole checkpoint of an attempt; false when it must be tried again later. */
+    virtual bool recordCheckpoint(const JobId &job, const AttemptId &attempt, const std::string &key) = 0;
+};
+
+/**
+ * What the head of a gang knows of its members: who renewed when, and whether the gang still stands.
+ *
+ * Decides only; not thread safe.
+ */
+class GangHead
+{
+public:
+    /** Every member counts as heard from at @p now. */
+    GangHead(const PrepareGang &order, Instant now);
+
+    /** Takes a renewal in. Returns whether the member may go on. */
+    bool renew(const NodeId &member, GangState state, Instant now);
+
+    /** Ends the gang; members learn of it when they renew. */
+    void breakUp(std::string reason, Instant now);
+
+    /** Returns how the gang ended once that is certain for every member. */
+    std::optional<GangVerdict> verdict(Instant now);
+
+    bool isBroken() const;
+
+private:
+    struct MemberView {
+        GangState state = GangState::Running;
+        Instant renewedAt;
+    };
+
+    bool allHave(GangState state) const;
+
+    std::map<NodeId, MemberView> members;
+    Millis taskLease;
+    std::optional<Instant> brokenAt;
+    std::string reason;
+    bool hasFailure = false;
+};
+
+} // namespace waxwingloft
+
+#endif
--- /dev/null
+++ b/include/waxwingloft/request/jobstore.h
@@ -0,0 +1,111 @@
+#ifndef WAXWINGLOFT_REQUEST_JOBSTORE_H
+#define WAXWINGLOFT_REQUEST_JOBSTORE_H
+
+#include "waxwingloft/connection/messages.h"
+#include "waxwingloft/process/fleetbook.h"
+#include "waxwingloft/process/tablestore.h"
+#include "waxwingloft/request/ganghead.h"
+#include "waxwingloft/version/settings.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace waxwingloft {
+
+/** Where a job stands. */
+enum class JobState {
+    Queued,
+    Placed,
+    Ended,
+};
+
+template<>
+struct NameTable<JobState> {
+    static constexpr std::array<std::string_view, 3> names = {"queued", "placed", "ended"};
+};
+
+/** A gang job as the table keeps it. */
+struct JobRecord {
+    JobId id;
+    WorkspaceId workspace;
+    TeamId team;
+    KindOfWork kind; ///< id, urgency, worth and the two abilities; as of submission
+    Shape shape;
+    Millis declaredRunTime = Millis(0);
+    std::string region;
+    std::string payload;
+    std::int64_t submittedAtWallMillis = 0;
+    JobState state = JobState::Queued;
+    Outcome outcome = Outcome::NotRun; ///< meaningful when ended
+    std::string detail; ///< why it ended or waits, in words
+    AttemptId attempt; ///< of the placement; empty while queued
+    Epoch epoch = 0;
+    HoldingClass holdingClass = HoldingClass::Lent;
+    std::vector<GangMember> members;
+    std::string checkpoint; ///< key of the latest whole checkpoint
+    std::vector<NodeId> failedOn; ///< heads of attempts that failed
+    bool cancelRequested = false;
+    std::uint64_t revision = 0; ///< of its row
+};
+
+/** Returns the row value of @p record. */
+std::string encodeJob(const JobRecord &record);
+
+/** Parses the row of a job. */
+Result<JobRecord> parseJob(const Row &row);
+
+/** The jobs as rows of the table. Every write is conditional on the revision that was read. Thread safe. */
+class JobStore
+{
+public:
+    JobStore(TableStore &table, IdSource &ids);
+
+    /** Writes a new job. Ambiguous when it may or may not have been written. */
+    Result<std::uint64_t> create(const JobRecord &record);
+
+    /** Writes @p record when its row is still as it was read. Returns the new revision. */
+    Result<std::uint64_t> update(const JobRecord &record);
+
+    Result<std::optional<JobRecord>> find(const JobId &id);
+
+    /** Returns the jobs of a workspace. */
+    Result<std::vector<JobRecord>> listOf(const WorkspaceId &workspace);
+
+    /** Returns the jobs that changed after the table's revision @p since, and sets it to the present one. */
+    Result<std::vector<JobRecord>> changes(std::uint64_t &since);
+
+    /** Asks for a job to be cancelled. Done also when it has ended already. */
+    Status requestCancel(const JobId &id);
+
+private:
+    Result<std::uint64_t> write(const JobRecord &record, std::uint64_t revision);
+
+    TableStore &table;
+    IdSource &ids;
+};
+
+/** Decides what the end of an attempt means for its job and writes that. Thread safe. */
+class TableGangRecorder : public GangRecorder
+{
+public:
+    explicit TableGangRecorder(JobStore &jobs);
+
+    bool recordEnd(const JobId &job, const AttemptId &attempt, const GangVerdict &verdict) override;
+    bool recordCheckpoint(const JobId &job, const AttemptId &attempt, const std::string &key) override;
+
+private:
+    JobStore &jobs;
+};
+
+/**
+ * Returns @p record after its attempt ended as @p verdict says, all members proven to have stopped.
+ *
+ * Done ends it. Work that was cut off goes back to the queue when it is idempotent or has a
+ * checkpoint; otherwise it ends as Unknown and is never run again on its own.
+ */
+JobRecord afterAttempt(JobRecord record, const GangVerdict &verdict);
+
+} // namespace waxwingloft
+
+#endif
--- a/src/process/workerhealth.cpp
+++ b/src/process/workerhealth.cpp
@@ -48,6 +48,12 @@
     return found != this->workers.end() && found->second.onProbation && this->clock.now() < found->second.quarantinedUntil;
 }
 
+Instant WorkerHealth::quarantinedUntil(const NodeId &worker) const
+{
+    const auto found = this->workers.find(worker);
+    return found == this->workers.end() ? Instant() : found->second.quarantinedUntil;
+}
+
 std::vector<NodeId> WorkerHealth::quarantined() const
 {
     std::vector<NodeId> nodes;
--- /dev/null
+++ b/src/request/calldispatcher.cpp
@@ -0,0 +1,267 @@
+#include "waxwingloft/request/calldispatcher.h"
+
+#include <algorithm>
+
+namespace waxwingloft {
+
+namespace {
+
+constexpr auto RefusalPause = Millis(5); ///< pause after a refusal, so that a full fleet is not asked in a loop
+
+CallAnswer notRun(Error error)
+{
+    return {Outcome::NotRun, std::move(error), {}};
+}
+
+} // namespace
+
+CallDispatcher::CallDispatcher(const DispatcherContext &context, DispatchTerms terms)
+    : context(context)
+    , terms(terms)
+    , retries(0.0, terms.retryBurst, context.clock.now())
+    , health(context.clock, terms.health)
+{
+}
+
+CallAnswer CallDispatcher::run(const AdmittedCall &call)
+{
+    auto answer = call.kind.idempotent ? this->runIdempotent(call) : this->runOnce(call);
+    this->context.metrics.addOutcome(answer.outcome);
+    this->context.events.record(EventKind::Answered, call.request.value, call.workspace.value, std::string(nameOf(answer.outcome)) + " " + answer.error.message);
+    return answer;
+}
+
+CallAnswer CallDispatcher::runIdempotent(const AdmittedCall &call)
+{
+    CallAnswer last = notRun(makeError(ErrorKind::NoCapacity, "no backend server took the request"));
+    bool mayHaveRun = false;
+    for (int tried = 0; tried < this->terms.maxAttempts; ++tried) {
+        const auto passage = this->context.gate.enter(call);
+        if (!succeeded(passage)) {
+            return mayHaveRun ? last : notRun(errorOf(passage));
+        }
+        const auto trial = this->attempt(call, valueOf(passage), AttemptId{this->context.ids.next()});
+        this->noteServer(call, valueOf(passage), trial);
+        this->context.gate.leave(valueOf(passage));
+        const auto &reply = trial.reply;
+        if (reply.outcome == Outcome::Done) {
+            this->earnRetry();
+            return answerOf(reply);
+        }
+        mayHaveRun = mayHaveRun || reply.outcome != Outcome::NotRun;
+        if (!mayHaveRun || reply.outcome != Outcome::NotRun) {
+            last = answerOf(reply);
+        }
+        const bool isRefusal = reply.outcome == Outcome::NotRun;
+        if (this->timeLeft(call) <= Millis(0) || (!isRefusal && !this->takeRetry())) {
+            return last;
+        }
+        this->context.metrics.add(Count::Retries);
+        this->context.clock.sleepFor(isRefusal ? RefusalPause : Millis(0));
+    }
+    return last;
+}
+
+CallAnswer CallDispatcher::runOnce(const AdmittedCall &call)
+{
+    const auto existing = this->context.claims.find(call.workspace, call.request);
+    if (!succeeded(existing)) {
+        return notRun(errorOf(existing));
+    }
+    std::uint64_t revision = 0;
+    if (valueOf(existing)) {
+        auto joined = this->join(call, *valueOf(existing));
+        if (joined.outcome != Outcome::NotRun) {
+            return joined;
+        }
+        revision = valueOf(existing)->revision;
+    }
+    AttemptId claimed;
+    auto answer = this->runClaimed(call, revision, claimed);
+    return answer.outcome == Outcome::NotRun ? this->confirmNotRun(call, claimed, std::move(answer)) : answer;
+}
+
+/** Claims and sends the call until an attempt runs; @p claimed becomes the last attempt that it holds a claim for. */
+CallAnswer CallDispatcher::runClaimed(const AdmittedCall &call, std::uint64_t revision, AttemptId &claimed)
+{
+    auto last = notRun(makeError(ErrorKind::NoCapacity, "no backend server took the request"));
+    for (int tried = 0; tried < this->terms.maxAttempts; ++tried) {
+        const auto passage = this->context.gate.enter(call);
+        if (!succeeded(passage)) {
+            return notRun(errorOf(passage));
+        }
+        const auto &member = valueOf(passage).server->member;
+        const Claim claim{member.node, member.rpcAddress, member.incarnation, AttemptId{this->context.ids.next()}, this->context.clock.wallMillis(), revision};
+        const auto put = this->context.claims.put(call.workspace, call.request, claim);
+        if (!succeeded(put)) {
+            this->context.gate.leave(valueOf(passage));
+            if (errorOf(put).kind != ErrorKind::Conflict) {
+                return notRun(errorOf(put));
+            }
+            const auto winner = this->context.claims.find(call.workspace, call.request);
+            if (!succeeded(winner) || !valueOf(winner)) {
+                return notRun(errorOf(put));
+            }
+            auto joined = this->join(call, *valueOf(winner));
+            if (joined.outcome != Outcome::NotRun) {
+                return joined;
+            }
+            revision = valueOf(winner)->revision;
+            claimed = valueOf(winner)->attempt;
+            continue;
+        }
+        revision = valueOf(put);
+        claimed = claim.attempt;
+        this->context.events.record(EventKind::Claimed, call.request.value, call.workspace.value, claim.attempt.value);
+        const auto sentAt = this->context.clock.now();
+        auto trial = this->attempt(call, valueOf(passage), claim.attempt);
+        this->noteServer(call, valueOf(passage), trial);
+        this->context.gate.leave(valueOf(passage));
+        if (trial.wasLost) {
+            trial.reply = this->settle(call, claim, this->context.clock.now() - sentAt);
+        }
+        last = answerOf(std::move(trial.reply));
+        if (last.outcome != Outcome::NotRun || this->timeLeft(call) <= Millis(0)) {
+            return last;
+        }
+        this->context.clock.sleepFor(RefusalPause);
+    }
+    return last;
+}
+
+/** Makes sure that no other copy of the request has claimed it since; otherwise NotRun would be false. */
+CallAnswer CallDispatcher::confirmNotRun(const AdmittedCall &call, const AttemptId &claimed, CallAnswer answer)
+{
+    if (claimed.isEmpty()) {
+        return answer;
+    }
+    const auto current = this->context.claims.find(call.workspace, call.request);
+    if (succeeded(current) && valueOf(current) && valueOf(current)->attempt == claimed) {
+        return answer;
+    }
+    if (succeeded(current) && valueOf(current)) {
+        return this->join(call, *valueOf(current));
+    }
+    return {Outcome::Unknown, makeError(ErrorKind::Ambiguous, "another copy of the request may have run; the table does not answer"), {}};
+}
+
+/** Returns the end of the attempt that an earlier copy of the request was claimed for. */
+CallAnswer CallDispatcher::join(const AdmittedCall &call, const Claim &claim)
+{
+    const auto age = Millis(std::max<std::int64_t>(0, this->context.clock.wallMillis() - claim.claimedAtWallMillis));
+    return answerOf(this->settle(call, claim, age));
+}
+
+CallDispatcher::Trial CallDispatcher::attempt(const AdmittedCall &call, const Passage &passage, const AttemptId &attempt)
+{
+    const auto &member = passage.server->member;
+    const auto left = this->timeLeft(call);
+    const Dispatch dispatch{attempt,
+                            call.workspace,
+                            call.request,
+                            call.kind.id,
+                            call.team,
+                            call.teamVersion,
+                            member.incarnation,
+                            call.kind.idempotent,
+                            left,
+                            call.payload};
+    this->context.events.record(EventKind::Dispatched, call.request.value, call.workspace.value, member.node.value + " " + attempt.value);
+    auto reply = expectReply<AttemptReply>(this->context.peers.call(member.rpcAddress, dispatch, left + this->terms.answerSlack));
+    if (succeeded(reply) && valueOf(reply).attempt == attempt && valueOf(reply).state == AttemptState::Ended) {
+        return {std::move(valueOf(reply)), false};
+    }
+    Trial trial;
+    trial.reply.attempt = attempt;
+    if (succeeded(reply)) {
+        this->context.metrics.add(Count::LateAnswers);
+        this->context.events.record(EventKind::LateAnswer, call.request.value, call.workspace.value, valueOf(reply).attempt.value);
+        trial.wasLost = true;
+        trial.reply.error = makeError(ErrorKind::Ambiguous, "the agent sent the answer of another attempt");
+        return trial;
+    }
+    const auto kind = errorOf(reply).kind;
+    const bool surelyNotRun = kind == ErrorKind::Unreachable || kind == ErrorKind::Draining || kind == ErrorKind::LimitExceeded;
+    trial.wasLost = !surelyNotRun;
+    trial.reply.outcome = surelyNotRun ? Outcome::NotRun : Outcome::Unknown;
+    trial.reply.error = errorOf(reply);
+    return trial;
+}
+
+/** Asks the agent about an attempt until it has ended, the agent is gone, or the deadline has passed. */
+AttemptReply CallDispatcher::settle(const AdmittedCall &call, const Claim &claim, Millis age)
+{
+    AttemptReply unknown;
+    unknown.attempt = claim.attempt;
+    unknown.error = makeError(ErrorKind::Ambiguous, "the request may have run on " + claim.node.value);
+    const auto startedAt = this->context.clock.now();
+    while (true) {
+        const auto now = this->context.clock.now();
+        const QueryAttempt query{claim.attempt, claim.incarnation, age + (now - startedAt), std::clamp(this->timeLeft(call), Millis(0), this->terms.questionTimeout)};
+        auto reply = expectReply<AttemptReply>(this->context.peers.call(claim.address, query, query.wait + this->terms.questionTimeout));
+        if (succeeded(reply) && valueOf(reply).attempt == claim.attempt && valueOf(reply).state == AttemptState::Ended) {
+            return std::move(valueOf(reply));
+        }
+        if (this->timeLeft(call) <= Millis(0)) {
+            return unknown;
+        }
+        this->context.clock.sleepFor(this->terms.questionPause);
+    }
+}
+
+void CallDispatcher::noteServer(const AdmittedCall &call, const Passage &passage, const Trial &trial)
+{
+    const auto now = this->context.clock.now();
+    if (trial.reply.load.slots > 0) {
+        passage.server->noteLoad(trial.reply.load.inUse, now);
+    }
+    const auto kind = trial.reply.error.kind;
+    const bool isGone = trial.wasLost || (trial.reply.outcome == Outcome::NotRun && (kind == ErrorKind::Unreachable || kind == ErrorKind::Draining));
+    if (isGone) {
+        passage.server->eject(now + this->terms.ejection);
+    }
+    this->noteHealth(call, *passage.server, trial.reply.outcome);
+}
+
+/** Keeps away from servers that fail what others run. Takes the lock only while a server's health is in doubt. */
+void CallDispatcher::noteHealth(const AdmittedCall &call, Server &server, Outcome outcome)
+{
+    const bool isDoubtful = server.hasFailures.load(std::memory_order_relaxed);
+    if (outcome != Outcome::Failed && !(outcome == Outcome::Done && isDoubtful)) {
+        return;
+    }
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    if (outcome == Outcome::Done) {
+        server.hasFailures.store(false, std::memory_order_relaxed);
+        this->health.noteSuccess(server.member.node, call.request.value);
+        return;
+    }
+    server.hasFailures.store(true, std::memory_order_relaxed);
+    if (this->health.noteFailure(server.member.node, call.request.value) == HealthVerdict::QuarantineWorker) {
+        server.eject(this->health.quarantinedUntil(server.member.node));
+    }
+}
+
+bool CallDispatcher::takeRetry()
+{
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    return this->retries.tryTake(1.0, this->context.clock.now());
+}
+
+void CallDispatcher::earnRetry()
+{
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    this->retries.add(this->terms.retriesPerSuccess, this->context.clock.now());
+}
+
+Millis CallDispatcher::timeLeft(const AdmittedCall &call) const
+{
+    return call.deadline - this->context.clock.now();
+}
+
+CallAnswer CallDispatcher::answerOf(AttemptReply reply)
+{
+    return {reply.outcome, std::move(reply.error), std::move(reply.payload)};
+}
+
+} // namespace waxwingloft
--- /dev/null
+++ b/src/request/callgate.cpp
@@ -0,0 +1,116 @@
+#include "waxwingloft/request/callgate.h"
+
+#include <map>
+#include <random>
+
+namespace waxwingloft {
+
+namespace {
+
+/** Draws from a generator of the calling thread, so that threads share nothing. */
+std::uint64_t drawRandom()
+{
+    thread_local std::mt19937_64 generator(std::random_device{}());
+    return generator();
+}
+
+} // namespace
+
+CallGate::CallGate(Clock &clock, ServerTable &servers, CallQueue &queue)
+    : clock(clock)
+    , servers(servers)
+    , queue(queue)
+{
+}
+
+Result<Passage> CallGate::enter(const AdmittedCall &call)
+{
+    if (!this->servers.serves(call.kind.id)) {
+        return makeError(ErrorKind::NoCapacity, "no backend server that is up serves kind \"" + call.kind.id.value + "\"", "retry when one has announced itself");
+    }
+    if (this->waitingCount.load(std::memory_order_acquire) == 0) {
+        auto server = this->tryTake(call.kind.id);
+        if (server != nullptr) {
+            return Passage{std::move(server), std::nullopt, this->clock.now()};
+        }
+    }
+    Waiter waiter;
+    std::unique_lock<std::mutex> lock(this->mutex);
+    const auto now = this->clock.now();
+    const QueuedCall queued{this->nextTicket++, call.workspace, call.weight, call.kind.id, call.kind.worth, call.kind.urgency, call.caller, call.limits, call.deadline};
+    const auto pushed = this->queue.push(queued, now);
+    if (!succeeded(pushed)) {
+        return errorOf(pushed);
+    }
+    this->waiters.emplace(queued.ticket, &waiter);
+    this->waitingCount.store(this->queue.size(), std::memory_order_release);
+    this->pumpLocked();
+    waiter.wakeUp.wait_for(lock, call.deadline - now, [&waiter] { return waiter.passage.has_value(); });
+    this->waiters.erase(queued.ticket);
+    if (!waiter.passage) {
+        this->queue.remove(queued.ticket);
+        this->waitingCount.store(this->queue.size(), std::memory_order_release);
+        return makeError(ErrorKind::DeadlineExceeded, "no slot became free before the deadline");
+    }
+    return std::move(*waiter.passage);
+}
+
+void CallGate::leave(const Passage &passage)
+{
+    passage.server->giveSlotBack();
+    if (!passage.queued && this->waitingCount.load(std::memory_order_acquire) == 0) {
+        return;
+    }
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    if (passage.queued) {
+        this->queue.served(*passage.queued, this->clock.now() - passage.enteredAt);
+    }
+    this->pumpLocked();
+}
+
+void CallGate::pump()
+{
+    if (this->waitingCount.load(std::memory_order_acquire) > 0) {
+        const std::lock_guard<std::mutex> guard(this->mutex);
+        this->pumpLocked();
+    }
+}
+
+std::size_t CallGate::size() const
+{
+    return this->waitingCount.load(std::memory_order_acquire);
+}
+
+ServerPointer CallGate::tryTake(const KindId &kind)
+{
+    return this->servers.tryTake(kind, this->clock.now(), drawRandom());
+}
+
+/** Pops as long as a server of some waiting kind has a free slot. */
+void CallGate::pumpLocked()
+{
+    std::map<KindId, ServerPointer> taken;
+    const auto canServe = [this, &taken](const KindId &kind) {
+        const auto [entry, isNew] = taken.emplace(kind, nullptr);
+        if (isNew) {
+            entry->second = this->tryTake(kind);
+        }
+        return entry->second != nullptr;
+    };
+    const auto now = this->clock.now();
+    while (auto call = this->queue.pop(now, canServe)) {
+        auto server = std::move(taken[call->kind]);
+        taken.erase(call->kind);
+        auto *const waiter = this->waiters.at(call->ticket);
+        waiter->passage = Passage{std::move(server), std::move(*call), now};
+        waiter->wakeUp.notify_one();
+    }
+    for (const auto &[kind, server] : taken) {
+        if (server != nullptr) {
+            server->giveSlotBack();
+        }
+    }
+    this->waitingCount.store(this->queue.size(), std::memory_order_release);
+}
+
+} // namespace waxwingloft
--- /dev/null
+++ b/src/request/checkpointframe.cpp
@@ -0,0 +1,38 @@
+#include "waxwingloft/request/checkpointframe.h"
+
+#include <sstream>
+#include <xxhash.h>
+
+namespace waxwingloft {
+
+namespace {
+
+const std::string Magic = "waxwingloft-checkpoint-1";
+
+} // namespace
+
+std::string sealCheckpoint(const std::string &bytes)
+{
+    return Magic + " " + std::to_string(bytes.size()) + " " + std::to_string(XXH3_64bits(bytes.data(), bytes.size())) + "\n" + bytes;
+}
+
+Result<std::string> openCheckpoint(const std::string &sealed)
+{
+    const auto damaged = makeError(ErrorKind::Internal, "the checkpoint is cut short or changed", "go on from an earlier checkpoint or start afresh");
+    const auto headEnd = sealed.find('\n');
+    if (headEnd == std::string::npos) {
+        return damaged;
+    }
+    std::istringstream head(sealed.substr(0, headEnd));
+    std::string magic;
+    std::size_t length = 0;
+    std::uint64_t checksum = 0;
+    head >> magic >> length >> checksum;
+    auto bytes = sealed.substr(headEnd + 1);
+    if (!head || magic != Magic || bytes.size() != length || XXH3_64bits(bytes.data(), bytes.size()) != checksum) {
+        return damaged;
+    }
+    return bytes;
+}
+
+} // namespace waxwingloft
--- /dev/null
+++ b/src/request/gangagent.cpp
@@ -0,0 +1,497 @@
+#include "waxwingloft/request/gangagent.h"
+
+#include "waxwingloft/request/checkpointframe.h"
+
+#include <algorithm>
+
+namespace waxwingloft {
+
+namespace {
+
+constexpr auto HeadTimeout = Millis(800);
+
+bool isActive(GangState state)
+{
+    return state == GangState::Prepared || state == GangState::Running;
+}
+
+GangReply refused(const JobId &job, const AttemptId &attempt, Error error)
+{
+    GangReply reply{job, attempt, GangState::None, false, {}, std::move(error), true};
+    return reply;
+}
+
+GangState stateOf(TaskState state)
+{
+    switch (state) {
+    case TaskState::Finished:
+        return GangState::Finished;
+    case TaskState::Failed:
+        return GangState::Failed;
+    case TaskState::Running:
+        return GangState::Running;
+    default:
+        return GangState::Stopped;
+    }
+}
+
+} // namespace
+
+GangAgent::GangAgent(const GangAgentContext &context, GangTerms terms)
+    : context(context)
+    , terms(terms)
+{
+}
+
+GangReply GangAgent::prepare(const PrepareGang &prepare)
+{
+    const auto bytes = prepare.checkpoint.empty() ? Result<std::string>(std::string()) : this->fetchCheckpoint(prepare.checkpoint);
+    if (!succeeded(bytes)) {
+        return refused(prepare.job, prepare.attempt, errorOf(bytes));
+    }
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    if (this->parts.contains(prepare.attempt)) {
+        return this->replyLocked(prepare.job, prepare.attempt);
+    }
+    auto error = this->refusalOf(prepare);
+    if (error) {
+        return refused(prepare.job, prepare.attempt, std::move(*error));
+    }
+    const auto now = this->context.clock.now();
+    this->epochs[prepare.region] = prepare.epoch;
+    Part part;
+    part.order = prepare;
+    part.leaseUntil = now + prepare.reserveFor;
+    part.resumeBytes = valueOf(bytes);
+    const auto own = std::find_if(prepare.members.begin(), prepare.members.end(), [this](const GangMember &member) { return member.node == this->context.self; });
+    part.tasks = own->tasks;
+    if (this->isHead(prepare)) {
+        this->heads.insert_or_assign(prepare.attempt, GangHead(prepare, now + prepare.reserveFor));
+    }
+    this->parts.emplace(prepare.attempt, std::move(part));
+    this->context.events.record(EventKind::Prepared, prepare.job.value, prepare.workspace.value, prepare.attempt.value);
+    return this->replyLocked(prepare.job, prepare.attempt);
+}
+
+GangReply GangAgent::start(const StartGang &start)
+{
+    const std::lock_guard<std::mutex> ordered(this->workerCalls);
+    TaskOrder order;
+    {
+        const std::lock_guard<std::mutex> guard(this->mutex);
+        const auto now = this->context.clock.now();
+        auto error = this->refusalOf(start, now);
+        if (error) {
+            return refused(start.job, start.attempt, std::move(*error));
+        }
+        auto &part = this->parts.at(start.attempt);
+        if (part.state != GangState::Prepared) {
+            return this->replyLocked(start.job, start.attempt);
+        }
+        part.state = GangState::Running;
+        part.leaseUntil = now + part.order.taskLease - this->terms.safety;
+        part.checkpointedAt = now;
+        order = {start.attempt.value, part.order.kind, part.tasks, part.order.perTask, part.leaseUntil - now, std::move(part.resumeBytes), part.order.payload};
+    }
+    const auto started = this->context.worker.start(order);
+    if (!succeeded(started)) {
+        this->context.worker.stop(order.id);
+        this->endPart(start.attempt, GangState::Failed);
+        return refused(start.job, start.attempt, errorOf(started));
+    }
+    this->context.events.record(EventKind::GangStarted, start.job.value, {}, start.attempt.value);
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    return this->replyLocked(start.job, start.attempt);
+}
+
+GangReply GangAgent::stop(const StopGang &stop)
+{
+    bool isRunning = false;
+    bool wantsCheckpoint = false;
+    GangState before = GangState::None;
+    {
+        const std::lock_guard<std::mutex> guard(this->mutex);
+        this->fenced.emplace(stop.attempt, this->context.clock.now());
+        const auto found = this->parts.find(stop.attempt);
+        if (found != this->parts.end()) {
+            before = found->second.state;
+            isRunning = before == GangState::Running;
+            wantsCheckpoint = isRunning && stop.grace > Millis(0) && this->isHead(found->second.order);
+            if (before == GangState::Prepared) {
+                found->second.state = GangState::Stopped;
+                found->second.endedAt = this->context.clock.now();
+                found->second.headKnowsEnd = true;
+            }
+        }
+    }
+    if (wantsCheckpoint) {
+        this->writeCheckpoint(stop.attempt);
+    }
+    if (isRunning) {
+        this->stopTasks(stop.attempt, GangState::Stopped);
+    }
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    this->heads.erase(stop.attempt);
+    auto reply = this->replyLocked(stop.job, stop.attempt);
+    if (before == GangState::Prepared) {
+        reply.state = GangState::Prepared;
+    }
+    return reply;
+}
+
+GangReply GangAgent::renew(const RenewGang &renew)
+{
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    GangReply reply{renew.job, renew.attempt, GangState::None, true, {}, {}, false};
+    const auto found = this->heads.find(renew.attempt);
+    if (found != this->heads.end()) {
+        reply.mustStop = !found->second.renew(renew.member, renew.state, this->context.clock.now());
+        reply.state = GangState::Running;
+    }
+    return reply;
+}
+
+NodeReport GangAgent::report(const AskReport &ask)
+{
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    auto &epoch = this->epochs[ask.region];
+    epoch = std::max(epoch, ask.epoch);
+    NodeReport report{this->context.incarnation, {}};
+    for (const auto &[attempt, part] : this->parts) {
+        report.gangs.push_back({part.order.job, attempt, part.order.workspace, part.state, part.tasks, part.order.perTask});
+    }
+    return report;
+}
+
+void GangAgent::tick()
+{
+    for (const auto &attempt : this->attemptsToTick()) {
+        this->tickPart(attempt);
+    }
+    this->recordVerdicts();
+    this->forgetOld();
+}
+
+void GangAgent::drain()
+{
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    this->isDraining = true;
+}
+
+std::size_t GangAgent::activeCount() const
+{
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    return static_cast<std::size_t>(std::count_if(this->parts.begin(), this->parts.end(), [](const auto &entry) { return isActive(entry.second.state); }));
+}
+
+bool GangAgent::isHead(const PrepareGang &order) const
+{
+    return !order.members.empty() && order.members.front().node == this->context.self;
+}
+
+/** Checks, last and under the lock, everything that forbids a reservation. */
+std::optional<Error> GangAgent::refusalOf(const PrepareGang &prepare) const
+{
+    const auto isSelf = [this](const GangMember &member) { return member.node == this->context.self; };
+    const auto own = std::find_if(prepare.members.begin(), prepare.members.end(), isSelf);
+    if (own == prepare.members.end() || own->incarnation != this->context.incarnation) {
+        return makeError(ErrorKind::Stale, "the gang is meant for another life of this agent");
+    }
+    if (this->isDraining) {
+        return makeError(ErrorKind::Draining, "the worker is leaving");
+    }
+    if (this->fenced.contains(prepare.attempt)) {
+        return makeError(ErrorKind::Stale, "the attempt was stopped before it was prepared");
+    }
+    const auto epoch = this->epochs.find(prepare.region);
+    if (epoch != this->epochs.end() && prepare.epoch < epoch->second) {
+        return makeError(ErrorKind::Stale, "a newer placer has taken over the region");
+    }
+    const ReadSection section;
+    if (prepare.teamVersion < this->context.settings.read(section).teamVersion(prepare.team)) {
+        return makeError(ErrorKind::Stale, "the placement was decided under older settings of team \"" + prepare.team.value + "\"");
+    }
+    const auto free = this->context.capacity - this->reservedLocked();
+    if (!free.covers(prepare.perTask * own->tasks)) {
+        return makeError(ErrorKind::NoCapacity, "the worker has only " + toString(free) + " free");
+    }
+    return std::nullopt;
+}
+
+std::optional<Error> GangAgent::refusalOf(const StartGang &start, Instant now) const
+{
+    if (this->fenced.contains(start.attempt)) {
+        return makeError(ErrorKind::Stale, "the attempt was stopped before it started");
+    }
+    const auto found = this->parts.find(start.attempt);
+    if (found == this->parts.end()) {
+        return makeError(ErrorKind::NotFound, "the gang is not prepared here");
+    }
+    const auto &part = found->second;
+    if (part.state == GangState::Prepared && now >= part.leaseUntil) {
+        return makeError(ErrorKind::Stale, "the reservation has lapsed");
+    }
+    const auto epoch = this->epochs.find(part.order.region);
+    if (epoch != this->epochs.end() && start.epoch < epoch->second) {
+        return makeError(ErrorKind::Stale, "a newer placer has taken over the region");
+    }
+    return std::nullopt;
+}
+
+Resources GangAgent::reservedLocked() const
+{
+    Resources reserved;
+    for (const auto &[attempt, part] : this->parts) {
+        if (isActive(part.state)) {
+            reserved += part.order.perTask * part.tasks;
+        }
+    }
+    return reserved;
+}
+
+GangReply GangAgent::replyLocked(const JobId &job, const AttemptId &attempt) const
+{
+    GangReply reply{job, attempt, GangState::None, false, {}, {}, false};
+    const auto found = this->parts.find(attempt);
+    if (found != this->parts.end()) {
+        reply.state = found->second.state;
+        reply.checkpoint = found->second.checkpoint;
+    }
+    return reply;
+}
+
+Result<std::string> GangAgent::fetchCheckpoint(const std::string &key)
+{
+    const auto sealed = this->context.objects.fetch(key);
+    return succeeded(sealed) ? openCheckpoint(valueOf(sealed)) : sealed;
+}
+
+void GangAgent::tickPart(const AttemptId &attempt)
+{
+    PrepareGang order;
+    bool checkpointIsDue = false;
+    bool hasEnded = false;
+    {
+        const std::lock_guard<std::mutex> guard(this->mutex);
+        auto &part = this->parts.at(attempt);
+        const auto now = this->context.clock.now();
+        hasEnded = !isActive(part.state);
+        if (part.state == GangState::Prepared) {
+            if (now >= part.leaseUntil) {
+                part.state = GangState::Stopped;
+                part.endedAt = now;
+                part.headKnowsEnd = true;
+                this->fenced.emplace(attempt, now);
+                this->heads.erase(attempt);
+            }
+            return;
+        }
+        if (!hasEnded && part.isStopping) {
+            return;
+        }
+        order = part.order;
+        checkpointIsDue = this->isHead(order) && now - part.checkpointedAt >= this->terms.checkpointInterval;
+    }
+    if (hasEnded) {
+        this->tellHeadOfEnd(attempt);
+        return;
+    }
+    this->renewRunning(attempt, order);
+    if (checkpointIsDue) {
+        this->writeCheckpoint(attempt);
+    }
+}
+
+/** Renews with the head first, then passes what is left of the lease to the worker. */
+void GangAgent::renewRunning(const AttemptId &attempt, const PrepareGang &order)
+{
+    const auto sentAt = this->context.clock.now();
+    const auto granted = this->askHead(order, GangState::Running);
+    if (succeeded(granted) && valueOf(granted).mustStop) {
+        this->stopAndTell(attempt, GangState::Stopped);
+        return;
+    }
+    Millis left{0};
+    {
+        const std::lock_guard<std::mutex> guard(this->mutex);
+        auto &part = this->parts.at(attempt);
+        if (succeeded(granted)) {
+            part.leaseUntil = std::max(part.leaseUntil, sentAt + order.taskLease - this->terms.safety);
+        }
+        left = part.leaseUntil - this->context.clock.now();
+    }
+    if (left <= Millis(0)) {
+        this->stopAndTell(attempt, GangState::Stopped);
+        return;
+    }
+    const auto usage = this->context.worker.renew(attempt.value, left);
+    if (!succeeded(usage)) {
+        return;
+    }
+    const auto state = stateOf(valueOf(usage).state);
+    if (state != GangState::Running) {
+        this->endPart(attempt, state);
+        this->tellHeadOfEnd(attempt);
+    } else if (this->overruns(attempt, valueOf(usage))) {
+        this->stopAndTell(attempt, GangState::Failed);
+    }
+}
+
+/** Tells the head how this part ended, again at every tick until the head has heard it. */
+void GangAgent::tellHeadOfEnd(const AttemptId &attempt)
+{
+    PrepareGang order;
+    GangState state = GangState::None;
+    {
+        const std::lock_guard<std::mutex> guard(this->mutex);
+        order = this->parts.at(attempt).order;
+        state = this->parts.at(attempt).state;
+    }
+    const auto heard = this->askHead(order, state);
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    this->parts.at(attempt).headKnowsEnd = succeeded(heard);
+}
+
+std::vector<AttemptId> GangAgent::attemptsToTick() const
+{
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    std::vector<AttemptId> attempts;
+    for (const auto &[attempt, part] : this->parts) {
+        const bool wasStarted = part.state == GangState::Finished || part.state == GangState::Failed || part.state == GangState::Stopped;
+        if (isActive(part.state) || (wasStarted && !part.headKnowsEnd)) {
+            attempts.push_back(attempt);
+        }
+    }
+    return attempts;
+}
+
+Result<GangReply> GangAgent::askHead(const PrepareGang &order, GangState state)
+{
+    const RenewGang question{order.job, order.attempt, this->context.self, state};
+    if (this->isHead(order)) {
+        return this->renew(question);
+    }
+    return expectReply<GangReply>(this->context.peers.call(order.members.front().address, question, HeadTimeout));
+}
+
+/** Throttles tasks that use more than they declared; returns whether they still do when they should have stopped. */
+bool GangAgent::overruns(const AttemptId &attempt, const TaskUsage &usage)
+{
+    bool mustThrottle = false;
+    bool mustStop = false;
+    {
+        const std::lock_guard<std::mutex> guard(this->mutex);
+        auto &part = this->parts.at(attempt);
+        if ((part.order.perTask * part.tasks).covers(usage.used)) {
+            part.overrunTicks = 0;
+            return false;
+        }
+        mustThrottle = !part.isThrottled;
+        part.isThrottled = true;
+        mustStop = ++part.overrunTicks > this->terms.overrunTicks;
+    }
+    if (mustThrottle) {
+        this->context.worker.throttle(attempt.value);
+    }
+    return mustStop;
+}
+
+void GangAgent::endPart(const AttemptId &attempt, GangState state)
+{
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    auto &part = this->parts.at(attempt);
+    if (isActive(part.state)) {
+        part.state = state;
+        part.endedAt = this->context.clock.now();
+    }
+    const auto head = this->heads.find(attempt);
+    if (head != this->heads.end()) {
+        head->second.renew(this->context.self, state, part.endedAt);
+    }
+}
+
+/** Ends the tasks; when the worker does not answer, waits until its own lease on them has lapsed. */
+void GangAgent::stopTasks(const AttemptId &attempt, GangState state)
+{
+    Millis taskLease{0};
+    {
+        const std::lock_guard<std::mutex> guard(this->mutex);
+        auto &part = this->parts.at(attempt);
+        part.isStopping = true;
+        taskLease = part.order.taskLease;
+    }
+    const std::lock_guard<std::mutex> ordered(this->workerCalls);
+    const auto stopped = this->context.worker.stop(attempt.value);
+    if (!succeeded(stopped)) {
+        this->context.clock.sleepFor(taskLease);
+    }
+    this->endPart(attempt, state);
+    this->context.events.record(EventKind::GangStopped, attempt.value);
+}
+
+void GangAgent::stopAndTell(const AttemptId &attempt, GangState state)
+{
+    this->stopTasks(attempt, state);
+    this->tellHeadOfEnd(attempt);
+}
+
+void GangAgent::writeCheckpoint(const AttemptId &attempt)
+{
+    const auto startedAt = this->context.clock.now();
+    const auto bytes = this->context.worker.checkpoint(attempt.value);
+    if (!succeeded(bytes)) {
+        return;
+    }
+    JobId job;
+    std::string key;
+    {
+        const std::lock_guard<std::mutex> guard(this->mutex);
+        auto &part = this->parts.at(attempt);
+        job = part.order.job;
+        part.checkpointedAt = startedAt;
+        key = "checkpoint/" + job.value + "/" + attempt.value + "/" + std::to_string(++part.checkpointsWritten);
+    }
+    if (!succeeded(this->context.objects.put(key, sealCheckpoint(valueOf(bytes))))) {
+        return;
+    }
+    this->context.recorder.recordCheckpoint(job, attempt, key);
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    this->parts.at(attempt).checkpoint = key;
+}
+
+/** Writes the ends of gangs to the table; those that cannot be written stay for the next tick. */
+void GangAgent::recordVerdicts()
+{
+    std::vector<std::pair<PrepareGang, GangVerdict>> verdicts;
+    {
+        const std::lock_guard<std::mutex> guard(this->mutex);
+        const auto now = this->context.clock.now();
+        for (auto &[attempt, head] : this->heads) {
+            const auto &part = this->parts.at(attempt);
+            auto verdict = part.state == GangState::Prepared ? std::nullopt : head.verdict(now);
+            if (verdict) {
+                verdicts.emplace_back(part.order, std::move(*verdict));
+            }
+        }
+    }
+    for (const auto &[order, verdict] : verdicts) {
+        if (this->context.recorder.recordEnd(order.job, order.attempt, verdict)) {
+            this->context.events.record(EventKind::JobEnded, order.job.value, order.workspace.value, std::string(nameOf(verdict.outcome)) + " " + verdict.reason);
+            const std::lock_guard<std::mutex> guard(this->mutex);
+            this->heads.erase(order.attempt);
+        }
+    }
+}
+
+void GangAgent::forgetOld()
+{
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    const auto now = this->context.clock.now();
+    const auto isOld = [this, now](Instant since) { return now - since >= this->terms.forgetAfter; };
+    std::erase_if(this->parts, [this, &isOld](const auto &entry) {
+        return !isActive(entry.second.state) && isOld(entry.second.endedAt) && !this->heads.contains(entry.first);
+    });
+    std::erase_if(this->fenced, [&isOld](const auto &entry) { return isOld(entry.second); });
+}
+
+} // namespace waxwingloft
--- /dev/null
+++ b/src/request/ganghead.cpp
@@ -0,0 +1,77 @@
+#include "waxwingloft/request/ganghead.h"
+
+#include <algorithm>
+
+namespace waxwingloft {
+
+GangHead::GangHead(const PrepareGang &order, Instant now)
+    : taskLease(order.taskLease)
+{
+    for (const auto &member : order.members) {
+        this->members.emplace(member.node, MemberView{GangState::Running, now});
+    }
+}
+
+bool GangHead::renew(const NodeId &member, GangState state, Instant now)
+{
+    const auto found = this->members.find(member);
+    if (found == this->members.end()) {
+        return false;
+    }
+    found->second.state = state;
+    if (state == GangState::Failed) {
+        this->hasFailure = true;
+        this->breakUp("tasks failed on " + member.value, now);
+    }
+    if (state == GangState::Stopped) {
+        this->breakUp("tasks were stopped on " + member.value, now);
+    }
+    if (this->isBroken()) {
+        return false;
+    }
+    found->second.renewedAt = now;
+    return true;
+}
+
+void GangHead::breakUp(std::string reason, Instant now)
+{
+    if (!this->brokenAt) {
+        this->brokenAt = now;
+        this->reason = std::move(reason);
+    }
+}
+
+std::optional<GangVerdict> GangHead::verdict(Instant now)
+{
+    if (!this->brokenAt && this->allHave(GangState::Finished)) {
+        return GangVerdict{Outcome::Done, {}, now};
+    }
+    for (const auto &[node, member] : this->members) {
+        if (member.state == GangState::Running && now - member.renewedAt >= this->taskLease) {
+            this->breakUp("no word from " + node.value, now);
+        }
+    }
+    if (!this->brokenAt) {
+        return std::nullopt;
+    }
+    const auto isOver = [this, now](const auto &entry) {
+        const auto &member = entry.second;
+        return member.state != GangState::Running || now - member.renewedAt >= this->taskLease;
+    };
+    if (!std::all_of(this->members.begin(), this->members.end(), isOver)) {
+        return std::nullopt;
+    }
+    return GangVerdict{this->hasFailure ? Outcome::Failed : Outcome::Unknown, this->reason, now};
+}
+
+bool GangHead::isBroken() const
+{
+    return this->brokenAt.has_value();
+}
+
+bool GangHead::allHave(GangState state) const
+{
+    return std::all_of(this->members.begin(), this->members.end(), [state](const auto &entry) { return entry.second.state == state; });
+}
+
+} // namespace waxwingloft
