--- a/include/waxwingloft/connection/messages.h
+++ b/include/waxwingloft/connection/messages.h
@@ -121,6 +121,7 @@
     JobId job;
     AttemptId attempt;
     Epoch epoch = 0;
+    Incarnation incarnation = 0; ///< life of the agent that the gang was placed on
     Millis grace = Millis(0); ///< time to write a checkpoint before the stop; zero stops at once
 };
 
@@ -248,6 +249,17 @@
                              NudgePlacer,
                              DrainNode>;
 
+/** Returns the index of an alternative of Message, for tables of handlers. */
+template<typename T, std::size_t Index = 0>
+constexpr std::size_t messageIndex()
+{
+    if constexpr (std::is_same_v<std::variant_alternative_t<Index, Message>, T>) {
+        return Index;
+    } else {
+        return messageIndex<T, Index + 1>();
+    }
+}
+
 /** Returns the message as an error reply. */
 Message replyWith(Error error);
 
--- a/include/waxwingloft/process/eventlog.h
+++ b/include/waxwingloft/process/eventlog.h
@@ -46,9 +46,9 @@
 template<>
 struct NameTable<EventKind> {
     static constexpr std::array<std::string_view, 27> names = {
-        "started",      "stopping",    "accepted",       "refused",  "queued",       "claimed",      "dispatched",  "admitted",   "ran",
-        "answered",     "tombstoned",  "late-answer",    "job-submitted", "job-placed", "prepared",  "gang-started", "gang-stopped", "job-ended",
-        "reclaimed",    "lease-taken", "lease-lost",     "member-joined", "member-lost", "member-leaving", "settings-in-force", "degraded", "recovered"};
+        "started",   "stopping",    "accepted",    "refused",       "queued",      "claimed",        "dispatched",        "admitted",     "ran",
+        "answered",  "tombstoned",  "late-answer", "job-submitted", "job-placed",  "prepared",       "gang-started",      "gang-stopped", "job-ended",
+        "reclaimed", "lease-taken", "lease-lost",  "member-joined", "member-lost", "member-leaving", "settings-in-force", "degraded",     "recovered"};
 };
 
 /**
--- /dev/null
+++ b/include/waxwingloft/process/nodeconfig.h
@@ -0,0 +1,67 @@
+#ifndef WAXWINGLOFT_PROCESS_NODECONFIG_H
+#define WAXWINGLOFT_PROCESS_NODECONFIG_H
+
+#include "waxwingloft/process/clock.h"
+#include "waxwingloft/process/nametable.h"
+#include "waxwingloft/process/resources.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace waxwingloft {
+
+/** What a daemon does. */
+enum class NodeRole {
+    Entry,
+    Agent,
+};
+
+template<>
+struct NameTable<NodeRole> {
+    static constexpr std::array<std::string_view, 2> names = {"entry", "agent"};
+};
+
+/** The settings file of one process. */
+struct NodeConfig {
+    NodeRole role = NodeRole::Agent;
+    std::string node; ///< unique over all processes
+    Location location;
+    std::string shard; ///< of an agent; defaults to its data centre
+    std::string rpcAddress; ///< IP:PORT that other processes reach it at
+    std::string httpAddress; ///< IP:PORT; an agent's is on loopback
+    std::vector<std::string> entries; ///< RPC addresses of the entries, its own may be among them
+    std::string tableUrl;
+    std::string objectsUrl;
+    std::string operatorToken; ///< of an entry
+    std::string logLevel = "info";
+    double tableCallsPerSecond = 20.0; ///< share of this process in the platform's limit
+    Millis balancerWait = Millis(500); ///< time between not ready and taking no more requests
+    Millis shutdownLimit = Millis(20000); ///< longest wait for requests in hand
+    std::uint32_t httpThreads = 64;
+    std::uint32_t rpcThreads = 32;
+    std::uint32_t eventCapacity = 20000; ///< events kept for the time line
+};
+
+/** One mistake in a settings file, with its place. */
+struct ConfigMistake {
+    std::size_t line = 0;
+    std::size_t column = 0;
+    std::string message;
+};
+
+/** A parsed settings file and every mistake in it. */
+struct ParsedNodeConfig {
+    NodeConfig config;
+    std::vector<ConfigMistake> mistakes;
+};
+
+/** Parses the text of a settings file. Reports all mistakes, not only the first. */
+ParsedNodeConfig parseNodeConfig(const std::string &text);
+
+/** Returns "FILE:LINE:COLUMN: message". */
+std::string toString(const ConfigMistake &mistake, const std::string &file);
+
+} // namespace waxwingloft
+
+#endif
--- a/include/waxwingloft/request/admission.h
+++ b/include/waxwingloft/request/admission.h
@@ -1,6 +1,7 @@
 #ifndef WAXWINGLOFT_REQUEST_ADMISSION_H
 #define WAXWINGLOFT_REQUEST_ADMISSION_H
 
+#include "waxwingloft/connection/frontservice.h"
 #include "waxwingloft/process/clock.h"
 #include "waxwingloft/process/error.h"
 #include "waxwingloft/process/published.h"
@@ -48,16 +49,6 @@
     std::array<std::atomic<std::int64_t>, CellCount> nextArrival{}; ///< microseconds since the start of the clock
 };
 
-/** What a caller asks for, as it came in. */
-struct CallQuestion {
-    std::string token;
-    CallerId caller;
-    RequestId request;
-    KindId kind;
-    Millis deadline = Millis(0); ///< zero takes the deadline of the kind
-    std::string payload;
-};
-
 /** Checks callers against the settings in force. Thread safe; takes no lock. */
 class Admission
 {
--- /dev/null
+++ b/include/waxwingloft/request/agentservice.h
@@ -0,0 +1,143 @@
+#ifndef WAXWINGLOFT_REQUEST_AGENTSERVICE_H
+#define WAXWINGLOFT_REQUEST_AGENTSERVICE_H
+
+#include "waxwingloft/connection/frontservice.h"
+#include "waxwingloft/connection/settingssync.h"
+#include "waxwingloft/process/duty.h"
+#include "waxwingloft/process/memberdirectory.h"
+#include "waxwingloft/process/metrics.h"
+#include "waxwingloft/process/shardbook.h"
+#include "waxwingloft/request/agentcalls.h"
+#include "waxwingloft/request/gangagent.h"
+#include "waxwingloft/request/jobstore.h"
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace waxwingloft {
+
+/** Makes the ports to what stands behind an agent from its announced address. */
+struct PortFactory {
+    std::function<std::unique_ptr<BackendPort>(const std::string &)> backend;
+    std::function<std::unique_ptr<WorkerPort>(const std::string &)> worker;
+};
+
+/** What an agent is made of. */
+struct AgentContext {
+    Clock &clock;
+    EventLog &events;
+    Metrics &metrics;
+    SettingsPublisher &settings;
+    SettingsSync &sync;
+    TableStore &table;
+    ObjectStore &objects;
+    NodePort &peers;
+    IdSource &ids;
+    NodeId self;
+    Incarnation incarnation = 0;
+    Location location;
+    std::string shard;
+    std::string rpcAddress;
+    std::vector<std::string> entries; ///< RPC addresses of the entries
+    PortFactory ports;
+};
+
+/** Times of an agent. */
+struct AgentTerms {
+    LedgerTerms ledger;
+    GangTerms gangs;
+    DetectionTerms detection;
+    LeaseTerms leaderLease = {Millis(10000), Millis(1000)};
+    Millis callTimeout = Millis(800); ///< for a heartbeat or a push of members
+};
+
+/**
+ * A process beside one backend server or worker: last gatekeeper of its work, member of a shard,
+ * and its leader while it holds that duty. Thread safe.
+ */
+class AgentService : public MessageHandler, public AnnouncementService
+{
+public:
+    AgentService(const AgentContext &context, const AgentTerms &terms);
+    ~AgentService() override;
+
+    Message handle(const Header &header, const Message &message) override;
+    Status announce(const Announcement &announcement) override;
+
+    /** Sends a heartbeat, or does the leader's work. Call once a heartbeat interval. */
+    void tickMembership();
+
+    /** Renews the leases of gangs. Call several times in a task lease. */
+    void tickGangs();
+
+    /** Takes no new work from now on and tells the leader so. */
+    void drain();
+
+    /** Waits until no request and no gang part runs here or @p limit has passed. Returns whether none runs. */
+    bool waitUntilIdle(Millis limit);
+
+    /** Gives the duty up; call last. */
+    void release();
+
+    bool hasAnnouncement() const;
+
+private:
+    using Handler = Message (AgentService::*)(const Header &, const Message &);
+    using HandlerTable = std::array<Handler, std::variant_size_v<Message>>;
+    static HandlerTable makeHandlers();
+    static const HandlerTable handlers;
+
+    /** What stands behind this agent; made once, at the first announcement. */
+    struct Hosted {
+        Member member;
+        std::unique_ptr<BackendPort> backend;
+        std::unique_ptr<WorkerPort> worker;
+        std::unique_ptr<AgentCalls> calls;
+        std::unique_ptr<GangAgent> gangs;
+    };
+
+    Message onUnsupported(const Header &header, const Message &message);
+    Message onDispatch(const Header &header, const Message &message);
+    Message onQuery(const Header &header, const Message &message);
+    Message onPrepare(const Header &header, const Message &message);
+    Message onStart(const Header &header, const Message &message);
+    Message onStop(const Header &header, const Message &message);
+    Message onRenew(const Header &header, const Message &message);
+    Message onAskReport(const Header &header, const Message &message);
+    Message onHeartbeat(const Header &header, const Message &message);
+    Message onFetchSettings(const Header &header, const Message &message);
+    Message onFetchEvents(const Header &header, const Message &message);
+    Message onDrain(const Header &header, const Message &message);
+
+    /** Returns the hosted server or worker; null before the announcement. Never changes afterwards. */
+    Hosted *hosted() const;
+    std::unique_ptr<Hosted> makeHosted(const Announcement &announcement);
+    Member currentMember() const;
+    void lead();
+    void pushToEntries();
+    void follow(const Member &member);
+    void reportToEntries(const Member &member);
+
+    AgentContext context;
+    const AgentTerms terms;
+    JobStore jobs;
+    TableGangRecorder recorder;
+    Duty leaderDuty;
+    ShardBook book;
+    std::atomic<Hosted *> current = nullptr;
+    std::unique_ptr<Hosted> owned;
+    std::mutex announcing;
+    std::atomic<bool> isLeaving = false;
+    std::mutex membership; ///< serializes ticks
+    std::string leaderAddress;
+    std::vector<BookPosition> entryPositions; ///< what each entry knows of the book
+    Instant leaseCheckedAt;
+};
+
+} // namespace waxwingloft
+
+#endif
--- a/include/waxwingloft/request/calldispatcher.h
+++ b/include/waxwingloft/request/calldispatcher.h
@@ -1,6 +1,7 @@
 #ifndef WAXWINGLOFT_REQUEST_CALLDISPATCHER_H
 #define WAXWINGLOFT_REQUEST_CALLDISPATCHER_H
 
+#include "waxwingloft/connection/frontservice.h"
 #include "waxwingloft/connection/nodeport.h"
 #include "waxwingloft/process/eventlog.h"
 #include "waxwingloft/process/metrics.h"
@@ -13,13 +14,6 @@
 
 namespace waxwingloft {
 
-/** The true end of a call and the whole answer, if there is one. */
-struct CallAnswer {
-    Outcome outcome = Outcome::Unknown;
-    Error error; ///< meaningful unless the outcome is Done
-    std::string payload;
-};
-
 /** What a dispatcher works with. */
 struct DispatcherContext {
     Clock &clock;
--- a/include/waxwingloft/request/gangagent.h
+++ b/include/waxwingloft/request/gangagent.h
@@ -82,6 +82,7 @@
         bool isThrottled = false;
         bool isStopping = false;
         bool headKnowsEnd = false;
+        bool wasStarted = false;
         std::string checkpoint; ///< key of the latest whole one written here
         std::string resumeBytes;
         std::uint32_t checkpointsWritten = 0;
--- a/include/waxwingloft/request/gangscheduler.h
+++ b/include/waxwingloft/request/gangscheduler.h
@@ -48,7 +48,8 @@
 class GangScheduler : public GangPolicy
 {
 public:
-    GangScheduler(FleetBook &fleet, ReservationBook &reservations, RuntimeLearner &learner, const ShapePlanner &planner, std::string region, SchedulerTerms terms);
+    GangScheduler(
+        FleetBook &fleet, ReservationBook &reservations, RuntimeLearner &learner, const ShapePlanner &planner, std::string region, SchedulerTerms terms);
 
     Status submit(const GangJob &job) override;
     void ended(const JobId &job, Instant now) override;
--- a/include/waxwingloft/version/fieldreader.h
+++ b/include/waxwingloft/version/fieldreader.h
@@ -2,6 +2,7 @@
 #define WAXWINGLOFT_VERSION_FIELDREADER_H
 
 #include "waxwingloft/process/nametable.h"
+#include "waxwingloft/process/nearestname.h"
 
 #include <cstdint>
 #include <nlohmann/json.hpp>
@@ -32,9 +33,6 @@
     std::string text() const;
 };
 
-/** Returns the candidate with the smallest edit distance to @p word when it is near, else an empty string. */
-std::string nearestName(const std::string &word, const std::vector<std::string> &candidates);
-
 /**
  * Reads the fields of one JSON object and collects every mistake instead of stopping at the first.
  *
--- a/include/waxwingloft/version/reservationbook.h
+++ b/include/waxwingloft/version/reservationbook.h
@@ -44,7 +44,7 @@
     /** Takes over the guarantees of @p settings; keeps the placement of those that stay, largest shapes first. */
     void setGuarantees(const Settings &settings);
 
-    /** Finds new workers for reservations whose workers are lost. Returns how many stay without. */
+    /** Finds new workers for reservations whose workers are lost or reserved twice. Returns how many stay without. */
     std::size_t repair();
 
     const std::vector<Reservation> &all() const;
@@ -64,6 +64,13 @@
     void claim(ReservationIndex index, const JobId &job);
     void unclaim(const JobId &job);
 
+    /**
+     * Moves a reservation of @p workspace under a job that already runs, when a successor rebuilds its state.
+     *
+     * Returns whether a reservation covers exactly the workers of the job.
+     */
+    bool adoptClaim(const JobId &job, const WorkspaceId &workspace, const Shape &shape, const Placement &placement);
+
     /** Returns the tasks of @p shape laid into the placement of a reservation. */
     Placement placeInside(ReservationIndex index, const Shape &shape) const;
 
@@ -73,7 +80,7 @@
 private:
     bool place(Reservation &reservation);
     void unplace(Reservation &reservation);
-    bool standsOnLostWorker(const Reservation &reservation) const;
+    bool mustMove(const Reservation &reservation) const;
     bool replaceOthersFor(Reservation &reservation);
 
     FleetBook &fleet;
--- a/include/waxwingloft/version/settings.h
+++ b/include/waxwingloft/version/settings.h
@@ -52,6 +52,7 @@
 struct Guarantee {
     std::uint32_t count = 1;
     Shape shape;
+    std::string region; ///< where it is kept; empty for the region of each placer
 
     bool operator==(const Guarantee &) const = default;
 };
--- a/include/waxwingloft/version/settingsstore.h
+++ b/include/waxwingloft/version/settingsstore.h
@@ -27,6 +27,9 @@
     /** Reads what changed since the last load; the whole tree at first. */
     Result<SettingsDelta> load();
 
+    /** Returns what the last loaded tree has changed after @p since. */
+    SettingsDelta deltaSince(SettingsVersion since);
+
     /** Checks and commits @p change. Returns the delta that is now accepted. */
     Result<SettingsDelta> commit(const SettingsChange &change, const SettingsCheck &check);
 
--- a/proto/node.capnp
+++ b/proto/node.capnp
@@ -27,7 +27,7 @@
   reserveForMs @10 :Int64; taskLeaseMs @11 :Int64; checkpoint @12 :Text; payload @13 :Data;
 }
 struct StartGang { job @0 :Text; attempt @1 :Text; epoch @2 :UInt64; }
-struct StopGang { job @0 :Text; attempt @1 :Text; epoch @2 :UInt64; graceMs @3 :Int64; }
+struct StopGang { job @0 :Text; attempt @1 :Text; epoch @2 :UInt64; graceMs @3 :Int64; incarnation @4 :UInt64; }
 struct RenewGang { job @0 :Text; attempt @1 :Text; member @2 :Text; state @3 :UInt8; }
 struct GangReply {
   job @0 :Text; attempt @1 :Text; state @2 :UInt8; mustStop @3 :Bool; checkpoint @4 :Text; error @5 :Error; refused @6 :Bool;
--- a/src/connection/httptablestore.cpp
+++ b/src/connection/httptablestore.cpp
@@ -11,6 +11,7 @@
 constexpr int StatusOk = 200;
 constexpr int StatusNotFound = 404;
 constexpr int StatusConflict = 409;
+constexpr int StatusUnavailable = 503;
 
 std::string escaped(const std::string &text)
 {
@@ -33,6 +34,13 @@
     return makeError(ErrorKind::PlatformDown, "the platform answered with status " + std::to_string(answer.status));
 }
 
+/** Only 503 and refusals of the request say that a commit had no effect. */
+Error commitError(const HttpAnswer &answer)
+{
+    const bool hadNoEffect = answer.status == StatusUnavailable || (answer.status >= 400 && answer.status < 500);
+    return hadNoEffect ? statusError(answer) : makeError(ErrorKind::Ambiguous, "the platform answered a commit with status " + std::to_string(answer.status));
+}
+
 nlohmann::json bodyOf(const Transaction &transaction)
 {
     auto body = nlohmann::json{{"operation", transaction.operation}, {"conditions", nlohmann::json::array()}, {"writes", nlohmann::json::array()}};
@@ -111,7 +119,7 @@
     }
     if (valueOf(answer).status != StatusOk || !json.is_object()) {
         this->metrics.add(Count::TableFailures);
-        return statusError(valueOf(answer));
+        return commitError(valueOf(answer));
     }
     return Commit{json.value("revision", std::uint64_t(0))};
 }
--- a/src/connection/messagecodec.cpp
+++ b/src/connection/messagecodec.cpp
@@ -209,12 +209,13 @@
     builder.setJob(stop.job.value);
     builder.setAttempt(stop.attempt.value);
     builder.setEpoch(stop.epoch);
+    builder.setIncarnation(stop.incarnation);
     builder.setGraceMs(stop.grace.count());
 }
 
 StopGang decode(wire::StopGang::Reader reader)
 {
-    return {JobId{textOf(reader.getJob())}, AttemptId{textOf(reader.getAttempt())}, reader.getEpoch(), Millis(reader.getGraceMs())};
+    return {JobId{textOf(reader.getJob())}, AttemptId{textOf(reader.getAttempt())}, reader.getEpoch(), reader.getIncarnation(), Millis(reader.getGraceMs())};
 }
 
 void encode(const RenewGang &renew, wire::RenewGang::Builder builder)
@@ -227,10 +228,8 @@
 
 RenewGang decode(wire::RenewGang::Reader reader)
 {
-    return {JobId{textOf(reader.getJob())},
-            AttemptId{textOf(reader.getAttempt())},
-            NodeId{textOf(reader.getMember())},
-            enumOf(reader.getState(), GangState::None)};
+    return {
+        JobId{textOf(reader.getJob())}, AttemptId{textOf(reader.getAttempt())}, NodeId{textOf(reader.getMember())}, enumOf(reader.getState(), GangState::None)};
 }
 
 void encode(const GangReply &reply, wire::GangReply::Builder builder)
--- a/src/connection/private/node.capnp.h
+++ b/src/connection/private/node.capnp.h
@@ -245,7 +245,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a5a8509efe968d06, 2, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(a5a8509efe968d06, 3, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1891,6 +1891,8 @@
 
   inline  ::int64_t getGraceMs() const;
 
+  inline  ::uint64_t getIncarnation() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1939,6 +1941,9 @@
   inline  ::int64_t getGraceMs();
   inline void setGraceMs( ::int64_t value);
 
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5565,6 +5570,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t StopGang::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StopGang::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void StopGang::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool RenewGang::Reader::hasJob() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/connection/rpcnode.cpp
+++ b/src/connection/rpcnode.cpp
@@ -57,7 +57,8 @@
             stopping.promise.wait(io.waitScope);
         } catch (const kj::Exception &exception) {
             if (!isOpen) {
-                this->opened.set_exception(std::make_exception_ptr(std::runtime_error("cannot listen on " + this->address + ": " + exception.getDescription().cStr())));
+                this->opened.set_exception(
+                    std::make_exception_ptr(std::runtime_error("cannot listen on " + this->address + ": " + exception.getDescription().cStr())));
             }
         }
     }
--- /dev/null
+++ b/src/process/daemon/entryrole.cpp
@@ -0,0 +1,95 @@
+#include "node.h"
+
+#include "waxwingloft/request/entryservice.h"
+
+namespace waxwingloft {
+
+namespace {
+
+constexpr std::size_t FanOutThreads = 32;
+constexpr std::size_t LaunchThreads = 16;
+constexpr std::size_t MaxQueuedLaunches = 100'000;
+constexpr auto SettingsInterval = Millis(500);
+constexpr auto PlacerInterval = Millis(200);
+constexpr auto QueueInterval = Millis(20);
+
+EntryContext contextOf(Node &node, FanOut &fanOut, ThreadPool &launches)
+{
+    auto others = node.config.entries;
+    std::erase(others, node.config.rpcAddress);
+    return {node.clock,
+            node.events,
+            node.metrics,
+            node.settings,
+            node.sync,
+            node.table,
+            node.rpc,
+            fanOut,
+            node.ids,
+            launches,
+            NodeId{node.config.node},
+            node.incarnation,
+            node.config.location,
+            node.config.rpcAddress,
+            others,
+            node.config.operatorToken};
+}
+
+class EntryRole : public Role
+{
+public:
+    explicit EntryRole(Node &node)
+        : node(node)
+        , fanOut(FanOutThreads)
+        , launches(LaunchThreads, MaxQueuedLaunches)
+        , service(contextOf(node, this->fanOut, this->launches), EntryTerms{})
+    {
+    }
+
+    void start() override
+    {
+        this->node.rpc.serve(this->service);
+        this->node.startSync();
+        this->settingsTicker = std::make_unique<Ticker>(SettingsInterval, [this] { this->service.tickSettings(); });
+        this->placerTicker = std::make_unique<Ticker>(PlacerInterval, [this] { this->service.tickPlacer(); });
+        this->queueTicker = std::make_unique<Ticker>(QueueInterval, [this] { this->service.tickQueue(); });
+        this->service.setPlacerWakeUp([this] { this->placerTicker->nudge(); });
+        this->node.http.serveFront(this->service);
+        this->node.http.run();
+    }
+
+    bool finish(Millis limit) override
+    {
+        this->node.isLeaving.store(true, std::memory_order_release);
+        this->node.clock.sleepFor(this->node.config.balancerWait);
+        this->service.drain();
+        const bool isIdle = this->service.waitUntilIdle(limit);
+        this->node.http.stop();
+        this->service.setPlacerWakeUp({});
+        this->placerTicker->stop();
+        this->settingsTicker->stop();
+        this->queueTicker->stop();
+        this->launches.close();
+        this->service.release();
+        this->node.rpc.close();
+        return isIdle;
+    }
+
+private:
+    Node &node;
+    PoolFanOut fanOut;
+    ThreadPool launches;
+    EntryService service;
+    std::unique_ptr<Ticker> settingsTicker;
+    std::unique_ptr<Ticker> placerTicker;
+    std::unique_ptr<Ticker> queueTicker;
+};
+
+} // namespace
+
+std::unique_ptr<Role> makeEntryRole(Node &node)
+{
+    return std::make_unique<EntryRole>(node);
+}
+
+} // namespace waxwingloft
--- /dev/null
+++ b/src/process/daemon/main.cpp
@@ -0,0 +1,118 @@
+#include "node.h"
+
+#include "waxwingloft/process/logger.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <array>
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <stdexcept>
+#include <thread>
+
+ABSL_FLAG(std::string, config, "", "settings file of this process, in TOML");
+ABSL_FLAG(bool, check_config, false, "report every mistake in the settings file and exit");
+
+namespace waxwingloft {
+
+namespace {
+
+constexpr int ExitOk = 0;
+constexpr int ExitUsage = 2;
+constexpr int ExitCannotStart = 3;
+constexpr int ExitUnfinished = 4;
+
+using RoleMaker = std::unique_ptr<Role> (*)(Node &);
+constexpr std::array<RoleMaker, NameTable<NodeRole>::names.size()> RoleMakers = {&makeEntryRole, &makeAgentRole};
+
+std::optional<NodeConfig> readConfig(const std::string &file)
+{
+    std::ifstream stream(file);
+    if (!stream) {
+        std::cerr << file << ": cannot be read; check the path given with --config\n";
+        return std::nullopt;
+    }
+    std::ostringstream text;
+    text << stream.rdbuf();
+    const auto parsed = parseNodeConfig(text.str());
+    for (const auto &mistake : parsed.mistakes) {
+        std::cerr << toString(mistake, file) << "\n";
+    }
+    return parsed.mistakes.empty() ? std::optional<NodeConfig>(parsed.config) : std::nullopt;
+}
+
+/** Blocks the signals that end the process, in this thread and all that it starts. */
+sigset_t blockSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    signal(SIGPIPE, SIG_IGN);
+    return signals;
+}
+
+/** Ends the process at once at a second signal. */
+void watchForSecondSignal(sigset_t signals)
+{
+    std::thread([signals] {
+        int signal = 0;
+        sigwait(&signals, &signal);
+        std::_Exit(ExitUnfinished);
+    }).detach();
+}
+
+int run(const NodeConfig &config)
+{
+    const auto signals = blockSignals();
+    openLog(config.node, config.logLevel);
+    const Logger log(LogPart::Main);
+    Node node(config);
+    const auto role = RoleMakers.at(static_cast<std::size_t>(config.role))(node);
+    role->start();
+    log.info("Started as " + std::string(nameOf(config.role)) + ", RPC on " + config.rpcAddress + ", HTTP on " + config.httpAddress + ".");
+    int signal = 0;
+    sigwait(&signals, &signal);
+    log.info("Stopping: no new work, finishing what is in hand.");
+    watchForSecondSignal(signals);
+    const bool isFinished = role->finish(config.shutdownLimit);
+    log.info(isFinished ? "Stopped; nothing was cut off." : "Stopped at the deadline with work in hand.");
+    return isFinished ? ExitOk : ExitUnfinished;
+}
+
+} // namespace
+
+} // namespace waxwingloft
+
+int main(int argc, char **argv)
+{
+    absl::SetProgramUsageMessage("Runs one process of waxwingloft, an entry or an agent.\n\n"
+                                 "  waxwingloftd --config=FILE                  run until SIGTERM\n"
+                                 "  waxwingloftd --config=FILE --check_config   report every mistake in FILE\n\n"
+                                 "Exit codes: 0 stopped cleanly, 2 mistakes in the command line or settings,\n"
+                                 "3 cannot start, 4 stopped with work in hand.");
+    const auto rest = absl::ParseCommandLine(argc, argv);
+    const auto file = absl::GetFlag(FLAGS_config);
+    if (rest.size() > 1 || file.empty()) {
+        std::cerr << "usage: waxwingloftd --config=FILE [--check_config]; see --help\n";
+        return waxwingloft::ExitUsage;
+    }
+    const auto config = waxwingloft::readConfig(file);
+    if (!config) {
+        return waxwingloft::ExitUsage;
+    }
+    if (absl::GetFlag(FLAGS_check_config)) {
+        std::cout << file << ": no mistakes\n";
+        return waxwingloft::ExitOk;
+    }
+    try {
+        return waxwingloft::run(*config);
+    } catch (const std::runtime_error &error) {
+        std::cerr << config->node << ": " << error.what() << "\n";
+        return waxwingloft::ExitCannotStart;
+    }
+}
--- /dev/null
+++ b/src/process/daemon/node.h
@@ -0,0 +1,63 @@
+#ifndef WAXWINGLOFT_PROCESS_DAEMON_NODE_H
+#define WAXWINGLOFT_PROCESS_DAEMON_NODE_H
+
+#include "waxwingloft/connection/httpfront.h"
+#include "waxwingloft/connection/httptablestore.h"
+#include "waxwingloft/connection/rpcnode.h"
+#include "waxwingloft/connection/settingssync.h"
+#include "waxwingloft/process/nodeconfig.h"
+#include "waxwingloft/process/tableclient.h"
+#include "waxwingloft/process/ticker.h"
+
+#include <atomic>
+#include <memory>
+#include <vector>
+
+namespace waxwingloft {
+
+/** What every process has, whatever its role: clocks, logs, settings, connections. */
+struct Node : public HealthService {
+    explicit Node(const NodeConfig &config);
+    ~Node() override;
+
+    std::optional<std::string> whyNotReady() const override;
+    std::string metricsText() const override;
+
+    /** Starts the thread that keeps the settings up to date. */
+    void startSync();
+
+    const NodeConfig config;
+    const Incarnation incarnation;
+    mutable SystemClock clock;
+    Metrics metrics;
+    EventLog events;
+    IdSource ids;
+    HttpTableStore tableService;
+    HttpObjectStore objects;
+    TableClient table;
+    SettingsPublisher settings;
+    SettingsSync sync;
+    RpcNode rpc;
+    HttpFront http;
+    std::atomic<bool> isLeaving = false;
+    std::unique_ptr<Ticker> syncTicker;
+};
+
+/** One role of the daemon. */
+class Role
+{
+public:
+    virtual ~Role() = default;
+
+    virtual void start() = 0;
+
+    /** Takes no new work, finishes what is in hand within @p limit and hands duties over. Returns whether all was finished. */
+    virtual bool finish(Millis limit) = 0;
+};
+
+std::unique_ptr<Role> makeEntryRole(Node &node);
+std::unique_ptr<Role> makeAgentRole(Node &node);
+
+} // namespace waxwingloft
+
+#endif
--- a/src/process/shardbook.cpp
+++ b/src/process/shardbook.cpp
@@ -56,7 +56,8 @@
 MembersDelta ShardBook::changesSince(Incarnation book, std::uint64_t since) const
 {
     const std::lock_guard<std::mutex> guard(this->mutex);
-    MembersDelta delta{this->shard, this->incarnation, book == this->incarnation ? since : 0, this->revision, {}, static_cast<std::uint32_t>(this->entries.size())};
+    MembersDelta delta{
+        this->shard, this->incarnation, book == this->incarnation ? since : 0, this->revision, {}, static_cast<std::uint32_t>(this->entries.size())};
     for (const auto &[node, entry] : this->entries) {
         if (entry.revision > delta.since) {
             delta.changed.push_back(entry.member);
--- a/src/request/agentcalls.cpp
+++ b/src/request/agentcalls.cpp
@@ -21,10 +21,8 @@
 
 } // namespace
 
-const std::array<AgentCalls::Check, 4> AgentCalls::checks = {&AgentCalls::checkIncarnation,
-                                                             &AgentCalls::checkVersion,
-                                                             &AgentCalls::checkAge,
-                                                             &AgentCalls::checkDrain};
+const std::array<AgentCalls::Check, 4> AgentCalls::checks = {
+    &AgentCalls::checkIncarnation, &AgentCalls::checkVersion, &AgentCalls::checkAge, &AgentCalls::checkDrain};
 
 AgentCalls::AgentCalls(const AgentCallsContext &context, LedgerTerms terms)
     : context(context)
@@ -59,7 +57,12 @@
 AttemptReply AgentCalls::query(const QueryAttempt &query)
 {
     if (query.incarnation != this->context.incarnation) {
-        return {query.attempt, AttemptState::Ended, Outcome::Unknown, makeError(ErrorKind::Ambiguous, "the agent has restarted since the attempt"), {}, this->load()};
+        return {query.attempt,
+                AttemptState::Ended,
+                Outcome::Unknown,
+                makeError(ErrorKind::Ambiguous, "the agent has restarted since the attempt"),
+                {},
+                this->load()};
     }
     auto reply = this->ledger.query(query.attempt, query.age, query.wait);
     if (reply.state == AttemptState::Ended && reply.outcome == Outcome::NotRun) {
--- a/src/request/calldispatcher.cpp
+++ b/src/request/calldispatcher.cpp
@@ -27,7 +27,8 @@
 {
     auto answer = call.kind.idempotent ? this->runIdempotent(call) : this->runOnce(call);
     this->context.metrics.addOutcome(answer.outcome);
-    this->context.events.record(EventKind::Answered, call.request.value, call.workspace.value, std::string(nameOf(answer.outcome)) + " " + answer.error.message);
+    this->context.events.record(
+        EventKind::Answered, call.request.value, call.workspace.value, std::string(nameOf(answer.outcome)) + " " + answer.error.message);
     return answer;
 }
 
@@ -156,16 +157,8 @@
 {
     const auto &member = passage.server->member;
     const auto left = this->timeLeft(call);
-    const Dispatch dispatch{attempt,
-                            call.workspace,
-                            call.request,
-                            call.kind.id,
-                            call.team,
-                            call.teamVersion,
-                            member.incarnation,
-                            call.kind.idempotent,
-                            left,
-                            call.payload};
+    const Dispatch dispatch{
+        attempt, call.workspace, call.request, call.kind.id, call.team, call.teamVersion, member.incarnation, call.kind.idempotent, left, call.payload};
     this->context.events.record(EventKind::Dispatched, call.request.value, call.workspace.value, member.node.value + " " + attempt.value);
     auto reply = expectReply<AttemptReply>(this->context.peers.call(member.rpcAddress, dispatch, left + this->terms.answerSlack));
     if (succeeded(reply) && valueOf(reply).attempt == attempt && valueOf(reply).state == AttemptState::Ended) {
@@ -197,7 +190,8 @@
     const auto startedAt = this->context.clock.now();
     while (true) {
         const auto now = this->context.clock.now();
-        const QueryAttempt query{claim.attempt, claim.incarnation, age + (now - startedAt), std::clamp(this->timeLeft(call), Millis(0), this->terms.questionTimeout)};
+        const QueryAttempt query{
+            claim.attempt, claim.incarnation, age + (now - startedAt), std::clamp(this->timeLeft(call), Millis(0), this->terms.questionTimeout)};
         auto reply = expectReply<AttemptReply>(this->context.peers.call(claim.address, query, query.wait + this->terms.questionTimeout));
         if (succeeded(reply) && valueOf(reply).attempt == claim.attempt && valueOf(reply).state == AttemptState::Ended) {
             return std::move(valueOf(reply));
--- a/src/request/callgate.cpp
+++ b/src/request/callgate.cpp
@@ -26,7 +26,8 @@
 Result<Passage> CallGate::enter(const AdmittedCall &call)
 {
     if (!this->servers.serves(call.kind.id)) {
-        return makeError(ErrorKind::NoCapacity, "no backend server that is up serves kind \"" + call.kind.id.value + "\"", "retry when one has announced itself");
+        return makeError(
+            ErrorKind::NoCapacity, "no backend server that is up serves kind \"" + call.kind.id.value + "\"", "retry when one has announced itself");
     }
     if (this->waitingCount.load(std::memory_order_acquire) == 0) {
         auto server = this->tryTake(call.kind.id);
@@ -37,7 +38,8 @@
     Waiter waiter;
     std::unique_lock<std::mutex> lock(this->mutex);
     const auto now = this->clock.now();
-    const QueuedCall queued{this->nextTicket++, call.workspace, call.weight, call.kind.id, call.kind.worth, call.kind.urgency, call.caller, call.limits, call.deadline};
+    const QueuedCall queued{
+        this->nextTicket++, call.workspace, call.weight, call.kind.id, call.kind.worth, call.kind.urgency, call.caller, call.limits, call.deadline};
     const auto pushed = this->queue.push(queued, now);
     if (!succeeded(pushed)) {
         return errorOf(pushed);
--- /dev/null
+++ b/src/request/entryservice.cpp
@@ -0,0 +1,587 @@
+#include "waxwingloft/request/entryservice.h"
+
+#include <algorithm>
+#include <set>
+
+namespace waxwingloft {
+
+namespace {
+
+constexpr auto IdlePoll = Millis(20);
+constexpr std::uint32_t EventsPerNode = 2000;
+constexpr std::size_t MaxTimelineNodes = 512; ///< processes asked for one time line
+
+/** Compares in a time that does not depend on where the texts differ. */
+bool equalsSecret(const std::string &left, const std::string &right)
+{
+    if (left.size() != right.size() || left.empty()) {
+        return false;
+    }
+    unsigned difference = 0;
+    for (std::size_t index = 0; index < left.size(); ++index) {
+        difference |= static_cast<unsigned char>(left[index]) ^ static_cast<unsigned char>(right[index]);
+    }
+    return difference == 0;
+}
+
+/** Counts a request as in hand while it lives. */
+class InHand
+{
+public:
+    explicit InHand(std::atomic<std::size_t> &count)
+        : count(count)
+    {
+        this->count.fetch_add(1, std::memory_order_acq_rel);
+    }
+
+    ~InHand()
+    {
+        this->count.fetch_sub(1, std::memory_order_acq_rel);
+    }
+
+    InHand(const InHand &) = delete;
+    InHand &operator=(const InHand &) = delete;
+
+private:
+    std::atomic<std::size_t> &count;
+};
+
+} // namespace
+
+EntryService::HandlerTable EntryService::makeHandlers()
+{
+    HandlerTable table;
+    table.fill(&EntryService::onUnsupported);
+    table[messageIndex<Heartbeat>()] = &EntryService::onHeartbeat;
+    table[messageIndex<PushMembers>()] = &EntryService::onPushMembers;
+    table[messageIndex<FetchSettings>()] = &EntryService::onFetchSettings;
+    table[messageIndex<FetchEvents>()] = &EntryService::onFetchEvents;
+    table[messageIndex<NudgePlacer>()] = &EntryService::onNudgePlacer;
+    return table;
+}
+
+const EntryService::HandlerTable EntryService::handlers = EntryService::makeHandlers();
+
+EntryService::EntryService(const EntryContext &context, const EntryTerms &terms)
+    : context(context)
+    , terms(terms)
+    , settingsStore(context.table, context.ids)
+    , jobs(context.table, context.ids)
+    , claims(context.table, context.ids)
+    , servers(context.location)
+    , gate(context.clock, this->servers, this->queue)
+    , admission(this->rates)
+    , dispatcher({context.clock, context.events, context.metrics, context.peers, this->gate, this->claims, context.ids}, terms.dispatch)
+    , launcher(context.peers, context.fanOut, context.clock, terms.launch)
+    , placerDuty(
+          context.table, context.clock, context.events, context.ids, "placer/" + context.location.region, context.self, context.rpcAddress, terms.placerLease)
+    , placer({context.clock,
+              context.events,
+              context.metrics,
+              this->jobs,
+              this->members,
+              context.settings,
+              context.ids,
+              this->launcher,
+              [this](std::function<void()> task) { this->context.launches.post(std::move(task)); },
+              context.location.region},
+             terms.placer)
+{
+    this->members.setListener([this](const Member &member) { this->servers.update(member); });
+}
+
+EntryService::~EntryService() = default;
+
+Message EntryService::handle(const Header &header, const Message &message)
+{
+    return (this->*handlers.at(message.index()))(header, message);
+}
+
+CallAnswer EntryService::call(CallQuestion question)
+{
+    const InHand inHandGuard(this->inHand);
+    if (this->isDraining.load(std::memory_order_acquire)) {
+        return {Outcome::NotRun, makeError(ErrorKind::Draining, "this entry is leaving"), {}};
+    }
+    if (question.request.isEmpty()) {
+        question.request = RequestId{this->context.ids.next()};
+    }
+    Result<AdmittedCall> admitted = makeError(ErrorKind::Internal, "not admitted");
+    {
+        const ReadSection section;
+        admitted = this->admission.admit(this->context.settings.read(section), std::move(question), this->context.clock.now());
+    }
+    if (!succeeded(admitted)) {
+        this->context.metrics.add(Count::RequestsRefused);
+        return {Outcome::NotRun, errorOf(admitted), {}};
+    }
+    this->context.metrics.add(Count::RequestsAccepted);
+    this->context.events.record(EventKind::Accepted, valueOf(admitted).request.value, valueOf(admitted).workspace.value, valueOf(admitted).kind.id.value);
+    return this->dispatcher.run(valueOf(admitted));
+}
+
+Result<JobId> EntryService::submitJob(const JobQuestion &question)
+{
+    const InHand inHandGuard(this->inHand);
+    if (this->isDraining.load(std::memory_order_acquire)) {
+        return makeError(ErrorKind::Draining, "this entry is leaving");
+    }
+    const auto caller = this->callerOf(question.token);
+    if (!succeeded(caller)) {
+        return errorOf(caller);
+    }
+    JobRecord record;
+    {
+        const ReadSection section;
+        const auto *const kind = this->context.settings.read(section).findKind(valueOf(caller).team, question.kind);
+        if (kind == nullptr || kind->form != WorkForm::Gang) {
+            return makeError(ErrorKind::NotFound,
+                             "there is no kind of gang work \"" + question.kind.value + "\" in team \"" + valueOf(caller).team.value + "\"");
+        }
+        record.kind = *kind;
+    }
+    const auto region = this->chooseRegion(question);
+    if (!succeeded(region)) {
+        return errorOf(region);
+    }
+    record.id = JobId{valueOf(caller).workspace.value + "." + (question.request.isEmpty() ? this->context.ids.next() : question.request.value)};
+    record.workspace = valueOf(caller).workspace;
+    record.team = valueOf(caller).team;
+    record.shape = question.shape;
+    record.declaredRunTime = question.declaredRunTime;
+    record.region = valueOf(region);
+    record.payload = question.payload;
+    record.submittedAtWallMillis = this->context.clock.wallMillis();
+    const auto created = this->jobs.create(record);
+    const bool existsAlready = !succeeded(created) && errorOf(created).kind == ErrorKind::Conflict;
+    if (!succeeded(created) && !existsAlready) {
+        return errorOf(created).kind == ErrorKind::Ambiguous ? makeError(
+                   ErrorKind::Ambiguous, "job " + record.id.value + " may or may not have been accepted", "ask for it by its id before you submit it again")
+                                                             : errorOf(created);
+    }
+    this->context.metrics.add(Count::JobsSubmitted);
+    this->context.events.record(EventKind::JobSubmitted, record.id.value, record.workspace.value, toString(record.shape));
+    this->nudgePlacer(record.region);
+    return record.id;
+}
+
+Result<JobView> EntryService::showJob(const std::string &token, const JobId &id)
+{
+    const auto record = this->findOwn(token, id);
+    return succeeded(record) ? Result<JobView>(this->viewOf(valueOf(record))) : errorOf(record);
+}
+
+Result<std::vector<JobView>> EntryService::listJobs(const std::string &token)
+{
+    const auto caller = this->callerOf(token);
+    if (!succeeded(caller)) {
+        return errorOf(caller);
+    }
+    const auto records = this->jobs.listOf(valueOf(caller).workspace);
+    if (!succeeded(records)) {
+        return errorOf(records);
+    }
+    std::vector<JobView> views;
+    for (const auto &record : valueOf(records)) {
+        views.push_back(this->viewOf(record));
+    }
+    return views;
+}
+
+Status EntryService::cancelJob(const std::string &token, const JobId &id)
+{
+    const auto record = this->findOwn(token, id);
+    if (!succeeded(record)) {
+        return errorOf(record);
+    }
+    auto cancelled = this->jobs.requestCancel(id);
+    this->nudgePlacer(valueOf(record).region);
+    return cancelled;
+}
+
+Result<nlohmann::json> EntryService::settingsAt(const std::string &operatorToken, const std::string &path, bool reveal)
+{
+    const auto allowed = this->checkOperator(operatorToken);
+    if (!succeeded(allowed)) {
+        return errorOf(allowed);
+    }
+    auto value = this->context.settings.tree().valueAt(path);
+    return succeeded(value) && !reveal ? Result<nlohmann::json>(hideTokens(std::move(valueOf(value)))) : value;
+}
+
+Result<SettingsVersion> EntryService::teamVersion(const std::string &operatorToken, const std::string &path)
+{
+    const auto allowed = this->checkOperator(operatorToken);
+    if (!succeeded(allowed)) {
+        return errorOf(allowed);
+    }
+    const auto team = teamOfPath(path);
+    if (!succeeded(team)) {
+        return errorOf(team);
+    }
+    const ReadSection section;
+    return this->context.settings.read(section).teamVersion(valueOf(team));
+}
+
+Result<SettingsVersion> EntryService::changeSettings(const std::string &operatorToken, const SettingsChange &change)
+{
+    const auto allowed = this->checkOperator(operatorToken);
+    if (!succeeded(allowed)) {
+        return errorOf(allowed);
+    }
+    const auto delta = this->settingsStore.commit(change, [this](const SettingsTree &tree) { return this->checkGuarantees(tree); });
+    if (!succeeded(delta)) {
+        return errorOf(delta);
+    }
+    this->context.settings.offer(valueOf(delta));
+    this->tickSettings();
+    return valueOf(delta).version;
+}
+
+Result<StatusView> EntryService::status(const std::string &operatorToken)
+{
+    const auto allowed = this->checkOperator(operatorToken);
+    if (!succeeded(allowed)) {
+        return errorOf(allowed);
+    }
+    StatusView view;
+    view.node = this->context.self;
+    view.settingsVersion = this->context.settings.version();
+    view.queuedRequests = this->gate.size();
+    view.degraded = this->describeDegradation();
+    const auto known = this->placerDuty.lastKnown();
+    view.placer = known ? known->holder.value : "";
+    std::map<NodeId, std::uint32_t> inUse;
+    for (const auto &server : this->servers.all()) {
+        inUse[server->member.node] = server->knownInUse(this->context.clock.now());
+    }
+    for (const auto &member : this->members.all()) {
+        view.members.push_back({member, inUse[member.node]});
+    }
+    const auto placing = this->placer.status();
+    view.waitingJobs = placing.waiting;
+    view.runningJobs = placing.running;
+    for (const auto &guarantee : placing.guarantees) {
+        const auto state = !guarantee.isPlaced ? std::string("without workers") : guarantee.claimedBy ? "claimed by " + guarantee.claimedBy->value : "free";
+        view.guarantees.push_back({guarantee.workspace, toString(guarantee.shape), state});
+    }
+    for (const auto &node : placing.quarantined) {
+        view.degraded.push_back("worker " + node.value + " is quarantined; it failed jobs that ran elsewhere");
+    }
+    return view;
+}
+
+Status EntryService::drain(const std::string &operatorToken, const NodeId &node)
+{
+    const auto allowed = this->checkOperator(operatorToken);
+    if (!succeeded(allowed)) {
+        return allowed;
+    }
+    const auto member = this->members.find(node);
+    if (!member) {
+        return makeError(ErrorKind::NotFound, "node \"" + node.value + "\" is not known", "list the nodes with: status");
+    }
+    const auto reply = expectReply<Ack>(this->context.peers.call(member->rpcAddress, DrainNode{}, this->terms.callTimeout));
+    if (!succeeded(reply)) {
+        return errorOf(reply);
+    }
+    auto leaving = *member;
+    leaving.state = MemberState::Leaving;
+    this->members.note(leaving);
+    return Done{};
+}
+
+Result<std::vector<Event>> EntryService::timeline(const std::string &operatorToken, HybridTime since, std::vector<std::string> &silent)
+{
+    const auto allowed = this->checkOperator(operatorToken);
+    if (!succeeded(allowed)) {
+        return errorOf(allowed);
+    }
+    std::vector<std::string> addresses = this->context.entries;
+    for (const auto &member : this->members.all()) {
+        if (member.state != MemberState::Lost && addresses.size() < MaxTimelineNodes) {
+            addresses.push_back(member.rpcAddress);
+        }
+    }
+    std::vector<Result<EventBatch>> batches(addresses.size(), makeError(ErrorKind::Unreachable, "not asked"));
+    this->context.fanOut.forEach(addresses.size(), [&](std::size_t index) {
+        batches[index] = expectReply<EventBatch>(this->context.peers.call(addresses[index], FetchEvents{since, EventsPerNode}, this->terms.callTimeout));
+    });
+    auto events = this->context.events.since(since, EventsPerNode);
+    for (std::size_t index = 0; index < batches.size(); ++index) {
+        if (!succeeded(batches[index])) {
+            silent.push_back(addresses[index]);
+            continue;
+        }
+        const auto &batch = valueOf(batches[index]).events;
+        events.insert(events.end(), batch.begin(), batch.end());
+    }
+    std::sort(events.begin(), events.end(), [](const Event &left, const Event &right) {
+        return left.time != right.time ? left.time < right.time : left.node < right.node;
+    });
+    return events;
+}
+
+void EntryService::tickSettings()
+{
+    const auto before = this->context.settings.version();
+    const auto delta = this->settingsStore.load();
+    if (succeeded(delta)) {
+        this->context.sync.noteKnown();
+        this->context.settings.offer(this->settingsStore.deltaSince(before));
+    }
+    this->context.metrics.set(Level::SettingsVersion, static_cast<double>(this->context.settings.version()));
+    this->context.metrics.set(Level::TableDown, this->context.table.downSince() ? 1.0 : 0.0);
+    this->announceSettings();
+}
+
+void EntryService::tickPlacer()
+{
+    const auto now = this->context.clock.now();
+    if (now - this->dutyCheckedAt >= this->terms.placerLease.term / 3) {
+        this->dutyCheckedAt = now;
+        if (!this->isDraining.load(std::memory_order_acquire) || this->placerDuty.heldEpoch()) {
+            this->placerDuty.pursue();
+        }
+    }
+    const auto epoch = this->placerDuty.heldEpoch();
+    if (epoch) {
+        this->placer.step(*epoch);
+    } else {
+        this->placer.resign();
+    }
+}
+
+void EntryService::setPlacerWakeUp(std::function<void()> wakeUp)
+{
+    const std::lock_guard<std::mutex> guard(this->wakeUpMutex);
+    this->placerWakeUp = std::move(wakeUp);
+}
+
+void EntryService::tickQueue()
+{
+    this->gate.pump();
+    this->context.metrics.set(Level::QueuedRequests, static_cast<double>(this->gate.size()));
+    this->context.metrics.set(Level::RunningRequests, static_cast<double>(this->inHand.load(std::memory_order_relaxed)));
+    const std::lock_guard<std::mutex> guard(this->leadersMutex);
+    for (auto &[shard, book] : this->standInBooks) {
+        if (book->sweep() > 0) {
+            this->members.apply(book->changesSince(0, 0));
+        }
+    }
+}
+
+void EntryService::drain()
+{
+    this->isDraining.store(true, std::memory_order_release);
+    this->context.events.record(EventKind::Stopping, this->context.self.value, {}, "takes no new requests");
+}
+
+bool EntryService::waitUntilIdle(Millis limit)
+{
+    const auto deadline = this->context.clock.now() + limit;
+    while (this->inHand.load(std::memory_order_acquire) > 0) {
+        if (this->context.clock.now() >= deadline) {
+            return false;
+        }
+        this->context.clock.sleepFor(IdlePoll);
+    }
+    return true;
+}
+
+void EntryService::release()
+{
+    this->placer.resign();
+    this->placerDuty.release();
+}
+
+Message EntryService::onUnsupported(const Header & /*header*/, const Message & /*message*/)
+{
+    return replyWith(makeError(ErrorKind::InvalidInput, "an entry does not handle this message", "send it to an agent"));
+}
+
+/** Stands in for a shard's leader while its members cannot find one. */
+Message EntryService::onHeartbeat(const Header & /*header*/, const Message &message)
+{
+    const auto &heartbeat = std::get<Heartbeat>(message);
+    const std::lock_guard<std::mutex> guard(this->leadersMutex);
+    auto &book = this->standInBooks[heartbeat.shard];
+    if (book == nullptr) {
+        book = std::make_unique<ShardBook>(
+            this->context.clock, this->context.events, "stand-in/" + heartbeat.shard, this->context.incarnation, this->terms.detection);
+    }
+    book->heartbeat(heartbeat.member);
+    this->members.apply(book->changesSince(0, 0));
+    return HeartbeatReply{true};
+}
+
+Message EntryService::onPushMembers(const Header &header, const Message &message)
+{
+    const auto &delta = std::get<PushMembers>(message).delta;
+    {
+        const std::lock_guard<std::mutex> guard(this->leadersMutex);
+        this->leaders[delta.shard] = header.address;
+        this->standInBooks.erase(delta.shard);
+    }
+    const auto position = this->members.apply(delta);
+    this->context.metrics.set(Level::KnownMembers, static_cast<double>(this->members.all().size()));
+    return PushMembersReply{position.book, position.revision};
+}
+
+Message EntryService::onFetchSettings(const Header & /*header*/, const Message &message)
+{
+    return this->context.sync.answer(std::get<FetchSettings>(message));
+}
+
+Message EntryService::onFetchEvents(const Header & /*header*/, const Message &message)
+{
+    const auto &fetch = std::get<FetchEvents>(message);
+    return EventBatch{this->context.events.since(fetch.since, fetch.limit)};
+}
+
+Message EntryService::onNudgePlacer(const Header & /*header*/, const Message & /*message*/)
+{
+    const std::lock_guard<std::mutex> guard(this->wakeUpMutex);
+    if (this->placerWakeUp) {
+        this->placerWakeUp();
+    }
+    return Ack{};
+}
+
+Result<EntryService::Caller> EntryService::callerOf(const std::string &token) const
+{
+    const ReadSection section;
+    const auto workspace = Admission::authenticate(this->context.settings.read(section), token);
+    if (!succeeded(workspace)) {
+        return errorOf(workspace);
+    }
+    return Caller{valueOf(workspace)->id, valueOf(workspace)->team};
+}
+
+Status EntryService::checkOperator(const std::string &token) const
+{
+    if (equalsSecret(token, this->context.operatorToken)) {
+        return Done{};
+    }
+    if (succeeded(this->callerOf(token))) {
+        return makeError(ErrorKind::Forbidden, "this call needs the operator token");
+    }
+    return makeError(ErrorKind::Unauthenticated, "this call needs the operator token");
+}
+
+/** Returns a job of the caller's own workspace; jobs of others look as if they did not exist. */
+Result<JobRecord> EntryService::findOwn(const std::string &token, const JobId &id)
+{
+    const auto caller = this->callerOf(token);
+    if (!succeeded(caller)) {
+        return errorOf(caller);
+    }
+    const auto found = this->jobs.find(id);
+    if (!succeeded(found)) {
+        return errorOf(found);
+    }
+    if (!valueOf(found) || valueOf(found)->workspace != valueOf(caller).workspace) {
+        return makeError(ErrorKind::NotFound, "job \"" + id.value + "\" does not exist in this workspace");
+    }
+    return *valueOf(found);
+}
+
+/** Returns the asked region, or the own one, or the first in which the shape would ever fit. */
+Result<std::string> EntryService::chooseRegion(const JobQuestion &question) const
+{
+    FleetBook fleet;
+    std::set<std::string> regions;
+    for (const auto &member : this->members.all()) {
+        if (member.role == MemberRole::Worker && member.state != MemberState::Lost) {
+            fleet.putWorker(member.node, member.location, member.resources);
+            regions.insert(member.location.region);
+        }
+    }
+    if (!question.region.empty() && !regions.contains(question.region)) {
+        return makeError(ErrorKind::InvalidInput, "region \"" + question.region + "\" has no workers", "leave the region out, or name one that has");
+    }
+    std::vector<std::string> order{question.region.empty() ? this->context.location.region : question.region};
+    if (question.region.empty()) {
+        order.insert(order.end(), regions.begin(), regions.end());
+    }
+    for (const auto &region : order) {
+        if (couldEverFit(fleet, question.shape, region)) {
+            return region;
+        }
+    }
+    return describeMisfit(fleet, question.shape, question.region);
+}
+
+JobView EntryService::viewOf(const JobRecord &record) const
+{
+    JobView view{record.id, record.kind.id, std::string(nameOf(record.state)), std::nullopt, record.detail, record.shape, record.region, {}};
+    if (record.state == JobState::Ended) {
+        view.outcome = record.outcome;
+    }
+    if (record.state == JobState::Queued) {
+        const auto reason = this->placer.explain(record.id);
+        view.detail = reason.empty() ? record.detail : reason;
+    }
+    for (const auto &member : record.members) {
+        view.workers.push_back(member.node);
+    }
+    return view;
+}
+
+Status EntryService::checkGuarantees(const SettingsTree &tree) const
+{
+    FleetBook fleet;
+    for (const auto &member : this->members.all()) {
+        if (member.role == MemberRole::Worker && member.state != MemberState::Lost) {
+            fleet.putWorker(member.node, member.location, member.resources);
+        }
+    }
+    return checkGuaranteesEmbed(parseSettings(tree).settings, fleet);
+}
+
+/** Tells the leaders of shards and the other entries of a new version; its number rides on the message. */
+void EntryService::announceSettings()
+{
+    const auto version = this->context.settings.version();
+    if (this->announcedVersion.exchange(version, std::memory_order_acq_rel) == version) {
+        return;
+    }
+    auto addresses = this->context.entries;
+    {
+        const std::lock_guard<std::mutex> guard(this->leadersMutex);
+        for (const auto &[shard, address] : this->leaders) {
+            addresses.push_back(address);
+        }
+    }
+    this->context.fanOut.forEach(addresses.size(), [&](std::size_t index) { this->context.peers.call(addresses[index], Ping{}, this->terms.callTimeout); });
+}
+
+void EntryService::nudgePlacer(const std::string &region)
+{
+    if (region == this->context.location.region && this->placerDuty.heldEpoch()) {
+        this->onNudgePlacer({}, NudgePlacer{region});
+        return;
+    }
+    const auto record = this->context.table.get("duty/placer/" + region);
+    if (!succeeded(record) || !valueOf(record)) {
+        return;
+    }
+    const auto duty = parseDuty(valueOf(record)->value);
+    if (succeeded(duty) && !valueOf(duty).address.empty()) {
+        this->context.peers.call(valueOf(duty).address, NudgePlacer{region}, this->terms.callTimeout);
+    }
+}
+
+std::vector<std::string> EntryService::describeDegradation() const
+{
+    std::vector<std::string> texts;
+    const auto downSince = this->context.table.downSince();
+    if (downSince) {
+        const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(this->context.clock.now() - *downSince).count();
+        texts.push_back("the table service has not answered for " + std::to_string(seconds)
+                        + " s: jobs and requests that must run at most once are refused, running work and idempotent calls go on");
+    }
+    return texts;
+}
+
+} // namespace waxwingloft
--- a/src/request/gangagent.cpp
+++ b/src/request/gangagent.cpp
@@ -63,7 +63,8 @@
     part.order = prepare;
     part.leaseUntil = now + prepare.reserveFor;
     part.resumeBytes = valueOf(bytes);
-    const auto own = std::find_if(prepare.members.begin(), prepare.members.end(), [this](const GangMember &member) { return member.node == this->context.self; });
+    const auto own =
+        std::find_if(prepare.members.begin(), prepare.members.end(), [this](const GangMember &member) { return member.node == this->context.self; });
     part.tasks = own->tasks;
     if (this->isHead(prepare)) {
         this->heads.insert_or_assign(prepare.attempt, GangHead(prepare, now + prepare.reserveFor));
@@ -90,7 +91,8 @@
         }
         part.state = GangState::Running;
         part.leaseUntil = now + part.order.taskLease - this->terms.safety;
-        part.checkpointedAt = now;
+        part.wasStarted = true;
+        part.checkpointedAt = now - this->terms.checkpointInterval;
         order = {start.attempt.value, part.order.kind, part.tasks, part.order.perTask, part.leaseUntil - now, std::move(part.resumeBytes), part.order.payload};
     }
     const auto started = this->context.worker.start(order);
@@ -108,16 +110,16 @@
 {
     bool isRunning = false;
     bool wantsCheckpoint = false;
-    GangState before = GangState::None;
+    bool neverStarted = false;
     {
         const std::lock_guard<std::mutex> guard(this->mutex);
         this->fenced.emplace(stop.attempt, this->context.clock.now());
         const auto found = this->parts.find(stop.attempt);
         if (found != this->parts.end()) {
-            before = found->second.state;
-            isRunning = before == GangState::Running;
+            isRunning = found->second.state == GangState::Running;
+            neverStarted = !found->second.wasStarted;
             wantsCheckpoint = isRunning && stop.grace > Millis(0) && this->isHead(found->second.order);
-            if (before == GangState::Prepared) {
+            if (found->second.state == GangState::Prepared) {
                 found->second.state = GangState::Stopped;
                 found->second.endedAt = this->context.clock.now();
                 found->second.headKnowsEnd = true;
@@ -133,9 +135,12 @@
     const std::lock_guard<std::mutex> guard(this->mutex);
     this->heads.erase(stop.attempt);
     auto reply = this->replyLocked(stop.job, stop.attempt);
-    if (before == GangState::Prepared) {
+    if (neverStarted) {
         reply.state = GangState::Prepared;
     }
+    if (stop.incarnation != this->context.incarnation) {
+        return refused(stop.job, stop.attempt, makeError(ErrorKind::Stale, "the agent has restarted since the gang was placed"));
+    }
     return reply;
 }
 
@@ -476,7 +481,8 @@
     }
     for (const auto &[order, verdict] : verdicts) {
         if (this->context.recorder.recordEnd(order.job, order.attempt, verdict)) {
-            this->context.events.record(EventKind::JobEnded, order.job.value, order.workspace.value, std::string(nameOf(verdict.outcome)) + " " + verdict.reason);
+            this->context.events.record(
+                EventKind::JobEnded, order.job.value, order.workspace.value, std::string(nameOf(verdict.outcome)) + " " + verdict.reason);
             const std::lock_guard<std::mutex> guard(this->mutex);
             this->heads.erase(order.attempt);
         }
--- a/src/request/gangscheduler.cpp
+++ b/src/request/gangscheduler.cpp
@@ -28,12 +28,8 @@
 
 } // namespace
 
-GangScheduler::GangScheduler(FleetBook &fleet,
-                             ReservationBook &reservations,
-                             RuntimeLearner &learner,
-                             const ShapePlanner &planner,
-                             std::string region,
-                             SchedulerTerms terms)
+GangScheduler::GangScheduler(
+    FleetBook &fleet, ReservationBook &reservations, RuntimeLearner &learner, const ShapePlanner &planner, std::string region, SchedulerTerms terms)
     : fleet(fleet)
     , reservations(reservations)
     , learner(learner)
@@ -147,7 +143,8 @@
             + std::string(nameOf(found->shape.adjacency));
         const auto *const drain = this->drains.find(job);
         if (drain != nullptr) {
-            text += "; " + std::to_string(drain->workers.size()) + " workers are drained for it, the last is empty in about " + minutesText(drain->expectedAt - now);
+            text += "; " + std::to_string(drain->workers.size()) + " workers are drained for it, the last is empty in about "
+                + minutesText(drain->expectedAt - now);
         }
         return text;
     }
@@ -303,7 +300,8 @@
     const auto end = now + this->learner.estimate(job.workspace, job.kind, job.declaredRunTime, EndQuantile);
     const std::function<bool(WorkerIndex)> allows = [this, &job, end](WorkerIndex worker) { return this->drains.mayUse(worker, job.id, end); };
     const auto room = job.isReclaimable() ? RoomKind::Free : RoomKind::Firm;
-    const auto placement = this->planner.plan(this->fleet, job.shape, PlanScope{room, this->region, this->drains.size() == 0 ? nullptr : &allows, std::nullopt});
+    const auto placement =
+        this->planner.plan(this->fleet, job.shape, PlanScope{room, this->region, this->drains.size() == 0 ? nullptr : &allows, std::nullopt});
     if (!placement) {
         this->failedShapes.push_back(key);
         return false;
@@ -367,7 +365,8 @@
     double cost = 0.0;
     for (const auto &holder : holders) {
         const auto found = this->running.find(holder);
-        const bool isMovable = found != this->running.end() && found->second.job.checkpointable && this->fleet.holdingOf(holder)->holdingClass == HoldingClass::Lent;
+        const bool isMovable =
+            found != this->running.end() && found->second.job.checkpointable && this->fleet.holdingOf(holder)->holdingClass == HoldingClass::Lent;
         if (!isMovable) {
             return;
         }
--- /dev/null
+++ b/src/request/placer.cpp
@@ -0,0 +1,499 @@
+#include "waxwingloft/request/placer.h"
+
+#include <algorithm>
+
+namespace waxwingloft {
+
+namespace {
+
+/** Returns the settings with only the guarantees that belong to a region. */
+Settings guaranteesOfRegion(Settings settings, const std::string &region)
+{
+    for (auto &[id, workspace] : settings.workspaces) {
+        std::erase_if(workspace.guarantees, [&region](const Guarantee &guarantee) { return !guarantee.region.empty() && guarantee.region != region; });
+    }
+    return settings;
+}
+
+} // namespace
+
+const std::array<Placer::RowHandler, NameTable<JobState>::names.size()> Placer::rowHandlers = {&Placer::onQueued, &Placer::onPlaced, &Placer::onEnded};
+
+Placer::Tenure::Tenure(const PlacerContext &context, const PlacerTerms &terms, Epoch epoch)
+    : epoch(epoch)
+    , reservations(this->fleet, "", this->planner)
+    , scheduler(this->fleet, this->reservations, this->learner, this->planner, "", terms.scheduler)
+    , health(context.clock, terms.health)
+{
+}
+
+Placer::Placer(const PlacerContext &context, PlacerTerms terms)
+    : context(context)
+    , terms(terms)
+{
+}
+
+Placer::~Placer() = default;
+
+void Placer::step(Epoch epoch)
+{
+    this->rebuild(epoch);
+    this->writeEnds(epoch);
+    std::uint64_t since = 0;
+    {
+        const std::lock_guard<std::mutex> guard(this->mutex);
+        since = this->tenure->jobsSince;
+    }
+    const auto changes = this->context.jobs.changes(since);
+
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    auto &current = *this->tenure;
+    this->syncMembers(current);
+    this->syncSettings(current);
+    if (succeeded(changes)) {
+        current.jobsSince = since;
+        for (const auto &record : valueOf(changes)) {
+            if (record.region == this->context.region) {
+                (this->*rowHandlers.at(static_cast<std::size_t>(record.state)))(current, record);
+            }
+        }
+    }
+    this->syncHealth(current);
+    this->resolveLost(current);
+    for (const auto &decision : current.scheduler.decide(this->context.clock.now())) {
+        this->carryOut(current, decision);
+    }
+    this->context.metrics.set(Level::WaitingJobs, static_cast<double>(current.scheduler.waitingCount()));
+}
+
+void Placer::resign()
+{
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    this->tenure.reset();
+}
+
+std::string Placer::explain(const JobId &job) const
+{
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    return this->tenure == nullptr ? std::string() : this->tenure->scheduler.explain(job, this->context.clock.now());
+}
+
+PlacerStatus Placer::status() const
+{
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    PlacerStatus status;
+    if (this->tenure == nullptr) {
+        return status;
+    }
+    status.epoch = this->tenure->epoch;
+    status.waiting = this->tenure->scheduler.waitingCount();
+    status.running = this->tenure->fleet.holdings().size();
+    status.quarantined = this->tenure->health.quarantined();
+    for (const auto &reservation : this->tenure->reservations.all()) {
+        status.guarantees.push_back({reservation.workspace, reservation.shape, reservation.placement.has_value(), reservation.claimedBy});
+    }
+    return status;
+}
+
+/** Starts a tenure: fences older placers at every agent before anything is decided. */
+void Placer::rebuild(Epoch epoch)
+{
+    {
+        const std::lock_guard<std::mutex> guard(this->mutex);
+        if (this->tenure != nullptr && this->tenure->epoch == epoch) {
+            return;
+        }
+    }
+    std::vector<Member> workers;
+    for (auto &member : this->context.members.all()) {
+        if (member.role == MemberRole::Worker && member.location.region == this->context.region && member.state != MemberState::Lost) {
+            workers.push_back(std::move(member));
+        }
+    }
+    this->context.launcher.askReports(workers, this->context.region, epoch);
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    this->tenure = std::make_unique<Tenure>(this->context, this->terms, epoch);
+}
+
+void Placer::syncMembers(Tenure &tenure)
+{
+    const auto generation = this->context.members.generation();
+    if (generation == tenure.membersGeneration) {
+        return;
+    }
+    tenure.membersGeneration = generation;
+    for (const auto &member : this->context.members.all()) {
+        if (member.role == MemberRole::Worker && member.location.region == this->context.region) {
+            this->noteMember(tenure, member);
+        }
+    }
+    tenure.reservations.repair();
+}
+
+void Placer::noteMember(Tenure &tenure, const Member &member)
+{
+    const auto worker = tenure.fleet.putWorker(member.node, member.location, member.resources);
+    const bool isNewLife = tenure.incarnations.contains(member.node) && tenure.incarnations[member.node] != member.incarnation;
+    tenure.incarnations[member.node] = member.incarnation;
+    if (member.state == MemberState::Leaving) {
+        tenure.fleet.setCondition(worker, WorkerCondition::Draining);
+    }
+    if (member.state == MemberState::Lost) {
+        tenure.fleet.setCondition(worker, WorkerCondition::Lost);
+    }
+    if (member.state != MemberState::Lost && !isNewLife) {
+        return;
+    }
+    for (const auto &job : tenure.fleet.jobsOn(worker)) {
+        const auto tracked = tenure.jobs.find(job);
+        if (tracked != tenure.jobs.end() && tracked->second.phase == Phase::Running) {
+            tracked->second.lostSince = tracked->second.lostSince.value_or(this->context.clock.now());
+            tracked->second.headIsLost = tracked->second.headIsLost || tracked->second.record.members.front().node == member.node;
+        }
+    }
+}
+
+void Placer::syncSettings(Tenure &tenure)
+{
+    const auto version = this->context.settings.version();
+    if (version == tenure.settingsVersion) {
+        return;
+    }
+    tenure.settingsVersion = version;
+    Settings settings;
+    {
+        const ReadSection section;
+        settings = this->context.settings.read(section);
+    }
+    tenure.scheduler.setSettings(guaranteesOfRegion(std::move(settings), this->context.region));
+}
+
+void Placer::syncHealth(Tenure &tenure)
+{
+    for (WorkerIndex worker = 0; worker < tenure.fleet.workerCount(); ++worker) {
+        const bool isBad = tenure.health.isQuarantined(tenure.fleet.nodeOf(worker));
+        const auto condition = tenure.fleet.conditionOf(worker);
+        if (isBad && condition == WorkerCondition::Up) {
+            tenure.fleet.setCondition(worker, WorkerCondition::Quarantined);
+        } else if (!isBad && condition == WorkerCondition::Quarantined) {
+            tenure.fleet.setCondition(worker, WorkerCondition::Up);
+        }
+    }
+}
+
+void Placer::onQueued(Tenure &tenure, const JobRecord &record)
+{
+    const auto found = tenure.jobs.find(record.id);
+    if (found != tenure.jobs.end() && record.revision <= found->second.record.revision) {
+        return;
+    }
+    if (found != tenure.jobs.end() && found->second.phase != Phase::Waiting) {
+        this->noteFailures(tenure, found->second, record);
+        tenure.scheduler.stopped(record.id, this->context.clock.now());
+    }
+    if (found == tenure.jobs.end()) {
+        const auto submitted = record.cancelRequested ? Status(Done{}) : tenure.scheduler.submit(this->gangJobOf(record));
+        if (!succeeded(submitted)) {
+            this->endWaiting(tenure, record, Outcome::NotRun, toString(errorOf(submitted)));
+            return;
+        }
+    }
+    tenure.jobs[record.id] = Tracked{record, Phase::Waiting, std::nullopt, false};
+    if (record.cancelRequested) {
+        tenure.scheduler.withdraw(record.id);
+        this->endWaiting(tenure, record, Outcome::Cancelled, "cancelled before it ran");
+    }
+}
+
+void Placer::onPlaced(Tenure &tenure, const JobRecord &record)
+{
+    const auto found = tenure.jobs.find(record.id);
+    if (found == tenure.jobs.end() || found->second.record.attempt != record.attempt) {
+        if (found == tenure.jobs.end() || found->second.phase != Phase::Launching) {
+            this->adopt(tenure, record);
+        }
+        return;
+    }
+    auto &tracked = found->second;
+    if (record.revision <= tracked.record.revision) {
+        return;
+    }
+    if (record.checkpoint != tracked.record.checkpoint) {
+        tenure.scheduler.checkpointed(record.id, this->context.clock.now());
+    }
+    tracked.record = record;
+    if (record.cancelRequested && tracked.phase == Phase::Running) {
+        this->stop(tenure, record.id, Millis(0), "cancelled");
+    }
+}
+
+void Placer::onEnded(Tenure &tenure, const JobRecord &record)
+{
+    const auto found = tenure.jobs.find(record.id);
+    if (found == tenure.jobs.end()) {
+        return;
+    }
+    if (found->second.phase == Phase::Waiting) {
+        tenure.scheduler.withdraw(record.id);
+    } else {
+        if (record.outcome == Outcome::Failed) {
+            this->noteFailures(tenure, found->second, record);
+        }
+        tenure.scheduler.ended(record.id, this->context.clock.now());
+    }
+    if (record.outcome == Outcome::Done) {
+        for (const auto &member : record.members) {
+            tenure.health.noteSuccess(member.node, record.id.value);
+        }
+    }
+    tenure.health.forgetJob(record.id.value);
+    tenure.jobs.erase(found);
+}
+
+void Placer::noteFailures(Tenure &tenure, const Tracked &tracked, const JobRecord &record)
+{
+    for (auto index = tracked.record.failedOn.size(); index < record.failedOn.size(); ++index) {
+        const auto &node = record.failedOn[index];
+        if (tenure.health.noteFailure(node, record.id.value) == HealthVerdict::QuarantineWorker) {
+            this->context.events.record(EventKind::Degraded, node.value, {}, "quarantined: it fails what other workers run");
+        }
+    }
+}
+
+/** Takes in a job that another placer, or a write whose answer was lost, has placed; its members are asked to stop unless all run. */
+void Placer::adopt(Tenure &tenure, const JobRecord &record)
+{
+    const auto found = tenure.jobs.find(record.id);
+    if (found != tenure.jobs.end()) {
+        tenure.scheduler.withdraw(record.id);
+    }
+    const auto placement = this->placementOf(tenure, record);
+    const auto now = this->context.clock.now();
+    tenure.jobs[record.id] = Tracked{record, Phase::Running, std::nullopt, false};
+    auto holdingClass = record.holdingClass;
+    if (holdingClass == HoldingClass::Guaranteed && placement && !tenure.reservations.adoptClaim(record.id, record.workspace, record.shape, *placement)) {
+        holdingClass = record.kind.idempotent || record.kind.checkpointable ? HoldingClass::Lent : HoldingClass::Firm;
+    }
+    tenure.scheduler.adopt(this->gangJobOf(record), placement.value_or(Placement{}), holdingClass, now);
+    tenure.reservations.repair();
+
+    const auto epoch = tenure.epoch;
+    this->context.runLater([this, record, epoch] {
+        std::vector<Member> members;
+        for (const auto &member : record.members) {
+            members.push_back(Member{member.node, member.incarnation, MemberRole::Worker, MemberState::Up, {}, member.address, {}, 0, {}});
+        }
+        const auto reports = this->context.launcher.askReports(members, record.region, epoch);
+        const auto runs = [&record](const std::optional<NodeReport> &report) {
+            return report && std::any_of(report->gangs.begin(), report->gangs.end(), [&record](const GangReport &gang) {
+                       return gang.attempt == record.attempt && (gang.state == GangState::Running || gang.state == GangState::Finished);
+                   });
+        };
+        if (!std::all_of(reports.begin(), reports.end(), runs)) {
+            auto outcome = this->context.launcher.stop(record, epoch, Millis(0), "its placer was lost while it started");
+            this->finish(epoch, record, outcome.verdict);
+        }
+    });
+}
+
+void Placer::resolveLost(Tenure &tenure)
+{
+    const auto now = this->context.clock.now();
+    std::vector<JobId> overdue;
+    for (const auto &[id, tracked] : tenure.jobs) {
+        const auto wait = tracked.headIsLost ? this->terms.headLossWait : this->terms.memberLossWait;
+        if (tracked.phase == Phase::Running && tracked.lostSince && now - *tracked.lostSince >= wait) {
+            overdue.push_back(id);
+        }
+    }
+    for (const auto &id : overdue) {
+        this->stop(tenure, id, Millis(0), "a worker of the gang was lost");
+    }
+}
+
+void Placer::carryOut(Tenure &tenure, const GangDecision &decision)
+{
+    if (const auto *const start = std::get_if<StartGangDecision>(&decision)) {
+        this->launch(tenure, *start);
+    } else if (const auto *const stop = std::get_if<StopGangDecision>(&decision)) {
+        this->context.events.record(EventKind::Reclaimed, stop->job.value, {}, "for " + stop->owner.value);
+        this->stop(tenure, stop->job, stop->grace, "its room was reclaimed for " + stop->owner.value);
+    } else {
+        const auto &end = std::get<EndGangDecision>(decision);
+        const auto record = tenure.jobs.at(end.job).record;
+        this->endWaiting(tenure, record, Outcome::NotRun, toString(end.reason));
+    }
+}
+
+void Placer::launch(Tenure &tenure, const StartGangDecision &decision)
+{
+    auto &tracked = tenure.jobs.at(decision.job);
+    tracked.phase = Phase::Launching;
+    tracked.lostSince.reset();
+    tracked.headIsLost = false;
+    auto record = tracked.record;
+    record.state = JobState::Placed;
+    record.attempt = AttemptId{this->context.ids.next()};
+    record.epoch = tenure.epoch;
+    record.holdingClass = decision.holdingClass;
+    record.detail.clear();
+    record.members.clear();
+    for (const auto &part : decision.placement) {
+        const auto &node = tenure.fleet.nodeOf(part.worker);
+        const auto member = this->context.members.find(node).value_or(Member{});
+        record.members.push_back({node, member.rpcAddress, member.incarnation, part.tasks});
+    }
+    const auto version = this->teamVersion(record.team);
+    const auto epoch = tenure.epoch;
+    this->context.runLater([this, record, version, epoch]() mutable {
+        const auto written = this->context.jobs.update(record);
+        if (!succeeded(written)) {
+            this->launchFailed(epoch, record.id);
+            return;
+        }
+        record.revision = valueOf(written);
+        this->context.events.record(EventKind::JobPlaced, record.id.value, record.workspace.value, std::to_string(record.members.size()) + " workers");
+        const auto verdict = this->context.launcher.launch(record, version);
+        if (verdict) {
+            this->finish(epoch, record, *verdict);
+            return;
+        }
+        this->context.metrics.add(Count::GangsStarted);
+        const std::lock_guard<std::mutex> guard(this->mutex);
+        if (this->tenure == nullptr || this->tenure->epoch != epoch) {
+            return;
+        }
+        auto found = this->tenure->jobs.find(record.id);
+        if (found != this->tenure->jobs.end() && found->second.phase == Phase::Launching) {
+            found->second.record = record;
+            found->second.phase = Phase::Running;
+        }
+    });
+}
+
+void Placer::stop(Tenure &tenure, const JobId &job, Millis grace, const std::string &reason)
+{
+    const auto found = tenure.jobs.find(job);
+    if (found == tenure.jobs.end() || found->second.phase != Phase::Running) {
+        return;
+    }
+    found->second.phase = Phase::Stopping;
+    auto record = found->second.record;
+    const auto epoch = tenure.epoch;
+    this->context.runLater([this, record, epoch, grace, reason]() mutable {
+        const auto outcome = this->context.launcher.stop(record, epoch, grace, reason);
+        if (!outcome.checkpoint.empty()) {
+            record.checkpoint = outcome.checkpoint;
+        }
+        this->context.metrics.add(Count::GangsStopped);
+        this->finish(epoch, record, outcome.verdict);
+    });
+}
+
+void Placer::endWaiting(Tenure &tenure, const JobRecord &record, Outcome outcome, const std::string &detail)
+{
+    auto ended = record;
+    ended.state = JobState::Ended;
+    ended.outcome = outcome;
+    ended.detail = detail;
+    tenure.jobs.erase(record.id);
+    this->context.events.record(EventKind::JobEnded, record.id.value, record.workspace.value, std::string(nameOf(outcome)) + " " + detail);
+    this->context.runLater([this, ended] { this->context.jobs.update(ended); });
+}
+
+/** Tries again to write the ends of attempts that the table did not take. */
+void Placer::writeEnds(Epoch epoch)
+{
+    std::vector<std::pair<JobRecord, GangVerdict>> unwritten;
+    {
+        const std::lock_guard<std::mutex> guard(this->mutex);
+        unwritten.swap(this->tenure->unwritten);
+    }
+    for (auto &[record, verdict] : unwritten) {
+        this->finish(epoch, std::move(record), verdict);
+    }
+}
+
+/** Writes what the end of an attempt means for its job, on top of what the row says now. */
+void Placer::finish(Epoch epoch, JobRecord record, const GangVerdict &verdict)
+{
+    const auto current = this->context.jobs.find(record.id);
+    if (succeeded(current)) {
+        const auto &row = valueOf(current);
+        if (!row || row->state != JobState::Placed || row->attempt != record.attempt) {
+            return;
+        }
+        auto next = *row;
+        if (!record.checkpoint.empty()) {
+            next.checkpoint = record.checkpoint;
+        }
+        const auto written = this->context.jobs.update(afterAttempt(std::move(next), verdict));
+        if (succeeded(written)) {
+            return;
+        }
+    }
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    if (this->tenure != nullptr && this->tenure->epoch == epoch) {
+        this->tenure->unwritten.emplace_back(std::move(record), verdict);
+    }
+}
+
+/** Puts a job whose placement could not be written back to wait; nothing was sent to any agent. */
+void Placer::launchFailed(Epoch epoch, const JobId &job)
+{
+    const auto current = this->context.jobs.find(job);
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    if (this->tenure == nullptr || this->tenure->epoch != epoch) {
+        return;
+    }
+    const auto found = this->tenure->jobs.find(job);
+    if (found == this->tenure->jobs.end() || found->second.phase != Phase::Launching) {
+        return;
+    }
+    this->tenure->scheduler.stopped(job, this->context.clock.now());
+    found->second.phase = Phase::Waiting;
+    if (succeeded(current) && valueOf(current)) {
+        const auto &row = *valueOf(current);
+        if (row.state == JobState::Queued) {
+            found->second.record = row;
+        } else {
+            (this->*rowHandlers.at(static_cast<std::size_t>(row.state)))(*this->tenure, row);
+        }
+    }
+}
+
+std::optional<Placement> Placer::placementOf(const Tenure &tenure, const JobRecord &record) const
+{
+    Placement placement;
+    for (const auto &member : record.members) {
+        const auto worker = tenure.fleet.find(member.node);
+        if (!worker) {
+            return std::nullopt;
+        }
+        placement.push_back({*worker, member.tasks});
+    }
+    return placement;
+}
+
+GangJob Placer::gangJobOf(const JobRecord &record) const
+{
+    const auto age = Millis(std::max<std::int64_t>(0, this->context.clock.wallMillis() - record.submittedAtWallMillis));
+    return {record.id,
+            record.workspace,
+            record.kind.id,
+            record.kind.urgency,
+            record.kind.worth,
+            record.kind.idempotent,
+            record.kind.checkpointable,
+            record.shape,
+            record.declaredRunTime,
+            this->context.clock.now() - age};
+}
+
+SettingsVersion Placer::teamVersion(const TeamId &team) const
+{
+    const ReadSection section;
+    return this->context.settings.read(section).teamVersion(team);
+}
+
+} // namespace waxwingloft
--- a/src/version/reservationbook.cpp
+++ b/src/version/reservationbook.cpp
@@ -76,7 +76,7 @@
 {
     std::size_t unplaced = 0;
     for (auto &reservation : this->reservations) {
-        if (reservation.placement && this->standsOnLostWorker(reservation)) {
+        if (reservation.placement && this->mustMove(reservation)) {
             this->unplace(reservation);
         }
     }
@@ -142,6 +142,29 @@
     }
 }
 
+bool ReservationBook::adoptClaim(const JobId &job, const WorkspaceId &workspace, const Shape &shape, const Placement &placement)
+{
+    const auto index = this->findFor(workspace, shape);
+    if (!index) {
+        return false;
+    }
+    const auto &reservation = this->reservations[*index];
+    const auto tasksInOne = static_cast<std::uint32_t>(timesCovered(reservation.shape.perTask, shape.perTask, MaxGangTasks));
+    Placement cover;
+    std::uint32_t covered = 0;
+    for (const auto &part : placement) {
+        const auto tasks = (part.tasks + tasksInOne - 1) / tasksInOne;
+        cover.push_back({part.worker, tasks});
+        covered += tasks;
+    }
+    if (covered != reservation.shape.tasks) {
+        return false;
+    }
+    this->moveTo(*index, cover);
+    this->claim(*index, job);
+    return true;
+}
+
 Placement ReservationBook::placeInside(ReservationIndex index, const Shape &shape) const
 {
     const auto &reservation = this->reservations.at(index);
@@ -193,11 +216,15 @@
     }
 }
 
-bool ReservationBook::standsOnLostWorker(const Reservation &reservation) const
+/** Whether a reservation stands on a lost worker, or on one that is reserved beyond its capacity. */
+bool ReservationBook::mustMove(const Reservation &reservation) const
 {
     const auto isLost = [this, &reservation](const PlacementPart &part) {
         const auto condition = this->fleet.conditionOf(part.worker);
-        return reservation.isClaimed() ? condition == WorkerCondition::Lost : condition != WorkerCondition::Up;
+        if (reservation.isClaimed()) {
+            return condition == WorkerCondition::Lost;
+        }
+        return condition != WorkerCondition::Up || !this->fleet.roomOf(part.worker, RoomKind::Reclaimable).covers(Resources{});
     };
     return std::any_of(reservation.placement->begin(), reservation.placement->end(), isLost);
 }
@@ -251,8 +278,9 @@
         }
         const auto fitting = mostTasksThatFit(empty, reservation.shape, PlanScope{RoomKind::Firm, "", nullptr, std::nullopt});
         return makeError(ErrorKind::InvalidInput,
-                         "the guarantees do not fit the fleet together: workspace \"" + reservation.workspace.value + "\" asks for " + toString(reservation.shape)
-                             + " and there is room for " + std::to_string(fitting) + " of its " + std::to_string(reservation.shape.tasks) + " tasks",
+                         "the guarantees do not fit the fleet together: workspace \"" + reservation.workspace.value + "\" asks for "
+                             + toString(reservation.shape) + " and there is room for " + std::to_string(fitting) + " of its "
+                             + std::to_string(reservation.shape.tasks) + " tasks",
                          "lower a guarantee, or add workers first");
     }
     return Done{};
--- a/src/version/settingsparser.cpp
+++ b/src/version/settingsparser.cpp
@@ -87,7 +87,8 @@
         workspace.weight = fields.number("weight", workspace.weight, 0.01, 1000.0);
         workspace.reclaimGrace = Millis(fields.whole("reclaim_grace_ms", workspace.reclaimGrace.count(), 0, LongestMillis));
         workspace.limits.maxQueued = static_cast<std::uint32_t>(fields.whole("max_queued", workspace.limits.maxQueued, 1, 1'000'000));
-        workspace.limits.maxQueuedPerCaller = static_cast<std::uint32_t>(fields.whole("max_queued_per_caller", workspace.limits.maxQueuedPerCaller, 1, 100'000));
+        workspace.limits.maxQueuedPerCaller =
+            static_cast<std::uint32_t>(fields.whole("max_queued_per_caller", workspace.limits.maxQueuedPerCaller, 1, 100'000));
         workspace.limits.requestsPerSecondPerCaller =
             fields.number("requests_per_second_per_caller", workspace.limits.requestsPerSecondPerCaller, 0.01, 1'000'000.0);
         workspace.tokens = fields.texts("tokens");
@@ -110,8 +111,9 @@
             FieldReader guarantee((*list)[index], path + "/guarantees/" + std::to_string(index), this->parsed.mistakes);
             const auto count = static_cast<std::uint32_t>(guarantee.whole("count", 1, 1, 100'000));
             const auto shape = readShape(guarantee);
+            const auto region = guarantee.text("region", "");
             guarantee.finish();
-            workspace.guarantees.push_back(Guarantee{count, shape});
+            workspace.guarantees.push_back(Guarantee{count, shape, region});
         }
     }
 
@@ -119,7 +121,9 @@
     {
         auto &settings = this->parsed.settings;
         if (settings.workspaces.contains(workspace.id)) {
-            this->fail(path, "a workspace of that name exists in team \"" + settings.workspaces[workspace.id].team.value + "\"; workspace names are unique over all teams");
+            this->fail(path,
+                       "a workspace of that name exists in team \"" + settings.workspaces[workspace.id].team.value
+                           + "\"; workspace names are unique over all teams");
             return;
         }
         for (const auto &token : workspace.tokens) {
--- a/src/version/settingsstore.cpp
+++ b/src/version/settingsstore.cpp
@@ -40,6 +40,12 @@
     return this->loadLocked();
 }
 
+SettingsDelta SettingsStore::deltaSince(SettingsVersion since)
+{
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    return this->tree.changesSince(since);
+}
+
 Result<SettingsDelta> SettingsStore::commit(const SettingsChange &change, const SettingsCheck &check)
 {
     const std::lock_guard<std::mutex> guard(this->mutex);
--- a/src/version/shapeplanner.cpp
+++ b/src/version/shapeplanner.cpp
@@ -117,9 +117,8 @@
         return std::nullopt;
     }
     std::vector<Candidate> inside;
-    std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(inside), [&](const Candidate &candidate) {
-        return keyOf(fleet, candidate) == best->first;
-    });
+    std::copy_if(
+        candidates.begin(), candidates.end(), std::back_inserter(inside), [&](const Candidate &candidate) { return keyOf(fleet, candidate) == best->first; });
     return fill(std::move(inside), shape.tasks);
 }
 
@@ -180,7 +179,8 @@
     const auto place = region.empty() ? std::string("the fleet") : "region " + region;
     return makeError(ErrorKind::InvalidInput,
                      toString(shape) + " never fits into " + place,
-                     fitting == 0 ? "ask for less for each task; no worker is that large" : "ask for at most " + std::to_string(fitting) + " such tasks, or for a wider adjacency");
+                     fitting == 0 ? "ask for less for each task; no worker is that large"
+                                  : "ask for at most " + std::to_string(fitting) + " such tasks, or for a wider adjacency");
 }
 
 } // namespace waxwingloft
