--- a/include/waxwingloft/connection/frontservice.h
+++ b/include/waxwingloft/connection/frontservice.h
@@ -92,7 +92,7 @@
 public:
     virtual ~FrontService() = default;
 
-    virtual CallAnswer call(CallQuestion question) = 0;
+    virtual CallAnswer call(const CallQuestion &question) = 0;
     virtual Result<JobId> submitJob(const JobQuestion &question) = 0;
     virtual Result<JobView> showJob(const std::string &token, const JobId &id) = 0;
     virtual Result<std::vector<JobView>> listJobs(const std::string &token) = 0;
--- a/include/waxwingloft/process/clock.h
+++ b/include/waxwingloft/process/clock.h
@@ -2,7 +2,10 @@
 #define WAXWINGLOFT_PROCESS_CLOCK_H
 
 #include <chrono>
+#include <condition_variable>
 #include <cstdint>
+#include <functional>
+#include <mutex>
 
 namespace waxwingloft {
 
@@ -25,6 +28,13 @@
 
     /** Blocks the calling thread for @p duration. */
     virtual void sleepFor(Millis duration) = 0;
+
+    /**
+     * Blocks until @p isDone returns true after a wake-up, or @p duration has passed.
+     *
+     * @p lock is held by the caller and released while it waits. Returns what @p isDone says last.
+     */
+    virtual bool waitFor(std::unique_lock<std::mutex> &lock, std::condition_variable &wakeUp, Millis duration, const std::function<bool()> &isDone) = 0;
 };
 
 /** The machine's clocks. */
@@ -34,6 +44,7 @@
     Instant now() const override;
     std::int64_t wallMillis() const override;
     void sleepFor(Millis duration) override;
+    bool waitFor(std::unique_lock<std::mutex> &lock, std::condition_variable &wakeUp, Millis duration, const std::function<bool()> &isDone) override;
 };
 
 } // namespace waxwingloft
--- a/include/waxwingloft/request/drainbook.h
+++ b/include/waxwingloft/request/drainbook.h
@@ -43,7 +43,7 @@
     std::size_t size() const;
 
 private:
-    std::optional<Drain> planDomain(std::vector<WorkerIndex> workers, const GangJob &job, const EndEstimate &endOf, Instant now) const;
+    std::optional<Drain> planDomain(const std::vector<WorkerIndex> &workers, const GangJob &job, const EndEstimate &endOf, Instant now) const;
     Instant emptyAt(WorkerIndex worker, const EndEstimate &endOf, Instant now) const;
 
     const FleetBook &fleet;
--- a/include/waxwingloft/request/entryservice.h
+++ b/include/waxwingloft/request/entryservice.h
@@ -32,7 +32,7 @@
     NodePort &peers;
     FanOut &fanOut;
     IdSource &ids;
-    ThreadPool &launches; ///< threads that launch and stop gangs
+    std::function<void(std::function<void()>)> runLater; ///< runs launches and stops of gangs on other threads
     NodeId self;
     Incarnation incarnation = 0;
     Location location;
@@ -63,7 +63,7 @@
 
     Message handle(const Header &header, const Message &message) override;
 
-    CallAnswer call(CallQuestion question) override;
+    CallAnswer call(const CallQuestion &asked) override;
     Result<JobId> submitJob(const JobQuestion &question) override;
     Result<JobView> showJob(const std::string &token, const JobId &id) override;
     Result<std::vector<JobView>> listJobs(const std::string &token) override;
--- a/include/waxwingloft/request/gangscheduler.h
+++ b/include/waxwingloft/request/gangscheduler.h
@@ -49,7 +49,7 @@
 {
 public:
     GangScheduler(
-        FleetBook &fleet, ReservationBook &reservations, RuntimeLearner &learner, const ShapePlanner &planner, std::string region, SchedulerTerms terms);
+        FleetBook &fleet, ReservationBook &reservations, RuntimeLearner &learner, const ShapePlanner &planner, const std::string &region, SchedulerTerms terms);
 
     Status submit(const GangJob &job) override;
     void ended(const JobId &job, Instant now) override;
--- a/src/connection/httpfront.cpp
+++ b/src/connection/httpfront.cpp
@@ -136,19 +136,19 @@
 
     void call(const httplib::Request &request, const std::string &body, httplib::Response &response)
     {
-        CallQuestion question{bearerOf(request),
-                              CallerId{request.get_header_value("Caller").substr(0, LongestName)},
-                              RequestId{request.get_header_value("Request-Id").substr(0, LongestName)},
-                              KindId{request.matches[1].str()},
-                              deadlineOf(request),
-                              body};
-        auto answer = this->front->call(std::move(question));
+        const CallQuestion question{bearerOf(request),
+                                    CallerId{request.get_header_value("Caller").substr(0, LongestName)},
+                                    RequestId{request.get_header_value("Request-Id").substr(0, LongestName)},
+                                    KindId{request.matches[1].str()},
+                                    deadlineOf(request),
+                                    body};
+        const auto answer = this->front->call(question);
         if (answer.outcome != Outcome::Done) {
             answerError(response, answer.outcome, answer.error);
             return;
         }
         response.set_header("Outcome", std::string(nameOf(Outcome::Done)));
-        response.set_content(std::move(answer.payload), "application/octet-stream");
+        response.set_content(answer.payload, "application/octet-stream");
     }
 
     void submitJob(const httplib::Request &request, const std::string &body, httplib::Response &response)
--- a/src/connection/nodeserver.cpp
+++ b/src/connection/nodeserver.cpp
@@ -27,7 +27,7 @@
     this->handler.store(handler, std::memory_order_release);
 }
 
-void MessageDispatcher::dispatch(const Header &header, Message message, std::function<void(Message)> answer)
+void MessageDispatcher::dispatch(const Header &header, Message message, const std::function<void(Message)> &answer)
 {
     this->headers.incoming(header);
     auto *const current = this->handler.load(std::memory_order_acquire);
--- a/src/connection/peerlinks.cpp
+++ b/src/connection/peerlinks.cpp
@@ -34,7 +34,7 @@
     this->tasks.add(this->watch());
 }
 
-kj::Promise<CallResult> PeerLinks::call(std::string address, Message message, Millis timeout)
+kj::Promise<CallResult> PeerLinks::call(const std::string &address, Message message, Millis timeout)
 {
     this->metrics.add(Count::RpcCalls);
     const auto isSent = std::make_shared<bool>(false);
--- a/src/connection/private/nodeserver.h
+++ b/src/connection/private/nodeserver.h
@@ -19,7 +19,7 @@
     void setHandler(MessageHandler *handler);
 
     /** Calls @p answer once with the reply, on a pool thread or at once. */
-    void dispatch(const Header &header, Message message, std::function<void(Message)> answer);
+    void dispatch(const Header &header, Message message, const std::function<void(Message)> &answer);
 
     HeaderKeeper &headerKeeper();
 
--- a/src/connection/private/peerlinks.h
+++ b/src/connection/private/peerlinks.h
@@ -26,7 +26,7 @@
     PeerLinks(kj::AsyncIoContext &io, HeaderKeeper &headers, Metrics &metrics, const RpcTerms &terms);
 
     /** Calls a peer; the promise never fails. */
-    kj::Promise<CallResult> call(std::string address, Message message, Millis timeout);
+    kj::Promise<CallResult> call(const std::string &address, Message message, Millis timeout);
 
 private:
     struct Link {
--- a/src/process/clock.cpp
+++ b/src/process/clock.cpp
@@ -19,4 +19,9 @@
     std::this_thread::sleep_for(duration);
 }
 
+bool SystemClock::waitFor(std::unique_lock<std::mutex> &lock, std::condition_variable &wakeUp, Millis duration, const std::function<bool()> &isDone)
+{
+    return wakeUp.wait_for(lock, duration, isDone);
+}
+
 } // namespace waxwingloft
--- a/src/process/daemon/entryrole.cpp
+++ b/src/process/daemon/entryrole.cpp
@@ -26,7 +26,7 @@
             node.rpc,
             fanOut,
             node.ids,
-            launches,
+            [&launches](std::function<void()> task) { launches.post(std::move(task)); },
             NodeId{node.config.node},
             node.incarnation,
             node.config.location,
--- a/src/process/published.cpp
+++ b/src/process/published.cpp
@@ -23,7 +23,7 @@
 
 void registerThisThread()
 {
-    thread_local const ThreadRegistration registration;
+    thread_local ThreadRegistration registration;
     (void)registration;
 }
 
--- a/src/request/attemptledger.cpp
+++ b/src/request/attemptledger.cpp
@@ -55,7 +55,7 @@
         return this->describe(attempt, this->entries.at(attempt));
     }
     if (known->second.state == State::Running && wait > Millis(0)) {
-        this->ended.wait_for(lock, wait, [this, &attempt] { return this->entries.at(attempt).state != State::Running; });
+        this->clock.waitFor(lock, this->ended, wait, [this, &attempt] { return this->entries.at(attempt).state != State::Running; });
     }
     return this->describe(attempt, this->entries.at(attempt));
 }
@@ -69,7 +69,7 @@
 bool AttemptLedger::waitUntilIdle(Millis limit)
 {
     std::unique_lock<std::mutex> lock(this->mutex);
-    return this->ended.wait_for(lock, limit, [this] { return this->running == 0; });
+    return this->clock.waitFor(lock, this->ended, limit, [this] { return this->running == 0; });
 }
 
 void AttemptLedger::remember(const AttemptId &attempt)
--- a/src/request/callgate.cpp
+++ b/src/request/callgate.cpp
@@ -47,7 +47,7 @@
     this->waiters.emplace(queued.ticket, &waiter);
     this->waitingCount.store(this->queue.size(), std::memory_order_release);
     this->pumpLocked();
-    waiter.wakeUp.wait_for(lock, call.deadline - now, [&waiter] { return waiter.passage.has_value(); });
+    this->clock.waitFor(lock, waiter.wakeUp, call.deadline - now, [&waiter] { return waiter.passage.has_value(); });
     this->waiters.erase(queued.ticket);
     if (!waiter.passage) {
         this->queue.remove(queued.ticket);
--- a/src/request/drainbook.cpp
+++ b/src/request/drainbook.cpp
@@ -35,8 +35,8 @@
         }
     }
     std::optional<Drain> best;
-    for (auto &[key, workers] : domains) {
-        auto drain = this->planDomain(std::move(workers), job, endOf, now);
+    for (const auto &[key, workers] : domains) {
+        auto drain = this->planDomain(workers, job, endOf, now);
         if (drain && (!best || drain->expectedAt < best->expectedAt)) {
             best = std::move(drain);
         }
@@ -79,7 +79,7 @@
     return this->drains.size();
 }
 
-std::optional<Drain> DrainBook::planDomain(std::vector<WorkerIndex> workers, const GangJob &job, const EndEstimate &endOf, Instant now) const
+std::optional<Drain> DrainBook::planDomain(const std::vector<WorkerIndex> &workers, const GangJob &job, const EndEstimate &endOf, Instant now) const
 {
     struct Emptying {
         Instant at;
--- a/src/request/entryservice.cpp
+++ b/src/request/entryservice.cpp
@@ -83,7 +83,7 @@
               context.settings,
               context.ids,
               this->launcher,
-              [this](std::function<void()> task) { this->context.launches.post(std::move(task)); },
+              context.runLater,
               context.location.region},
              terms.placer)
 {
@@ -97,8 +97,9 @@
     return (this->*handlers.at(message.index()))(header, message);
 }
 
-CallAnswer EntryService::call(CallQuestion question)
+CallAnswer EntryService::call(const CallQuestion &asked)
 {
+    auto question = asked;
     const InHand inHandGuard(this->inHand);
     if (this->isDraining.load(std::memory_order_acquire)) {
         return {Outcome::NotRun, makeError(ErrorKind::Draining, "this entry is leaving"), {}};
--- a/src/request/gangscheduler.cpp
+++ b/src/request/gangscheduler.cpp
@@ -29,7 +29,7 @@
 } // namespace
 
 GangScheduler::GangScheduler(
-    FleetBook &fleet, ReservationBook &reservations, RuntimeLearner &learner, const ShapePlanner &planner, std::string region, SchedulerTerms terms)
+    FleetBook &fleet, ReservationBook &reservations, RuntimeLearner &learner, const ShapePlanner &planner, const std::string &region, SchedulerTerms terms)
     : fleet(fleet)
     , reservations(reservations)
     , learner(learner)
