--- a/include/waxwingloft/process/error.h
+++ b/include/waxwingloft/process/error.h
@@ -24,12 +24,13 @@
     Unreachable,
     PlatformDown,
     Ambiguous,
+    Damaged,
     Internal,
 };
 
 template<>
 struct NameTable<ErrorKind> {
-    static constexpr std::array<std::string_view, 15> names = {"invalid-input",
+    static constexpr std::array<std::string_view, 16> names = {"invalid-input",
                                                                "unauthenticated",
                                                                "forbidden",
                                                                "not-found",
@@ -43,6 +44,7 @@
                                                                "unreachable",
                                                                "platform-down",
                                                                "ambiguous",
+                                                               "damaged",
                                                                "internal"};
 };
 
--- a/include/waxwingloft/request/ganghead.h
+++ b/include/waxwingloft/request/ganghead.h
@@ -16,6 +16,8 @@
     Outcome outcome = Outcome::Unknown;
     std::string reason;
     Instant provenEndedAt; ///< when every member has surely stopped
+    std::string checkpoint; ///< key of a whole checkpoint that its head wrote at the end; empty for none
+    bool checkpointIsDamaged = false; ///< nothing started, since the checkpoint could not be read whole
 };
 
 /** Writes to the table how a gang ended, or where its latest checkpoint is. */
--- a/include/waxwingloft/request/gangjob.h
+++ b/include/waxwingloft/request/gangjob.h
@@ -23,6 +23,7 @@
     Shape shape;
     Millis declaredRunTime = Millis(0); ///< as declared; not to be trusted
     Instant submittedAt;
+    Instant waitingSince; ///< submission, or the stop that put it back to wait; set by the scheduler
 
     /** Whether it can be stopped without harm and go on or be repeated later. */
     bool isReclaimable() const
@@ -59,6 +60,7 @@
     Millis starvationAge = Millis(120000); ///< waiting time after which workers are drained for a job
     Millis neverRunnableAfter = Millis(600000); ///< time after which a job that no longer fits the fleet is ended
     std::size_t maxDrains = 4; ///< jobs that workers are drained for at once
+    Millis movableAfter = Millis(120000); ///< time that a job must have run before it may be moved for another
 };
 
 } // namespace waxwingloft
--- a/include/waxwingloft/request/ganglauncher.h
+++ b/include/waxwingloft/request/ganglauncher.h
@@ -17,12 +17,6 @@
     Millis driftMargin = Millis(500); ///< bound on what clocks drift apart during a task lease
 };
 
-/** What the stop of a gang came to. */
-struct StopOutcome {
-    GangVerdict verdict; ///< NotRun when no member had started
-    std::string checkpoint; ///< key of the latest whole checkpoint; empty when the head told none
-};
-
 /**
  * Starts and stops whole gangs: prepare on every agent, then start on every agent; nothing starts
  * before all are prepared.
@@ -42,8 +36,12 @@
      */
     std::optional<GangVerdict> launch(const JobRecord &job, SettingsVersion teamVersion);
 
-    /** Stops all members, the head first with @p grace for its checkpoint. Returns when all have surely ended. */
-    StopOutcome stop(const JobRecord &job, Epoch epoch, Millis grace, const std::string &reason);
+    /**
+     * Stops all members, the head first with @p grace for its checkpoint. Returns when all have surely ended.
+     *
+     * The verdict is NotRun when no member had started.
+     */
+    GangVerdict stop(const JobRecord &job, Epoch epoch, Millis grace, const std::string &reason);
 
     /** Asks every worker of @p members for its report, which also fences placers older than @p epoch. */
     std::vector<std::optional<NodeReport>> askReports(const std::vector<Member> &members, const std::string &region, Epoch epoch);
--- a/include/waxwingloft/request/gangscheduler.h
+++ b/include/waxwingloft/request/gangscheduler.h
@@ -105,6 +105,7 @@
     void stop(const JobId &victim, const JobId &owner, Millis grace, Decisions &decisions);
     void updateDrains(Instant now, Decisions &decisions);
     void migrateOut(const GangJob &job, const Drain &drain, Instant now, Decisions &decisions);
+    bool mayMoveFor(const GangJob &job, const Running &holder, Instant now) const;
     Instant expectedEnd(const JobId &job, Instant now) const;
     double stopCost(const JobId &job, Instant now) const;
     Millis graceFor(const GangJob &owner) const;
--- a/include/waxwingloft/request/jobstore.h
+++ b/include/waxwingloft/request/jobstore.h
@@ -43,7 +43,8 @@
     Epoch epoch = 0;
     HoldingClass holdingClass = HoldingClass::Lent;
     std::vector<GangMember> members;
-    std::string checkpoint; ///< key of the latest whole checkpoint
+    std::string checkpoint; ///< key of the latest checkpoint
+    std::string earlierCheckpoint; ///< key of the one before, for when the latest is damaged
     std::vector<NodeId> failedOn; ///< heads of attempts that failed
     bool cancelRequested = false;
     bool hasStarted = false; ///< whether an earlier attempt may have run in part
@@ -99,10 +100,13 @@
     JobStore &jobs;
 };
 
+/** Makes @p key the latest checkpoint of @p record and keeps the one before. */
+void noteCheckpoint(JobRecord &record, const std::string &key);
+
 /**
  * Returns @p record after its attempt ended as @p verdict says, all members proven to have stopped.
  *
- * Done ends it. Work that was cut off goes back to the queue when it is idempotent or has a
+ * Done ends it. A damaged checkpoint is replaced by the one before. Work that was cut off goes back to the queue when it is idempotent or has a
  * checkpoint; otherwise it ends as Unknown and is never run again on its own.
  */
 JobRecord afterAttempt(JobRecord record, const GangVerdict &verdict);
--- a/src/connection/frontcodec.cpp
+++ b/src/connection/frontcodec.cpp
@@ -26,6 +26,7 @@
     502, // Unreachable
     503, // PlatformDown
     500, // Ambiguous
+    500, // Damaged
     500, // Internal
 };
 
--- a/src/process/error.cpp
+++ b/src/process/error.cpp
@@ -19,6 +19,7 @@
     "check that the peer runs and that its address is right",
     "retry when the platform's table service answers again; see the status page",
     "query the request by its id before you send it again",
+    "go on from an earlier checkpoint or start afresh",
     "report this with the time line of the request",
 };
 
--- a/src/request/checkpointframe.cpp
+++ b/src/request/checkpointframe.cpp
@@ -18,7 +18,7 @@
 
 Result<std::string> openCheckpoint(const std::string &sealed)
 {
-    const auto damaged = makeError(ErrorKind::Internal, "the checkpoint is cut short or changed", "go on from an earlier checkpoint or start afresh");
+    const auto damaged = makeError(ErrorKind::Damaged, "the checkpoint is cut short or changed");
     const auto headEnd = sealed.find('\n');
     if (headEnd == std::string::npos) {
         return damaged;
--- a/src/request/gangagent.cpp
+++ b/src/request/gangagent.cpp
@@ -271,7 +271,10 @@
 Result<std::string> GangAgent::fetchCheckpoint(const std::string &key)
 {
     const auto sealed = this->context.objects.fetch(key);
-    return succeeded(sealed) ? openCheckpoint(valueOf(sealed)) : sealed;
+    if (succeeded(sealed)) {
+        return openCheckpoint(valueOf(sealed));
+    }
+    return errorOf(sealed).kind == ErrorKind::NotFound ? makeError(ErrorKind::Damaged, "the checkpoint is gone from the object store") : errorOf(sealed);
 }
 
 void GangAgent::tickPart(const AttemptId &attempt)
--- a/src/request/ganghead.cpp
+++ b/src/request/ganghead.cpp
@@ -44,7 +44,7 @@
 std::optional<GangVerdict> GangHead::verdict(Instant now)
 {
     if (!this->brokenAt && this->allHave(GangState::Finished)) {
-        return GangVerdict{Outcome::Done, {}, now};
+        return GangVerdict{Outcome::Done, {}, now, {}, false};
     }
     for (const auto &[node, member] : this->members) {
         if (member.state == GangState::Running && now - member.renewedAt >= this->taskLease) {
@@ -61,7 +61,7 @@
     if (!std::all_of(this->members.begin(), this->members.end(), isOver)) {
         return std::nullopt;
     }
-    return GangVerdict{this->hasFailure ? Outcome::Failed : Outcome::Unknown, this->reason, now};
+    return GangVerdict{this->hasFailure ? Outcome::Failed : Outcome::Unknown, this->reason, now, {}, false};
 }
 
 bool GangHead::isBroken() const
--- a/src/request/ganglauncher.cpp
+++ b/src/request/ganglauncher.cpp
@@ -44,16 +44,17 @@
     if (!error) {
         return std::nullopt;
     }
-    auto verdict = this->stop(job, job.epoch, Millis(0), error->message).verdict;
+    auto verdict = this->stop(job, job.epoch, Millis(0), error->message);
     if (!wasPrepared) {
         verdict.outcome = Outcome::NotRun;
+        verdict.checkpointIsDamaged = error->kind == ErrorKind::Damaged;
     }
     return verdict;
 }
 
-StopOutcome GangLauncher::stop(const JobRecord &job, Epoch epoch, Millis grace, const std::string &reason)
+GangVerdict GangLauncher::stop(const JobRecord &job, Epoch epoch, Millis grace, const std::string &reason)
 {
-    StopOutcome outcome{{Outcome::NotRun, reason, {}}, {}};
+    GangVerdict verdict{Outcome::NotRun, reason, {}, {}, false};
     std::vector<Result<GangReply>> replies(job.members.size(), makeError(ErrorKind::Unreachable, "not asked"));
     const auto stopMember = [&](std::size_t index) {
         const auto memberGrace = index == 0 ? grace : Millis(0);
@@ -71,14 +72,14 @@
     }
     for (const auto &reply : replies) {
         if (!succeeded(reply) || valueOf(reply).refused || !neverStarted(valueOf(reply).state)) {
-            outcome.verdict.outcome = Outcome::Unknown;
+            verdict.outcome = Outcome::Unknown;
         }
     }
     if (!replies.empty() && succeeded(replies.front())) {
-        outcome.checkpoint = valueOf(replies.front()).checkpoint;
+        verdict.checkpoint = valueOf(replies.front()).checkpoint;
     }
-    outcome.verdict.provenEndedAt = this->clock.now();
-    return outcome;
+    verdict.provenEndedAt = this->clock.now();
+    return verdict;
 }
 
 std::vector<std::optional<NodeReport>> GangLauncher::askReports(const std::vector<Member> &members, const std::string &region, Epoch epoch)
--- a/src/request/gangscheduler.cpp
+++ b/src/request/gangscheduler.cpp
@@ -50,7 +50,7 @@
     if (!couldEverFit(this->fleet, job.shape, this->region)) {
         return describeMisfit(this->fleet, job.shape, this->region);
     }
-    this->enqueue(job);
+    this->restore(job);
     return Done{};
 }
 
@@ -64,13 +64,14 @@
     this->forget(job);
 }
 
-void GangScheduler::stopped(const JobId &job, Instant /*now*/)
+void GangScheduler::stopped(const JobId &job, Instant now)
 {
     const auto found = this->running.find(job);
     if (found == this->running.end()) {
         return;
     }
-    const auto stoppedJob = found->second.job;
+    auto stoppedJob = found->second.job;
+    stoppedJob.waitingSince = now;
     this->forget(job);
     this->enqueue(stoppedJob);
 }
@@ -103,7 +104,9 @@
 
 void GangScheduler::restore(const GangJob &job)
 {
-    this->enqueue(job);
+    auto waitingJob = job;
+    waitingJob.waitingSince = job.submittedAt;
+    this->enqueue(waitingJob);
 }
 
 void GangScheduler::adopt(const GangJob &job, const Placement &placement, HoldingClass holdingClass, Instant startedAt)
@@ -337,7 +340,7 @@
     std::vector<const GangJob *> starved;
     for (const auto &[workspace, jobs] : this->waiting) {
         for (const auto &job : jobs) {
-            if (now - job.submittedAt >= this->terms.starvationAge) {
+            if (now - job.waitingSince >= this->terms.starvationAge) {
                 starved.push_back(&job);
             }
         }
@@ -370,14 +373,12 @@
     double cost = 0.0;
     for (const auto &holder : holders) {
         const auto found = this->running.find(holder);
-        const bool isMovable =
-            found != this->running.end() && found->second.job.checkpointable && this->fleet.holdingOf(holder)->holdingClass == HoldingClass::Lent;
-        if (!isMovable) {
+        if (found == this->running.end() || !this->mayMoveFor(job, found->second, now)) {
             return;
         }
         cost += CheckpointOverheadSeconds * sizeOf(found->second.job.shape.total()) * found->second.job.worth;
     }
-    const double waited = static_cast<double>((now - job.submittedAt).count()) / MillisPerSecond;
+    const double waited = static_cast<double>((now - job.waitingSince).count()) / MillisPerSecond;
     if (cost > waited * sizeOf(job.shape.total()) * job.worth) {
         return;
     }
@@ -386,6 +387,14 @@
     }
 }
 
+/** Only smaller checkpointable lent work that has run for a while is moved, so that moves come to an end. */
+bool GangScheduler::mayMoveFor(const GangJob &job, const Running &holder, Instant now) const
+{
+    const auto *const holding = this->fleet.holdingOf(holder.job.id);
+    const bool isSmaller = sizeOf(holder.job.shape.total()) < sizeOf(job.shape.total());
+    return holder.job.checkpointable && holding->holdingClass == HoldingClass::Lent && isSmaller && now - holder.startedAt >= this->terms.movableAfter;
+}
+
 Instant GangScheduler::expectedEnd(const JobId &job, Instant now) const
 {
     const auto found = this->running.find(job);
--- a/src/request/jobstore.cpp
+++ b/src/request/jobstore.cpp
@@ -1,6 +1,7 @@
 #include "waxwingloft/request/jobstore.h"
 
 #include <nlohmann/json.hpp>
+#include <utility>
 
 namespace waxwingloft {
 
@@ -79,6 +80,7 @@
     record.holdingClass = enumField(json, "holding_class", HoldingClass::Lent);
     record.members = membersFromJson(json.value("members", nlohmann::json::array()));
     record.checkpoint = json.value("checkpoint", "");
+    record.earlierCheckpoint = json.value("earlier_checkpoint", "");
     for (const auto &node : json.value("failed_on", std::vector<std::string>())) {
         record.failedOn.push_back(NodeId{node});
     }
@@ -145,6 +147,7 @@
                           {"holding_class", nameOf(record.holdingClass)},
                           {"members", membersToJson(record.members)},
                           {"checkpoint", record.checkpoint},
+                          {"earlier_checkpoint", record.earlierCheckpoint},
                           {"failed_on", failedOn},
                           {"cancel_requested", record.cancelRequested},
                           {"has_started", record.hasStarted}}
@@ -271,10 +274,17 @@
     if (!record || record->state != JobState::Placed || record->attempt != attempt) {
         return true;
     }
-    record->checkpoint = key;
+    noteCheckpoint(*record, key);
     return succeeded(this->jobs.update(*record));
 }
 
+void noteCheckpoint(JobRecord &record, const std::string &key)
+{
+    if (!key.empty() && key != record.checkpoint) {
+        record.earlierCheckpoint = std::exchange(record.checkpoint, key);
+    }
+}
+
 JobRecord afterAttempt(JobRecord record, const GangVerdict &verdict)
 {
     if (verdict.outcome == Outcome::Done) {
@@ -285,11 +295,19 @@
         endAs(record, Outcome::Cancelled, "cancelled while it ran");
         return record;
     }
+    if (verdict.checkpointIsDamaged) {
+        record.checkpoint = std::exchange(record.earlierCheckpoint, std::string());
+        if (record.checkpoint.empty() && !record.kind.idempotent) {
+            endAs(record, Outcome::Unknown, verdict.reason + "; it ran in part and is not repeated");
+            return record;
+        }
+    }
     if (verdict.outcome == Outcome::NotRun) {
         requeue(record, verdict.reason);
         return record;
     }
     record.hasStarted = true;
+    noteCheckpoint(record, verdict.checkpoint);
     if (verdict.outcome == Outcome::Failed) {
         record.failedOn.push_back(record.members.empty() ? NodeId{} : record.members.front().node);
         if (!record.kind.idempotent || record.failedOn.size() >= MaxFailures) {
--- a/src/request/placer.cpp
+++ b/src/request/placer.cpp
@@ -286,8 +286,7 @@
                    });
         };
         if (!std::all_of(reports.begin(), reports.end(), runs)) {
-            auto outcome = this->context.launcher.stop(record, epoch, Millis(0), "its placer was lost while it started");
-            this->finish(epoch, record, outcome.verdict);
+            this->finish(epoch, record, this->context.launcher.stop(record, epoch, Millis(0), "its placer was lost while it started"));
         }
     });
 }
@@ -374,15 +373,12 @@
         return;
     }
     found->second.phase = Phase::Stopping;
-    auto record = found->second.record;
+    const auto record = found->second.record;
     const auto epoch = tenure.epoch;
-    this->context.runLater([this, record, epoch, grace, reason]() mutable {
-        const auto outcome = this->context.launcher.stop(record, epoch, grace, reason);
-        if (!outcome.checkpoint.empty()) {
-            record.checkpoint = outcome.checkpoint;
-        }
+    this->context.runLater([this, record, epoch, grace, reason] {
+        const auto verdict = this->context.launcher.stop(record, epoch, grace, reason);
         this->context.metrics.add(Count::GangsStopped);
-        this->finish(epoch, record, outcome.verdict);
+        this->finish(epoch, record, verdict);
     });
 }
 
@@ -419,11 +415,7 @@
         if (!row || row->state != JobState::Placed || row->attempt != record.attempt) {
             return;
         }
-        auto next = *row;
-        if (!record.checkpoint.empty()) {
-            next.checkpoint = record.checkpoint;
-        }
-        const auto written = this->context.jobs.update(afterAttempt(std::move(next), verdict));
+        const auto written = this->context.jobs.update(afterAttempt(*row, verdict));
         if (succeeded(written)) {
             return;
         }
@@ -483,7 +475,8 @@
             record.kind.checkpointable,
             record.shape,
             record.declaredRunTime,
-            this->context.clock.now() - age};
+            this->context.clock.now() - age,
+            {}};
 }
 
 SettingsVersion Placer::teamVersion(const TeamId &team) const
--- a/tests/request/faultmatrixtest.cpp
+++ b/tests/request/faultmatrixtest.cpp
@@ -225,6 +225,9 @@
     void submit(const std::string &kind, int /*members*/, const Shape &shape, const std::string &token = Site::callerToken, const std::string &id = "job-1")
     {
         const std::string entry = this->site.isUp("entry-1") ? "entry-1" : "entry-2";
+        if (!this->site.isUp(entry)) {
+            return;
+        }
         Result<JobId> accepted = makeError(ErrorKind::Ambiguous, "the entry died");
         this->site.runAs(entry, [&] { accepted = this->site.entry(entry).submitJob({token, RequestId{id}, KindId{kind}, shape, Millis(6000), "", "{}"}); });
         const auto job = (token == Site::callerToken ? "plant." : "other.") + id;
--- a/tests/request/site.cpp
+++ b/tests/request/site.cpp
@@ -253,6 +253,9 @@
 Result<SettingsVersion> Site::setSettings(const std::string &entryName, const std::string &path, const nlohmann::json &value, SettingsVersion expected)
 {
     Result<SettingsVersion> version = makeError(ErrorKind::Ambiguous, "the entry died");
+    if (!this->isUp(entryName)) {
+        return version;
+    }
     const bool wasBusy = !this->busy.insert(entryName).second;
     this->runAs(entryName, [&] {
         version = this->entry(entryName).changeSettings(operatorToken, SettingsChange{SettingsAction::Set, path, value, expected, "tester"});
