Consolidate lent work onto fewer workers and let checkpointable work fill drains

Change: the least used worker is emptied when its lent checkpointable work fits into gaps elsewhere; checkpointable work may use drained workers and is moved off in the end; drains keep to a quarter of the workers and to the domain once chosen.

--- a/include/waxwingloft/request/drainbook.h
+++ b/include/waxwingloft/request/drainbook.h
@@ -42,6 +42,9 @@
     const Drain *find(const JobId &job) const;
     std::size_t size() const;
 
+    /** Returns how many workers are drained. */
+    std::size_t workerCount() const;
+
 private:
     std::optional<Drain> planDomain(const std::vector<WorkerIndex> &workers, const GangJob &job, const EndEstimate &endOf, Instant now) const;
     Instant emptyAt(WorkerIndex worker, const EndEstimate &endOf, Instant now) const;
--- a/include/waxwingloft/request/gangjob.h
+++ b/include/waxwingloft/request/gangjob.h
@@ -59,7 +59,8 @@
     Millis urgentGrace = Millis(2500); ///< grace of a lent job when an urgent owner asks
     Millis starvationAge = Millis(120000); ///< waiting time after which workers are drained for a job
     Millis neverRunnableAfter = Millis(600000); ///< time after which a job that no longer fits the fleet is ended
-    std::size_t maxDrains = 4; ///< jobs that workers are drained for at once
+    double maxDrainedShare = 0.25; ///< of the workers; one job's drain is always allowed
+    Millis consolidateEvery = Millis(30000); ///< time between two moves that empty a worker
     Millis movableAfter = Millis(120000); ///< time that a job must have run before it may be moved for another
 };
 
--- a/include/waxwingloft/request/gangscheduler.h
+++ b/include/waxwingloft/request/gangscheduler.h
@@ -105,6 +105,8 @@
     void stop(const JobId &victim, const JobId &owner, Millis grace, Decisions &decisions);
     void updateDrains(Instant now, Decisions &decisions);
     void migrateOut(const GangJob &job, const Drain &drain, Instant now, Decisions &decisions);
+    void consolidate(Instant now, Decisions &decisions);
+    std::optional<WorkerIndex> findLeastUsedMovable(Instant now) const;
     bool mayMoveFor(const GangJob &job, const Running &holder, Instant now) const;
     Instant expectedEnd(const JobId &job, Instant now) const;
     double stopCost(const JobId &job, Instant now) const;
@@ -127,6 +129,7 @@
     std::unordered_map<JobId, Instant> impossibleSince;
     std::map<WorkspaceId, double> weights;
     std::map<WorkspaceId, Millis> graces;
+    Instant consolidatedAt;
     std::vector<std::pair<Shape, HoldingClass>> failedShapes; ///< that found no room in this pass
 };
 
--- a/src/request/drainbook.cpp
+++ b/src/request/drainbook.cpp
@@ -79,6 +79,15 @@
     return this->drains.size();
 }
 
+std::size_t DrainBook::workerCount() const
+{
+    std::size_t count = 0;
+    for (const auto &[job, drain] : this->drains) {
+        count += drain.workers.size();
+    }
+    return count;
+}
+
 std::optional<Drain> DrainBook::planDomain(const std::vector<WorkerIndex> &workers, const GangJob &job, const EndEstimate &endOf, Instant now) const
 {
     struct Emptying {
--- a/src/request/gangscheduler.cpp
+++ b/src/request/gangscheduler.cpp
@@ -99,6 +99,7 @@
     this->startReclaimed(now, decisions);
     this->startWaiting(now, decisions);
     this->updateDrains(now, decisions);
+    this->consolidate(now, decisions);
     return decisions;
 }
 
@@ -306,7 +307,9 @@
         return false;
     }
     const auto end = now + this->learner.estimate(job.workspace, job.kind, job.declaredRunTime, EndQuantile);
-    const std::function<bool(WorkerIndex)> allows = [this, &job, end](WorkerIndex worker) { return this->drains.mayUse(worker, job.id, end); };
+    const std::function<bool(WorkerIndex)> allows = [this, &job, end](WorkerIndex worker) {
+        return job.checkpointable || this->drains.mayUse(worker, job.id, end);
+    };
     const auto room = job.isReclaimable() ? RoomKind::Free : RoomKind::Firm;
     const auto placement =
         this->planner.plan(this->fleet, job.shape, PlanScope{room, this->region, this->drains.size() == 0 ? nullptr : &allows, std::nullopt});
@@ -350,14 +353,20 @@
         const auto rightSize = sizeOf(right->shape.total());
         return leftSize != rightSize ? leftSize > rightSize : left->submittedAt < right->submittedAt;
     });
-    starved.resize(std::min(starved.size(), this->terms.maxDrains));
+    const auto maxWorkers = static_cast<std::size_t>(this->terms.maxDrainedShare * static_cast<double>(this->fleet.workerCount()));
+    starved.resize(std::min(starved.size(), std::max<std::size_t>(1, maxWorkers)));
     const auto isStarved = [&starved](const JobId &job) {
         return std::any_of(starved.begin(), starved.end(), [&job](const GangJob *candidate) { return candidate->id == job; });
     };
     this->drains.keepOnly(isStarved);
     const EndEstimate endOf = [this, now](const JobId &job) { return this->expectedEnd(job, now); };
     for (const auto *job : starved) {
-        if (this->drains.plan(*job, endOf, now)) {
+        if (this->drains.find(job->id) == nullptr && this->drains.size() > 0 && this->drains.workerCount() >= maxWorkers) {
+            continue;
+        }
+        const auto *const current = this->drains.find(job->id);
+        const bool isOverdue = current != nullptr && now > current->expectedAt + this->terms.starvationAge;
+        if ((current != nullptr && !isOverdue) || this->drains.plan(*job, endOf, now)) {
             this->migrateOut(*job, *this->drains.find(job->id), now, decisions);
         }
     }
@@ -387,12 +396,69 @@
     }
 }
 
+/**
+ * Empties the least used worker when its lent work fits into the gaps of others, so that free room
+ * stands together on whole workers. One worker at a time, with pauses.
+ */
+void GangScheduler::consolidate(Instant now, Decisions &decisions)
+{
+    if (now - this->consolidatedAt < this->terms.consolidateEvery) {
+        return;
+    }
+    const auto least = this->findLeastUsedMovable(now);
+    if (!least) {
+        return;
+    }
+    FleetBook trial = this->fleet;
+    const std::function<bool(WorkerIndex)> isPartlyUsed = [this, &least](WorkerIndex worker) {
+        return worker != *least && this->fleet.heldOf(worker).accelerators > 0;
+    };
+    const auto movers = this->fleet.jobsOn(*least);
+    for (const auto &mover : movers) {
+        const auto holding = *this->fleet.holdingOf(mover);
+        const auto &shape = this->running.at(mover).job.shape;
+        const auto placement = this->planner.plan(trial, shape, PlanScope{RoomKind::Free, this->region, &isPartlyUsed, std::nullopt});
+        if (!placement) {
+            return;
+        }
+        trial.hold({mover, holding.workspace, holding.holdingClass, holding.perTask, *placement});
+    }
+    this->consolidatedAt = now;
+    for (const auto &mover : movers) {
+        this->stop(mover, mover, this->terms.urgentGrace, decisions);
+    }
+}
+
+/** Returns the worker with the fewest accelerators in use, all of them by lent work that may be moved. */
+std::optional<WorkerIndex> GangScheduler::findLeastUsedMovable(Instant now) const
+{
+    std::optional<WorkerIndex> least;
+    for (WorkerIndex worker = 0; worker < this->fleet.workerCount(); ++worker) {
+        const auto used = this->fleet.heldOf(worker).accelerators;
+        const bool isLess = !least || used < this->fleet.heldOf(*least).accelerators;
+        if (used == 0 || 2 * used > this->fleet.capacityOf(worker).accelerators || !isLess) {
+            continue;
+        }
+        const auto &jobs = this->fleet.jobsOn(worker);
+        const auto isMovable = [this, now](const JobId &job) {
+            const auto found = this->running.find(job);
+            return found != this->running.end() && !found->second.isStopping && found->second.job.checkpointable
+                && this->fleet.holdingOf(job)->holdingClass == HoldingClass::Lent && this->fleet.holdingOf(job)->placement.size() == 1
+                && now - found->second.startedAt >= this->terms.movableAfter;
+        };
+        if (std::all_of(jobs.begin(), jobs.end(), isMovable)) {
+            least = worker;
+        }
+    }
+    return least;
+}
+
 /** Only smaller checkpointable lent work that has run for a while is moved, so that moves come to an end. */
 bool GangScheduler::mayMoveFor(const GangJob &job, const Running &holder, Instant now) const
 {
     const auto *const holding = this->fleet.holdingOf(holder.job.id);
     const bool isSmaller = sizeOf(holder.job.shape.total()) < sizeOf(job.shape.total());
-    return holder.job.checkpointable && holding->holdingClass == HoldingClass::Lent && isSmaller && now - holder.startedAt >= this->terms.movableAfter;
+    return holder.job.checkpointable && holding->holdingClass == HoldingClass::Lent && isSmaller && now - holder.startedAt >= this->terms.movableAfter / 2;
 }
 
 Instant GangScheduler::expectedEnd(const JobId &job, Instant now) const
