Place single jobs without a list of candidates

Cause: a plan for one worker built a list of all candidates and read each worker's condition out of a large record. Change: the search keeps only the best worker and stops at an exact fit; conditions and racks stand in vectors of their own.

--- a/include/waxwingloft/process/fleetbook.h
+++ b/include/waxwingloft/process/fleetbook.h
@@ -129,8 +129,6 @@
     struct Worker {
         NodeId node;
         Location location;
-        std::uint32_t rack = 0;
-        WorkerCondition condition = WorkerCondition::Up;
         std::vector<JobId> jobs;
     };
 
@@ -138,6 +136,8 @@
     void account(const Holding &holding, int sign);
 
     std::vector<Worker> workers;
+    std::vector<WorkerCondition> conditions; ///< in a vector of its own, like the amounts: plans look at every worker
+    std::vector<std::uint32_t> rackIndices;
     std::vector<Resources> capacity;
     std::vector<Resources> held;
     std::vector<Resources> firm;
--- a/src/process/fleetbook.cpp
+++ b/src/process/fleetbook.cpp
@@ -9,12 +9,14 @@
     const auto known = this->byNode.find(node);
     if (known != this->byNode.end()) {
         this->capacity[known->second] = capacity;
-        this->workers[known->second].condition = WorkerCondition::Up;
+        this->conditions[known->second] = WorkerCondition::Up;
         return known->second;
     }
     const auto index = static_cast<WorkerIndex>(this->workers.size());
     const auto rack = this->rackIndex(location);
-    this->workers.push_back(Worker{node, location, rack, WorkerCondition::Up, {}});
+    this->workers.push_back(Worker{node, location, {}});
+    this->conditions.push_back(WorkerCondition::Up);
+    this->rackIndices.push_back(rack);
     this->capacity.push_back(capacity);
     this->held.emplace_back();
     this->firm.emplace_back();
@@ -28,7 +30,7 @@
 
 void FleetBook::setCondition(WorkerIndex worker, WorkerCondition condition)
 {
-    this->workers.at(worker).condition = condition;
+    this->conditions.at(worker) = condition;
 }
 
 std::optional<WorkerIndex> FleetBook::find(const NodeId &node) const
@@ -54,12 +56,12 @@
 
 std::uint32_t FleetBook::rackOf(WorkerIndex worker) const
 {
-    return this->workers.at(worker).rack;
+    return this->rackIndices[worker];
 }
 
 WorkerCondition FleetBook::conditionOf(WorkerIndex worker) const
 {
-    return this->workers.at(worker).condition;
+    return this->conditions.at(worker);
 }
 
 const Resources &FleetBook::capacityOf(WorkerIndex worker) const
@@ -79,7 +81,7 @@
 
 Resources FleetBook::roomOf(WorkerIndex worker, RoomKind kind) const
 {
-    const auto condition = this->workers[worker].condition;
+    const auto condition = this->conditions[worker];
     if (kind == RoomKind::Whole) {
         return condition == WorkerCondition::Lost ? Resources{} : this->capacity[worker];
     }
@@ -150,7 +152,7 @@
 std::optional<std::string> FleetBook::findViolation() const
 {
     for (WorkerIndex worker = 0; worker < this->workers.size(); ++worker) {
-        if (this->workers[worker].condition != WorkerCondition::Up) {
+        if (this->conditions[worker] != WorkerCondition::Up) {
             continue;
         }
         if (!this->capacity[worker].covers(this->held[worker])) {
--- a/src/version/shapeplanner.cpp
+++ b/src/version/shapeplanner.cpp
@@ -75,16 +75,27 @@
     return placement;
 }
 
-/** Returns the one worker that holds all tasks with the least left over, in the rack with the least free. */
-std::optional<Placement> planOnOneWorker(const std::vector<Candidate> &candidates, const Shape &shape)
+/** Returns the one worker that holds all tasks with the least left over; stops at a worker that is filled exactly. */
+std::optional<Placement> planOnOneWorker(const FleetBook &fleet, const Shape &shape, const PlanScope &scope)
 {
-    const Candidate *best = nullptr;
-    for (const auto &candidate : candidates) {
-        if (candidate.tasks >= shape.tasks && (best == nullptr || leavesLess(candidate, *best))) {
-            best = &candidate;
+    const auto needed = shape.total();
+    std::optional<Candidate> best;
+    const auto consider = [&](WorkerIndex worker) {
+        const auto room = fleet.roomOf(worker, scope.room);
+        const Candidate candidate{worker, 0, shape.tasks, room};
+        if (room.covers(needed) && (!best || leavesLess(candidate, *best)) && isInScope(fleet, worker, scope)) {
+            best = candidate;
         }
+        return best && best->room == needed;
+    };
+    if (scope.rack) {
+        const auto &workers = fleet.racks().at(*scope.rack).workers;
+        (void)std::any_of(workers.begin(), workers.end(), consider);
+    } else {
+        const auto count = static_cast<WorkerIndex>(fleet.workerCount());
+        for (WorkerIndex worker = 0; worker < count && !consider(worker); ++worker) { }
     }
-    return best == nullptr ? std::nullopt : std::optional<Placement>(Placement{{best->worker, shape.tasks}});
+    return best ? std::optional<Placement>(Placement{{best->worker, shape.tasks}}) : std::nullopt;
 }
 
 struct Domain {
@@ -126,10 +137,10 @@
 
 std::optional<Placement> BestFitPlanner::plan(const FleetBook &fleet, const Shape &shape, const PlanScope &scope) const
 {
-    const auto candidates = findCandidates(fleet, shape, scope);
     if (shape.tasks == 1 || shape.adjacency == Adjacency::Worker) {
-        return planOnOneWorker(candidates, shape);
+        return planOnOneWorker(fleet, shape, scope);
     }
+    const auto candidates = findCandidates(fleet, shape, scope);
     for (auto level = static_cast<std::size_t>(Adjacency::Rack); level <= static_cast<std::size_t>(shape.adjacency); ++level) {
         auto placement = planInDomain(fleet, candidates, shape, static_cast<Adjacency>(level));
         if (placement) {
