--- a/include/waxwingloft/request/gangscheduler.h
+++ b/include/waxwingloft/request/gangscheduler.h
@@ -95,6 +95,7 @@
 
     void enqueue(const GangJob &job);
     void endImpossible(Instant now, Decisions &decisions);
+    bool abandonReclaim(const JobId &job);
     void startReclaimed(Instant now, Decisions &decisions);
     void startWaiting(Instant now, Decisions &decisions);
     bool tryStart(const GangJob &job, Instant now, Decisions &decisions);
--- a/include/waxwingloft/version/reservationbook.h
+++ b/include/waxwingloft/version/reservationbook.h
@@ -41,8 +41,12 @@
     ReservationBook(const ReservationBook &) = delete;
     ReservationBook &operator=(const ReservationBook &) = delete;
 
-    /** Takes over the guarantees of @p settings; keeps the placement of those that stay, largest shapes first. */
-    void setGuarantees(const Settings &settings);
+    /**
+     * Takes over the guarantees of @p settings; keeps the placement of those that stay. Follow with repair().
+     *
+     * Returns the jobs that run on a reservation which is no longer guaranteed; they hold their room some other way now.
+     */
+    std::vector<JobId> setGuarantees(const Settings &settings);
 
     /** Finds new workers for reservations whose workers are lost or reserved twice. Returns how many stay without. */
     std::size_t repair();
@@ -82,6 +86,7 @@
     void unplace(Reservation &reservation);
     bool mustMove(const Reservation &reservation) const;
     bool replaceOthersFor(Reservation &reservation);
+    bool placeAnew(const std::vector<Reservation *> &order);
 
     FleetBook &fleet;
     const std::string region;
--- a/src/request/gangscheduler.cpp
+++ b/src/request/gangscheduler.cpp
@@ -78,15 +78,10 @@
 
 void GangScheduler::withdraw(const JobId &job)
 {
+    this->abandonReclaim(job);
     for (auto &[workspace, jobs] : this->waiting) {
         std::erase_if(jobs, [&job](const GangJob &candidate) { return candidate.id == job; });
     }
-    const auto reclaim = this->reclaims.find(job);
-    if (reclaim != this->reclaims.end()) {
-        this->fleet.expect(reclaim->second.placement, reclaim->second.job.shape.perTask, -1);
-        this->reservations.unclaim(job);
-        this->reclaims.erase(reclaim);
-    }
     this->drains.drop(job);
     this->impossibleSince.erase(job);
 }
@@ -95,6 +90,9 @@
 {
     Decisions decisions;
     this->failedShapes.clear();
+    if (this->reservations.findUnplaced()) {
+        this->reservations.repair();
+    }
     this->endImpossible(now, decisions);
     this->startReclaimed(now, decisions);
     this->startWaiting(now, decisions);
@@ -124,7 +122,15 @@
         this->weights[id] = workspace.weight;
         this->graces[id] = workspace.reclaimGrace;
     }
-    this->reservations.setGuarantees(settings);
+    for (const auto &job : this->reservations.setGuarantees(settings)) {
+        if (this->abandonReclaim(job)) {
+            continue;
+        }
+        auto holding = *this->fleet.holdingOf(job);
+        holding.holdingClass = this->running.at(job).job.isReclaimable() ? HoldingClass::Lent : HoldingClass::Firm;
+        this->fleet.hold(holding);
+    }
+    this->reservations.repair();
 }
 
 void GangScheduler::checkpointed(const JobId &job, Instant now)
@@ -214,12 +220,32 @@
     }
     for (const auto &owner : ready) {
         const auto reclaim = this->reclaims.at(owner);
+        const auto isUp = [this](const PlacementPart &part) { return this->fleet.conditionOf(part.worker) == WorkerCondition::Up; };
+        if (!std::all_of(reclaim.placement.begin(), reclaim.placement.end(), isUp)) {
+            this->abandonReclaim(owner);
+            continue;
+        }
         this->reclaims.erase(owner);
         this->fleet.expect(reclaim.placement, reclaim.job.shape.perTask, -1);
         this->start(reclaim.job, reclaim.placement, HoldingClass::Guaranteed, now, decisions);
     }
 }
 
+/** Puts a job whose workers are being cleared back to wait. Returns whether it was such a job. */
+bool GangScheduler::abandonReclaim(const JobId &job)
+{
+    const auto found = this->reclaims.find(job);
+    if (found == this->reclaims.end()) {
+        return false;
+    }
+    const auto reclaim = found->second;
+    this->reclaims.erase(found);
+    this->fleet.expect(reclaim.placement, reclaim.job.shape.perTask, -1);
+    this->reservations.unclaim(job);
+    this->enqueue(reclaim.job);
+    return true;
+}
+
 /** Serves the workspace with the smallest weighted share first, as long as any of its jobs starts. */
 void GangScheduler::startWaiting(Instant now, Decisions &decisions)
 {
--- a/src/version/reservationbook.cpp
+++ b/src/version/reservationbook.cpp
@@ -52,9 +52,10 @@
     }
 }
 
-void ReservationBook::setGuarantees(const Settings &settings)
+std::vector<JobId> ReservationBook::setGuarantees(const Settings &settings)
 {
     auto wanted = expand(settings);
+    std::stable_partition(this->reservations.begin(), this->reservations.end(), [](const Reservation &old) { return old.isClaimed(); });
     for (auto &reservation : wanted) {
         const auto isSame = [&reservation](const Reservation &old) {
             return old.placement && old.workspace == reservation.workspace && old.shape == reservation.shape;
@@ -65,11 +66,15 @@
             kept->placement.reset();
         }
     }
+    std::vector<JobId> unclaimed;
     for (auto &dropped : this->reservations) {
+        if (dropped.placement && dropped.isClaimed()) {
+            unclaimed.push_back(*dropped.claimedBy);
+        }
         this->unplace(dropped);
     }
     this->reservations = std::move(wanted);
-    this->repair();
+    return unclaimed;
 }
 
 std::size_t ReservationBook::repair()
@@ -229,31 +234,32 @@
     return std::any_of(reservation.placement->begin(), reservation.placement->end(), isLost);
 }
 
-/** Places every unclaimed reservation anew, the hardest first; puts the old places back when that does not help. */
+/** Places every unclaimed reservation anew, the hardest first, or else @p reservation first; puts the old places back when neither helps. */
 bool ReservationBook::replaceOthersFor(Reservation &reservation)
 {
     std::vector<std::optional<Placement>> old;
+    std::vector<Reservation *> movable;
     for (auto &other : this->reservations) {
+        const bool isMovable = &other == &reservation || (!other.isClaimed() && other.placement);
         old.push_back(other.placement);
-        if (!other.isClaimed()) {
-            this->unplace(other);
+        if (isMovable) {
+            movable.push_back(&other);
         }
     }
-    bool keepsAll = this->place(reservation);
-    for (std::size_t index = 0; index < this->reservations.size() && keepsAll; ++index) {
-        auto &other = this->reservations[index];
-        keepsAll = other.placement || !old[index] || this->place(other);
+    std::stable_sort(movable.begin(), movable.end(), [](const Reservation *left, const Reservation *right) { return isHarder(*left, *right); });
+    if (this->placeAnew(movable)) {
+        return true;
     }
-    if (keepsAll) {
+    std::stable_partition(movable.begin(), movable.end(), [&reservation](const Reservation *other) { return other == &reservation; });
+    if (this->placeAnew(movable)) {
         return true;
     }
+    for (auto *other : movable) {
+        this->unplace(*other);
+    }
     for (std::size_t index = 0; index < this->reservations.size(); ++index) {
         auto &other = this->reservations[index];
-        if (other.isClaimed()) {
-            continue;
-        }
-        this->unplace(other);
-        if (old[index]) {
+        if (!other.placement && old[index]) {
             this->fleet.reserve(*old[index], other.shape.perTask, 1);
             other.placement = old[index];
         }
@@ -261,6 +267,14 @@
     return false;
 }
 
+bool ReservationBook::placeAnew(const std::vector<Reservation *> &order)
+{
+    for (auto *reservation : order) {
+        this->unplace(*reservation);
+    }
+    return std::all_of(order.begin(), order.end(), [this](Reservation *reservation) { return this->place(*reservation); });
+}
+
 Status checkGuaranteesEmbed(const Settings &settings, const FleetBook &fleet)
 {
     FleetBook empty;
@@ -272,6 +286,7 @@
     const BestFitPlanner planner;
     ReservationBook book(empty, "", planner);
     book.setGuarantees(settings);
+    book.repair();
     for (const auto &reservation : book.all()) {
         if (reservation.placement) {
             continue;
