--- /dev/null
+++ b/tests/process/tableclienttest.cpp
@@ -0,0 +1,73 @@
+#include "waxwingloft/process/tableclient.h"
+#include "faketable.h"
+#include "manualclock.h"
+#include "waxwingloft/process/duty.h"
+
+#include <gtest/gtest.h>
+
+namespace waxwingloft::tests {
+
+namespace {
+
+class TableClientTest : public testing::Test
+{
+protected:
+    ManualClock clock;
+    FaultPlan plan;
+    FakeRows rows;
+    FakeTable view{this->rows, this->plan, "node", std::make_shared<bool>(true)};
+    TableClient table{this->view, this->clock, TableBudget{100.0, 20.0, 4, Millis(50), Millis(1000), 5}, 1};
+};
+
+} // namespace
+
+TEST_F(TableClientTest, settlesACommitWhoseAnswerWasLost)
+{
+    this->plan.injectAt(0, [](const Point &) { return Transport::LoseReply; });
+    this->plan.injectAt(1, [](const Point &) { return Transport::LoseRequest; });
+    this->plan.start();
+    EXPECT_TRUE(succeeded(this->table.commit({"op-1", {{"job/a", 0}}, {{"job/a", "1"}}})));
+    EXPECT_TRUE(succeeded(this->table.commit({"op-2", {{"job/b", 0}}, {{"job/b", "1"}}})));
+    EXPECT_EQ(this->rows.revision, 2U) << "each took effect once";
+}
+
+TEST_F(TableClientTest, staysWithinItsBudgetAndLeavesAFailingServiceAlone)
+{
+    int refusedByBudget = 0;
+    for (int call = 0; call < 30; ++call) {
+        refusedByBudget += succeeded(this->table.get("x")) ? 0 : 1;
+    }
+    EXPECT_EQ(refusedByBudget, 10);
+    this->clock.advance(Millis(1000));
+    this->rows.isDown = true;
+    for (int call = 0; call < 12; ++call) {
+        this->table.get("x");
+    }
+    EXPECT_TRUE(this->table.downSince().has_value());
+    this->rows.isDown = false;
+    this->clock.advance(Millis(2000));
+    EXPECT_TRUE(succeeded(this->table.get("x")));
+    EXPECT_FALSE(this->table.downSince().has_value());
+}
+
+TEST_F(TableClientTest, aDutyHasOneHolderAndItsEpochOnlyGrows)
+{
+    EventLog events(this->clock, "node", 10);
+    IdSource ids(1);
+    Duty first(this->view, this->clock, events, ids, "placer/r", NodeId{"n1"}, "n1:1", LeaseTerms{});
+    Duty second(this->view, this->clock, events, ids, "placer/r", NodeId{"n2"}, "n2:1", LeaseTerms{});
+    EXPECT_TRUE(first.pursue());
+    EXPECT_FALSE(second.pursue());
+    this->clock.advance(Millis(2500));
+    EXPECT_FALSE(first.heldEpoch().has_value()) << "the holder counts it as lapsed first";
+    EXPECT_FALSE(second.pursue());
+    this->clock.advance(Millis(500));
+    EXPECT_TRUE(second.pursue());
+    EXPECT_EQ(second.heldEpoch(), Epoch(2));
+    EXPECT_FALSE(first.pursue());
+    second.release();
+    EXPECT_TRUE(first.pursue());
+    EXPECT_EQ(first.heldEpoch(), Epoch(3));
+}
+
+} // namespace waxwingloft::tests
