--- a/include/waxwingloft/request/gangagent.h
+++ b/include/waxwingloft/request/gangagent.h
@@ -61,7 +61,7 @@
 
     NodeReport report(const AskReport &ask);
 
-    /** Renews leases, notices ends, writes periodic checkpoints. Call every third of a task lease or more often. */
+    /** Notices ends, renews leases every third of their term, writes periodic checkpoints. Call at least that often. */
     void tick();
 
     /** Refuses all new gangs from now on. */
@@ -78,6 +78,7 @@
         Instant leaseUntil; ///< end of the reservation while prepared, of the lease while running
         Instant endedAt;
         Instant checkpointedAt;
+        Instant renewedAt; ///< when the head last renewed the lease
         int overrunTicks = 0;
         bool isThrottled = false;
         bool isStopping = false;
@@ -96,6 +97,7 @@
     Result<std::string> fetchCheckpoint(const std::string &key);
     void tickPart(const AttemptId &attempt);
     void renewRunning(const AttemptId &attempt, const PrepareGang &order);
+    bool renewWithHead(const AttemptId &attempt, const PrepareGang &order);
     void tellHeadOfEnd(const AttemptId &attempt);
     std::vector<AttemptId> attemptsToTick() const;
     Result<GangReply> askHead(const PrepareGang &order, GangState state);
--- a/src/process/logger.cpp
+++ b/src/process/logger.cpp
@@ -9,7 +9,7 @@
 
 void openLog(const std::string &node, const std::string &level)
 {
-    const auto layout = std::make_shared<log4cxx::PatternLayout>("%d{yyyy-MM-dd'T'HH:mm:ss.SSS} %-5p " + node + " [%c] %m%n");
+    const auto layout = std::make_shared<log4cxx::PatternLayout>("%d{ISO8601} %-5p " + node + " [%c] %m%n");
     const auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
     log4cxx::BasicConfigurator::configure(appender);
     log4cxx::Logger::getRootLogger()->setLevel(log4cxx::Level::toLevel(level, log4cxx::Level::getInfo()));
--- a/src/request/gangagent.cpp
+++ b/src/request/gangagent.cpp
@@ -92,6 +92,7 @@
         part.state = GangState::Running;
         part.leaseUntil = now + part.order.taskLease - this->terms.safety;
         part.wasStarted = true;
+        part.renewedAt = now;
         if (this->isHead(part.order)) {
             this->heads.insert_or_assign(start.attempt, GangHead(part.order, now));
         }
@@ -313,23 +314,17 @@
     }
 }
 
-/** Renews with the head first, then passes what is left of the lease to the worker. */
+/** Renews with the head when a third of the lease has passed, then passes what is left of it to the worker. */
 void GangAgent::renewRunning(const AttemptId &attempt, const PrepareGang &order)
 {
-    const auto sentAt = this->context.clock.now();
-    const auto granted = this->askHead(order, GangState::Running);
-    if (succeeded(granted) && valueOf(granted).mustStop) {
+    if (!this->renewWithHead(attempt, order)) {
         this->stopAndTell(attempt, GangState::Stopped);
         return;
     }
     Millis left{0};
     {
         const std::lock_guard<std::mutex> guard(this->mutex);
-        auto &part = this->parts.at(attempt);
-        if (succeeded(granted)) {
-            part.leaseUntil = std::max(part.leaseUntil, sentAt + order.taskLease - this->terms.safety);
-        }
-        left = part.leaseUntil - this->context.clock.now();
+        left = this->parts.at(attempt).leaseUntil - this->context.clock.now();
     }
     if (left <= Millis(0)) {
         this->stopAndTell(attempt, GangState::Stopped);
@@ -348,6 +343,30 @@
     }
 }
 
+/** Returns false when the head says that the gang must stop. */
+bool GangAgent::renewWithHead(const AttemptId &attempt, const PrepareGang &order)
+{
+    const auto sentAt = this->context.clock.now();
+    {
+        const std::lock_guard<std::mutex> guard(this->mutex);
+        if (sentAt - this->parts.at(attempt).renewedAt < order.taskLease / 3) {
+            return true;
+        }
+    }
+    const auto granted = this->askHead(order, GangState::Running);
+    if (!succeeded(granted)) {
+        return true;
+    }
+    if (valueOf(granted).mustStop) {
+        return false;
+    }
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    auto &part = this->parts.at(attempt);
+    part.renewedAt = sentAt;
+    part.leaseUntil = std::max(part.leaseUntil, sentAt + order.taskLease - this->terms.safety);
+    return true;
+}
+
 /** Tells the head how this part ended, again at every tick until the head has heard it. */
 void GangAgent::tellHeadOfEnd(const AttemptId &attempt)
 {
--- a/src/request/ganghead.cpp
+++ b/src/request/ganghead.cpp
@@ -4,6 +4,14 @@
 
 namespace waxwingloft {
 
+namespace {
+
+// A member that misses two renewals breaks the gang up, early enough for the others to hear of it within about a lease.
+constexpr int SilenceNumerator = 3;
+constexpr int SilenceDenominator = 4;
+
+} // namespace
+
 GangHead::GangHead(const PrepareGang &order, Instant now)
     : taskLease(order.taskLease)
 {
@@ -47,7 +55,7 @@
         return GangVerdict{Outcome::Done, {}, now, {}, false};
     }
     for (const auto &[node, member] : this->members) {
-        if (member.state == GangState::Running && now - member.renewedAt >= this->taskLease) {
+        if (member.state == GangState::Running && now - member.renewedAt >= this->taskLease * SilenceNumerator / SilenceDenominator) {
             this->breakUp("no word from " + node.value, now);
         }
     }
