--- a/include/waxwingloft/request/entryservice.h
+++ b/include/waxwingloft/request/entryservice.h
@@ -9,6 +9,7 @@
 #include "waxwingloft/process/metrics.h"
 #include "waxwingloft/process/tableclient.h"
 #include "waxwingloft/request/calldispatcher.h"
+#include "waxwingloft/request/jobdesk.h"
 #include "waxwingloft/request/placer.h"
 #include "waxwingloft/version/settingsstore.h"
 
@@ -102,12 +103,6 @@
     static HandlerTable makeHandlers();
     static const HandlerTable handlers;
 
-    /** A caller of a workspace, copied out of the settings in force. */
-    struct Caller {
-        WorkspaceId workspace;
-        TeamId team;
-    };
-
     Message onUnsupported(const Header &header, const Message &message);
     Message onHeartbeat(const Header &header, const Message &message);
     Message onPushMembers(const Header &header, const Message &message);
@@ -115,14 +110,10 @@
     Message onFetchEvents(const Header &header, const Message &message);
     Message onNudgePlacer(const Header &header, const Message &message);
 
-    Result<Caller> callerOf(const std::string &token) const;
+    void wakePlacer();
     Status checkOperator(const std::string &token) const;
-    Result<JobRecord> findOwn(const std::string &token, const JobId &id);
-    Result<std::string> chooseRegion(const JobQuestion &question) const;
-    JobView viewOf(const JobRecord &record) const;
     Status checkGuarantees(const SettingsTree &tree) const;
     void announceSettings();
-    void nudgePlacer(const std::string &region);
     std::vector<std::string> describeDegradation() const;
 
     EntryContext context;
@@ -140,6 +131,7 @@
     GangLauncher launcher;
     Duty placerDuty;
     Placer placer;
+    JobDesk jobDesk;
     std::atomic<bool> isDraining = false;
     std::atomic<std::size_t> inHand = 0;
     std::atomic<SettingsVersion> announcedVersion = 0;
--- /dev/null
+++ b/include/waxwingloft/request/jobdesk.h
@@ -0,0 +1,68 @@
+#ifndef WAXWINGLOFT_REQUEST_JOBDESK_H
+#define WAXWINGLOFT_REQUEST_JOBDESK_H
+
+#include "waxwingloft/connection/frontservice.h"
+#include "waxwingloft/connection/nodeport.h"
+#include "waxwingloft/process/duty.h"
+#include "waxwingloft/process/memberdirectory.h"
+#include "waxwingloft/process/metrics.h"
+#include "waxwingloft/request/placer.h"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace waxwingloft {
+
+/** What the callers' side of jobs works with. */
+struct JobDeskContext {
+    Clock &clock;
+    EventLog &events;
+    Metrics &metrics;
+    const SettingsPublisher &settings;
+    TableStore &table;
+    NodePort &peers;
+    IdSource &ids;
+    JobStore &jobs;
+    const MemberDirectory &members;
+    const Placer &placer;
+    const Duty &placerDuty;
+    std::function<void()> wakePlacer; ///< makes the placer of this process look at the jobs now
+    std::string region; ///< of this entry
+    Millis callTimeout = Millis(0); ///< for a message to another process
+};
+
+/**
+ * What callers may do with gang jobs: submit, look, cancel; each only with those of its own workspace.
+ *
+ * A job is accepted when its row is in the table. Thread safe.
+ */
+class JobDesk
+{
+public:
+    explicit JobDesk(const JobDeskContext &context);
+
+    Result<JobId> submitJob(const JobQuestion &question);
+    Result<JobView> showJob(const std::string &token, const JobId &id);
+    Result<std::vector<JobView>> listJobs(const std::string &token);
+    Status cancelJob(const std::string &token, const JobId &id);
+
+private:
+    /** A caller's workspace and team, copied out of the settings in force. */
+    struct Caller {
+        WorkspaceId workspace;
+        TeamId team;
+    };
+
+    Result<Caller> callerOf(const std::string &token) const;
+    Result<JobRecord> findOwn(const std::string &token, const JobId &id);
+    Result<std::string> chooseRegion(const JobQuestion &question) const;
+    JobView viewOf(const JobRecord &record) const;
+    void nudgePlacer(const std::string &region);
+
+    JobDeskContext context;
+};
+
+} // namespace waxwingloft
+
+#endif
--- a/src/request/entryservice.cpp
+++ b/src/request/entryservice.cpp
@@ -1,7 +1,6 @@
 #include "waxwingloft/request/entryservice.h"
 
 #include <algorithm>
-#include <set>
 
 namespace waxwingloft {
 
@@ -86,6 +85,20 @@
               context.runLater,
               context.location.region},
              terms.placer)
+    , jobDesk({context.clock,
+               context.events,
+               context.metrics,
+               context.settings,
+               context.table,
+               context.peers,
+               context.ids,
+               this->jobs,
+               this->members,
+               this->placer,
+               this->placerDuty,
+               [this] { this->wakePlacer(); },
+               context.location.region,
+               terms.callTimeout})
 {
     this->members.setListener([this](const Member &member) { this->servers.update(member); });
 }
@@ -129,77 +142,22 @@
     if (this->isDraining.load(std::memory_order_acquire)) {
         return makeError(ErrorKind::Draining, "this entry is leaving");
     }
-    const auto caller = this->callerOf(question.token);
-    if (!succeeded(caller)) {
-        return errorOf(caller);
-    }
-    JobRecord record;
-    {
-        const ReadSection section;
-        const auto *const kind = this->context.settings.read(section).findKind(valueOf(caller).team, question.kind);
-        if (kind == nullptr || kind->form != WorkForm::Gang) {
-            return makeError(ErrorKind::NotFound,
-                             "there is no kind of gang work \"" + question.kind.value + "\" in team \"" + valueOf(caller).team.value + "\"");
-        }
-        record.kind = *kind;
-    }
-    const auto region = this->chooseRegion(question);
-    if (!succeeded(region)) {
-        return errorOf(region);
-    }
-    record.id = JobId{valueOf(caller).workspace.value + "." + (question.request.isEmpty() ? this->context.ids.next() : question.request.value)};
-    record.workspace = valueOf(caller).workspace;
-    record.team = valueOf(caller).team;
-    record.shape = question.shape;
-    record.declaredRunTime = question.declaredRunTime;
-    record.region = valueOf(region);
-    record.payload = question.payload;
-    record.submittedAtWallMillis = this->context.clock.wallMillis();
-    const auto created = this->jobs.create(record);
-    const bool existsAlready = !succeeded(created) && errorOf(created).kind == ErrorKind::Conflict;
-    if (!succeeded(created) && !existsAlready) {
-        return errorOf(created).kind == ErrorKind::Ambiguous ? makeError(
-                   ErrorKind::Ambiguous, "job " + record.id.value + " may or may not have been accepted", "ask for it by its id before you submit it again")
-                                                             : errorOf(created);
-    }
-    this->context.metrics.add(Count::JobsSubmitted);
-    this->context.events.record(EventKind::JobSubmitted, record.id.value, record.workspace.value, toString(record.shape));
-    this->nudgePlacer(record.region);
-    return record.id;
+    return this->jobDesk.submitJob(question);
 }
 
 Result<JobView> EntryService::showJob(const std::string &token, const JobId &id)
 {
-    const auto record = this->findOwn(token, id);
-    return succeeded(record) ? Result<JobView>(this->viewOf(valueOf(record))) : errorOf(record);
+    return this->jobDesk.showJob(token, id);
 }
 
 Result<std::vector<JobView>> EntryService::listJobs(const std::string &token)
 {
-    const auto caller = this->callerOf(token);
-    if (!succeeded(caller)) {
-        return errorOf(caller);
-    }
-    const auto records = this->jobs.listOf(valueOf(caller).workspace);
-    if (!succeeded(records)) {
-        return errorOf(records);
-    }
-    std::vector<JobView> views;
-    for (const auto &record : valueOf(records)) {
-        views.push_back(this->viewOf(record));
-    }
-    return views;
+    return this->jobDesk.listJobs(token);
 }
 
 Status EntryService::cancelJob(const std::string &token, const JobId &id)
 {
-    const auto record = this->findOwn(token, id);
-    if (!succeeded(record)) {
-        return errorOf(record);
-    }
-    auto cancelled = this->jobs.requestCancel(id);
-    this->nudgePlacer(valueOf(record).region);
-    return cancelled;
+    return this->jobDesk.cancelJob(token, id);
 }
 
 Result<nlohmann::json> EntryService::settingsAt(const std::string &operatorToken, const std::string &path, bool reveal)
@@ -444,21 +402,16 @@
 
 Message EntryService::onNudgePlacer(const Header & /*header*/, const Message & /*message*/)
 {
-    const std::lock_guard<std::mutex> guard(this->wakeUpMutex);
-    if (this->placerWakeUp) {
-        this->placerWakeUp();
-    }
+    this->wakePlacer();
     return Ack{};
 }
 
-Result<EntryService::Caller> EntryService::callerOf(const std::string &token) const
+void EntryService::wakePlacer()
 {
-    const ReadSection section;
-    const auto workspace = Admission::authenticate(this->context.settings.read(section), token);
-    if (!succeeded(workspace)) {
-        return errorOf(workspace);
+    const std::lock_guard<std::mutex> guard(this->wakeUpMutex);
+    if (this->placerWakeUp) {
+        this->placerWakeUp();
     }
-    return Caller{valueOf(workspace)->id, valueOf(workspace)->team};
 }
 
 Status EntryService::checkOperator(const std::string &token) const
@@ -466,71 +419,13 @@
     if (equalsSecret(token, this->context.operatorToken)) {
         return Done{};
     }
-    if (succeeded(this->callerOf(token))) {
+    const ReadSection section;
+    if (succeeded(Admission::authenticate(this->context.settings.read(section), token))) {
         return makeError(ErrorKind::Forbidden, "this call needs the operator token");
     }
     return makeError(ErrorKind::Unauthenticated, "this call needs the operator token");
 }
 
-/** Returns a job of the caller's own workspace; jobs of others look as if they did not exist. */
-Result<JobRecord> EntryService::findOwn(const std::string &token, const JobId &id)
-{
-    const auto caller = this->callerOf(token);
-    if (!succeeded(caller)) {
-        return errorOf(caller);
-    }
-    const auto found = this->jobs.find(id);
-    if (!succeeded(found)) {
-        return errorOf(found);
-    }
-    if (!valueOf(found) || valueOf(found)->workspace != valueOf(caller).workspace) {
-        return makeError(ErrorKind::NotFound, "job \"" + id.value + "\" does not exist in this workspace");
-    }
-    return *valueOf(found);
-}
-
-/** Returns the asked region, or the own one, or the first in which the shape would ever fit. */
-Result<std::string> EntryService::chooseRegion(const JobQuestion &question) const
-{
-    FleetBook fleet;
-    std::set<std::string> regions;
-    for (const auto &member : this->members.all()) {
-        if (member.role == MemberRole::Worker && member.state != MemberState::Lost) {
-            fleet.putWorker(member.node, member.location, member.resources);
-            regions.insert(member.location.region);
-        }
-    }
-    if (!question.region.empty() && !regions.contains(question.region)) {
-        return makeError(ErrorKind::InvalidInput, "region \"" + question.region + "\" has no workers", "leave the region out, or name one that has");
-    }
-    std::vector<std::string> order{question.region.empty() ? this->context.location.region : question.region};
-    if (question.region.empty()) {
-        order.insert(order.end(), regions.begin(), regions.end());
-    }
-    for (const auto &region : order) {
-        if (couldEverFit(fleet, question.shape, region)) {
-            return region;
-        }
-    }
-    return describeMisfit(fleet, question.shape, question.region);
-}
-
-JobView EntryService::viewOf(const JobRecord &record) const
-{
-    JobView view{record.id, record.kind.id, std::string(nameOf(record.state)), std::nullopt, record.detail, record.shape, record.region, {}};
-    if (record.state == JobState::Ended) {
-        view.outcome = record.outcome;
-    }
-    if (record.state == JobState::Queued) {
-        const auto reason = this->placer.explain(record.id);
-        view.detail = reason.empty() ? record.detail : reason;
-    }
-    for (const auto &member : record.members) {
-        view.workers.push_back(member.node);
-    }
-    return view;
-}
-
 Status EntryService::checkGuarantees(const SettingsTree &tree) const
 {
     FleetBook fleet;
@@ -559,22 +454,6 @@
     this->context.fanOut.forEach(addresses.size(), [&](std::size_t index) { this->context.peers.call(addresses[index], Ping{}, this->terms.callTimeout); });
 }
 
-void EntryService::nudgePlacer(const std::string &region)
-{
-    if (region == this->context.location.region && this->placerDuty.heldEpoch()) {
-        this->onNudgePlacer({}, NudgePlacer{region});
-        return;
-    }
-    const auto record = this->context.table.get("duty/placer/" + region);
-    if (!succeeded(record) || !valueOf(record)) {
-        return;
-    }
-    const auto duty = parseDuty(valueOf(record)->value);
-    if (succeeded(duty) && !valueOf(duty).address.empty()) {
-        this->context.peers.call(valueOf(duty).address, NudgePlacer{region}, this->terms.callTimeout);
-    }
-}
-
 std::vector<std::string> EntryService::describeDegradation() const
 {
     std::vector<std::string> texts;
