--- a/include/waxwingloft/process/nodeconfig.h
+++ b/include/waxwingloft/process/nodeconfig.h
@@ -40,6 +40,8 @@
     Millis shutdownLimit = Millis(20000); ///< longest wait for requests in hand
     std::uint32_t httpThreads = 64;
     std::uint32_t rpcThreads = 32;
+    Millis taskLease = Millis(3000); ///< of an entry: tasks end when they are not renewed for this long
+    Millis checkpointInterval = Millis(60000); ///< of an agent: time between two periodic checkpoints of a gang
     std::uint32_t eventCapacity = 20000; ///< events kept for the time line
 };
 
--- a/include/waxwingloft/request/claimstore.h
+++ b/include/waxwingloft/request/claimstore.h
@@ -19,6 +19,9 @@
     std::uint64_t revision = 0; ///< of its row
 };
 
+/** Parses the row of a claim. */
+Result<Claim> parseClaim(const Row &row);
+
 /** The claims of requests that must run at most once, as rows of the table. Thread safe. */
 class ClaimStore
 {
--- a/include/waxwingloft/request/entryservice.h
+++ b/include/waxwingloft/request/entryservice.h
@@ -11,6 +11,7 @@
 #include "waxwingloft/request/calldispatcher.h"
 #include "waxwingloft/request/jobdesk.h"
 #include "waxwingloft/request/placer.h"
+#include "waxwingloft/request/rowsweeper.h"
 #include "waxwingloft/version/settingsstore.h"
 
 #include <atomic>
@@ -88,6 +89,9 @@
     /** Lets waiting calls through to slots freed elsewhere; notices lost members that report here directly. */
     void tickQueue();
 
+    /** Deletes rows that nothing needs any more, while the duty of placing is held. Call every few minutes. */
+    void tickSweep();
+
     /** Refuses new requests from now on. */
     void drain();
 
@@ -132,6 +136,7 @@
     Duty placerDuty;
     Placer placer;
     JobDesk jobDesk;
+    RowSweeper sweeper;
     std::atomic<bool> isDraining = false;
     std::atomic<std::size_t> inHand = 0;
     std::atomic<SettingsVersion> announcedVersion = 0;
--- a/include/waxwingloft/request/jobstore.h
+++ b/include/waxwingloft/request/jobstore.h
@@ -36,6 +36,7 @@
     std::string region;
     std::string payload;
     std::int64_t submittedAtWallMillis = 0;
+    std::int64_t endedAtWallMillis = 0;
     JobState state = JobState::Queued;
     Outcome outcome = Outcome::NotRun; ///< meaningful when ended
     std::string detail; ///< why it ended or waits, in words
@@ -91,13 +92,14 @@
 class TableGangRecorder : public GangRecorder
 {
 public:
-    explicit TableGangRecorder(JobStore &jobs);
+    TableGangRecorder(JobStore &jobs, Clock &clock);
 
     bool recordEnd(const JobId &job, const AttemptId &attempt, const GangVerdict &verdict) override;
     bool recordCheckpoint(const JobId &job, const AttemptId &attempt, const std::string &key) override;
 
 private:
     JobStore &jobs;
+    Clock &clock;
 };
 
 /** Makes @p key the latest checkpoint of @p record and keeps the one before. */
@@ -109,7 +111,10 @@
  * Done ends it. A damaged checkpoint is replaced by the one before. Work that was cut off goes back to the queue when it is idempotent or has a
  * checkpoint; otherwise it ends as Unknown and is never run again on its own.
  */
-JobRecord afterAttempt(JobRecord record, const GangVerdict &verdict);
+JobRecord afterAttempt(JobRecord record, const GangVerdict &verdict, std::int64_t wallMillis);
+
+/** Ends @p record; @p wallMillis is the present time. */
+void endJob(JobRecord &record, Outcome outcome, std::string detail, std::int64_t wallMillis);
 
 } // namespace waxwingloft
 
--- a/src/process/daemon/agentrole.cpp
+++ b/src/process/daemon/agentrole.cpp
@@ -33,12 +33,19 @@
             ports};
 }
 
+AgentTerms termsOf(const NodeConfig &config)
+{
+    AgentTerms terms;
+    terms.gangs.checkpointInterval = config.checkpointInterval;
+    return terms;
+}
+
 class AgentRole : public Role
 {
 public:
     explicit AgentRole(Node &node)
         : node(node)
-        , service(contextOf(node), AgentTerms{})
+        , service(contextOf(node), termsOf(node.config))
     {
     }
 
--- a/src/process/daemon/entryrole.cpp
+++ b/src/process/daemon/entryrole.cpp
@@ -12,6 +12,8 @@
 constexpr auto SettingsInterval = Millis(500);
 constexpr auto PlacerInterval = Millis(200);
 constexpr auto QueueInterval = Millis(20);
+constexpr auto SweepInterval = Millis(600000);
+constexpr auto LossMargin = Millis(1000);
 
 EntryContext contextOf(Node &node, FanOut &fanOut, ThreadPool &launches)
 {
@@ -35,6 +37,16 @@
             node.config.operatorToken};
 }
 
+/** A longer task lease means fewer renewals and a longer wait for gangs whose workers are lost. */
+EntryTerms termsOf(const NodeConfig &config)
+{
+    EntryTerms terms;
+    terms.launch.taskLease = config.taskLease;
+    terms.placer.headLossWait = config.taskLease + LossMargin;
+    terms.placer.memberLossWait = 2 * (config.taskLease + LossMargin);
+    return terms;
+}
+
 class EntryRole : public Role
 {
 public:
@@ -42,7 +54,7 @@
         : node(node)
         , fanOut(FanOutThreads)
         , launches(LaunchThreads, MaxQueuedLaunches)
-        , service(contextOf(node, this->fanOut, this->launches), EntryTerms{})
+        , service(contextOf(node, this->fanOut, this->launches), termsOf(node.config))
     {
     }
 
@@ -53,6 +65,7 @@
         this->settingsTicker = std::make_unique<Ticker>(SettingsInterval, [this] { this->service.tickSettings(); });
         this->placerTicker = std::make_unique<Ticker>(PlacerInterval, [this] { this->service.tickPlacer(); });
         this->queueTicker = std::make_unique<Ticker>(QueueInterval, [this] { this->service.tickQueue(); });
+        this->sweepTicker = std::make_unique<Ticker>(SweepInterval, [this] { this->service.tickSweep(); });
         this->service.setPlacerWakeUp([this] { this->placerTicker->nudge(); });
         this->node.http.serveFront(this->service);
         this->node.http.run();
@@ -69,6 +82,7 @@
         this->placerTicker->stop();
         this->settingsTicker->stop();
         this->queueTicker->stop();
+        this->sweepTicker->stop();
         this->launches.close();
         this->service.release();
         this->node.rpc.close();
@@ -83,6 +97,7 @@
     std::unique_ptr<Ticker> settingsTicker;
     std::unique_ptr<Ticker> placerTicker;
     std::unique_ptr<Ticker> queueTicker;
+    std::unique_ptr<Ticker> sweepTicker;
 };
 
 } // namespace
--- a/src/process/nodeconfig.cpp
+++ b/src/process/nodeconfig.cpp
@@ -177,6 +177,8 @@
     config.httpThreads = static_cast<std::uint32_t>(limits.whole("http_threads", config.httpThreads, 4, 4096));
     config.rpcThreads = static_cast<std::uint32_t>(limits.whole("rpc_threads", config.rpcThreads, 2, 4096));
     config.eventCapacity = static_cast<std::uint32_t>(limits.whole("events", config.eventCapacity, 100, 1'000'000));
+    config.taskLease = Millis(limits.whole("task_lease_ms", config.taskLease.count(), 1000, 600'000));
+    config.checkpointInterval = Millis(limits.whole("checkpoint_interval_ms", config.checkpointInterval.count(), 1000, 86'400'000));
     config.balancerWait = Millis(limits.whole("balancer_wait_ms", config.balancerWait.count(), 0, 600'000));
     config.shutdownLimit = Millis(limits.whole("shutdown_limit_ms", config.shutdownLimit.count(), 0, 86'400'000));
     limits.finish();
--- a/src/request/claimstore.cpp
+++ b/src/request/claimstore.cpp
@@ -21,7 +21,9 @@
         .dump();
 }
 
-Result<Claim> parse(const Row &row)
+} // namespace
+
+Result<Claim> parseClaim(const Row &row)
 {
     const auto json = nlohmann::json::parse(row.value, nullptr, false);
     if (!json.is_object()) {
@@ -37,8 +39,6 @@
     return claim;
 }
 
-} // namespace
-
 ClaimStore::ClaimStore(TableStore &table, IdSource &ids)
     : table(table)
     , ids(ids)
@@ -54,7 +54,7 @@
     if (!valueOf(row)) {
         return std::optional<Claim>();
     }
-    auto claim = parse(*valueOf(row));
+    auto claim = parseClaim(*valueOf(row));
     return succeeded(claim) ? Result<std::optional<Claim>>(std::move(valueOf(claim))) : errorOf(claim);
 }
 
--- a/src/request/entryservice.cpp
+++ b/src/request/entryservice.cpp
@@ -99,6 +99,7 @@
                [this] { this->wakePlacer(); },
                context.location.region,
                terms.callTimeout})
+    , sweeper(context.table, context.clock, context.ids, SweepTerms{})
 {
     this->members.setListener([this](const Member &member) { this->servers.update(member); });
 }
@@ -332,6 +333,13 @@
     }
 }
 
+void EntryService::tickSweep()
+{
+    if (this->placerDuty.heldEpoch()) {
+        this->sweeper.sweep();
+    }
+}
+
 void EntryService::drain()
 {
     this->isDraining.store(true, std::memory_order_release);
--- a/src/request/jobstore.cpp
+++ b/src/request/jobstore.cpp
@@ -72,6 +72,7 @@
     record.region = json.value("region", "");
     record.payload = json.value("payload", "");
     record.submittedAtWallMillis = json.value("submitted_at_ms", std::int64_t(0));
+    record.endedAtWallMillis = json.value("ended_at_ms", std::int64_t(0));
     record.state = enumField(json, "state", JobState::Queued);
     record.outcome = enumField(json, "outcome", Outcome::Unknown);
     record.detail = json.value("detail", "");
@@ -89,13 +90,6 @@
     return record;
 }
 
-void endAs(JobRecord &record, Outcome outcome, std::string detail)
-{
-    record.state = JobState::Ended;
-    record.outcome = outcome;
-    record.detail = std::move(detail);
-}
-
 void requeue(JobRecord &record, std::string detail)
 {
     record.state = JobState::Queued;
@@ -139,6 +133,7 @@
                           {"region", record.region},
                           {"payload", record.payload},
                           {"submitted_at_ms", record.submittedAtWallMillis},
+                          {"ended_at_ms", record.endedAtWallMillis},
                           {"state", nameOf(record.state)},
                           {"outcome", nameOf(record.outcome)},
                           {"detail", record.detail},
@@ -246,8 +241,9 @@
     return succeeded(committed) ? Result<std::uint64_t>(valueOf(committed).revision) : errorOf(committed);
 }
 
-TableGangRecorder::TableGangRecorder(JobStore &jobs)
+TableGangRecorder::TableGangRecorder(JobStore &jobs, Clock &clock)
     : jobs(jobs)
+    , clock(clock)
 {
 }
 
@@ -261,7 +257,7 @@
     if (!record || record->state != JobState::Placed || record->attempt != attempt) {
         return true;
     }
-    return succeeded(this->jobs.update(afterAttempt(*record, verdict)));
+    return succeeded(this->jobs.update(afterAttempt(*record, verdict, this->clock.wallMillis())));
 }
 
 bool TableGangRecorder::recordCheckpoint(const JobId &job, const AttemptId &attempt, const std::string &key)
@@ -278,6 +274,14 @@
     return succeeded(this->jobs.update(*record));
 }
 
+void endJob(JobRecord &record, Outcome outcome, std::string detail, std::int64_t wallMillis)
+{
+    record.state = JobState::Ended;
+    record.outcome = outcome;
+    record.detail = std::move(detail);
+    record.endedAtWallMillis = wallMillis;
+}
+
 void noteCheckpoint(JobRecord &record, const std::string &key)
 {
     if (!key.empty() && key != record.checkpoint) {
@@ -285,20 +289,20 @@
     }
 }
 
-JobRecord afterAttempt(JobRecord record, const GangVerdict &verdict)
+JobRecord afterAttempt(JobRecord record, const GangVerdict &verdict, std::int64_t wallMillis)
 {
     if (verdict.outcome == Outcome::Done) {
-        endAs(record, Outcome::Done, "");
+        endJob(record, Outcome::Done, "", wallMillis);
         return record;
     }
     if (record.cancelRequested) {
-        endAs(record, Outcome::Cancelled, "cancelled while it ran");
+        endJob(record, Outcome::Cancelled, "cancelled while it ran", wallMillis);
         return record;
     }
     if (verdict.checkpointIsDamaged) {
         record.checkpoint = std::exchange(record.earlierCheckpoint, std::string());
         if (record.checkpoint.empty() && !record.kind.idempotent) {
-            endAs(record, Outcome::Unknown, verdict.reason + "; it ran in part and is not repeated");
+            endJob(record, Outcome::Unknown, verdict.reason + "; it ran in part and is not repeated", wallMillis);
             return record;
         }
     }
@@ -311,7 +315,7 @@
     if (verdict.outcome == Outcome::Failed) {
         record.failedOn.push_back(record.members.empty() ? NodeId{} : record.members.front().node);
         if (!record.kind.idempotent || record.failedOn.size() >= MaxFailures) {
-            endAs(record, Outcome::Failed, verdict.reason + "; failed on " + joinNodes(record.failedOn));
+            endJob(record, Outcome::Failed, verdict.reason + "; failed on " + joinNodes(record.failedOn), wallMillis);
         } else {
             requeue(record, verdict.reason);
         }
@@ -320,7 +324,7 @@
     if (record.kind.idempotent || (record.kind.checkpointable && !record.checkpoint.empty())) {
         requeue(record, verdict.reason);
     } else {
-        endAs(record, Outcome::Unknown, verdict.reason + "; it may have run in part and is not repeated");
+        endJob(record, Outcome::Unknown, verdict.reason + "; it may have run in part and is not repeated", wallMillis);
     }
     return record;
 }
--- a/src/request/placer.cpp
+++ b/src/request/placer.cpp
@@ -385,9 +385,7 @@
 void Placer::endWaiting(Tenure &tenure, const JobRecord &record, Outcome outcome, const std::string &detail)
 {
     auto ended = record;
-    ended.state = JobState::Ended;
-    ended.outcome = outcome;
-    ended.detail = detail;
+    endJob(ended, outcome, detail, this->context.clock.wallMillis());
     tenure.jobs.erase(record.id);
     this->context.events.record(EventKind::JobEnded, record.id.value, record.workspace.value, std::string(nameOf(outcome)) + " " + detail);
     this->context.runLater([this, ended] { this->context.jobs.update(ended); });
@@ -415,7 +413,7 @@
         if (!row || row->state != JobState::Placed || row->attempt != record.attempt) {
             return;
         }
-        const auto written = this->context.jobs.update(afterAttempt(*row, verdict));
+        const auto written = this->context.jobs.update(afterAttempt(*row, verdict, this->context.clock.wallMillis()));
         if (succeeded(written)) {
             return;
         }
--- /dev/null
+++ b/src/request/rowsweeper.cpp
@@ -0,0 +1,53 @@
+#include "waxwingloft/request/rowsweeper.h"
+
+#include "waxwingloft/request/claimstore.h"
+#include "waxwingloft/request/jobstore.h"
+
+namespace waxwingloft {
+
+RowSweeper::RowSweeper(TableStore &table, Clock &clock, IdSource &ids, SweepTerms terms)
+    : table(table)
+    , clock(clock)
+    , ids(ids)
+    , terms(terms)
+{
+}
+
+std::size_t RowSweeper::sweep()
+{
+    const auto jobs = this->sweepUnder("job/", &RowSweeper::isOldJob, this->terms.maxDeletes);
+    return jobs + this->sweepUnder("claim/", &RowSweeper::isOldClaim, this->terms.maxDeletes - jobs);
+}
+
+bool RowSweeper::isOldJob(const Row &row) const
+{
+    const auto record = parseJob(row);
+    return succeeded(record) && valueOf(record).state == JobState::Ended
+        && this->clock.wallMillis() - valueOf(record).endedAtWallMillis >= this->terms.jobRetention.count();
+}
+
+bool RowSweeper::isOldClaim(const Row &row) const
+{
+    const auto claim = parseClaim(row);
+    return succeeded(claim) && this->clock.wallMillis() - valueOf(claim).claimedAtWallMillis >= this->terms.claimRetention.count();
+}
+
+std::size_t RowSweeper::sweepUnder(const std::string &prefix, IsOld isOld, std::size_t limit)
+{
+    const auto listed = this->table.list(prefix, 0);
+    std::size_t deleted = 0;
+    if (!succeeded(listed)) {
+        return deleted;
+    }
+    for (const auto &row : valueOf(listed).rows) {
+        if (deleted >= limit) {
+            break;
+        }
+        if ((this->*isOld)(row)) {
+            deleted += succeeded(this->table.commit({this->ids.next(), {{row.key, row.revision}}, {{row.key, std::nullopt}}})) ? 1 : 0;
+        }
+    }
+    return deleted;
+}
+
+} // namespace waxwingloft
