--- a/standins/announcer.cpp
+++ b/standins/announcer.cpp
@@ -1,13 +1,18 @@
 #include "announcer.h"
 
 #include <csignal>
-#include <httplib.h>
+#include <iostream>
+#include <memory>
 
 namespace waxwingloft::standins {
 
 namespace {
 
 constexpr auto Interval = std::chrono::seconds(1);
+constexpr std::size_t ServerThreads = 128;
+constexpr std::size_t KeepAliveRequests = 1'000'000;
+constexpr int KeepAliveSeconds = 60;
+constexpr int ExitCannotListen = 3;
 
 sigset_t stopSignals()
 {
@@ -48,23 +53,33 @@
     }
 }
 
-std::pair<std::string, int> splitAddress(const std::string &address)
-{
-    const auto colon = address.rfind(':');
-    return {address.substr(0, colon), std::stoi(address.substr(colon + 1))};
-}
-
 void blockStopSignals()
 {
     const auto signals = stopSignals();
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
 }
 
-void waitForStopSignal()
+int serveUntilStopped(httplib::Server &http, const std::string &address, const std::string &agent, const std::string &announcement)
 {
-    const auto signals = stopSignals();
-    int signal = 0;
-    sigwait(&signals, &signal);
+    http.new_task_queue = [] { return new httplib::ThreadPool(ServerThreads); };
+    http.set_tcp_nodelay(true);
+    http.set_keep_alive_max_count(KeepAliveRequests);
+    http.set_keep_alive_timeout(KeepAliveSeconds);
+    const auto colon = address.rfind(':');
+    if (!http.bind_to_port(address.substr(0, colon), std::stoi(address.substr(colon + 1)))) {
+        std::cerr << "cannot listen on " << address << "\n";
+        return ExitCannotListen;
+    }
+    std::thread server([&http] { http.listen_after_bind(); });
+    {
+        const auto announcer = agent.empty() ? nullptr : std::make_unique<Announcer>(agent, announcement);
+        const auto signals = stopSignals();
+        int signal = 0;
+        sigwait(&signals, &signal);
+    }
+    http.stop();
+    server.join();
+    return 0;
 }
 
 } // namespace waxwingloft::standins
--- a/standins/announcer.h
+++ b/standins/announcer.h
@@ -2,6 +2,7 @@
 #define WAXWINGLOFT_STANDINS_ANNOUNCER_H
 
 #include <condition_variable>
+#include <httplib.h>
 #include <mutex>
 #include <string>
 #include <thread>
@@ -29,14 +30,15 @@
     std::thread thread;
 };
 
-/** Splits "127.0.0.1:9000" into host and port. */
-std::pair<std::string, int> splitAddress(const std::string &address);
-
 /** Blocks SIGTERM and SIGINT in this thread and those it starts; call first in main(). */
 void blockStopSignals();
 
-/** Returns when one of the blocked signals arrives. */
-void waitForStopSignal();
+/**
+ * Serves on @p address until a stop signal arrives; announces itself to @p agent unless that is empty.
+ *
+ * Returns the exit code of the program.
+ */
+int serveUntilStopped(httplib::Server &http, const std::string &address, const std::string &agent, const std::string &announcement);
 
 } // namespace waxwingloft::standins
 
--- a/standins/backendserver.cpp
+++ b/standins/backendserver.cpp
@@ -4,7 +4,6 @@
 #include <absl/flags/parse.h>
 #include <atomic>
 #include <httplib.h>
-#include <iostream>
 #include <map>
 #include <mutex>
 #include <nlohmann/json.hpp>
@@ -79,24 +78,8 @@
     const auto slots = absl::GetFlag(FLAGS_slots);
     BackendServer backend(slots, std::chrono::milliseconds(absl::GetFlag(FLAGS_work_ms)));
     httplib::Server http;
-    http.new_task_queue = [] { return new httplib::ThreadPool(64); };
-    http.set_tcp_nodelay(true);
-    http.set_keep_alive_max_count(1'000'000);
-    http.set_keep_alive_timeout(60);
     http.Post("/v1/run/(.+)", [&backend](const httplib::Request &request, httplib::Response &response) { backend.run(request, response); });
     http.Get("/v1/runs", [&backend](const httplib::Request &, httplib::Response &response) { backend.listRuns(response); });
-    const auto [host, port] = splitAddress(listen);
-    if (!http.bind_to_port(host, port)) {
-        std::cerr << "cannot listen on " << listen << "\n";
-        return 3;
-    }
-    std::thread server([&http] { http.listen_after_bind(); });
-    {
-        const nlohmann::json announcement{{"role", "backend-server"}, {"address", "http://" + listen}, {"kinds", absl::GetFlag(FLAGS_kinds)}, {"slots", slots}};
-        const Announcer announcer(absl::GetFlag(FLAGS_agent), announcement.dump());
-        waitForStopSignal();
-    }
-    http.stop();
-    server.join();
-    return 0;
+    const nlohmann::json announcement{{"role", "backend-server"}, {"address", "http://" + listen}, {"kinds", absl::GetFlag(FLAGS_kinds)}, {"slots", slots}};
+    return serveUntilStopped(http, listen, absl::GetFlag(FLAGS_agent), announcement.dump());
 }
--- a/standins/platform.cpp
+++ b/standins/platform.cpp
@@ -3,7 +3,6 @@
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <httplib.h>
-#include <iostream>
 #include <map>
 #include <mutex>
 #include <nlohmann/json.hpp>
@@ -27,7 +26,6 @@
 
 constexpr std::array<std::string_view, 4> ModeNames = {"up", "down", "slow", "lose-answers"};
 constexpr auto SlowDelay = std::chrono::milliseconds(300);
-constexpr std::size_t ServerThreads = 128;
 
 struct StoredRow {
     std::string value;
@@ -191,19 +189,6 @@
     blockStopSignals();
     Platform platform;
     httplib::Server http;
-    http.new_task_queue = [] { return new httplib::ThreadPool(ServerThreads); };
-    http.set_tcp_nodelay(true);
-    http.set_keep_alive_max_count(1'000'000);
-    http.set_keep_alive_timeout(60);
     platform.serve(http);
-    const auto [host, port] = splitAddress(absl::GetFlag(FLAGS_listen));
-    if (!http.bind_to_port(host, port)) {
-        std::cerr << "cannot listen on " << host << ":" << port << "\n";
-        return 3;
-    }
-    std::thread server([&http] { http.listen_after_bind(); });
-    waitForStopSignal();
-    http.stop();
-    server.join();
-    return 0;
+    return serveUntilStopped(http, absl::GetFlag(FLAGS_listen), "", "");
 }
--- a/standins/worker.cpp
+++ b/standins/worker.cpp
@@ -4,7 +4,6 @@
 #include <absl/flags/parse.h>
 #include <chrono>
 #include <httplib.h>
-#include <iostream>
 #include <map>
 #include <mutex>
 #include <nlohmann/json.hpp>
@@ -155,31 +154,15 @@
     const auto listen = absl::GetFlag(FLAGS_listen);
     Worker worker;
     httplib::Server http;
-    http.new_task_queue = [] { return new httplib::ThreadPool(16); };
-    http.set_tcp_nodelay(true);
-    http.set_keep_alive_max_count(1'000'000);
-    http.set_keep_alive_timeout(60);
     http.Post("/v1/tasks", [&worker](const httplib::Request &request, httplib::Response &response) { worker.start(request, response); });
     http.Post("/v1/tasks/(.+)/renew", [&worker](const httplib::Request &request, httplib::Response &response) { worker.renew(request, response); });
     http.Post("/v1/tasks/(.+)/checkpoint", [&worker](const httplib::Request &request, httplib::Response &response) { worker.checkpoint(request, response); });
     http.Post("/v1/tasks/(.+)/throttle", [&worker](const httplib::Request &request, httplib::Response &response) { worker.throttle(request, response); });
     http.Post("/v1/tasks/(.+)/stop", [&worker](const httplib::Request &request, httplib::Response &response) { worker.stop(request, response); });
-    const auto [host, port] = splitAddress(listen);
-    if (!http.bind_to_port(host, port)) {
-        std::cerr << "cannot listen on " << listen << "\n";
-        return 3;
-    }
-    std::thread server([&http] { http.listen_after_bind(); });
-    {
-        const nlohmann::json announcement{{"role", "worker"},
-                                          {"address", "http://" + listen},
-                                          {"processors", absl::GetFlag(FLAGS_processors)},
-                                          {"memory_gb", absl::GetFlag(FLAGS_memory_gb)},
-                                          {"accelerators", absl::GetFlag(FLAGS_accelerators)}};
-        const Announcer announcer(absl::GetFlag(FLAGS_agent), announcement.dump());
-        waitForStopSignal();
-    }
-    http.stop();
-    server.join();
-    return 0;
+    const nlohmann::json announcement{{"role", "worker"},
+                                      {"address", "http://" + listen},
+                                      {"processors", absl::GetFlag(FLAGS_processors)},
+                                      {"memory_gb", absl::GetFlag(FLAGS_memory_gb)},
+                                      {"accelerators", absl::GetFlag(FLAGS_accelerators)}};
+    return serveUntilStopped(http, listen, absl::GetFlag(FLAGS_agent), announcement.dump());
 }
