Let a take-over and an urgent start fit into 5.7 s

Cause: a placer's successor looked at the duty once a second and waited 3 s; with a grace of 2.5 s an urgent owner could wait over 7 s. Change: the duty is looked at on every tick of 200 ms and renewed every third of a lease of 2.5 s; the urgent grace is 2 s.

--- a/include/waxwingloft/process/duty.h
+++ b/include/waxwingloft/process/duty.h
@@ -14,8 +14,8 @@
 
 /** Times of a lease on a duty. */
 struct LeaseTerms {
-    Millis term = Millis(3000); ///< how long a grant lasts for everyone else
-    Millis safety = Millis(500); ///< how much earlier the holder counts it as lapsed
+    Millis term = Millis(2500); ///< how long a grant lasts for everyone else
+    Millis safety = Millis(400); ///< how much earlier the holder counts it as lapsed
 };
 
 /** A grant as written to the table. */
@@ -45,7 +45,11 @@
     /** @p name is the row's key below "duty/", such as "placer/vejle". */
     Duty(TableStore &table, Clock &clock, EventLog &events, IdSource &ids, std::string name, NodeId self, std::string address, LeaseTerms terms);
 
-    /** Renews the lease, or tries to take it over when the holder's has lapsed. Returns whether it is held now. */
+    /**
+     * Renews the lease when a third of it has passed, or tries to take it over when the holder's has lapsed.
+     *
+     * Returns whether it is held now. Call often: a holder asks the table only when a renewal is due.
+     */
     bool pursue();
 
     /** Returns the epoch while the lease is held. Check again after every wait. */
@@ -76,6 +80,7 @@
     std::optional<DutyRecord> seen;
     std::optional<Instant> seenUnchangedSince;
     std::optional<Instant> heldUntil;
+    Instant renewAt;
 };
 
 } // namespace waxwingloft
--- a/include/waxwingloft/request/agentservice.h
+++ b/include/waxwingloft/request/agentservice.h
@@ -135,7 +135,6 @@
     std::mutex membership; ///< serializes ticks
     std::string leaderAddress;
     std::vector<BookPosition> entryPositions; ///< what each entry knows of the book
-    Instant leaseCheckedAt;
 };
 
 } // namespace waxwingloft
--- a/include/waxwingloft/request/entryservice.h
+++ b/include/waxwingloft/request/entryservice.h
@@ -49,7 +49,7 @@
     LaunchTerms launch;
     PlacerTerms placer;
     DetectionTerms detection;
-    LeaseTerms placerLease = {Millis(3000), Millis(500)};
+    LeaseTerms placerLease; ///< short, so that a take-over and an urgent start fit into 5.7 s
     Millis callTimeout = Millis(1000); ///< for a question to another process
 };
 
@@ -145,7 +145,6 @@
     std::mutex leadersMutex;
     std::map<std::string, std::string> leaders; ///< address of each shard's leader
     std::map<std::string, std::unique_ptr<ShardBook>> standInBooks; ///< of shards whose members report here directly
-    Instant dutyCheckedAt;
 };
 
 } // namespace waxwingloft
--- a/include/waxwingloft/request/gangjob.h
+++ b/include/waxwingloft/request/gangjob.h
@@ -56,7 +56,7 @@
 
 /** Times and bounds of the scheduling of gangs. */
 struct SchedulerTerms {
-    Millis urgentGrace = Millis(2500); ///< grace of a lent job when an urgent owner asks
+    Millis urgentGrace = Millis(2000); ///< grace of a lent job when an urgent owner asks
     Millis starvationAge = Millis(120000); ///< waiting time after which workers are drained for a job
     Millis neverRunnableAfter = Millis(600000); ///< time after which a job that no longer fits the fleet is ended
     double maxDrainedShare = 0.25; ///< of the workers; one job's drain is always allowed
--- a/src/process/duty.cpp
+++ b/src/process/duty.cpp
@@ -37,6 +37,13 @@
 
 bool Duty::pursue()
 {
+    {
+        const std::lock_guard<std::mutex> guard(this->mutex);
+        const auto now = this->clock.now();
+        if (this->heldUntil && now < *this->heldUntil && now < this->renewAt) {
+            return true;
+        }
+    }
     const auto row = this->table.get("duty/" + this->name);
     const auto now = this->clock.now();
     if (!succeeded(row)) {
@@ -105,6 +112,7 @@
     this->seenRevision = valueOf(committed).revision;
     this->seenUnchangedSince = this->clock.now();
     this->heldUntil = sentAt + this->terms.term - this->terms.safety;
+    this->renewAt = sentAt + this->terms.term / 3;
     if (isNew) {
         this->events.record(EventKind::LeaseTaken, this->name, {}, "epoch " + std::to_string(record.epoch));
     }
--- a/src/request/agentservice.cpp
+++ b/src/request/agentservice.cpp
@@ -271,11 +271,7 @@
 {
     this->book.heartbeat(this->currentMember());
     this->book.sweep();
-    const auto now = this->context.clock.now();
-    if (now - this->leaseCheckedAt >= this->terms.leaderLease.term / 3) {
-        this->leaseCheckedAt = now;
-        this->leaderDuty.pursue();
-    }
+    this->leaderDuty.pursue();
     this->pushToEntries();
 }
 
--- a/src/request/entryservice.cpp
+++ b/src/request/entryservice.cpp
@@ -299,12 +299,8 @@
 
 void EntryService::tickPlacer()
 {
-    const auto now = this->context.clock.now();
-    if (now - this->dutyCheckedAt >= this->terms.placerLease.term / 3) {
-        this->dutyCheckedAt = now;
-        if (!this->isDraining.load(std::memory_order_acquire) || this->placerDuty.heldEpoch()) {
-            this->placerDuty.pursue();
-        }
+    if (!this->isDraining.load(std::memory_order_acquire) || this->placerDuty.heldEpoch()) {
+        this->placerDuty.pursue();
     }
     const auto epoch = this->placerDuty.heldEpoch();
     if (epoch) {
--- a/tests/connection/httpfronttest.cpp
+++ b/tests/connection/httpfronttest.cpp
@@ -140,7 +140,14 @@
 
 TEST_F(HttpFrontTest, refusesMalformedInputWithATypedErrorAndNoEffect)
 {
-    for (const auto *body : {"", "{", "[]", "{\"kind\": 7}", "{\"kind\": \"k\", \"acelerators\": 1}", "{\"kind\": \"k\", \"tasks\": 0}", "{\"kind\": \"k\", \"tasks\": 1e99, \"accelerators\": 1}", "{\"kind\": \"k\", \"accelerators\": -1}"}) {
+    for (const auto *body : {"",
+                             "{",
+                             "[]",
+                             "{\"kind\": 7}",
+                             "{\"kind\": \"k\", \"acelerators\": 1}",
+                             "{\"kind\": \"k\", \"tasks\": 0}",
+                             "{\"kind\": \"k\", \"tasks\": 1e99, \"accelerators\": 1}",
+                             "{\"kind\": \"k\", \"accelerators\": -1}"}) {
         const auto answer = this->post("/v1/jobs", body);
         ASSERT_TRUE(answer) << body;
         EXPECT_EQ(answer->status, 400) << body;
--- a/tests/process/tableclienttest.cpp
+++ b/tests/process/tableclienttest.cpp
@@ -58,10 +58,10 @@
     Duty second(this->view, this->clock, events, ids, "placer/r", NodeId{"n2"}, "n2:1", LeaseTerms{});
     EXPECT_TRUE(first.pursue());
     EXPECT_FALSE(second.pursue());
-    this->clock.advance(Millis(2500));
+    this->clock.advance(Millis(2100));
     EXPECT_FALSE(first.heldEpoch().has_value()) << "the holder counts it as lapsed first";
     EXPECT_FALSE(second.pursue());
-    this->clock.advance(Millis(500));
+    this->clock.advance(Millis(400));
     EXPECT_TRUE(second.pursue());
     EXPECT_EQ(second.heldEpoch(), Epoch(2));
     EXPECT_FALSE(first.pursue());
--- a/tests/request/site.cpp
+++ b/tests/request/site.cpp
@@ -112,6 +112,7 @@
         "check": {"form": "call", "urgency": "urgent", "idempotent": true, "deadline_ms": 20000},
         "invoice": {"form": "call", "idempotent": false, "deadline_ms": 20000},
         "fit": {"form": "gang", "idempotent": true},
+        "probe": {"form": "gang", "urgency": "urgent", "idempotent": false, "checkpointable": true},
         "simulation": {"form": "gang", "idempotent": false, "checkpointable": true}})");
     const auto workspaces = nlohmann::json::parse(R"({
         "plant": {"tokens": ["caller-token"], "guarantees": [{"accelerators": 8, "adjacency": "worker"}]},
