Make crossed answers and restarted agents bite in the matrix; linter clean

Cause: two recorded changes were not caught: no cell crossed the answer of another request, and killed agents came back only at rest. Change: another request runs first, crossed answers are those of the same message, and agents return before the caller's retry. The linter ignores the compiler's own warnings, which the build treats as errors, and names constexpr values in one way.

--- a/src/connection/private/nodeserver.h
+++ b/src/connection/private/nodeserver.h
@@ -34,7 +34,7 @@
 };
 
 /** The capability that peers call. Lives on the event loop's thread. */
-class NodeServer : public wire::Node::Server
+class NodeServer final : public wire::Node::Server
 {
 public:
     explicit NodeServer(MessageDispatcher &dispatcher);
--- a/tests/connection/fakenet.h
+++ b/tests/connection/fakenet.h
@@ -119,7 +119,7 @@
         if (transport == Transport::Duplicate) {
             reply = this->deliver(address, fromHeaders.outgoing(), message);
         }
-        return this->finishCall(transport, from, to, fromHeaders, std::move(reply));
+        return this->finishCall(transport, from, to, messageName(message), fromHeaders, std::move(reply));
     }
 
     /** Delivers what was held back to processes that answer again; the answers go nowhere. */
@@ -168,7 +168,8 @@
         return messageName(message) == "background";
     }
 
-    Result<Message> finishCall(Transport transport, const std::string &from, const std::string &to, HeaderKeeper &fromHeaders, Result<Message> reply)
+    Result<Message>
+    finishCall(Transport transport, const std::string &from, const std::string &to, const std::string &what, HeaderKeeper &fromHeaders, Result<Message> reply)
     {
         if (transport == Transport::KillAskerAfter) {
             throw ProcessKilled{from};
@@ -180,10 +181,11 @@
         if (transport == Transport::LoseReply || !succeeded(reply)) {
             return makeError(ErrorKind::Ambiguous, "no answer from " + to);
         }
-        if (transport == Transport::CrossReply && this->earlier) {
-            return *this->earlier;
+        const auto earlier = this->earlierReplies.find(what);
+        if (transport == Transport::CrossReply && earlier != this->earlierReplies.end()) {
+            return earlier->second;
         }
-        this->earlier = valueOf(reply);
+        this->earlierReplies[what] = valueOf(reply);
         fromHeaders.incoming(this->lastReplyHeader);
         return reply;
     }
@@ -215,7 +217,7 @@
     std::set<std::string> frozen;
     std::set<std::pair<std::string, std::string>> cuts;
     std::deque<Held> held;
-    std::optional<Message> earlier;
+    std::map<std::string, Message> earlierReplies; ///< the latest answer to each sort of message
     Header lastReplyHeader;
 };
 
--- a/tests/connection/httpfronttest.cpp
+++ b/tests/connection/httpfronttest.cpp
@@ -113,9 +113,9 @@
         address.sin_family = AF_INET;
         address.sin_port = htons(static_cast<std::uint16_t>(this->http.port()));
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        connect(descriptor, reinterpret_cast<sockaddr *>(&address), sizeof(address));
+        EXPECT_EQ(connect(descriptor, reinterpret_cast<sockaddr *>(&address), sizeof(address)), 0);
         send(descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
-        shutdown(descriptor, SHUT_WR);
+        EXPECT_EQ(shutdown(descriptor, SHUT_WR), 0);
         std::array<char, 64> answer{};
         const auto length = recv(descriptor, answer.data(), answer.size() - 1, 0);
         close(descriptor);
--- a/tests/connection/rpcnodetest.cpp
+++ b/tests/connection/rpcnodetest.cpp
@@ -48,7 +48,7 @@
         sockaddr_in address{};
         address.sin_family = AF_INET;
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        bind(this->descriptor, reinterpret_cast<sockaddr *>(&address), sizeof(address));
+        EXPECT_EQ(bind(this->descriptor, reinterpret_cast<sockaddr *>(&address), sizeof(address)), 0);
         listen(this->descriptor, 8);
         socklen_t length = sizeof(address);
         getsockname(this->descriptor, reinterpret_cast<sockaddr *>(&address), &length);
--- a/tests/request/faultmatrixtest.cpp
+++ b/tests/request/faultmatrixtest.cpp
@@ -92,6 +92,7 @@
 
     void run()
     {
+        this->warmUp();
         this->site.plan.start();
         switch (this->scenario) {
         case Scenario::Check:
@@ -100,6 +101,9 @@
         case Scenario::Invoice:
             this->call("entry-1", "invoice");
             this->site.advance(Millis(2000));
+            this->site.restart("server-1");
+            this->site.restart("server-2");
+            this->site.advance(Millis(2000));
             this->call("entry-2", "invoice");
             break;
         case Scenario::Fit:
@@ -202,6 +206,12 @@
         }
     }
 
+    /** Runs another caller's request first, so that a crossed answer is one that belongs to somebody else. */
+    void warmUp()
+    {
+        this->site.entry("entry-1").call({Site::callerToken, CallerId{"other"}, RequestId{}, KindId{"check"}, Millis(0), "warm-up"});
+    }
+
     void call(const std::string &entry, const std::string &kind)
     {
         if (!this->site.isUp(entry)) {
--- a/tests/request/site.cpp
+++ b/tests/request/site.cpp
@@ -103,7 +103,7 @@
     }
     for (const auto &name : AgentNames) {
         if (isWorker(name)) {
-            this->workers[name] = std::make_unique<FakeWorker>(this->clock, taskRunTime);
+            this->workers[name] = std::make_unique<FakeWorker>(this->clock, TaskRunTime);
         }
         this->startProcess(name);
     }
--- a/tests/request/site.h
+++ b/tests/request/site.h
@@ -47,7 +47,7 @@
 class Site
 {
 public:
-    static constexpr Millis taskRunTime{6000};
+    static constexpr Millis TaskRunTime{6000};
 
     Site();
     ~Site();
