Let planner and drains share one table of adjacency domains

Cause: shapeplanner.cpp and drainbook.cpp each held the same table from adjacency to domain key. Change: domainOf() serves both; a candidate no longer carries its rack. Behaviour unchanged.

--- a/include/waxwingloft/version/shapeplanner.h
+++ b/include/waxwingloft/version/shapeplanner.h
@@ -17,6 +17,9 @@
     std::optional<std::uint32_t> rack; ///< only the workers of this rack
 };
 
+/** Returns a key that workers within one domain of @p adjacency share: the worker itself, its rack, data centre or region. */
+std::uint64_t domainOf(const FleetBook &fleet, WorkerIndex worker, Adjacency adjacency);
+
 /** Chooses the workers for the tasks of one shape. */
 class ShapePlanner
 {
--- a/src/request/drainbook.cpp
+++ b/src/request/drainbook.cpp
@@ -1,22 +1,11 @@
 #include "waxwingloft/request/drainbook.h"
 
+#include "waxwingloft/version/shapeplanner.h"
+
 #include <algorithm>
 
 namespace waxwingloft {
 
-namespace {
-
-using DomainOf = std::uint64_t (*)(const FleetBook &, WorkerIndex);
-
-constexpr std::array<DomainOf, NameTable<Adjacency>::names.size()> DomainKeys = {
-    [](const FleetBook &, WorkerIndex worker) -> std::uint64_t { return worker; },
-    [](const FleetBook &fleet, WorkerIndex worker) -> std::uint64_t { return fleet.rackOf(worker); },
-    [](const FleetBook &fleet, WorkerIndex worker) -> std::uint64_t { return fleet.racks()[fleet.rackOf(worker)].dataCentre; },
-    [](const FleetBook &fleet, WorkerIndex worker) -> std::uint64_t { return fleet.racks()[fleet.rackOf(worker)].region; },
-};
-
-} // namespace
-
 DrainBook::DrainBook(const FleetBook &fleet, std::string region)
     : fleet(fleet)
     , region(std::move(region))
@@ -26,12 +15,11 @@
 bool DrainBook::plan(const GangJob &job, const EndEstimate &endOf, Instant now)
 {
     std::map<std::uint64_t, std::vector<WorkerIndex>> domains;
-    const auto keyOf = DomainKeys.at(static_cast<std::size_t>(job.shape.adjacency));
     for (WorkerIndex worker = 0; worker < this->fleet.workerCount(); ++worker) {
         const bool isHere = this->region.empty() || this->fleet.locationOf(worker).region == this->region;
         const bool isUp = this->fleet.conditionOf(worker) == WorkerCondition::Up;
         if (isHere && isUp && this->fleet.capacityOf(worker).covers(job.shape.perTask) && this->mayUse(worker, job.id, Instant::max())) {
-            domains[keyOf(this->fleet, worker)].push_back(worker);
+            domains[domainOf(this->fleet, worker, job.shape.adjacency)].push_back(worker);
         }
     }
     std::optional<Drain> best;
--- a/src/version/shapeplanner.cpp
+++ b/src/version/shapeplanner.cpp
@@ -12,18 +12,17 @@
 /** A worker that has room for at least one task. */
 struct Candidate {
     WorkerIndex worker = 0;
-    std::uint32_t rack = 0;
     std::uint32_t tasks = 0; ///< tasks that fit, at most the shape's
     Resources room;
 };
 
-using DomainOf = std::uint64_t (*)(const FleetBook &, const Candidate &);
+using DomainOf = std::uint64_t (*)(const FleetBook &, WorkerIndex);
 
 constexpr std::array<DomainOf, NameTable<Adjacency>::names.size()> DomainKeys = {
-    [](const FleetBook &, const Candidate &candidate) -> std::uint64_t { return candidate.worker; },
-    [](const FleetBook &, const Candidate &candidate) -> std::uint64_t { return candidate.rack; },
-    [](const FleetBook &fleet, const Candidate &candidate) -> std::uint64_t { return fleet.racks()[candidate.rack].dataCentre; },
-    [](const FleetBook &fleet, const Candidate &candidate) -> std::uint64_t { return fleet.racks()[candidate.rack].region; },
+    [](const FleetBook &, WorkerIndex worker) -> std::uint64_t { return worker; },
+    [](const FleetBook &fleet, WorkerIndex worker) -> std::uint64_t { return fleet.rackOf(worker); },
+    [](const FleetBook &fleet, WorkerIndex worker) -> std::uint64_t { return fleet.racks()[fleet.rackOf(worker)].dataCentre; },
+    [](const FleetBook &fleet, WorkerIndex worker) -> std::uint64_t { return fleet.racks()[fleet.rackOf(worker)].region; },
 };
 
 bool isInScope(const FleetBook &fleet, WorkerIndex worker, const PlanScope &scope)
@@ -38,7 +37,7 @@
         const auto room = fleet.roomOf(worker, scope.room);
         if (room.covers(shape.perTask) && isInScope(fleet, worker, scope)) {
             const auto tasks = static_cast<std::uint32_t>(timesCovered(room, shape.perTask, shape.tasks));
-            candidates.push_back({worker, fleet.rackOf(worker), tasks, room});
+            candidates.push_back({worker, tasks, room});
         }
     };
     if (scope.rack) {
@@ -82,7 +81,7 @@
     std::optional<Candidate> best;
     const auto consider = [&](WorkerIndex worker) {
         const auto room = fleet.roomOf(worker, scope.room);
-        const Candidate candidate{worker, 0, shape.tasks, room};
+        const Candidate candidate{worker, shape.tasks, room};
         if (room.covers(needed) && (!best || leavesLess(candidate, *best)) && isInScope(fleet, worker, scope)) {
             best = candidate;
         }
@@ -107,10 +106,9 @@
 /** Returns the placement in the tightest domain of @p level that holds the whole shape. */
 std::optional<Placement> planInDomain(const FleetBook &fleet, const std::vector<Candidate> &candidates, const Shape &shape, Adjacency level)
 {
-    const auto keyOf = DomainKeys.at(static_cast<std::size_t>(level));
     std::map<std::uint64_t, Domain> domains;
     for (const auto &candidate : candidates) {
-        auto &domain = domains[keyOf(fleet, candidate)];
+        auto &domain = domains[domainOf(fleet, candidate.worker, level)];
         domain.tasks += candidate.tasks;
         domain.accelerators += candidate.room.accelerators;
         domain.processors += candidate.room.processors;
@@ -128,13 +126,19 @@
         return std::nullopt;
     }
     std::vector<Candidate> inside;
-    std::copy_if(
-        candidates.begin(), candidates.end(), std::back_inserter(inside), [&](const Candidate &candidate) { return keyOf(fleet, candidate) == best->first; });
+    std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(inside), [&](const Candidate &candidate) {
+        return domainOf(fleet, candidate.worker, level) == best->first;
+    });
     return fill(std::move(inside), shape.tasks);
 }
 
 } // namespace
 
+std::uint64_t domainOf(const FleetBook &fleet, WorkerIndex worker, Adjacency adjacency)
+{
+    return DomainKeys.at(static_cast<std::size_t>(adjacency))(fleet, worker);
+}
+
 std::optional<Placement> BestFitPlanner::plan(const FleetBook &fleet, const Shape &shape, const PlanScope &scope) const
 {
     if (shape.tasks == 1 || shape.adjacency == Adjacency::Worker) {
@@ -152,10 +156,9 @@
 
 std::optional<Placement> FirstFitPlanner::plan(const FleetBook &fleet, const Shape &shape, const PlanScope &scope) const
 {
-    const auto keyOf = DomainKeys.at(static_cast<std::size_t>(shape.adjacency));
     std::map<std::uint64_t, std::pair<Placement, std::uint32_t>> partial;
     for (const auto &candidate : findCandidates(fleet, shape, scope)) {
-        auto &[placement, placed] = partial[keyOf(fleet, candidate)];
+        auto &[placement, placed] = partial[domainOf(fleet, candidate.worker, shape.adjacency)];
         const auto taken = std::min(candidate.tasks, shape.tasks - placed);
         placement.push_back({candidate.worker, taken});
         placed += taken;
@@ -168,11 +171,10 @@
 
 std::uint32_t mostTasksThatFit(const FleetBook &fleet, const Shape &shape, const PlanScope &scope)
 {
-    const auto keyOf = DomainKeys.at(static_cast<std::size_t>(shape.adjacency));
     std::map<std::uint64_t, std::uint64_t> fitting;
     std::uint64_t most = 0;
     for (const auto &candidate : findCandidates(fleet, shape, scope)) {
-        auto &tasks = fitting[keyOf(fleet, candidate)];
+        auto &tasks = fitting[domainOf(fleet, candidate.worker, shape.adjacency)];
         tasks += candidate.tasks;
         most = std::max(most, tasks);
     }
