--- /dev/null
+++ b/include/waxwingloft/connection/executorport.h
@@ -0,0 +1,100 @@
+#ifndef WAXWINGLOFT_CONNECTION_EXECUTORPORT_H
+#define WAXWINGLOFT_CONNECTION_EXECUTORPORT_H
+
+#include "waxwingloft/connection/taskmessages.h"
+#include "waxwingloft/process/error.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace waxwingloft {
+
+/** What every answer of an executor tells about itself. */
+struct ExecutorStamp {
+    Millis clock = Millis(0); ///< on the executor's own steady clock, when it answered
+    std::optional<std::int64_t> startedAt; ///< start of its life, Unix time in milliseconds, when it said so
+};
+
+/** An order to start a run. */
+struct StartOrder {
+    TaskRun run;
+    std::string spec;
+    std::string checkpoint;
+    Millis leaseEnd = Millis(0); ///< on the executor's clock; the start is void after it
+    std::uint64_t fencingToken = 0;
+};
+
+/** The answer to a start. Without a reason for refusal the run is there. */
+struct StartAnswer {
+    ExecutorStamp stamp;
+    RefusalReason refusal = RefusalReason::None;
+};
+
+/** Prolongs the lease of all that runs, forgets ends and asks for the lists. */
+struct HoldQuestion {
+    std::optional<Millis> leaseEnd; ///< on the executor's clock; left out, the lease stays as it is
+    std::uint64_t fencingToken = 0;
+    std::uint64_t notedEnds = 0; ///< ends up to this number are forgotten
+    Millis wait = Millis(0); ///< the answer waits this long for an end
+};
+
+/** A run as its executor lists it. */
+struct ListedRun {
+    TaskRun run;
+    std::string checkpoint;
+    std::uint32_t percent = 0;
+};
+
+/** The lists of an executor. */
+struct HoldAnswer {
+    ExecutorStamp stamp;
+    std::vector<ListedRun> running;
+    std::vector<EndReport> ended; ///< all that are not forgotten, oldest first
+};
+
+/**
+ * Orders to one executor.
+ *
+ * Errors: Unreachable when there was surely no effect, Ambiguous when the order may be carried out,
+ * also seconds later, Stale when another life than @p life answered, Fenced orders as Conflict.
+ */
+class ExecutorPort
+{
+public:
+    virtual ~ExecutorPort() = default;
+
+    virtual Result<StartAnswer> start(const ExecutorLife &life, const StartOrder &order) = 0;
+    virtual Result<ExecutorStamp> stop(const ExecutorLife &life, const TaskRun &run, std::uint64_t fencingToken) = 0;
+    virtual Result<HoldAnswer> hold(const ExecutorLife &life, const HoldQuestion &question) = 0;
+};
+
+/** What an executor says of itself at intervals. */
+struct ExecutorHeartbeat {
+    ExecutorLife life;
+    std::uint64_t sequence = 0; ///< rises within a life; an older one is out of date
+    std::string service;
+    std::string zone;
+    std::string address;
+    bool isDraining = false;
+    Capacity capacity;
+    std::vector<std::string> labels;
+    std::optional<Millis> leavesIn; ///< shortest time left to an executor that drains
+};
+
+/** Takes what an executor says of itself. */
+class HeartbeatService
+{
+public:
+    virtual ~HeartbeatService() = default;
+
+    virtual void heartbeat(const ExecutorHeartbeat &heartbeat) = 0;
+
+    /** The executor ends now, and all that runs there with it. */
+    virtual void deregister(const std::string &executorId) = 0;
+};
+
+} // namespace waxwingloft
+
+#endif
--- a/src/connection/private/httpclients.h
+++ b/include/waxwingloft/connection/httpclients.h
@@ -1,5 +1,5 @@
-#ifndef WAXWINGLOFT_CONNECTION_PRIVATE_HTTPCLIENTS_H
-#define WAXWINGLOFT_CONNECTION_PRIVATE_HTTPCLIENTS_H
+#ifndef WAXWINGLOFT_CONNECTION_HTTPCLIENTS_H
+#define WAXWINGLOFT_CONNECTION_HTTPCLIENTS_H
 
 #include "waxwingloft/process/clock.h"
 #include "waxwingloft/process/error.h"
@@ -44,6 +44,7 @@
     using ClientPointer = std::unique_ptr<httplib::Client>;
 
     ClientPointer borrow();
+    void dropIdle();
     void giveBack(ClientPointer client);
 
     const std::string base;
--- a/include/waxwingloft/connection/messages.h
+++ b/include/waxwingloft/connection/messages.h
@@ -1,6 +1,7 @@
 #ifndef WAXWINGLOFT_CONNECTION_MESSAGES_H
 #define WAXWINGLOFT_CONNECTION_MESSAGES_H
 
+#include "waxwingloft/connection/taskmessages.h"
 #include "waxwingloft/process/clock.h"
 #include "waxwingloft/process/error.h"
 #include "waxwingloft/process/eventlog.h"
@@ -247,7 +248,9 @@
                              FetchEvents,
                              EventBatch,
                              NudgePlacer,
-                             DrainNode>;
+                             DrainNode,
+                             AgentReport,
+                             AssignmentSync>;
 
 /** Returns the index of an alternative of Message, for tables of handlers. */
 template<typename T, std::size_t Index = 0>
--- /dev/null
+++ b/include/waxwingloft/connection/taskmessages.h
@@ -0,0 +1,123 @@
+#ifndef WAXWINGLOFT_CONNECTION_TASKMESSAGES_H
+#define WAXWINGLOFT_CONNECTION_TASKMESSAGES_H
+
+#include "waxwingloft/process/capacity.h"
+#include "waxwingloft/process/clock.h"
+#include "waxwingloft/process/ids.h"
+#include "waxwingloft/process/nametable.h"
+#include "waxwingloft/process/taskkey.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace waxwingloft {
+
+/** Where a run stands at its agent. */
+enum class RunPhase {
+    Ordered, ///< the start was sent; whether it took effect is not known
+    Running,
+    Stopping,
+};
+
+template<>
+struct NameTable<RunPhase> {
+    static constexpr std::array<std::string_view, 3> names = {"ordered", "running", "stopping"};
+};
+
+/** How a run ended. */
+enum class RunEnd {
+    Done,
+    Failed,
+    Stopped,
+    Lapsed, ///< the executor's lease ran out
+    Broken, ///< another member of the gang ended
+    Alone, ///< the other members of the gang did not come in time
+    Refused, ///< the executor did not start it and never will
+};
+
+template<>
+struct NameTable<RunEnd> {
+    static constexpr std::array<std::string_view, 7> names = {"done", "failed", "stopped", "lapsed", "broken", "alone", "refused"};
+};
+
+/** Why an executor refused a start. */
+enum class RefusalReason {
+    None,
+    Fenced, ///< it has seen a higher fencing token
+    OldRun, ///< a run with this or a higher number has ended there
+    TooLate, ///< the lease asked for is over
+    NoRoom,
+    NoTicket, ///< the adviser's ticket is missing or no longer valid
+    Malformed,
+    Unhealthy, ///< it takes nothing at the moment
+};
+
+template<>
+struct NameTable<RefusalReason> {
+    static constexpr std::array<std::string_view, 8> names = {"none", "fenced", "old-run", "too-late", "no-room", "no-ticket", "malformed", "unhealthy"};
+};
+
+/** A run that holds room on an executor. */
+struct RunReport {
+    TaskRun run;
+    RunPhase phase = RunPhase::Ordered;
+    std::string checkpoint; ///< newest; empty for none
+    std::uint32_t percent = 0; ///< of its work that is done
+};
+
+/** An end that the placer has not taken note of yet. */
+struct EndReport {
+    std::uint64_t number = 0; ///< rises within a life of the executor; zero for a refusal, which the executor does not list
+    TaskRun run;
+    RunEnd end = RunEnd::Done;
+    std::string checkpoint;
+    RefusalReason refusal = RefusalReason::None;
+};
+
+/** All that an agent knows of its executor. Sent after every change and at intervals. */
+struct AgentReport {
+    NodeId node;
+    std::string address; ///< RPC address of the agent
+    std::uint64_t generation = 0; ///< rises with every start of the agent
+    std::uint64_t sequence = 0; ///< rises with every report of one generation
+    Epoch epoch = 0; ///< highest epoch of a placer that the agent has seen
+    ExecutorLife life;
+    std::string service;
+    std::string zone;
+    bool isDraining = false;
+    bool isReachable = true; ///< the executor answers
+    Capacity capacity;
+    std::vector<std::string> labels; ///< kind and rack of the machine, among others
+    std::uint64_t syncSequence = 0; ///< of the last assignments that the agent took over
+    std::vector<RunReport> runs;
+    std::vector<EndReport> ends;
+};
+
+/** A run that an executor is to have. */
+struct Assignment {
+    TaskRun run;
+    Capacity needs;
+    bool hasOrder = false; ///< spec and checkpoint are filled in; they are left out for runs that the agent reported
+    std::string spec;
+    std::string checkpoint;
+};
+
+/**
+ * Every run that an executor is to have, in full. The agent starts what it lacks and stops what is not named.
+ *
+ * Sent by the placer on its own, and as the answer to a report; only an answer carries a licence, as the
+ * agent counts it from before it sent the report.
+ */
+struct AssignmentSync {
+    Epoch epoch = 0;
+    std::uint64_t sequence = 0; ///< rises within an epoch; an older one is ignored
+    ExecutorLife life; ///< that is meant; any other takes nothing from it
+    std::uint64_t notedEnds = 0; ///< ends up to this number are stored and may be forgotten
+    Millis licence = Millis(0); ///< how long the agent may prolong its executor's lease
+    std::vector<Assignment> assignments;
+};
+
+} // namespace waxwingloft
+
+#endif
--- a/include/waxwingloft/process/clock.h
+++ b/include/waxwingloft/process/clock.h
@@ -20,7 +20,7 @@
 public:
     virtual ~Clock() = default;
 
-    /** Monotonic time; the only one that leases and deadlines use. */
+    /** Monotonic time that goes on while the host is suspended; the only one that leases and deadlines use. */
     virtual Instant now() const = 0;
 
     /** Wall time in milliseconds since the Unix epoch; only for the time line. */
--- a/include/waxwingloft/process/nodeconfig.h
+++ b/include/waxwingloft/process/nodeconfig.h
@@ -15,11 +15,29 @@
 enum class NodeRole {
     Entry,
     Agent,
+    JobEntry, ///< takes jobs of callers on the users' platform; may hold the office of the placer
+    JobAgent, ///< stands beside one executor of the users' platform
 };
 
 template<>
 struct NameTable<NodeRole> {
-    static constexpr std::array<std::string_view, 2> names = {"entry", "agent"};
+    static constexpr std::array<std::string_view, 4> names = {"entry", "agent", "job-entry", "job-agent"};
+};
+
+/** Whether a role serves jobs on the users' platform. */
+constexpr bool isJobRole(NodeRole role)
+{
+    return role == NodeRole::JobEntry || role == NodeRole::JobAgent;
+}
+
+/** Addresses and bounds of a process on the users' platform. */
+struct JobNodeConfig {
+    std::string storeAddress; ///< IP:PORT of the platform's store
+    std::string frontAddress; ///< of an entry: IP:PORT for callers
+    std::string readyAddress; ///< of an entry: IP:PORT at which the balancer asks
+    std::string heartbeatAddress; ///< of an agent: IP:PORT for its executor's heartbeats
+    std::string executorAddress; ///< of an agent: IP:PORT of its executor
+    Millis longestLease = Millis(6000); ///< that executors grant
 };
 
 /** The settings file of one process. */
@@ -42,6 +60,7 @@
     std::uint32_t rpcThreads = 32;
     Millis taskLease = Millis(3000); ///< of an entry: tasks end when they are not renewed for this long
     Millis checkpointInterval = Millis(60000); ///< of an agent: time between two periodic checkpoints of a gang
+    JobNodeConfig jobs;
     std::uint32_t eventCapacity = 20000; ///< events kept for the time line
 };
 
--- /dev/null
+++ b/include/waxwingloft/process/tablefollower.h
@@ -0,0 +1,78 @@
+#ifndef WAXWINGLOFT_PROCESS_TABLEFOLLOWER_H
+#define WAXWINGLOFT_PROCESS_TABLEFOLLOWER_H
+
+#include "waxwingloft/process/clock.h"
+#include "waxwingloft/process/logger.h"
+#include "waxwingloft/process/tablefeed.h"
+
+#include <atomic>
+#include <random>
+#include <string>
+#include <thread>
+
+namespace waxwingloft {
+
+/** Gets the contents of a followed table. Called on the follower's thread. */
+class TableObserver
+{
+public:
+    virtual ~TableObserver() = default;
+
+    /** The whole table as of one revision; replaces all that was known. */
+    virtual void reset(const RowList &rows) = 0;
+
+    /** Changes since the last call. May be empty: the table was looked at and is unchanged. */
+    virtual void apply(const ChangeBatch &batch) = 0;
+};
+
+/** Times of a follower. */
+struct FollowTerms {
+    Millis wait = Millis(2000); ///< how long one question to the feed stays open
+    Millis retryBase = Millis(50); ///< first pause after a failure
+    Millis retryLimit = Millis(400); ///< longest pause after failures; bounds how long a change goes unseen after an outage
+    Millis relist = Millis(0); ///< reads the whole table again this often, for feeds that go silent; zero for never
+};
+
+/**
+ * Keeps an observer up to date with one table: a list, then its feed, and a list again when history is lost.
+ *
+ * Runs a thread of its own, which sleeps in the feed.
+ */
+class TableFollower
+{
+public:
+    TableFollower(TableStore &store, TableFeed &feed, Clock &clock, std::string table, TableObserver &observer, FollowTerms terms);
+    ~TableFollower();
+    TableFollower(const TableFollower &) = delete;
+    TableFollower &operator=(const TableFollower &) = delete;
+
+    /** Ends the thread; waits for the question that is open. */
+    void stop();
+
+private:
+    void run();
+    bool list();
+    bool follow();
+    void pause();
+    void noteReachable(bool isReachable, const std::string &reason);
+
+    TableStore &store;
+    TableFeed &feed;
+    Clock &clock;
+    const std::string table;
+    TableObserver &observer;
+    const FollowTerms terms;
+    const Logger log;
+    std::mt19937_64 random;
+    std::uint64_t revision = 0;
+    bool isListed = false;
+    bool isReachable = true;
+    int failures = 0;
+    Instant listedAt;
+    std::atomic<bool> isStopping = false;
+    std::thread thread;
+};
+
+} // namespace waxwingloft
+
+#endif
--- /dev/null
+++ b/include/waxwingloft/request/executoragent.h
@@ -0,0 +1,88 @@
+#ifndef WAXWINGLOFT_REQUEST_EXECUTORAGENT_H
+#define WAXWINGLOFT_REQUEST_EXECUTORAGENT_H
+
+#include "waxwingloft/connection/executorport.h"
+#include "waxwingloft/connection/nodeport.h"
+#include "waxwingloft/process/tablefollower.h"
+#include "waxwingloft/process/threadpool.h"
+#include "waxwingloft/process/ticker.h"
+#include "waxwingloft/request/executorkeeper.h"
+
+#include <atomic>
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+
+namespace waxwingloft {
+
+/** Intervals and bounds of an agent's loops. */
+struct AgentLoopTerms {
+    Millis reportInterval = Millis(800); ///< leaves three reports in a licence
+    Millis reportTimeout = Millis(1000);
+    Millis reportRetry = Millis(100); ///< after a report that no placer took
+    Millis officeReadAfter = Millis(500); ///< silence of the placer after which the row of the office is read again
+    Millis orderInterval = Millis(200); ///< between looks for orders to repeat
+    Millis holdRetry = Millis(100); ///< after a question that was not answered
+    std::size_t orderThreads = 3; ///< orders under way at once; starts of one gang overlap
+};
+
+/**
+ * The agent beside an executor: carries out what its keeper says is due, and reports to the placer in office.
+ */
+class ExecutorAgent : public MessageHandler, public HeartbeatService, public TableObserver
+{
+public:
+    ExecutorAgent(Clock &clock, TableStore &table, NodePort &nodes, ExecutorPort &executor, NodeId self, std::string address, KeeperTerms keeperTerms, AgentLoopTerms terms);
+    ~ExecutorAgent() override;
+
+    void start();
+    void stop();
+
+    bool isReady() const;
+
+    Message handle(const Header &header, const Message &message) override;
+    void heartbeat(const ExecutorHeartbeat &heartbeat) override;
+    void deregister(const std::string &executorId) override;
+
+    /** Follows the table of the office. */
+    void reset(const RowList &rows) override;
+    void apply(const ChangeBatch &batch) override;
+
+private:
+    bool begin();
+    void report();
+    void readOffice();
+    void takeOfficeRow(const Row &row);
+    void sendOrders();
+    void carryOut(const DueOrder &order);
+    void holdLoop();
+
+    Clock &clock;
+    TableStore &table;
+    NodePort &nodes;
+    ExecutorPort &executor;
+    const NodeId self;
+    const AgentLoopTerms terms;
+    const Logger log;
+    ExecutorKeeper keeper;
+
+    std::mutex mutex;
+    std::condition_variable wakeUp; ///< of the loop that asks for the lists
+    std::string placerAddress;
+    std::uint64_t officeRevision = 0;
+    Instant placerHeardAt;
+    bool isTold = true; ///< the placer's silence has been logged
+    bool hasBegun = false;
+    bool isStopping = false;
+
+    std::unique_ptr<ThreadPool> orders;
+    std::unique_ptr<Ticker> reporting;
+    std::unique_ptr<Ticker> ordering;
+    std::thread holding;
+};
+
+} // namespace waxwingloft
+
+#endif
--- /dev/null
+++ b/include/waxwingloft/request/executorkeeper.h
@@ -0,0 +1,145 @@
+#ifndef WAXWINGLOFT_REQUEST_EXECUTORKEEPER_H
+#define WAXWINGLOFT_REQUEST_EXECUTORKEEPER_H
+
+#include "waxwingloft/connection/executorport.h"
+#include "waxwingloft/process/clock.h"
+#include "waxwingloft/process/logger.h"
+
+#include <functional>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace waxwingloft {
+
+/** Times of an agent and its executor. */
+struct KeeperTerms {
+    Millis lease = Millis(5900); ///< of what runs; a little below the longest that executors grant
+    double clockDrift = 0.02; ///< an executor's clock may be this share slow
+    Millis holdWait = Millis(1000); ///< how long a question for the lists stays open; leaves several renewals in a lease
+    Millis stopWait = Millis(200); ///< the same while a stop is open, whose run may never be listed
+    Millis resendAfter = Millis(100); ///< pause before an order without an answer is sent again
+    int silencesToUnreachable = 2; ///< unanswered questions after which the executor gets no new work
+};
+
+/** An order that is due to the executor. */
+struct DueOrder {
+    bool isStop = false;
+    ExecutorLife life;
+    StartOrder start; ///< of a stop, only the run and the token count
+};
+
+/** A question for the lists that is due. */
+struct DueHold {
+    ExecutorLife life;
+    HoldQuestion question;
+    std::uint64_t serial = 0; ///< rises with each question
+};
+
+/**
+ * The agent's book of its executor: what it was told to run, what really runs, and what ended.
+ *
+ * It is the last gate before a start: it checks the placer's epoch, the executor's life, whether the executor
+ * drains, and that a run has not ended. It prolongs the executor's lease only within a licence of the
+ * placer. It calls nobody; its owner carries out what is due and reports back. Thread safe.
+ */
+class ExecutorKeeper
+{
+public:
+    ExecutorKeeper(Clock &clock, NodeId node, std::string address, KeeperTerms terms);
+
+    /** Sets the number of this start of the agent; nothing is ordered before. */
+    void setGeneration(std::uint64_t generation);
+
+    /** Is called, without a lock held, after changes that the placer should hear of and when orders are due. */
+    void setWakeUp(std::function<void()> wakeUp);
+
+    void heartbeat(const ExecutorHeartbeat &heartbeat);
+    void deregister(const std::string &executorId);
+
+    /** Takes over the assignments of a placer unless they are older than what is known. */
+    void apply(const AssignmentSync &sync);
+
+    /** Takes over an answer to a report that was sent at @p sentAt, with its licence. */
+    void applyAnswer(const AssignmentSync &sync, Instant sentAt);
+
+    /** Returns the orders that are due and counts them as under way. */
+    std::vector<DueOrder> takeDueOrders();
+    void startAnswered(const DueOrder &order, const Result<StartAnswer> &answer);
+    void stopAnswered(const DueOrder &order, const Result<ExecutorStamp> &answer);
+
+    /** Returns the next question for the lists; nothing while no executor is known. */
+    std::optional<DueHold> nextHold();
+    void holdAnswered(const DueHold &hold, const Result<HoldAnswer> &answer);
+
+    /** Returns a report; nothing before the executor is known. */
+    std::optional<AgentReport> report();
+
+    /** Returns the highest epoch of a placer that was heard of. */
+    Epoch epoch() const;
+
+    /** Returns a number that rises with every change worth a report. */
+    std::uint64_t changes() const;
+
+    /** Whether the executor can be given work. */
+    bool isReady() const;
+
+private:
+    struct Entry {
+        Capacity needs;
+        std::string spec;
+        std::string checkpoint;
+        std::uint32_t percent = 0;
+        RunPhase phase = RunPhase::Ordered;
+        bool isStopWanted = false;
+        bool isUnderWay = false; ///< a call is open
+        bool isStopAnswered = false;
+        std::uint64_t settledBy = 0; ///< a question from this serial on shows it, or it is not there
+        Instant dueAt;
+    };
+
+    void beginLife(const ExecutorHeartbeat &heartbeat);
+    bool adopt(const AssignmentSync &sync);
+    void takeAssignment(const Assignment &assignment);
+    bool hasEnded(const TaskRun &run) const;
+    void takeLists(const DueHold &hold, const HoldAnswer &answer);
+    void dropVanished(const DueHold &hold, const HoldAnswer &answer);
+    void end(const TaskRun &run, RunEnd how, RefusalReason refusal = RefusalReason::None);
+    void noteStamp(const ExecutorStamp &stamp);
+    void noteSilence();
+    std::optional<Millis> grantableLeaseEnd(Instant now);
+    Millis longestLease() const;
+    std::uint64_t fencingToken() const;
+    void wake();
+
+    Clock &clock;
+    const NodeId node;
+    const std::string address;
+    const KeeperTerms terms;
+    const Logger log;
+    std::function<void()> wakeUp;
+
+    mutable std::mutex mutex;
+    std::uint64_t generation = 0;
+    std::uint64_t reportSequence = 0;
+    std::uint64_t changeCount = 0;
+    std::optional<ExecutorHeartbeat> latest;
+    bool isSurveyed = false; ///< the lists of this life have been read
+    bool hasLeft = false;
+    int silences = 0;
+    Epoch highestEpoch = 0;
+    std::uint64_t syncSequence = 0;
+    std::uint64_t notedEnds = 0;
+    std::uint64_t holdSerial = 0;
+    Instant licenceUntil;
+    Instant leaseOver; ///< the latest lease that this or an earlier start of the agent can have granted has surely run out
+    std::optional<Millis> clockAhead; ///< of the executor before ours
+    std::map<TaskRun, Entry> entries;
+    std::vector<EndReport> ends;
+};
+
+} // namespace waxwingloft
+
+#endif
--- /dev/null
+++ b/include/waxwingloft/request/jobboard.h
@@ -0,0 +1,77 @@
+#ifndef WAXWINGLOFT_REQUEST_JOBBOARD_H
+#define WAXWINGLOFT_REQUEST_JOBBOARD_H
+
+#include "waxwingloft/process/logger.h"
+#include "waxwingloft/process/tablefollower.h"
+#include "waxwingloft/request/jobprogress.h"
+#include "waxwingloft/request/taskplacer.h"
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+
+namespace waxwingloft {
+
+/** What an entry knows of a job. */
+struct BoardJob {
+    std::optional<JobSubmission> submission;
+    std::uint64_t submissionRevision = 0;
+    bool isCancelled = false;
+    JobProgress progress;
+    std::uint64_t progressRevision = 0;
+};
+
+/**
+ * The jobs as the table holds them, kept up to date by its feed, and passed on to the placer in office.
+ *
+ * A row that cannot be read is logged and counts as absent. Thread safe.
+ */
+class JobBoard : public TableObserver
+{
+public:
+    explicit JobBoard(TaskPlacer &placer);
+
+    void reset(const RowList &rows) override;
+    void apply(const ChangeBatch &batch) override;
+
+    /** Takes in a row that this process has just written or read. */
+    void take(const Row &row);
+
+    /** Returns the state of a job; nothing when it is not known here, which is no proof that there is none. */
+    std::optional<JobState> stateOf(const JobId &job) const;
+
+    /** Returns how many accepted jobs of @p route have not begun. */
+    std::size_t waitingOf(const std::string &route) const;
+
+    bool knows(const JobId &job) const;
+
+    /** Whether the table has been read since the start. */
+    bool isLoaded() const;
+
+    /** Passes on all jobs and cancellations to the placer, which has just taken office. */
+    void replay();
+
+private:
+    void takeLocked(const Row &row);
+    void takeSubmission(const JobId &job, const Row &row);
+    void takeCancellation(const JobId &job);
+    void takeProgress(const JobId &job, const Row &row);
+
+    TaskPlacer &placer;
+    const Logger log;
+    mutable std::mutex mutex;
+    bool hasLoaded = false;
+    std::map<JobId, BoardJob> jobs;
+};
+
+/** Returns the state that callers see of a job in @p progress. */
+JobState visibleState(const JobProgress &progress, bool isCancelled);
+
+/** Reads all jobs out of the rows of the table; rows that cannot be read are logged and left out. */
+std::vector<StoredJob> storedJobsOf(const RowList &rows, const Logger &log);
+
+} // namespace waxwingloft
+
+#endif
--- /dev/null
+++ b/include/waxwingloft/request/jobgate.h
@@ -0,0 +1,82 @@
+#ifndef WAXWINGLOFT_REQUEST_JOBGATE_H
+#define WAXWINGLOFT_REQUEST_JOBGATE_H
+
+#include "waxwingloft/connection/jobcalls.h"
+#include "waxwingloft/process/clock.h"
+#include "waxwingloft/process/eventlog.h"
+#include "waxwingloft/process/ids.h"
+#include "waxwingloft/process/logger.h"
+#include "waxwingloft/process/metrics.h"
+#include "waxwingloft/process/published.h"
+#include "waxwingloft/process/tablestore.h"
+#include "waxwingloft/request/jobboard.h"
+#include "waxwingloft/version/routebook.h"
+
+#include <array>
+#include <functional>
+#include <string>
+
+namespace waxwingloft {
+
+/** Bounds of the gate. */
+struct GateTerms {
+    JobBounds bounds;
+    Millis defaultTime = Millis(3000); ///< for calls that do not say how long they wait
+    double tryShare = 0.25; ///< of a caller's time in which an outage of the table is waited out before the call is refused
+    Millis retryPause = Millis(60); ///< between tries
+    Millis retryAfter = Millis(1000); ///< that a refused caller is told
+};
+
+/** Reads the body of a submission; the platform's adapter provides it. */
+using GraphParser = std::function<Result<JobGraph>(const std::string &body)>;
+
+/**
+ * Callers' calls on jobs at an entry: submit, show, cancel, count.
+ *
+ * A job is accepted once its row is written. A refusal is given only when no write can still take effect;
+ * otherwise the answer is Undecided, and the same id settles it. Thread safe.
+ */
+class JobGate : public JobCallHandler
+{
+public:
+    JobGate(Clock &clock, IdSource &ids, Metrics &metrics, TableStore &table, JobBoard &board, const Published<RouteBook> &routes, GraphParser parser, GateTerms terms);
+
+    JobAnswer handle(const JobCall &call) override;
+
+private:
+    /** What a call may rely on after the checks that all calls share. */
+    struct Admitted {
+        Route route;
+        WorkspaceId workspace;
+        JobId job; ///< empty for a call on the queue
+        std::size_t bodyBytes = 0; ///< largest body allowed
+        Instant giveUpAt; ///< no new try after it
+    };
+
+    using VerbHandler = JobAnswer (JobGate::*)(const JobCall &, const Admitted &);
+    static const std::array<VerbHandler, NameTable<JobVerb>::names.size()> verbHandlers;
+
+    JobAnswer admit(const JobCall &call, Admitted &admitted) const;
+    JobAnswer submit(const JobCall &call, const Admitted &admitted);
+    JobAnswer show(const JobCall &call, const Admitted &admitted);
+    JobAnswer cancel(const JobCall &call, const Admitted &admitted);
+    JobAnswer countWaiting(const JobCall &call, const Admitted &admitted);
+    Status writeOnce(const std::string &key, const std::string &value, Instant giveUpAt);
+    Result<bool> exists(const JobId &job, Instant giveUpAt);
+    Status readIntoBoard(const JobId &job);
+    JobAnswer refusal(const std::string &reason) const;
+
+    Clock &clock;
+    IdSource &ids;
+    Metrics &metrics;
+    TableStore &table;
+    JobBoard &board;
+    const Published<RouteBook> &routes;
+    const GraphParser parser;
+    const GateTerms terms;
+    const Logger log;
+};
+
+} // namespace waxwingloft
+
+#endif
--- /dev/null
+++ b/include/waxwingloft/request/jobprogress.h
@@ -0,0 +1,84 @@
+#ifndef WAXWINGLOFT_REQUEST_JOBPROGRESS_H
+#define WAXWINGLOFT_REQUEST_JOBPROGRESS_H
+
+#include "waxwingloft/process/nametable.h"
+#include "waxwingloft/process/taskkey.h"
+#include "waxwingloft/request/jobgraph.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace waxwingloft {
+
+/** How far a task is. */
+enum class TaskState {
+    Waiting,
+    Assigned, ///< a run may be under way on an executor
+    Done,
+    Failed, ///< for good
+};
+
+template<>
+struct NameTable<TaskState> {
+    static constexpr std::array<std::string_view, 4> names = {"waiting", "assigned", "done", "failed"};
+};
+
+/** What callers see of a job. */
+enum class JobState {
+    Pending,
+    Running,
+    Completed,
+    Failed,
+    Cancelled,
+};
+
+template<>
+struct NameTable<JobState> {
+    static constexpr std::array<std::string_view, 5> names = {"pending", "running", "completed", "failed", "cancelled"};
+};
+
+/** Whether nothing more will be started for a job in @p state. */
+constexpr bool isFinal(JobState state)
+{
+    return state == JobState::Completed || state == JobState::Failed || state == JobState::Cancelled;
+}
+
+/** Progress of one task. */
+struct TaskProgress {
+    TaskState state = TaskState::Waiting;
+    std::uint32_t run = 0; ///< number of its latest run; zero before the first
+    std::uint32_t failures = 0; ///< runs that ended as failed; of a gang, counted at its first task
+    std::string checkpoint; ///< to go on from; empty for the beginning
+    NodeId worker; ///< agent of the latest run, while assigned
+    ExecutorLife life; ///< executor of the latest run, while assigned
+
+    bool operator==(const TaskProgress &) const = default;
+};
+
+using StepProgress = std::vector<TaskProgress>;
+using OccurrenceProgress = std::vector<StepProgress>;
+
+/** Progress of a job: tasks by occurrence and step. */
+struct JobProgress {
+    JobState state = JobState::Pending;
+    std::vector<OccurrenceProgress> occurrences;
+
+    bool operator==(const JobProgress &) const = default;
+};
+
+/** Returns the progress of a job of which nothing has started. */
+JobProgress freshProgress(const JobGraph &graph);
+
+/** Whether every task of the step is done. */
+bool isDone(const StepProgress &step);
+
+/** Whether the steps that @p step of @p graph comes after are done in @p occurrence. */
+bool isReady(const JobGraph &graph, const OccurrenceProgress &occurrence, std::uint32_t step);
+
+/** Returns the task that @p key names, or null when the job has none such. */
+TaskProgress *findTask(JobProgress &progress, const TaskKey &key);
+
+} // namespace waxwingloft
+
+#endif
--- /dev/null
+++ b/include/waxwingloft/request/placeroffice.h
@@ -0,0 +1,94 @@
+#ifndef WAXWINGLOFT_REQUEST_PLACEROFFICE_H
+#define WAXWINGLOFT_REQUEST_PLACEROFFICE_H
+
+#include "waxwingloft/connection/nodeport.h"
+#include "waxwingloft/process/duty.h"
+#include "waxwingloft/process/fanout.h"
+#include "waxwingloft/process/metrics.h"
+#include "waxwingloft/process/threadpool.h"
+#include "waxwingloft/process/ticker.h"
+#include "waxwingloft/request/jobboard.h"
+#include "waxwingloft/request/taskplacer.h"
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace waxwingloft {
+
+/** Table whose one row tells who is the placer in office. */
+constexpr std::string_view OfficeTable = "office";
+constexpr std::string_view OfficeKey = "office/placer";
+
+/** The placer in office. The revision of its row is its epoch. */
+struct OfficeRecord {
+    NodeId holder;
+    std::string address; ///< RPC address
+};
+
+std::string encodeOffice(const OfficeRecord &record);
+Result<OfficeRecord> parseOffice(const std::string &value);
+
+/** Intervals and bounds of the office's loops. */
+struct OfficeLoopTerms {
+    LeaseTerms lease; ///< of the duty
+    Millis pursueInterval = Millis(500); ///< between looks at the duty
+    Millis planInterval = Millis(250); ///< between plans without an event
+    Millis writeRetry = Millis(60); ///< pause after a write that surely had no effect
+    Millis pushTimeout = Millis(800); ///< for assignments; a lost one is repeated in the answer to the next report
+    std::size_t pushThreads = 4; ///< assignments sent at once
+};
+
+/**
+ * Runs the placer of an entry: pursues the duty, takes office, writes progress and sends assignments.
+ *
+ * Any entry may hold the duty. Office is taken by writing its row; every later write is conditional on that
+ * row, so a placer that has been replaced can write nothing more.
+ */
+class PlacerOffice : public MessageHandler
+{
+public:
+    PlacerOffice(Clock &clock, EventLog &events, IdSource &ids, Metrics &metrics, TableStore &table, NodePort &nodes, NodeId self, std::string address, TaskPlacer &placer, JobBoard &board, OfficeLoopTerms terms);
+    ~PlacerOffice() override;
+
+    void start();
+
+    /** Lets another entry take over at once, and ends the threads. */
+    void stop();
+
+    /** Makes the next plan happen now. */
+    void nudge();
+
+    Message handle(const Header &header, const Message &message) override;
+
+private:
+    void pursue();
+    bool takeOffice();
+    void plan();
+    void write();
+    void commitWrites();
+    void push();
+
+    Clock &clock;
+    IdSource &ids;
+    Metrics &metrics;
+    TableStore &table;
+    NodePort &nodes;
+    const NodeId self;
+    const std::string address;
+    TaskPlacer &placer;
+    JobBoard &board;
+    const OfficeLoopTerms terms;
+    const Logger log;
+    Duty duty;
+    std::atomic<std::uint64_t> officeRevision = 0;
+    std::unique_ptr<ThreadPool> pushes;
+    std::unique_ptr<Ticker> pursuing;
+    std::unique_ptr<Ticker> planning;
+    std::unique_ptr<Ticker> writing;
+};
+
+} // namespace waxwingloft
+
+#endif
--- /dev/null
+++ b/include/waxwingloft/request/stepplanner.h
@@ -0,0 +1,77 @@
+#ifndef WAXWINGLOFT_REQUEST_STEPPLANNER_H
+#define WAXWINGLOFT_REQUEST_STEPPLANNER_H
+
+#include "waxwingloft/process/capacity.h"
+#include "waxwingloft/process/ids.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace waxwingloft {
+
+/** An executor as the planner sees it. */
+struct PlannerWorker {
+    NodeId node;
+    std::string service;
+    std::string rack;
+    std::vector<std::string> labels;
+    Capacity capacity;
+    Capacity free; ///< held by nobody; what is being stopped is not free
+    bool acceptsWork = false;
+};
+
+/** Tasks that wait to be started: those of a gang together, or any of a step that is none. */
+struct WaitingTasks {
+    std::uint32_t count = 0;
+    Capacity needs; ///< of one task
+    std::string service;
+    std::string requiredLabel;
+    std::string dataRack;
+    bool isGang = false;
+    bool prefersOneRack = false;
+    bool mayReclaim = false; ///< may have work stopped that is not entitled to its room
+    bool mayReserve = false; ///< keeps room that it could use soon clear of what comes after it
+    std::uint32_t maxPerWorker = 0; ///< zero for no limit
+    std::vector<std::uint32_t> present; ///< tasks of the step by worker; empty for none anywhere
+};
+
+/** Tasks that run and could be stopped together to make room. */
+struct RunningTasks {
+    struct Part {
+        std::size_t worker = 0;
+        std::uint32_t count = 0;
+    };
+
+    std::vector<Part> parts;
+    Capacity needs; ///< of one task
+    double lostWork = 0.0; ///< accelerator seconds that would have to be done again
+    bool isStopping = false; ///< is being stopped already; its room comes free soon
+};
+
+/** Where the tasks of one waiting entry start, one worker a task. */
+struct PlannedStart {
+    std::size_t waiting = 0;
+    std::vector<std::size_t> workers;
+};
+
+/** What to start and what to stop. */
+struct StepPlan {
+    std::vector<PlannedStart> starts;
+    std::vector<std::size_t> stops; ///< indices of running entries
+};
+
+/**
+ * Decides which waiting tasks start where, and what is stopped for those that may reclaim.
+ *
+ * @p waiting is in order of precedence. Small tasks are packed tightly, so that whole workers and racks
+ * stay free for large gangs. A gang goes to one rack where one could hold it.
+ */
+StepPlan planSteps(const std::vector<PlannerWorker> &workers, const std::vector<WaitingTasks> &waiting, const std::vector<RunningTasks> &running);
+
+/** Whether the fleet could hold the tasks if nothing else ran; a gang needs all of its tasks at once. */
+bool couldEverRun(const std::vector<PlannerWorker> &workers, const WaitingTasks &tasks);
+
+} // namespace waxwingloft
+
+#endif
--- a/proto/node.capnp
+++ b/proto/node.capnp
@@ -52,6 +52,22 @@
 struct FetchEvents { since @0 :HybridTime; limit @1 :UInt32; }
 struct Event { time @0 :HybridTime; node @1 :Text; kind @2 :UInt8; subject @3 :Text; workspace @4 :Text; detail @5 :Text; }
 
+struct TaskRun { task @0 :Text; run @1 :UInt32; }
+struct Capacity { milliCores @0 :Int64; memoryMb @1 :Int64; accelerators @2 :Int64; }
+struct ExecutorLife { id @0 :Text; startedAt @1 :Int64; }
+struct RunReport { run @0 :TaskRun; phase @1 :UInt8; checkpoint @2 :Text; percent @3 :UInt32; }
+struct EndReport { number @0 :UInt64; run @1 :TaskRun; end @2 :UInt8; checkpoint @3 :Text; refusal @4 :UInt8; }
+struct AgentReport {
+  node @0 :Text; address @1 :Text; generation @2 :UInt64; sequence @3 :UInt64; epoch @4 :UInt64; life @5 :ExecutorLife;
+  service @6 :Text; zone @7 :Text; draining @8 :Bool; reachable @9 :Bool; capacity @10 :Capacity; labels @11 :List(Text);
+  syncSequence @12 :UInt64; runs @13 :List(RunReport); ends @14 :List(EndReport);
+}
+struct Assignment { run @0 :TaskRun; needs @1 :Capacity; hasOrder @2 :Bool; spec @3 :Text; checkpoint @4 :Text; }
+struct AssignmentSync {
+  epoch @0 :UInt64; sequence @1 :UInt64; life @2 :ExecutorLife; notedEnds @3 :UInt64; licenceMs @4 :Int64;
+  assignments @5 :List(Assignment);
+}
+
 struct Message {
   union {
     ping @0 :Void;
@@ -77,6 +93,8 @@
     eventBatch @20 :List(Event);
     nudgePlacer @21 :Text;
     drainNode @22 :Void;
+    agentReport @23 :AgentReport;
+    assignmentSync @24 :AssignmentSync;
   }
 }
 
--- a/src/connection/httpbackend.cpp
+++ b/src/connection/httpbackend.cpp
@@ -1,6 +1,6 @@
 #include "waxwingloft/connection/httpbackend.h"
 
-#include "httpclients.h"
+#include "waxwingloft/connection/httpclients.h"
 #include "waxwingloft/process/nametable.h"
 
 #include <nlohmann/json.hpp>
--- a/src/connection/httpclients.cpp
+++ b/src/connection/httpclients.cpp
@@ -1,4 +1,4 @@
-#include "httpclients.h"
+#include "waxwingloft/connection/httpclients.h"
 
 namespace waxwingloft {
 
@@ -32,6 +32,7 @@
     request.body = question.body;
     const auto result = client->send(request);
     if (!result) {
+        this->dropIdle();
         const auto kind = surelyNotSent(result.error()) ? ErrorKind::Unreachable : ErrorKind::Ambiguous;
         return makeError(kind, this->base + question.path.substr(0, question.path.find('?')) + ": " + httplib::to_string(result.error()));
     }
@@ -40,6 +41,14 @@
     return answer;
 }
 
+/** After one connection has failed the idle ones may be silent as well. */
+void HttpClients::dropIdle()
+{
+    std::vector<ClientPointer> dropped;
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    dropped.swap(this->idle);
+}
+
 HttpClients::ClientPointer HttpClients::borrow()
 {
     {
--- a/src/connection/httptablestore.cpp
+++ b/src/connection/httptablestore.cpp
@@ -1,6 +1,6 @@
 #include "waxwingloft/connection/httptablestore.h"
 
-#include "httpclients.h"
+#include "waxwingloft/connection/httpclients.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/connection/messagecodec.cpp
+++ b/src/connection/messagecodec.cpp
@@ -1,6 +1,7 @@
 #include "messagecodec.h"
 
 #include "recordcodec.h"
+#include "taskcodec.h"
 
 #include <array>
 
@@ -31,6 +32,16 @@
         this->builder.setDrainNode();
     }
 
+    void operator()(const AgentReport &message)
+    {
+        encode(message, this->builder.initAgentReport());
+    }
+
+    void operator()(const AssignmentSync &message)
+    {
+        encode(message, this->builder.initAssignmentSync());
+    }
+
     void operator()(const ErrorReply &message)
     {
         encode(message.error, this->builder.initErrorReply());
@@ -167,6 +178,8 @@
     [](wire::Message::Reader reader) -> Message { return decode(reader.getEventBatch()); },
     [](wire::Message::Reader reader) -> Message { return NudgePlacer{textOf(reader.getNudgePlacer())}; },
     [](wire::Message::Reader) -> Message { return DrainNode{}; },
+    [](wire::Message::Reader reader) -> Message { return decode(reader.getAgentReport()); },
+    [](wire::Message::Reader reader) -> Message { return decode(reader.getAssignmentSync()); },
 };
 
 } // namespace
--- a/src/connection/private/node.capnp.h
+++ b/src/connection/private/node.capnp.h
@@ -46,6 +46,14 @@
 CAPNP_DECLARE_SCHEMA(f0bd58c36bfa067d);
 CAPNP_DECLARE_SCHEMA(a956c7219fae847d);
 CAPNP_DECLARE_SCHEMA(e5bdf6fda76ca51d);
+CAPNP_DECLARE_SCHEMA(ef9b8a8e50a30da6);
+CAPNP_DECLARE_SCHEMA(abf5f6f58e873d9e);
+CAPNP_DECLARE_SCHEMA(dfb9d34e30c45d26);
+CAPNP_DECLARE_SCHEMA(e9540b63dd90a898);
+CAPNP_DECLARE_SCHEMA(f09b7cb20e50b46c);
+CAPNP_DECLARE_SCHEMA(c2873ed4eee4c1a4);
+CAPNP_DECLARE_SCHEMA(8b6fa5e96dc8fbb9);
+CAPNP_DECLARE_SCHEMA(fce35736e5d8778d);
 CAPNP_DECLARE_SCHEMA(b1d14edf52eb4bd4);
 CAPNP_DECLARE_SCHEMA(a686ef0bfb6c8718);
 CAPNP_DECLARE_SCHEMA(c8c284d775d1652a);
@@ -462,6 +470,126 @@
   };
 };
 
+struct TaskRun {
+  TaskRun() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ef9b8a8e50a30da6, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Capacity {
+  Capacity() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(abf5f6f58e873d9e, 3, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ExecutorLife {
+  ExecutorLife() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(dfb9d34e30c45d26, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct RunReport {
+  RunReport() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e9540b63dd90a898, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct EndReport {
+  EndReport() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f09b7cb20e50b46c, 2, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct AgentReport {
+  AgentReport() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c2873ed4eee4c1a4, 5, 9)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Assignment {
+  Assignment() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8b6fa5e96dc8fbb9, 1, 4)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct AssignmentSync {
+  AssignmentSync() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fce35736e5d8778d, 4, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Message {
   Message() = delete;
 
@@ -492,6 +620,8 @@
     EVENT_BATCH,
     NUDGE_PLACER,
     DRAIN_NODE,
+    AGENT_REPORT,
+    ASSIGNMENT_SYNC,
   };
 
   struct _capnpPrivate {
@@ -3412,9 +3542,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Message::Reader {
+class TaskRun::Reader {
 public:
-  typedef Message Reads;
+  typedef TaskRun Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3429,94 +3559,97 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline Which which() const;
-  inline bool isPing() const;
-  inline  ::capnp::Void getPing() const;
-
-  inline bool isAck() const;
-  inline  ::capnp::Void getAck() const;
-
-  inline bool isErrorReply() const;
-  inline bool hasErrorReply() const;
-  inline  ::waxwingloft::wire::Error::Reader getErrorReply() const;
-
-  inline bool isDispatch() const;
-  inline bool hasDispatch() const;
-  inline  ::waxwingloft::wire::Dispatch::Reader getDispatch() const;
-
-  inline bool isQueryAttempt() const;
-  inline bool hasQueryAttempt() const;
-  inline  ::waxwingloft::wire::QueryAttempt::Reader getQueryAttempt() const;
+  inline bool hasTask() const;
+  inline  ::capnp::Text::Reader getTask() const;
 
-  inline bool isAttemptReply() const;
-  inline bool hasAttemptReply() const;
-  inline  ::waxwingloft::wire::AttemptReply::Reader getAttemptReply() const;
+  inline  ::uint32_t getRun() const;
 
-  inline bool isPrepareGang() const;
-  inline bool hasPrepareGang() const;
-  inline  ::waxwingloft::wire::PrepareGang::Reader getPrepareGang() const;
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
 
-  inline bool isStartGang() const;
-  inline bool hasStartGang() const;
-  inline  ::waxwingloft::wire::StartGang::Reader getStartGang() const;
+class TaskRun::Builder {
+public:
+  typedef TaskRun Builds;
 
-  inline bool isStopGang() const;
-  inline bool hasStopGang() const;
-  inline  ::waxwingloft::wire::StopGang::Reader getStopGang() const;
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
 
-  inline bool isRenewGang() const;
-  inline bool hasRenewGang() const;
-  inline  ::waxwingloft::wire::RenewGang::Reader getRenewGang() const;
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
-  inline bool isGangReply() const;
-  inline bool hasGangReply() const;
-  inline  ::waxwingloft::wire::GangReply::Reader getGangReply() const;
+  inline bool hasTask();
+  inline  ::capnp::Text::Builder getTask();
+  inline void setTask( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTask(unsigned int size);
+  inline void adoptTask(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTask();
 
-  inline bool isAskReport() const;
-  inline bool hasAskReport() const;
-  inline  ::waxwingloft::wire::AskReport::Reader getAskReport() const;
+  inline  ::uint32_t getRun();
+  inline void setRun( ::uint32_t value);
 
-  inline bool isNodeReport() const;
-  inline bool hasNodeReport() const;
-  inline  ::waxwingloft::wire::NodeReport::Reader getNodeReport() const;
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
 
-  inline bool isHeartbeat() const;
-  inline bool hasHeartbeat() const;
-  inline  ::waxwingloft::wire::Heartbeat::Reader getHeartbeat() const;
+#if !CAPNP_LITE
+class TaskRun::Pipeline {
+public:
+  typedef TaskRun Pipelines;
 
-  inline bool isHeartbeatReply() const;
-  inline bool hasHeartbeatReply() const;
-  inline  ::waxwingloft::wire::HeartbeatReply::Reader getHeartbeatReply() const;
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
-  inline bool isPushMembers() const;
-  inline bool hasPushMembers() const;
-  inline  ::waxwingloft::wire::MembersDelta::Reader getPushMembers() const;
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
 
-  inline bool isPushMembersReply() const;
-  inline bool hasPushMembersReply() const;
-  inline  ::waxwingloft::wire::PushMembersReply::Reader getPushMembersReply() const;
+class Capacity::Reader {
+public:
+  typedef Capacity Reads;
 
-  inline bool isFetchSettings() const;
-  inline  ::uint64_t getFetchSettings() const;
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline bool isSettingsUpdate() const;
-  inline bool hasSettingsUpdate() const;
-  inline  ::waxwingloft::wire::SettingsDelta::Reader getSettingsUpdate() const;
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-  inline bool isFetchEvents() const;
-  inline bool hasFetchEvents() const;
-  inline  ::waxwingloft::wire::FetchEvents::Reader getFetchEvents() const;
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-  inline bool isEventBatch() const;
-  inline bool hasEventBatch() const;
-  inline  ::capnp::List< ::waxwingloft::wire::Event,  ::capnp::Kind::STRUCT>::Reader getEventBatch() const;
+  inline  ::int64_t getMilliCores() const;
 
-  inline bool isNudgePlacer() const;
-  inline bool hasNudgePlacer() const;
-  inline  ::capnp::Text::Reader getNudgePlacer() const;
+  inline  ::int64_t getMemoryMb() const;
 
-  inline bool isDrainNode() const;
-  inline  ::capnp::Void getDrainNode() const;
+  inline  ::int64_t getAccelerators() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3530,9 +3663,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Message::Builder {
+class Capacity::Builder {
 public:
-  typedef Message Builds;
+  typedef Capacity Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3546,188 +3679,28 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline Which which();
-  inline bool isPing();
-  inline  ::capnp::Void getPing();
-  inline void setPing( ::capnp::Void value = ::capnp::VOID);
+  inline  ::int64_t getMilliCores();
+  inline void setMilliCores( ::int64_t value);
 
-  inline bool isAck();
-  inline  ::capnp::Void getAck();
-  inline void setAck( ::capnp::Void value = ::capnp::VOID);
+  inline  ::int64_t getMemoryMb();
+  inline void setMemoryMb( ::int64_t value);
 
-  inline bool isErrorReply();
-  inline bool hasErrorReply();
-  inline  ::waxwingloft::wire::Error::Builder getErrorReply();
-  inline void setErrorReply( ::waxwingloft::wire::Error::Reader value);
-  inline  ::waxwingloft::wire::Error::Builder initErrorReply();
-  inline void adoptErrorReply(::capnp::Orphan< ::waxwingloft::wire::Error>&& value);
-  inline ::capnp::Orphan< ::waxwingloft::wire::Error> disownErrorReply();
+  inline  ::int64_t getAccelerators();
+  inline void setAccelerators( ::int64_t value);
 
-  inline bool isDispatch();
-  inline bool hasDispatch();
-  inline  ::waxwingloft::wire::Dispatch::Builder getDispatch();
-  inline void setDispatch( ::waxwingloft::wire::Dispatch::Reader value);
-  inline  ::waxwingloft::wire::Dispatch::Builder initDispatch();
-  inline void adoptDispatch(::capnp::Orphan< ::waxwingloft::wire::Dispatch>&& value);
-  inline ::capnp::Orphan< ::waxwingloft::wire::Dispatch> disownDispatch();
-
-  inline bool isQueryAttempt();
-  inline bool hasQueryAttempt();
-  inline  ::waxwingloft::wire::QueryAttempt::Builder getQueryAttempt();
-  inline void setQueryAttempt( ::waxwingloft::wire::QueryAttempt::Reader value);
-  inline  ::waxwingloft::wire::QueryAttempt::Builder initQueryAttempt();
-  inline void adoptQueryAttempt(::capnp::Orphan< ::waxwingloft::wire::QueryAttempt>&& value);
-  inline ::capnp::Orphan< ::waxwingloft::wire::QueryAttempt> disownQueryAttempt();
-
-  inline bool isAttemptReply();
-  inline bool hasAttemptReply();
-  inline  ::waxwingloft::wire::AttemptReply::Builder getAttemptReply();
-  inline void setAttemptReply( ::waxwingloft::wire::AttemptReply::Reader value);
-  inline  ::waxwingloft::wire::AttemptReply::Builder initAttemptReply();
-  inline void adoptAttemptReply(::capnp::Orphan< ::waxwingloft::wire::AttemptReply>&& value);
-  inline ::capnp::Orphan< ::waxwingloft::wire::AttemptReply> disownAttemptReply();
-
-  inline bool isPrepareGang();
-  inline bool hasPrepareGang();
-  inline  ::waxwingloft::wire::PrepareGang::Builder getPrepareGang();
-  inline void setPrepareGang( ::waxwingloft::wire::PrepareGang::Reader value);
-  inline  ::waxwingloft::wire::PrepareGang::Builder initPrepareGang();
-  inline void adoptPrepareGang(::capnp::Orphan< ::waxwingloft::wire::PrepareGang>&& value);
-  inline ::capnp::Orphan< ::waxwingloft::wire::PrepareGang> disownPrepareGang();
-
-  inline bool isStartGang();
-  inline bool hasStartGang();
-  inline  ::waxwingloft::wire::StartGang::Builder getStartGang();
-  inline void setStartGang( ::waxwingloft::wire::StartGang::Reader value);
-  inline  ::waxwingloft::wire::StartGang::Builder initStartGang();
-  inline void adoptStartGang(::capnp::Orphan< ::waxwingloft::wire::StartGang>&& value);
-  inline ::capnp::Orphan< ::waxwingloft::wire::StartGang> disownStartGang();
-
-  inline bool isStopGang();
-  inline bool hasStopGang();
-  inline  ::waxwingloft::wire::StopGang::Builder getStopGang();
-  inline void setStopGang( ::waxwingloft::wire::StopGang::Reader value);
-  inline  ::waxwingloft::wire::StopGang::Builder initStopGang();
-  inline void adoptStopGang(::capnp::Orphan< ::waxwingloft::wire::StopGang>&& value);
-  inline ::capnp::Orphan< ::waxwingloft::wire::StopGang> disownStopGang();
-
-  inline bool isRenewGang();
-  inline bool hasRenewGang();
-  inline  ::waxwingloft::wire::RenewGang::Builder getRenewGang();
-  inline void setRenewGang( ::waxwingloft::wire::RenewGang::Reader value);
-  inline  ::waxwingloft::wire::RenewGang::Builder initRenewGang();
-  inline void adoptRenewGang(::capnp::Orphan< ::waxwingloft::wire::RenewGang>&& value);
-  inline ::capnp::Orphan< ::waxwingloft::wire::RenewGang> disownRenewGang();
-
-  inline bool isGangReply();
-  inline bool hasGangReply();
-  inline  ::waxwingloft::wire::GangReply::Builder getGangReply();
-  inline void setGangReply( ::waxwingloft::wire::GangReply::Reader value);
-  inline  ::waxwingloft::wire::GangReply::Builder initGangReply();
-  inline void adoptGangReply(::capnp::Orphan< ::waxwingloft::wire::GangReply>&& value);
-  inline ::capnp::Orphan< ::waxwingloft::wire::GangReply> disownGangReply();
-
-  inline bool isAskReport();
-  inline bool hasAskReport();
-  inline  ::waxwingloft::wire::AskReport::Builder getAskReport();
-  inline void setAskReport( ::waxwingloft::wire::AskReport::Reader value);
-  inline  ::waxwingloft::wire::AskReport::Builder initAskReport();
-  inline void adoptAskReport(::capnp::Orphan< ::waxwingloft::wire::AskReport>&& value);
-  inline ::capnp::Orphan< ::waxwingloft::wire::AskReport> disownAskReport();
-
-  inline bool isNodeReport();
-  inline bool hasNodeReport();
-  inline  ::waxwingloft::wire::NodeReport::Builder getNodeReport();
-  inline void setNodeReport( ::waxwingloft::wire::NodeReport::Reader value);
-  inline  ::waxwingloft::wire::NodeReport::Builder initNodeReport();
-  inline void adoptNodeReport(::capnp::Orphan< ::waxwingloft::wire::NodeReport>&& value);
-  inline ::capnp::Orphan< ::waxwingloft::wire::NodeReport> disownNodeReport();
-
-  inline bool isHeartbeat();
-  inline bool hasHeartbeat();
-  inline  ::waxwingloft::wire::Heartbeat::Builder getHeartbeat();
-  inline void setHeartbeat( ::waxwingloft::wire::Heartbeat::Reader value);
-  inline  ::waxwingloft::wire::Heartbeat::Builder initHeartbeat();
-  inline void adoptHeartbeat(::capnp::Orphan< ::waxwingloft::wire::Heartbeat>&& value);
-  inline ::capnp::Orphan< ::waxwingloft::wire::Heartbeat> disownHeartbeat();
-
-  inline bool isHeartbeatReply();
-  inline bool hasHeartbeatReply();
-  inline  ::waxwingloft::wire::HeartbeatReply::Builder getHeartbeatReply();
-  inline void setHeartbeatReply( ::waxwingloft::wire::HeartbeatReply::Reader value);
-  inline  ::waxwingloft::wire::HeartbeatReply::Builder initHeartbeatReply();
-  inline void adoptHeartbeatReply(::capnp::Orphan< ::waxwingloft::wire::HeartbeatReply>&& value);
-  inline ::capnp::Orphan< ::waxwingloft::wire::HeartbeatReply> disownHeartbeatReply();
-
-  inline bool isPushMembers();
-  inline bool hasPushMembers();
-  inline  ::waxwingloft::wire::MembersDelta::Builder getPushMembers();
-  inline void setPushMembers( ::waxwingloft::wire::MembersDelta::Reader value);
-  inline  ::waxwingloft::wire::MembersDelta::Builder initPushMembers();
-  inline void adoptPushMembers(::capnp::Orphan< ::waxwingloft::wire::MembersDelta>&& value);
-  inline ::capnp::Orphan< ::waxwingloft::wire::MembersDelta> disownPushMembers();
-
-  inline bool isPushMembersReply();
-  inline bool hasPushMembersReply();
-  inline  ::waxwingloft::wire::PushMembersReply::Builder getPushMembersReply();
-  inline void setPushMembersReply( ::waxwingloft::wire::PushMembersReply::Reader value);
-  inline  ::waxwingloft::wire::PushMembersReply::Builder initPushMembersReply();
-  inline void adoptPushMembersReply(::capnp::Orphan< ::waxwingloft::wire::PushMembersReply>&& value);
-  inline ::capnp::Orphan< ::waxwingloft::wire::PushMembersReply> disownPushMembersReply();
-
-  inline bool isFetchSettings();
-  inline  ::uint64_t getFetchSettings();
-  inline void setFetchSettings( ::uint64_t value);
-
-  inline bool isSettingsUpdate();
-  inline bool hasSettingsUpdate();
-  inline  ::waxwingloft::wire::SettingsDelta::Builder getSettingsUpdate();
-  inline void setSettingsUpdate( ::waxwingloft::wire::SettingsDelta::Reader value);
-  inline  ::waxwingloft::wire::SettingsDelta::Builder initSettingsUpdate();
-  inline void adoptSettingsUpdate(::capnp::Orphan< ::waxwingloft::wire::SettingsDelta>&& value);
-  inline ::capnp::Orphan< ::waxwingloft::wire::SettingsDelta> disownSettingsUpdate();
-
-  inline bool isFetchEvents();
-  inline bool hasFetchEvents();
-  inline  ::waxwingloft::wire::FetchEvents::Builder getFetchEvents();
-  inline void setFetchEvents( ::waxwingloft::wire::FetchEvents::Reader value);
-  inline  ::waxwingloft::wire::FetchEvents::Builder initFetchEvents();
-  inline void adoptFetchEvents(::capnp::Orphan< ::waxwingloft::wire::FetchEvents>&& value);
-  inline ::capnp::Orphan< ::waxwingloft::wire::FetchEvents> disownFetchEvents();
-
-  inline bool isEventBatch();
-  inline bool hasEventBatch();
-  inline  ::capnp::List< ::waxwingloft::wire::Event,  ::capnp::Kind::STRUCT>::Builder getEventBatch();
-  inline void setEventBatch( ::capnp::List< ::waxwingloft::wire::Event,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::waxwingloft::wire::Event,  ::capnp::Kind::STRUCT>::Builder initEventBatch(unsigned int size);
-  inline void adoptEventBatch(::capnp::Orphan< ::capnp::List< ::waxwingloft::wire::Event,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::waxwingloft::wire::Event,  ::capnp::Kind::STRUCT>> disownEventBatch();
-
-  inline bool isNudgePlacer();
-  inline bool hasNudgePlacer();
-  inline  ::capnp::Text::Builder getNudgePlacer();
-  inline void setNudgePlacer( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initNudgePlacer(unsigned int size);
-  inline void adoptNudgePlacer(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownNudgePlacer();
-
-  inline bool isDrainNode();
-  inline  ::capnp::Void getDrainNode();
-  inline void setDrainNode( ::capnp::Void value = ::capnp::VOID);
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
 
 #if !CAPNP_LITE
-class Message::Pipeline {
+class Capacity::Pipeline {
 public:
-  typedef Message Pipelines;
+  typedef Capacity Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3741,62 +3714,9 @@
 };
 #endif  // !CAPNP_LITE
 
-#if !CAPNP_LITE
-class Node::Client
-    : public virtual ::capnp::Capability::Client {
-public:
-  typedef Node Calls;
-  typedef Node Reads;
-
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
-
-  ::capnp::Request< ::waxwingloft::wire::Node::ExchangeParams,  ::waxwingloft::wire::Node::ExchangeResults> exchangeRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-
-protected:
-  Client() = default;
-};
-
-class Node::Server
-    : public virtual ::capnp::Capability::Server {
-public:
-  typedef Node Serves;
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
-
-protected:
-  typedef  ::waxwingloft::wire::Node::ExchangeParams ExchangeParams;
-  typedef  ::waxwingloft::wire::Node::ExchangeResults ExchangeResults;
-  typedef ::capnp::CallContext<ExchangeParams, ExchangeResults> ExchangeContext;
-  virtual ::kj::Promise<void> exchange(ExchangeContext context);
-
-  inline  ::waxwingloft::wire::Node::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::waxwingloft::wire::Node>();
-  }
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
-};
-#endif  // !CAPNP_LITE
-
-class Node::ExchangeParams::Reader {
+class ExecutorLife::Reader {
 public:
-  typedef ExchangeParams Reads;
+  typedef ExecutorLife Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3811,11 +3731,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasHeader() const;
-  inline  ::waxwingloft::wire::Header::Reader getHeader() const;
+  inline bool hasId() const;
+  inline  ::capnp::Text::Reader getId() const;
 
-  inline bool hasMessage() const;
-  inline  ::waxwingloft::wire::Message::Reader getMessage() const;
+  inline  ::int64_t getStartedAt() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3829,9 +3748,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::ExchangeParams::Builder {
+class ExecutorLife::Builder {
 public:
-  typedef ExchangeParams Builds;
+  typedef ExecutorLife Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3845,19 +3764,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasHeader();
-  inline  ::waxwingloft::wire::Header::Builder getHeader();
-  inline void setHeader( ::waxwingloft::wire::Header::Reader value);
-  inline  ::waxwingloft::wire::Header::Builder initHeader();
-  inline void adoptHeader(::capnp::Orphan< ::waxwingloft::wire::Header>&& value);
-  inline ::capnp::Orphan< ::waxwingloft::wire::Header> disownHeader();
+  inline bool hasId();
+  inline  ::capnp::Text::Builder getId();
+  inline void setId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownId();
 
-  inline bool hasMessage();
-  inline  ::waxwingloft::wire::Message::Builder getMessage();
-  inline void setMessage( ::waxwingloft::wire::Message::Reader value);
-  inline  ::waxwingloft::wire::Message::Builder initMessage();
-  inline void adoptMessage(::capnp::Orphan< ::waxwingloft::wire::Message>&& value);
-  inline ::capnp::Orphan< ::waxwingloft::wire::Message> disownMessage();
+  inline  ::int64_t getStartedAt();
+  inline void setStartedAt( ::int64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3869,16 +3784,14 @@
 };
 
 #if !CAPNP_LITE
-class Node::ExchangeParams::Pipeline {
+class ExecutorLife::Pipeline {
 public:
-  typedef ExchangeParams Pipelines;
+  typedef ExecutorLife Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::waxwingloft::wire::Header::Pipeline getHeader();
-  inline  ::waxwingloft::wire::Message::Pipeline getMessage();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3887,9 +3800,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::ExchangeResults::Reader {
+class RunReport::Reader {
 public:
-  typedef ExchangeResults Reads;
+  typedef RunReport Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3904,11 +3817,15 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasHeader() const;
-  inline  ::waxwingloft::wire::Header::Reader getHeader() const;
+  inline bool hasRun() const;
+  inline  ::waxwingloft::wire::TaskRun::Reader getRun() const;
 
-  inline bool hasMessage() const;
-  inline  ::waxwingloft::wire::Message::Reader getMessage() const;
+  inline  ::uint8_t getPhase() const;
+
+  inline bool hasCheckpoint() const;
+  inline  ::capnp::Text::Reader getCheckpoint() const;
+
+  inline  ::uint32_t getPercent() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3922,9 +3839,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::ExchangeResults::Builder {
+class RunReport::Builder {
 public:
-  typedef ExchangeResults Builds;
+  typedef RunReport Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3938,21 +3855,27 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasHeader();
-  inline  ::waxwingloft::wire::Header::Builder getHeader();
-  inline void setHeader( ::waxwingloft::wire::Header::Reader value);
-  inline  ::waxwingloft::wire::Header::Builder initHeader();
-  inline void adoptHeader(::capnp::Orphan< ::waxwingloft::wire::Header>&& value);
-  inline ::capnp::Orphan< ::waxwingloft::wire::Header> disownHeader();
+  inline bool hasRun();
+  inline  ::waxwingloft::wire::TaskRun::Builder getRun();
+  inline void setRun( ::waxwingloft::wire::TaskRun::Reader value);
+  inline  ::waxwingloft::wire::TaskRun::Builder initRun();
+  inline void adoptRun(::capnp::Orphan< ::waxwingloft::wire::TaskRun>&& value);
+  inline ::capnp::Orphan< ::waxwingloft::wire::TaskRun> disownRun();
 
-  inline bool hasMessage();
-  inline  ::waxwingloft::wire::Message::Builder getMessage();
-  inline void setMessage( ::waxwingloft::wire::Message::Reader value);
-  inline  ::waxwingloft::wire::Message::Builder initMessage();
-  inline void adoptMessage(::capnp::Orphan< ::waxwingloft::wire::Message>&& value);
-  inline ::capnp::Orphan< ::waxwingloft::wire::Message> disownMessage();
+  inline  ::uint8_t getPhase();
+  inline void setPhase( ::uint8_t value);
 
-private:
+  inline bool hasCheckpoint();
+  inline  ::capnp::Text::Builder getCheckpoint();
+  inline void setCheckpoint( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initCheckpoint(unsigned int size);
+  inline void adoptCheckpoint(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownCheckpoint();
+
+  inline  ::uint32_t getPercent();
+  inline void setPercent( ::uint32_t value);
+
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -3962,3089 +3885,5258 @@
 };
 
 #if !CAPNP_LITE
-class Node::ExchangeResults::Pipeline {
+class RunReport::Pipeline {
 public:
-  typedef ExchangeResults Pipelines;
+  typedef RunReport Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::waxwingloft::wire::TaskRun::Pipeline getRun();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class EndReport::Reader {
+public:
+  typedef EndReport Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNumber() const;
+
+  inline bool hasRun() const;
+  inline  ::waxwingloft::wire::TaskRun::Reader getRun() const;
+
+  inline  ::uint8_t getEnd() const;
+
+  inline bool hasCheckpoint() const;
+  inline  ::capnp::Text::Reader getCheckpoint() const;
+
+  inline  ::uint8_t getRefusal() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class EndReport::Builder {
+public:
+  typedef EndReport Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
+
+  inline bool hasRun();
+  inline  ::waxwingloft::wire::TaskRun::Builder getRun();
+  inline void setRun( ::waxwingloft::wire::TaskRun::Reader value);
+  inline  ::waxwingloft::wire::TaskRun::Builder initRun();
+  inline void adoptRun(::capnp::Orphan< ::waxwingloft::wire::TaskRun>&& value);
+  inline ::capnp::Orphan< ::waxwingloft::wire::TaskRun> disownRun();
+
+  inline  ::uint8_t getEnd();
+  inline void setEnd( ::uint8_t value);
+
+  inline bool hasCheckpoint();
+  inline  ::capnp::Text::Builder getCheckpoint();
+  inline void setCheckpoint( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initCheckpoint(unsigned int size);
+  inline void adoptCheckpoint(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownCheckpoint();
+
+  inline  ::uint8_t getRefusal();
+  inline void setRefusal( ::uint8_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EndReport::Pipeline {
+public:
+  typedef EndReport Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::waxwingloft::wire::TaskRun::Pipeline getRun();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class AgentReport::Reader {
+public:
+  typedef AgentReport Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasNode() const;
+  inline  ::capnp::Text::Reader getNode() const;
+
+  inline bool hasAddress() const;
+  inline  ::capnp::Text::Reader getAddress() const;
+
+  inline  ::uint64_t getGeneration() const;
+
+  inline  ::uint64_t getSequence() const;
+
+  inline  ::uint64_t getEpoch() const;
+
+  inline bool hasLife() const;
+  inline  ::waxwingloft::wire::ExecutorLife::Reader getLife() const;
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline bool hasZone() const;
+  inline  ::capnp::Text::Reader getZone() const;
+
+  inline bool getDraining() const;
+
+  inline bool getReachable() const;
+
+  inline bool hasCapacity() const;
+  inline  ::waxwingloft::wire::Capacity::Reader getCapacity() const;
+
+  inline bool hasLabels() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getLabels() const;
+
+  inline  ::uint64_t getSyncSequence() const;
+
+  inline bool hasRuns() const;
+  inline  ::capnp::List< ::waxwingloft::wire::RunReport,  ::capnp::Kind::STRUCT>::Reader getRuns() const;
+
+  inline bool hasEnds() const;
+  inline  ::capnp::List< ::waxwingloft::wire::EndReport,  ::capnp::Kind::STRUCT>::Reader getEnds() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class AgentReport::Builder {
+public:
+  typedef AgentReport Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasNode();
+  inline  ::capnp::Text::Builder getNode();
+  inline void setNode( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initNode(unsigned int size);
+  inline void adoptNode(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownNode();
+
+  inline bool hasAddress();
+  inline  ::capnp::Text::Builder getAddress();
+  inline void setAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
+
+  inline  ::uint64_t getGeneration();
+  inline void setGeneration( ::uint64_t value);
+
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
+
+  inline  ::uint64_t getEpoch();
+  inline void setEpoch( ::uint64_t value);
+
+  inline bool hasLife();
+  inline  ::waxwingloft::wire::ExecutorLife::Builder getLife();
+  inline void setLife( ::waxwingloft::wire::ExecutorLife::Reader value);
+  inline  ::waxwingloft::wire::ExecutorLife::Builder initLife();
+  inline void adoptLife(::capnp::Orphan< ::waxwingloft::wire::ExecutorLife>&& value);
+  inline ::capnp::Orphan< ::waxwingloft::wire::ExecutorLife> disownLife();
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline bool hasZone();
+  inline  ::capnp::Text::Builder getZone();
+  inline void setZone( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initZone(unsigned int size);
+  inline void adoptZone(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownZone();
+
+  inline bool getDraining();
+  inline void setDraining(bool value);
+
+  inline bool getReachable();
+  inline void setReachable(bool value);
+
+  inline bool hasCapacity();
+  inline  ::waxwingloft::wire::Capacity::Builder getCapacity();
+  inline void setCapacity( ::waxwingloft::wire::Capacity::Reader value);
+  inline  ::waxwingloft::wire::Capacity::Builder initCapacity();
+  inline void adoptCapacity(::capnp::Orphan< ::waxwingloft::wire::Capacity>&& value);
+  inline ::capnp::Orphan< ::waxwingloft::wire::Capacity> disownCapacity();
+
+  inline bool hasLabels();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getLabels();
+  inline void setLabels( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setLabels(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initLabels(unsigned int size);
+  inline void adoptLabels(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownLabels();
+
+  inline  ::uint64_t getSyncSequence();
+  inline void setSyncSequence( ::uint64_t value);
+
+  inline bool hasRuns();
+  inline  ::capnp::List< ::waxwingloft::wire::RunReport,  ::capnp::Kind::STRUCT>::Builder getRuns();
+  inline void setRuns( ::capnp::List< ::waxwingloft::wire::RunReport,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::waxwingloft::wire::RunReport,  ::capnp::Kind::STRUCT>::Builder initRuns(unsigned int size);
+  inline void adoptRuns(::capnp::Orphan< ::capnp::List< ::waxwingloft::wire::RunReport,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::waxwingloft::wire::RunReport,  ::capnp::Kind::STRUCT>> disownRuns();
+
+  inline bool hasEnds();
+  inline  ::capnp::List< ::waxwingloft::wire::EndReport,  ::capnp::Kind::STRUCT>::Builder getEnds();
+  inline void setEnds( ::capnp::List< ::waxwingloft::wire::EndReport,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::waxwingloft::wire::EndReport,  ::capnp::Kind::STRUCT>::Builder initEnds(unsigned int size);
+  inline void adoptEnds(::capnp::Orphan< ::capnp::List< ::waxwingloft::wire::EndReport,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::waxwingloft::wire::EndReport,  ::capnp::Kind::STRUCT>> disownEnds();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class AgentReport::Pipeline {
+public:
+  typedef AgentReport Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::waxwingloft::wire::Header::Pipeline getHeader();
-  inline  ::waxwingloft::wire::Message::Pipeline getMessage();
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
+  inline  ::waxwingloft::wire::ExecutorLife::Pipeline getLife();
+  inline  ::waxwingloft::wire::Capacity::Pipeline getCapacity();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Assignment::Reader {
+public:
+  typedef Assignment Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRun() const;
+  inline  ::waxwingloft::wire::TaskRun::Reader getRun() const;
+
+  inline bool hasNeeds() const;
+  inline  ::waxwingloft::wire::Capacity::Reader getNeeds() const;
+
+  inline bool getHasOrder() const;
+
+  inline bool hasSpec() const;
+  inline  ::capnp::Text::Reader getSpec() const;
+
+  inline bool hasCheckpoint() const;
+  inline  ::capnp::Text::Reader getCheckpoint() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Assignment::Builder {
+public:
+  typedef Assignment Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRun();
+  inline  ::waxwingloft::wire::TaskRun::Builder getRun();
+  inline void setRun( ::waxwingloft::wire::TaskRun::Reader value);
+  inline  ::waxwingloft::wire::TaskRun::Builder initRun();
+  inline void adoptRun(::capnp::Orphan< ::waxwingloft::wire::TaskRun>&& value);
+  inline ::capnp::Orphan< ::waxwingloft::wire::TaskRun> disownRun();
+
+  inline bool hasNeeds();
+  inline  ::waxwingloft::wire::Capacity::Builder getNeeds();
+  inline void setNeeds( ::waxwingloft::wire::Capacity::Reader value);
+  inline  ::waxwingloft::wire::Capacity::Builder initNeeds();
+  inline void adoptNeeds(::capnp::Orphan< ::waxwingloft::wire::Capacity>&& value);
+  inline ::capnp::Orphan< ::waxwingloft::wire::Capacity> disownNeeds();
+
+  inline bool getHasOrder();
+  inline void setHasOrder(bool value);
+
+  inline bool hasSpec();
+  inline  ::capnp::Text::Builder getSpec();
+  inline void setSpec( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initSpec(unsigned int size);
+  inline void adoptSpec(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownSpec();
+
+  inline bool hasCheckpoint();
+  inline  ::capnp::Text::Builder getCheckpoint();
+  inline void setCheckpoint( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initCheckpoint(unsigned int size);
+  inline void adoptCheckpoint(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownCheckpoint();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Assignment::Pipeline {
+public:
+  typedef Assignment Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::waxwingloft::wire::TaskRun::Pipeline getRun();
+  inline  ::waxwingloft::wire::Capacity::Pipeline getNeeds();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class AssignmentSync::Reader {
+public:
+  typedef AssignmentSync Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getEpoch() const;
+
+  inline  ::uint64_t getSequence() const;
+
+  inline bool hasLife() const;
+  inline  ::waxwingloft::wire::ExecutorLife::Reader getLife() const;
+
+  inline  ::uint64_t getNotedEnds() const;
+
+  inline  ::int64_t getLicenceMs() const;
+
+  inline bool hasAssignments() const;
+  inline  ::capnp::List< ::waxwingloft::wire::Assignment,  ::capnp::Kind::STRUCT>::Reader getAssignments() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class AssignmentSync::Builder {
+public:
+  typedef AssignmentSync Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getEpoch();
+  inline void setEpoch( ::uint64_t value);
+
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
+
+  inline bool hasLife();
+  inline  ::waxwingloft::wire::ExecutorLife::Builder getLife();
+  inline void setLife( ::waxwingloft::wire::ExecutorLife::Reader value);
+  inline  ::waxwingloft::wire::ExecutorLife::Builder initLife();
+  inline void adoptLife(::capnp::Orphan< ::waxwingloft::wire::ExecutorLife>&& value);
+  inline ::capnp::Orphan< ::waxwingloft::wire::ExecutorLife> disownLife();
+
+  inline  ::uint64_t getNotedEnds();
+  inline void setNotedEnds( ::uint64_t value);
+
+  inline  ::int64_t getLicenceMs();
+  inline void setLicenceMs( ::int64_t value);
+
+  inline bool hasAssignments();
+  inline  ::capnp::List< ::waxwingloft::wire::Assignment,  ::capnp::Kind::STRUCT>::Builder getAssignments();
+  inline void setAssignments( ::capnp::List< ::waxwingloft::wire::Assignment,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::waxwingloft::wire::Assignment,  ::capnp::Kind::STRUCT>::Builder initAssignments(unsigned int size);
+  inline void adoptAssignments(::capnp::Orphan< ::capnp::List< ::waxwingloft::wire::Assignment,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::waxwingloft::wire::Assignment,  ::capnp::Kind::STRUCT>> disownAssignments();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class AssignmentSync::Pipeline {
+public:
+  typedef AssignmentSync Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::waxwingloft::wire::ExecutorLife::Pipeline getLife();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Message::Reader {
+public:
+  typedef Message Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline Which which() const;
+  inline bool isPing() const;
+  inline  ::capnp::Void getPing() const;
+
+  inline bool isAck() const;
+  inline  ::capnp::Void getAck() const;
+
+  inline bool isErrorReply() const;
+  inline bool hasErrorReply() const;
+  inline  ::waxwingloft::wire::Error::Reader getErrorReply() const;
+
+  inline bool isDispatch() const;
+  inline bool hasDispatch() const;
+  inline  ::waxwingloft::wire::Dispatch::Reader getDispatch() const;
+
+  inline bool isQueryAttempt() const;
+  inline bool hasQueryAttempt() const;
+  inline  ::waxwingloft::wire::QueryAttempt::Reader getQueryAttempt() const;
+
+  inline bool isAttemptReply() const;
+  inline bool hasAttemptReply() const;
+  inline  ::waxwingloft::wire::AttemptReply::Reader getAttemptReply() const;
+
+  inline bool isPrepareGang() const;
+  inline bool hasPrepareGang() const;
+  inline  ::waxwingloft::wire::PrepareGang::Reader getPrepareGang() const;
+
+  inline bool isStartGang() const;
+  inline bool hasStartGang() const;
+  inline  ::waxwingloft::wire::StartGang::Reader getStartGang() const;
+
+  inline bool isStopGang() const;
+  inline bool hasStopGang() const;
+  inline  ::waxwingloft::wire::StopGang::Reader getStopGang() const;
+
+  inline bool isRenewGang() const;
+  inline bool hasRenewGang() const;
+  inline  ::waxwingloft::wire::RenewGang::Reader getRenewGang() const;
+
+  inline bool isGangReply() const;
+  inline bool hasGangReply() const;
+  inline  ::waxwingloft::wire::GangReply::Reader getGangReply() const;
+
+  inline bool isAskReport() const;
+  inline bool hasAskReport() const;
+  inline  ::waxwingloft::wire::AskReport::Reader getAskReport() const;
+
+  inline bool isNodeReport() const;
+  inline bool hasNodeReport() const;
+  inline  ::waxwingloft::wire::NodeReport::Reader getNodeReport() const;
+
+  inline bool isHeartbeat() const;
+  inline bool hasHeartbeat() const;
+  inline  ::waxwingloft::wire::Heartbeat::Reader getHeartbeat() const;
+
+  inline bool isHeartbeatReply() const;
+  inline bool hasHeartbeatReply() const;
+  inline  ::waxwingloft::wire::HeartbeatReply::Reader getHeartbeatReply() const;
+
+  inline bool isPushMembers() const;
+  inline bool hasPushMembers() const;
+  inline  ::waxwingloft::wire::MembersDelta::Reader getPushMembers() const;
+
+  inline bool isPushMembersReply() const;
+  inline bool hasPushMembersReply() const;
+  inline  ::waxwingloft::wire::PushMembersReply::Reader getPushMembersReply() const;
+
+  inline bool isFetchSettings() const;
+  inline  ::uint64_t getFetchSettings() const;
+
+  inline bool isSettingsUpdate() const;
+  inline bool hasSettingsUpdate() const;
+  inline  ::waxwingloft::wire::SettingsDelta::Reader getSettingsUpdate() const;
+
+  inline bool isFetchEvents() const;
+  inline bool hasFetchEvents() const;
+  inline  ::waxwingloft::wire::FetchEvents::Reader getFetchEvents() const;
+
+  inline bool isEventBatch() const;
+  inline bool hasEventBatch() const;
+  inline  ::capnp::List< ::waxwingloft::wire::Event,  ::capnp::Kind::STRUCT>::Reader getEventBatch() const;
+
+  inline bool isNudgePlacer() const;
+  inline bool hasNudgePlacer() const;
+  inline  ::capnp::Text::Reader getNudgePlacer() const;
+
+  inline bool isDrainNode() const;
+  inline  ::capnp::Void getDrainNode() const;
+
+  inline bool isAgentReport() const;
+  inline bool hasAgentReport() const;
+  inline  ::waxwingloft::wire::AgentReport::Reader getAgentReport() const;
+
+  inline bool isAssignmentSync() const;
+  inline bool hasAssignmentSync() const;
+  inline  ::waxwingloft::wire::AssignmentSync::Reader getAssignmentSync() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Message::Builder {
+public:
+  typedef Message Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline Which which();
+  inline bool isPing();
+  inline  ::capnp::Void getPing();
+  inline void setPing( ::capnp::Void value = ::capnp::VOID);
+
+  inline bool isAck();
+  inline  ::capnp::Void getAck();
+  inline void setAck( ::capnp::Void value = ::capnp::VOID);
+
+  inline bool isErrorReply();
+  inline bool hasErrorReply();
+  inline  ::waxwingloft::wire::Error::Builder getErrorReply();
+  inline void setErrorReply( ::waxwingloft::wire::Error::Reader value);
+  inline  ::waxwingloft::wire::Error::Builder initErrorReply();
+  inline void adoptErrorReply(::capnp::Orphan< ::waxwingloft::wire::Error>&& value);
+  inline ::capnp::Orphan< ::waxwingloft::wire::Error> disownErrorReply();
+
+  inline bool isDispatch();
+  inline bool hasDispatch();
+  inline  ::waxwingloft::wire::Dispatch::Builder getDispatch();
+  inline void setDispatch( ::waxwingloft::wire::Dispatch::Reader value);
+  inline  ::waxwingloft::wire::Dispatch::Builder initDispatch();
+  inline void adoptDispatch(::capnp::Orphan< ::waxwingloft::wire::Dispatch>&& value);
+  inline ::capnp::Orphan< ::waxwingloft::wire::Dispatch> disownDispatch();
+
+  inline bool isQueryAttempt();
+  inline bool hasQueryAttempt();
+  inline  ::waxwingloft::wire::QueryAttempt::Builder getQueryAttempt();
+  inline void setQueryAttempt( ::waxwingloft::wire::QueryAttempt::Reader value);
+  inline  ::waxwingloft::wire::QueryAttempt::Builder initQueryAttempt();
+  inline void adoptQueryAttempt(::capnp::Orphan< ::waxwingloft::wire::QueryAttempt>&& value);
+  inline ::capnp::Orphan< ::waxwingloft::wire::QueryAttempt> disownQueryAttempt();
+
+  inline bool isAttemptReply();
+  inline bool hasAttemptReply();
+  inline  ::waxwingloft::wire::AttemptReply::Builder getAttemptReply();
+  inline void setAttemptReply( ::waxwingloft::wire::AttemptReply::Reader value);
+  inline  ::waxwingloft::wire::AttemptReply::Builder initAttemptReply();
+  inline void adoptAttemptReply(::capnp::Orphan< ::waxwingloft::wire::AttemptReply>&& value);
+  inline ::capnp::Orphan< ::waxwingloft::wire::AttemptReply> disownAttemptReply();
+
+  inline bool isPrepareGang();
+  inline bool hasPrepareGang();
+  inline  ::waxwingloft::wire::PrepareGang::Builder getPrepareGang();
+  inline void setPrepareGang( ::waxwingloft::wire::PrepareGang::Reader value);
+  inline  ::waxwingloft::wire::PrepareGang::Builder initPrepareGang();
+  inline void adoptPrepareGang(::capnp::Orphan< ::waxwingloft::wire::PrepareGang>&& value);
+  inline ::capnp::Orphan< ::waxwingloft::wire::PrepareGang> disownPrepareGang();
+
+  inline bool isStartGang();
+  inline bool hasStartGang();
+  inline  ::waxwingloft::wire::StartGang::Builder getStartGang();
+  inline void setStartGang( ::waxwingloft::wire::StartGang::Reader value);
+  inline  ::waxwingloft::wire::StartGang::Builder initStartGang();
+  inline void adoptStartGang(::capnp::Orphan< ::waxwingloft::wire::StartGang>&& value);
+  inline ::capnp::Orphan< ::waxwingloft::wire::StartGang> disownStartGang();
+
+  inline bool isStopGang();
+  inline bool hasStopGang();
+  inline  ::waxwingloft::wire::StopGang::Builder getStopGang();
+  inline void setStopGang( ::waxwingloft::wire::StopGang::Reader value);
+  inline  ::waxwingloft::wire::StopGang::Builder initStopGang();
+  inline void adoptStopGang(::capnp::Orphan< ::waxwingloft::wire::StopGang>&& value);
+  inline ::capnp::Orphan< ::waxwingloft::wire::StopGang> disownStopGang();
+
+  inline bool isRenewGang();
+  inline bool hasRenewGang();
+  inline  ::waxwingloft::wire::RenewGang::Builder getRenewGang();
+  inline void setRenewGang( ::waxwingloft::wire::RenewGang::Reader value);
+  inline  ::waxwingloft::wire::RenewGang::Builder initRenewGang();
+  inline void adoptRenewGang(::capnp::Orphan< ::waxwingloft::wire::RenewGang>&& value);
+  inline ::capnp::Orphan< ::waxwingloft::wire::RenewGang> disownRenewGang();
+
+  inline bool isGangReply();
+  inline bool hasGangReply();
+  inline  ::waxwingloft::wire::GangReply::Builder getGangReply();
+  inline void setGangReply( ::waxwingloft::wire::GangReply::Reader value);
+  inline  ::waxwingloft::wire::GangReply::Builder initGangReply();
+  inline void adoptGangReply(::capnp::Orphan< ::waxwingloft::wire::GangReply>&& value);
+  inline ::capnp::Orphan< ::waxwingloft::wire::GangReply> disownGangReply();
+
+  inline bool isAskReport();
+  inline bool hasAskReport();
+  inline  ::waxwingloft::wire::AskReport::Builder getAskReport();
+  inline void setAskReport( ::waxwingloft::wire::AskReport::Reader value);
+  inline  ::waxwingloft::wire::AskReport::Builder initAskReport();
+  inline void adoptAskReport(::capnp::Orphan< ::waxwingloft::wire::AskReport>&& value);
+  inline ::capnp::Orphan< ::waxwingloft::wire::AskReport> disownAskReport();
+
+  inline bool isNodeReport();
+  inline bool hasNodeReport();
+  inline  ::waxwingloft::wire::NodeReport::Builder getNodeReport();
+  inline void setNodeReport( ::waxwingloft::wire::NodeReport::Reader value);
+  inline  ::waxwingloft::wire::NodeReport::Builder initNodeReport();
+  inline void adoptNodeReport(::capnp::Orphan< ::waxwingloft::wire::NodeReport>&& value);
+  inline ::capnp::Orphan< ::waxwingloft::wire::NodeReport> disownNodeReport();
+
+  inline bool isHeartbeat();
+  inline bool hasHeartbeat();
+  inline  ::waxwingloft::wire::Heartbeat::Builder getHeartbeat();
+  inline void setHeartbeat( ::waxwingloft::wire::Heartbeat::Reader value);
+  inline  ::waxwingloft::wire::Heartbeat::Builder initHeartbeat();
+  inline void adoptHeartbeat(::capnp::Orphan< ::waxwingloft::wire::Heartbeat>&& value);
+  inline ::capnp::Orphan< ::waxwingloft::wire::Heartbeat> disownHeartbeat();
+
+  inline bool isHeartbeatReply();
+  inline bool hasHeartbeatReply();
+  inline  ::waxwingloft::wire::HeartbeatReply::Builder getHeartbeatReply();
+  inline void setHeartbeatReply( ::waxwingloft::wire::HeartbeatReply::Reader value);
+  inline  ::waxwingloft::wire::HeartbeatReply::Builder initHeartbeatReply();
+  inline void adoptHeartbeatReply(::capnp::Orphan< ::waxwingloft::wire::HeartbeatReply>&& value);
+  inline ::capnp::Orphan< ::waxwingloft::wire::HeartbeatReply> disownHeartbeatReply();
+
+  inline bool isPushMembers();
+  inline bool hasPushMembers();
+  inline  ::waxwingloft::wire::MembersDelta::Builder getPushMembers();
+  inline void setPushMembers( ::waxwingloft::wire::MembersDelta::Reader value);
+  inline  ::waxwingloft::wire::MembersDelta::Builder initPushMembers();
+  inline void adoptPushMembers(::capnp::Orphan< ::waxwingloft::wire::MembersDelta>&& value);
+  inline ::capnp::Orphan< ::waxwingloft::wire::MembersDelta> disownPushMembers();
+
+  inline bool isPushMembersReply();
+  inline bool hasPushMembersReply();
+  inline  ::waxwingloft::wire::PushMembersReply::Builder getPushMembersReply();
+  inline void setPushMembersReply( ::waxwingloft::wire::PushMembersReply::Reader value);
+  inline  ::waxwingloft::wire::PushMembersReply::Builder initPushMembersReply();
+  inline void adoptPushMembersReply(::capnp::Orphan< ::waxwingloft::wire::PushMembersReply>&& value);
+  inline ::capnp::Orphan< ::waxwingloft::wire::PushMembersReply> disownPushMembersReply();
+
+  inline bool isFetchSettings();
+  inline  ::uint64_t getFetchSettings();
+  inline void setFetchSettings( ::uint64_t value);
+
+  inline bool isSettingsUpdate();
+  inline bool hasSettingsUpdate();
+  inline  ::waxwingloft::wire::SettingsDelta::Builder getSettingsUpdate();
+  inline void setSettingsUpdate( ::waxwingloft::wire::SettingsDelta::Reader value);
+  inline  ::waxwingloft::wire::SettingsDelta::Builder initSettingsUpdate();
+  inline void adoptSettingsUpdate(::capnp::Orphan< ::waxwingloft::wire::SettingsDelta>&& value);
+  inline ::capnp::Orphan< ::waxwingloft::wire::SettingsDelta> disownSettingsUpdate();
+
+  inline bool isFetchEvents();
+  inline bool hasFetchEvents();
+  inline  ::waxwingloft::wire::FetchEvents::Builder getFetchEvents();
+  inline void setFetchEvents( ::waxwingloft::wire::FetchEvents::Reader value);
+  inline  ::waxwingloft::wire::FetchEvents::Builder initFetchEvents();
+  inline void adoptFetchEvents(::capnp::Orphan< ::waxwingloft::wire::FetchEvents>&& value);
+  inline ::capnp::Orphan< ::waxwingloft::wire::FetchEvents> disownFetchEvents();
+
+  inline bool isEventBatch();
+  inline bool hasEventBatch();
+  inline  ::capnp::List< ::waxwingloft::wire::Event,  ::capnp::Kind::STRUCT>::Builder getEventBatch();
+  inline void setEventBatch( ::capnp::List< ::waxwingloft::wire::Event,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::waxwingloft::wire::Event,  ::capnp::Kind::STRUCT>::Builder initEventBatch(unsigned int size);
+  inline void adoptEventBatch(::capnp::Orphan< ::capnp::List< ::waxwingloft::wire::Event,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::waxwingloft::wire::Event,  ::capnp::Kind::STRUCT>> disownEventBatch();
+
+  inline bool isNudgePlacer();
+  inline bool hasNudgePlacer();
+  inline  ::capnp::Text::Builder getNudgePlacer();
+  inline void setNudgePlacer( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initNudgePlacer(unsigned int size);
+  inline void adoptNudgePlacer(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownNudgePlacer();
+
+  inline bool isDrainNode();
+  inline  ::capnp::Void getDrainNode();
+  inline void setDrainNode( ::capnp::Void value = ::capnp::VOID);
+
+  inline bool isAgentReport();
+  inline bool hasAgentReport();
+  inline  ::waxwingloft::wire::AgentReport::Builder getAgentReport();
+  inline void setAgentReport( ::waxwingloft::wire::AgentReport::Reader value);
+  inline  ::waxwingloft::wire::AgentReport::Builder initAgentReport();
+  inline void adoptAgentReport(::capnp::Orphan< ::waxwingloft::wire::AgentReport>&& value);
+  inline ::capnp::Orphan< ::waxwingloft::wire::AgentReport> disownAgentReport();
+
+  inline bool isAssignmentSync();
+  inline bool hasAssignmentSync();
+  inline  ::waxwingloft::wire::AssignmentSync::Builder getAssignmentSync();
+  inline void setAssignmentSync( ::waxwingloft::wire::AssignmentSync::Reader value);
+  inline  ::waxwingloft::wire::AssignmentSync::Builder initAssignmentSync();
+  inline void adoptAssignmentSync(::capnp::Orphan< ::waxwingloft::wire::AssignmentSync>&& value);
+  inline ::capnp::Orphan< ::waxwingloft::wire::AssignmentSync> disownAssignmentSync();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Message::Pipeline {
+public:
+  typedef Message Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+#if !CAPNP_LITE
+class Node::Client
+    : public virtual ::capnp::Capability::Client {
+public:
+  typedef Node Calls;
+  typedef Node Reads;
+
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
+
+  ::capnp::Request< ::waxwingloft::wire::Node::ExchangeParams,  ::waxwingloft::wire::Node::ExchangeResults> exchangeRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+
+protected:
+  Client() = default;
+};
+
+class Node::Server
+    : public virtual ::capnp::Capability::Server {
+public:
+  typedef Node Serves;
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
+
+protected:
+  typedef  ::waxwingloft::wire::Node::ExchangeParams ExchangeParams;
+  typedef  ::waxwingloft::wire::Node::ExchangeResults ExchangeResults;
+  typedef ::capnp::CallContext<ExchangeParams, ExchangeResults> ExchangeContext;
+  virtual ::kj::Promise<void> exchange(ExchangeContext context);
+
+  inline  ::waxwingloft::wire::Node::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::waxwingloft::wire::Node>();
+  }
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+};
+#endif  // !CAPNP_LITE
+
+class Node::ExchangeParams::Reader {
+public:
+  typedef ExchangeParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHeader() const;
+  inline  ::waxwingloft::wire::Header::Reader getHeader() const;
+
+  inline bool hasMessage() const;
+  inline  ::waxwingloft::wire::Message::Reader getMessage() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Node::ExchangeParams::Builder {
+public:
+  typedef ExchangeParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHeader();
+  inline  ::waxwingloft::wire::Header::Builder getHeader();
+  inline void setHeader( ::waxwingloft::wire::Header::Reader value);
+  inline  ::waxwingloft::wire::Header::Builder initHeader();
+  inline void adoptHeader(::capnp::Orphan< ::waxwingloft::wire::Header>&& value);
+  inline ::capnp::Orphan< ::waxwingloft::wire::Header> disownHeader();
+
+  inline bool hasMessage();
+  inline  ::waxwingloft::wire::Message::Builder getMessage();
+  inline void setMessage( ::waxwingloft::wire::Message::Reader value);
+  inline  ::waxwingloft::wire::Message::Builder initMessage();
+  inline void adoptMessage(::capnp::Orphan< ::waxwingloft::wire::Message>&& value);
+  inline ::capnp::Orphan< ::waxwingloft::wire::Message> disownMessage();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Node::ExchangeParams::Pipeline {
+public:
+  typedef ExchangeParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::waxwingloft::wire::Header::Pipeline getHeader();
+  inline  ::waxwingloft::wire::Message::Pipeline getMessage();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Node::ExchangeResults::Reader {
+public:
+  typedef ExchangeResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHeader() const;
+  inline  ::waxwingloft::wire::Header::Reader getHeader() const;
+
+  inline bool hasMessage() const;
+  inline  ::waxwingloft::wire::Message::Reader getMessage() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Node::ExchangeResults::Builder {
+public:
+  typedef ExchangeResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHeader();
+  inline  ::waxwingloft::wire::Header::Builder getHeader();
+  inline void setHeader( ::waxwingloft::wire::Header::Reader value);
+  inline  ::waxwingloft::wire::Header::Builder initHeader();
+  inline void adoptHeader(::capnp::Orphan< ::waxwingloft::wire::Header>&& value);
+  inline ::capnp::Orphan< ::waxwingloft::wire::Header> disownHeader();
+
+  inline bool hasMessage();
+  inline  ::waxwingloft::wire::Message::Builder getMessage();
+  inline void setMessage( ::waxwingloft::wire::Message::Reader value);
+  inline  ::waxwingloft::wire::Message::Builder initMessage();
+  inline void adoptMessage(::capnp::Orphan< ::waxwingloft::wire::Message>&& value);
+  inline ::capnp::Orphan< ::waxwingloft::wire::Message> disownMessage();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Node::ExchangeResults::Pipeline {
+public:
+  typedef ExchangeResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::waxwingloft::wire::Header::Pipeline getHeader();
+  inline  ::waxwingloft::wire::Message::Pipeline getMessage();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline  ::int64_t HybridTime::Reader::getMillis() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t HybridTime::Builder::getMillis() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void HybridTime::Builder::setMillis( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t HybridTime::Reader::getCounter() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t HybridTime::Builder::getCounter() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void HybridTime::Builder::setCounter( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Header::Reader::hasFrom() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Header::Builder::hasFrom() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Header::Reader::getFrom() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Header::Builder::getFrom() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Header::Builder::setFrom( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Header::Builder::initFrom(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Header::Builder::adoptFrom(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Header::Builder::disownFrom() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Header::Reader::hasAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Header::Builder::hasAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Header::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Header::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Header::Builder::setAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Header::Builder::initAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Header::Builder::adoptAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Header::Builder::disownAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Header::Reader::hasTime() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Header::Builder::hasTime() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::waxwingloft::wire::HybridTime::Reader Header::Reader::getTime() const {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::HybridTime>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::waxwingloft::wire::HybridTime::Builder Header::Builder::getTime() {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::HybridTime>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::waxwingloft::wire::HybridTime::Pipeline Header::Pipeline::getTime() {
+  return  ::waxwingloft::wire::HybridTime::Pipeline(_typeless.getPointerField(2));
+}
+#endif  // !CAPNP_LITE
+inline void Header::Builder::setTime( ::waxwingloft::wire::HybridTime::Reader value) {
+  ::capnp::_::PointerHelpers< ::waxwingloft::wire::HybridTime>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::waxwingloft::wire::HybridTime::Builder Header::Builder::initTime() {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::HybridTime>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Header::Builder::adoptTime(
+    ::capnp::Orphan< ::waxwingloft::wire::HybridTime>&& value) {
+  ::capnp::_::PointerHelpers< ::waxwingloft::wire::HybridTime>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::waxwingloft::wire::HybridTime> Header::Builder::disownTime() {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::HybridTime>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Header::Reader::getSettingsVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Header::Builder::getSettingsVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Header::Builder::setSettingsVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t Error::Reader::getKind() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t Error::Builder::getKind() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Error::Builder::setKind( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Error::Reader::hasMessage() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Error::Builder::hasMessage() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Error::Reader::getMessage() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Error::Builder::getMessage() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Error::Builder::setMessage( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Error::Builder::initMessage(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Error::Builder::adoptMessage(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Error::Builder::disownMessage() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Error::Reader::hasRemedy() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Error::Builder::hasRemedy() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Error::Reader::getRemedy() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Error::Builder::getRemedy() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Error::Builder::setRemedy( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Error::Builder::initRemedy(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Error::Builder::adoptRemedy(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Error::Builder::disownRemedy() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t Load::Reader::getInUse() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Load::Builder::getInUse() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setInUse( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Load::Reader::getSlots() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Load::Builder::getSlots() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setSlots( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t Resources::Reader::getProcessors() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Resources::Builder::getProcessors() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Resources::Builder::setProcessors( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t Resources::Reader::getMemoryGb() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Resources::Builder::getMemoryGb() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Resources::Builder::setMemoryGb( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t Resources::Reader::getAccelerators() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Resources::Builder::getAccelerators() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Resources::Builder::setAccelerators( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Location::Reader::hasRegion() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Location::Builder::hasRegion() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Location::Reader::getRegion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Location::Builder::getRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Location::Builder::setRegion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Location::Builder::initRegion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Location::Builder::adoptRegion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Location::Builder::disownRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Location::Reader::hasDataCentre() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Location::Builder::hasDataCentre() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Location::Reader::getDataCentre() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Location::Builder::getDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Location::Builder::setDataCentre( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Location::Builder::initDataCentre(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Location::Builder::adoptDataCentre(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Location::Builder::disownDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Location::Reader::hasRack() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Location::Builder::hasRack() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Location::Reader::getRack() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Location::Builder::getRack() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Location::Builder::setRack( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Location::Builder::initRack(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Location::Builder::adoptRack(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Location::Builder::disownRack() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool Dispatch::Reader::hasAttempt() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Dispatch::Builder::hasAttempt() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Dispatch::Reader::getAttempt() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Dispatch::Builder::getAttempt() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Dispatch::Builder::setAttempt( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Dispatch::Builder::initAttempt(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Dispatch::Builder::adoptAttempt(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Dispatch::Builder::disownAttempt() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Dispatch::Reader::hasWorkspace() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Dispatch::Builder::hasWorkspace() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Dispatch::Reader::getWorkspace() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Dispatch::Builder::getWorkspace() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Dispatch::Builder::setWorkspace( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Dispatch::Builder::initWorkspace(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Dispatch::Builder::adoptWorkspace(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Dispatch::Builder::disownWorkspace() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Dispatch::Reader::hasRequest() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Dispatch::Builder::hasRequest() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Dispatch::Reader::getRequest() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Dispatch::Builder::getRequest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Dispatch::Builder::setRequest( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Dispatch::Builder::initRequest(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Dispatch::Builder::adoptRequest(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Dispatch::Builder::disownRequest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool Dispatch::Reader::hasKind() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Dispatch::Builder::hasKind() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Dispatch::Reader::getKind() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Dispatch::Builder::getKind() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Dispatch::Builder::setKind( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Dispatch::Builder::initKind(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void Dispatch::Builder::adoptKind(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Dispatch::Builder::disownKind() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool Dispatch::Reader::hasTeam() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool Dispatch::Builder::hasTeam() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Dispatch::Reader::getTeam() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Dispatch::Builder::getTeam() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void Dispatch::Builder::setTeam( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Dispatch::Builder::initTeam(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void Dispatch::Builder::adoptTeam(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Dispatch::Builder::disownTeam() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Dispatch::Reader::getTeamVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Dispatch::Builder::getTeamVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Dispatch::Builder::setTeamVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Dispatch::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Dispatch::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Dispatch::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Dispatch::Reader::getIdempotent() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool Dispatch::Builder::getIdempotent() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void Dispatch::Builder::setIdempotent(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t Dispatch::Reader::getTimeLeftMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Dispatch::Builder::getTimeLeftMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Dispatch::Builder::setTimeLeftMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Dispatch::Reader::hasPayload() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool Dispatch::Builder::hasPayload() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader Dispatch::Reader::getPayload() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder Dispatch::Builder::getPayload() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void Dispatch::Builder::setPayload( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder Dispatch::Builder::initPayload(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void Dispatch::Builder::adoptPayload(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> Dispatch::Builder::disownPayload() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
+inline bool QueryAttempt::Reader::hasAttempt() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool QueryAttempt::Builder::hasAttempt() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader QueryAttempt::Reader::getAttempt() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder QueryAttempt::Builder::getAttempt() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void QueryAttempt::Builder::setAttempt( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder QueryAttempt::Builder::initAttempt(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void QueryAttempt::Builder::adoptAttempt(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> QueryAttempt::Builder::disownAttempt() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t QueryAttempt::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t QueryAttempt::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void QueryAttempt::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t QueryAttempt::Reader::getWaitMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t QueryAttempt::Builder::getWaitMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void QueryAttempt::Builder::setWaitMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t QueryAttempt::Reader::getAgeMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t QueryAttempt::Builder::getAgeMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void QueryAttempt::Builder::setAgeMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool AttemptReply::Reader::hasAttempt() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool AttemptReply::Builder::hasAttempt() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader AttemptReply::Reader::getAttempt() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder AttemptReply::Builder::getAttempt() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void AttemptReply::Builder::setAttempt( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder AttemptReply::Builder::initAttempt(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void AttemptReply::Builder::adoptAttempt(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> AttemptReply::Builder::disownAttempt() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint8_t AttemptReply::Reader::getState() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t AttemptReply::Builder::getState() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void AttemptReply::Builder::setState( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t AttemptReply::Reader::getOutcome() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t AttemptReply::Builder::getOutcome() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void AttemptReply::Builder::setOutcome( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool AttemptReply::Reader::hasError() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool AttemptReply::Builder::hasError() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::waxwingloft::wire::Error::Reader AttemptReply::Reader::getError() const {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Error>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::waxwingloft::wire::Error::Builder AttemptReply::Builder::getError() {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Error>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::waxwingloft::wire::Error::Pipeline AttemptReply::Pipeline::getError() {
+  return  ::waxwingloft::wire::Error::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void AttemptReply::Builder::setError( ::waxwingloft::wire::Error::Reader value) {
+  ::capnp::_::PointerHelpers< ::waxwingloft::wire::Error>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::waxwingloft::wire::Error::Builder AttemptReply::Builder::initError() {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Error>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void AttemptReply::Builder::adoptError(
+    ::capnp::Orphan< ::waxwingloft::wire::Error>&& value) {
+  ::capnp::_::PointerHelpers< ::waxwingloft::wire::Error>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::waxwingloft::wire::Error> AttemptReply::Builder::disownError() {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Error>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool AttemptReply::Reader::hasPayload() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool AttemptReply::Builder::hasPayload() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader AttemptReply::Reader::getPayload() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder AttemptReply::Builder::getPayload() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void AttemptReply::Builder::setPayload( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder AttemptReply::Builder::initPayload(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void AttemptReply::Builder::adoptPayload(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> AttemptReply::Builder::disownPayload() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool AttemptReply::Reader::hasLoad() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool AttemptReply::Builder::hasLoad() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::waxwingloft::wire::Load::Reader AttemptReply::Reader::getLoad() const {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Load>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::waxwingloft::wire::Load::Builder AttemptReply::Builder::getLoad() {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Load>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::waxwingloft::wire::Load::Pipeline AttemptReply::Pipeline::getLoad() {
+  return  ::waxwingloft::wire::Load::Pipeline(_typeless.getPointerField(3));
+}
+#endif  // !CAPNP_LITE
+inline void AttemptReply::Builder::setLoad( ::waxwingloft::wire::Load::Reader value) {
+  ::capnp::_::PointerHelpers< ::waxwingloft::wire::Load>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::waxwingloft::wire::Load::Builder AttemptReply::Builder::initLoad() {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Load>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void AttemptReply::Builder::adoptLoad(
+    ::capnp::Orphan< ::waxwingloft::wire::Load>&& value) {
+  ::capnp::_::PointerHelpers< ::waxwingloft::wire::Load>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::waxwingloft::wire::Load> AttemptReply::Builder::disownLoad() {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Load>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool GangMember::Reader::hasNode() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool GangMember::Builder::hasNode() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader GangMember::Reader::getNode() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder GangMember::Builder::getNode() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void GangMember::Builder::setNode( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder GangMember::Builder::initNode(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void GangMember::Builder::adoptNode(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> GangMember::Builder::disownNode() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
 
-// =======================================================================================
+inline bool GangMember::Reader::hasAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool GangMember::Builder::hasAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader GangMember::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder GangMember::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void GangMember::Builder::setAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder GangMember::Builder::initAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void GangMember::Builder::adoptAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> GangMember::Builder::disownAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
 
-inline  ::int64_t HybridTime::Reader::getMillis() const {
-  return _reader.getDataField< ::int64_t>(
+inline  ::uint64_t GangMember::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t HybridTime::Builder::getMillis() {
-  return _builder.getDataField< ::int64_t>(
+inline  ::uint64_t GangMember::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void HybridTime::Builder::setMillis( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
+inline void GangMember::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t HybridTime::Reader::getCounter() const {
+inline  ::uint32_t GangMember::Reader::getTasks() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t HybridTime::Builder::getCounter() {
+inline  ::uint32_t GangMember::Builder::getTasks() {
   return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void HybridTime::Builder::setCounter( ::uint32_t value) {
+inline void GangMember::Builder::setTasks( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Header::Reader::hasFrom() const {
+inline bool PrepareGang::Reader::hasJob() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Header::Builder::hasFrom() {
+inline bool PrepareGang::Builder::hasJob() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Header::Reader::getFrom() const {
+inline  ::capnp::Text::Reader PrepareGang::Reader::getJob() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Header::Builder::getFrom() {
+inline  ::capnp::Text::Builder PrepareGang::Builder::getJob() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Header::Builder::setFrom( ::capnp::Text::Reader value) {
+inline void PrepareGang::Builder::setJob( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Header::Builder::initFrom(unsigned int size) {
+inline  ::capnp::Text::Builder PrepareGang::Builder::initJob(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Header::Builder::adoptFrom(
+inline void PrepareGang::Builder::adoptJob(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Header::Builder::disownFrom() {
+inline ::capnp::Orphan< ::capnp::Text> PrepareGang::Builder::disownJob() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Header::Reader::hasAddress() const {
+inline bool PrepareGang::Reader::hasAttempt() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Header::Builder::hasAddress() {
+inline bool PrepareGang::Builder::hasAttempt() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Header::Reader::getAddress() const {
+inline  ::capnp::Text::Reader PrepareGang::Reader::getAttempt() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Header::Builder::getAddress() {
+inline  ::capnp::Text::Builder PrepareGang::Builder::getAttempt() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Header::Builder::setAddress( ::capnp::Text::Reader value) {
+inline void PrepareGang::Builder::setAttempt( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Header::Builder::initAddress(unsigned int size) {
+inline  ::capnp::Text::Builder PrepareGang::Builder::initAttempt(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Header::Builder::adoptAddress(
+inline void PrepareGang::Builder::adoptAttempt(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Header::Builder::disownAddress() {
+inline ::capnp::Orphan< ::capnp::Text> PrepareGang::Builder::disownAttempt() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Header::Reader::hasTime() const {
+inline bool PrepareGang::Reader::hasRegion() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool Header::Builder::hasTime() {
+inline bool PrepareGang::Builder::hasRegion() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::waxwingloft::wire::HybridTime::Reader Header::Reader::getTime() const {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::HybridTime>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader PrepareGang::Reader::getRegion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::waxwingloft::wire::HybridTime::Builder Header::Builder::getTime() {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::HybridTime>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder PrepareGang::Builder::getRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::waxwingloft::wire::HybridTime::Pipeline Header::Pipeline::getTime() {
-  return  ::waxwingloft::wire::HybridTime::Pipeline(_typeless.getPointerField(2));
-}
-#endif  // !CAPNP_LITE
-inline void Header::Builder::setTime( ::waxwingloft::wire::HybridTime::Reader value) {
-  ::capnp::_::PointerHelpers< ::waxwingloft::wire::HybridTime>::set(_builder.getPointerField(
+inline void PrepareGang::Builder::setRegion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::waxwingloft::wire::HybridTime::Builder Header::Builder::initTime() {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::HybridTime>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder PrepareGang::Builder::initRegion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void Header::Builder::adoptTime(
-    ::capnp::Orphan< ::waxwingloft::wire::HybridTime>&& value) {
-  ::capnp::_::PointerHelpers< ::waxwingloft::wire::HybridTime>::adopt(_builder.getPointerField(
+inline void PrepareGang::Builder::adoptRegion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::waxwingloft::wire::HybridTime> Header::Builder::disownTime() {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::HybridTime>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> PrepareGang::Builder::disownRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Header::Reader::getSettingsVersion() const {
+inline  ::uint64_t PrepareGang::Reader::getEpoch() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Header::Builder::getSettingsVersion() {
+inline  ::uint64_t PrepareGang::Builder::getEpoch() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Header::Builder::setSettingsVersion( ::uint64_t value) {
+inline void PrepareGang::Builder::setEpoch( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint8_t Error::Reader::getKind() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool PrepareGang::Reader::hasWorkspace() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool PrepareGang::Builder::hasWorkspace() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader PrepareGang::Reader::getWorkspace() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder PrepareGang::Builder::getWorkspace() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void PrepareGang::Builder::setWorkspace( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder PrepareGang::Builder::initWorkspace(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void PrepareGang::Builder::adoptWorkspace(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> PrepareGang::Builder::disownWorkspace() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline  ::uint8_t Error::Builder::getKind() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool PrepareGang::Reader::hasTeam() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline void Error::Builder::setKind( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline bool PrepareGang::Builder::hasTeam() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader PrepareGang::Reader::getTeam() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder PrepareGang::Builder::getTeam() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void PrepareGang::Builder::setTeam( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder PrepareGang::Builder::initTeam(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void PrepareGang::Builder::adoptTeam(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> PrepareGang::Builder::disownTeam() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t PrepareGang::Reader::getTeamVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PrepareGang::Builder::getTeamVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void PrepareGang::Builder::setTeamVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Error::Reader::hasMessage() const {
+inline bool PrepareGang::Reader::hasKind() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline bool Error::Builder::hasMessage() {
+inline bool PrepareGang::Builder::hasKind() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Error::Reader::getMessage() const {
+inline  ::capnp::Text::Reader PrepareGang::Reader::getKind() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Error::Builder::getMessage() {
+inline  ::capnp::Text::Builder PrepareGang::Builder::getKind() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline void Error::Builder::setMessage( ::capnp::Text::Reader value) {
+inline void PrepareGang::Builder::setKind( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Error::Builder::initMessage(unsigned int size) {
+inline  ::capnp::Text::Builder PrepareGang::Builder::initKind(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
 }
-inline void Error::Builder::adoptMessage(
+inline void PrepareGang::Builder::adoptKind(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Error::Builder::disownMessage() {
+inline ::capnp::Orphan< ::capnp::Text> PrepareGang::Builder::disownKind() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
-inline bool Error::Reader::hasRemedy() const {
+inline bool PrepareGang::Reader::hasPerTask() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
-inline bool Error::Builder::hasRemedy() {
+inline bool PrepareGang::Builder::hasPerTask() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Error::Reader::getRemedy() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::waxwingloft::wire::Resources::Reader PrepareGang::Reader::getPerTask() const {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Resources>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Error::Builder::getRemedy() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::waxwingloft::wire::Resources::Builder PrepareGang::Builder::getPerTask() {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Resources>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-inline void Error::Builder::setRemedy( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+#if !CAPNP_LITE
+inline  ::waxwingloft::wire::Resources::Pipeline PrepareGang::Pipeline::getPerTask() {
+  return  ::waxwingloft::wire::Resources::Pipeline(_typeless.getPointerField(6));
 }
-inline  ::capnp::Text::Builder Error::Builder::initRemedy(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+#endif  // !CAPNP_LITE
+inline void PrepareGang::Builder::setPerTask( ::waxwingloft::wire::Resources::Reader value) {
+  ::capnp::_::PointerHelpers< ::waxwingloft::wire::Resources>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
 }
-inline void Error::Builder::adoptRemedy(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::waxwingloft::wire::Resources::Builder PrepareGang::Builder::initPerTask() {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Resources>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan< ::capnp::Text> Error::Builder::disownRemedy() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline void PrepareGang::Builder::adoptPerTask(
+    ::capnp::Orphan< ::waxwingloft::wire::Resources>&& value) {
+  ::capnp::_::PointerHelpers< ::waxwingloft::wire::Resources>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
 }
-
-inline  ::uint32_t Load::Reader::getInUse() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::capnp::Orphan< ::waxwingloft::wire::Resources> PrepareGang::Builder::disownPerTask() {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Resources>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t Load::Builder::getInUse() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool PrepareGang::Reader::hasMembers() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
 }
-inline void Load::Builder::setInUse( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline bool PrepareGang::Builder::hasMembers() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint32_t Load::Reader::getSlots() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::waxwingloft::wire::GangMember,  ::capnp::Kind::STRUCT>::Reader PrepareGang::Reader::getMembers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::GangMember,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
-
-inline  ::uint32_t Load::Builder::getSlots() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::waxwingloft::wire::GangMember,  ::capnp::Kind::STRUCT>::Builder PrepareGang::Builder::getMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::GangMember,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
-inline void Load::Builder::setSlots( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void PrepareGang::Builder::setMembers( ::capnp::List< ::waxwingloft::wire::GangMember,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::GangMember,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
 }
-
-inline  ::int64_t Resources::Reader::getProcessors() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::waxwingloft::wire::GangMember,  ::capnp::Kind::STRUCT>::Builder PrepareGang::Builder::initMembers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::GangMember,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
 }
-
-inline  ::int64_t Resources::Builder::getProcessors() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline void PrepareGang::Builder::adoptMembers(
+    ::capnp::Orphan< ::capnp::List< ::waxwingloft::wire::GangMember,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::GangMember,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void Resources::Builder::setProcessors( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::List< ::waxwingloft::wire::GangMember,  ::capnp::Kind::STRUCT>> PrepareGang::Builder::disownMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::GangMember,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
-inline  ::int64_t Resources::Reader::getMemoryGb() const {
+inline  ::int64_t PrepareGang::Reader::getReserveForMs() const {
   return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t Resources::Builder::getMemoryGb() {
+inline  ::int64_t PrepareGang::Builder::getReserveForMs() {
   return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Resources::Builder::setMemoryGb( ::int64_t value) {
+inline void PrepareGang::Builder::setReserveForMs( ::int64_t value) {
   _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t Resources::Reader::getAccelerators() const {
+inline  ::int64_t PrepareGang::Reader::getTaskLeaseMs() const {
   return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t Resources::Builder::getAccelerators() {
+inline  ::int64_t PrepareGang::Builder::getTaskLeaseMs() {
   return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void Resources::Builder::setAccelerators( ::int64_t value) {
+inline void PrepareGang::Builder::setTaskLeaseMs( ::int64_t value) {
   _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Location::Reader::hasRegion() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Location::Builder::hasRegion() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Location::Reader::getRegion() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Location::Builder::getRegion() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Location::Builder::setRegion( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Location::Builder::initRegion(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void Location::Builder::adoptRegion(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> Location::Builder::disownRegion() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Location::Reader::hasDataCentre() const {
+inline bool PrepareGang::Reader::hasCheckpoint() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
 }
-inline bool Location::Builder::hasDataCentre() {
+inline bool PrepareGang::Builder::hasCheckpoint() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Location::Reader::getDataCentre() const {
+inline  ::capnp::Text::Reader PrepareGang::Reader::getCheckpoint() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Location::Builder::getDataCentre() {
+inline  ::capnp::Text::Builder PrepareGang::Builder::getCheckpoint() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
-inline void Location::Builder::setDataCentre( ::capnp::Text::Reader value) {
+inline void PrepareGang::Builder::setCheckpoint( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Location::Builder::initDataCentre(unsigned int size) {
+inline  ::capnp::Text::Builder PrepareGang::Builder::initCheckpoint(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
 }
-inline void Location::Builder::adoptDataCentre(
+inline void PrepareGang::Builder::adoptCheckpoint(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Location::Builder::disownDataCentre() {
+inline ::capnp::Orphan< ::capnp::Text> PrepareGang::Builder::disownCheckpoint() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
 
-inline bool Location::Reader::hasRack() const {
+inline bool PrepareGang::Reader::hasPayload() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
 }
-inline bool Location::Builder::hasRack() {
+inline bool PrepareGang::Builder::hasPayload() {
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Location::Reader::getRack() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Reader PrepareGang::Reader::getPayload() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Location::Builder::getRack() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Builder PrepareGang::Builder::getPayload() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
 }
-inline void Location::Builder::setRack( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void PrepareGang::Builder::setPayload( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Location::Builder::initRack(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline  ::capnp::Data::Builder PrepareGang::Builder::initPayload(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), size);
 }
-inline void Location::Builder::adoptRack(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline void PrepareGang::Builder::adoptPayload(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Location::Builder::disownRack() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Data> PrepareGang::Builder::disownPayload() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
 }
 
-inline bool Dispatch::Reader::hasAttempt() const {
+inline bool StartGang::Reader::hasJob() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Dispatch::Builder::hasAttempt() {
+inline bool StartGang::Builder::hasJob() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Dispatch::Reader::getAttempt() const {
+inline  ::capnp::Text::Reader StartGang::Reader::getJob() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Dispatch::Builder::getAttempt() {
+inline  ::capnp::Text::Builder StartGang::Builder::getJob() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Dispatch::Builder::setAttempt( ::capnp::Text::Reader value) {
+inline void StartGang::Builder::setJob( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Dispatch::Builder::initAttempt(unsigned int size) {
+inline  ::capnp::Text::Builder StartGang::Builder::initJob(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Dispatch::Builder::adoptAttempt(
+inline void StartGang::Builder::adoptJob(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Dispatch::Builder::disownAttempt() {
+inline ::capnp::Orphan< ::capnp::Text> StartGang::Builder::disownJob() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Dispatch::Reader::hasWorkspace() const {
+inline bool StartGang::Reader::hasAttempt() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Dispatch::Builder::hasWorkspace() {
+inline bool StartGang::Builder::hasAttempt() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Dispatch::Reader::getWorkspace() const {
+inline  ::capnp::Text::Reader StartGang::Reader::getAttempt() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Dispatch::Builder::getWorkspace() {
+inline  ::capnp::Text::Builder StartGang::Builder::getAttempt() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Dispatch::Builder::setWorkspace( ::capnp::Text::Reader value) {
+inline void StartGang::Builder::setAttempt( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Dispatch::Builder::initWorkspace(unsigned int size) {
+inline  ::capnp::Text::Builder StartGang::Builder::initAttempt(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Dispatch::Builder::adoptWorkspace(
+inline void StartGang::Builder::adoptAttempt(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Dispatch::Builder::disownWorkspace() {
+inline ::capnp::Orphan< ::capnp::Text> StartGang::Builder::disownAttempt() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Dispatch::Reader::hasRequest() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool Dispatch::Builder::hasRequest() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Dispatch::Reader::getRequest() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Dispatch::Builder::getRequest() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void Dispatch::Builder::setRequest( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Dispatch::Builder::initRequest(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline  ::uint64_t StartGang::Reader::getEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Dispatch::Builder::adoptRequest(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint64_t StartGang::Builder::getEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Text> Dispatch::Builder::disownRequest() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline void StartGang::Builder::setEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Dispatch::Reader::hasKind() const {
+inline bool StopGang::Reader::hasJob() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Dispatch::Builder::hasKind() {
+inline bool StopGang::Builder::hasJob() {
   return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Dispatch::Reader::getKind() const {
+inline  ::capnp::Text::Reader StopGang::Reader::getJob() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Dispatch::Builder::getKind() {
+inline  ::capnp::Text::Builder StopGang::Builder::getJob() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Dispatch::Builder::setKind( ::capnp::Text::Reader value) {
+inline void StopGang::Builder::setJob( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Dispatch::Builder::initKind(unsigned int size) {
+inline  ::capnp::Text::Builder StopGang::Builder::initJob(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
