-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::waxwingloft::wire::ExecutorLife::Reader AssignmentSync::Reader::getLife() const {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::ExecutorLife>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Event::Builder::getDetail() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::waxwingloft::wire::ExecutorLife::Builder AssignmentSync::Builder::getLife() {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::ExecutorLife>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Event::Builder::setDetail( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+#if !CAPNP_LITE
+inline  ::waxwingloft::wire::ExecutorLife::Pipeline AssignmentSync::Pipeline::getLife() {
+  return  ::waxwingloft::wire::ExecutorLife::Pipeline(_typeless.getPointerField(0));
 }
-inline  ::capnp::Text::Builder Event::Builder::initDetail(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+#endif  // !CAPNP_LITE
+inline void AssignmentSync::Builder::setLife( ::waxwingloft::wire::ExecutorLife::Reader value) {
+  ::capnp::_::PointerHelpers< ::waxwingloft::wire::ExecutorLife>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void Event::Builder::adoptDetail(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::waxwingloft::wire::ExecutorLife::Builder AssignmentSync::Builder::initLife() {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::ExecutorLife>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan< ::capnp::Text> Event::Builder::disownDetail() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline void AssignmentSync::Builder::adoptLife(
+    ::capnp::Orphan< ::waxwingloft::wire::ExecutorLife>&& value) {
+  ::capnp::_::PointerHelpers< ::waxwingloft::wire::ExecutorLife>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::waxwingloft::wire::ExecutorLife> AssignmentSync::Builder::disownLife() {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::ExecutorLife>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t AssignmentSync::Reader::getNotedEnds() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t AssignmentSync::Builder::getNotedEnds() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void AssignmentSync::Builder::setNotedEnds( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t AssignmentSync::Reader::getLicenceMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t AssignmentSync::Builder::getLicenceMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void AssignmentSync::Builder::setLicenceMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool AssignmentSync::Reader::hasAssignments() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool AssignmentSync::Builder::hasAssignments() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::waxwingloft::wire::Assignment,  ::capnp::Kind::STRUCT>::Reader AssignmentSync::Reader::getAssignments() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::Assignment,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::waxwingloft::wire::Assignment,  ::capnp::Kind::STRUCT>::Builder AssignmentSync::Builder::getAssignments() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::Assignment,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void AssignmentSync::Builder::setAssignments( ::capnp::List< ::waxwingloft::wire::Assignment,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::Assignment,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::waxwingloft::wire::Assignment,  ::capnp::Kind::STRUCT>::Builder AssignmentSync::Builder::initAssignments(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::Assignment,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void AssignmentSync::Builder::adoptAssignments(
+    ::capnp::Orphan< ::capnp::List< ::waxwingloft::wire::Assignment,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::Assignment,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::waxwingloft::wire::Assignment,  ::capnp::Kind::STRUCT>> AssignmentSync::Builder::disownAssignments() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::Assignment,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline  ::waxwingloft::wire::Message::Which Message::Reader::which() const {
@@ -8186,6 +10278,114 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Message::Reader::isAgentReport() const {
+  return which() == Message::AGENT_REPORT;
+}
+inline bool Message::Builder::isAgentReport() {
+  return which() == Message::AGENT_REPORT;
+}
+inline bool Message::Reader::hasAgentReport() const {
+  if (which() != Message::AGENT_REPORT) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Message::Builder::hasAgentReport() {
+  if (which() != Message::AGENT_REPORT) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::waxwingloft::wire::AgentReport::Reader Message::Reader::getAgentReport() const {
+  KJ_IREQUIRE((which() == Message::AGENT_REPORT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::AgentReport>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::waxwingloft::wire::AgentReport::Builder Message::Builder::getAgentReport() {
+  KJ_IREQUIRE((which() == Message::AGENT_REPORT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::AgentReport>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setAgentReport( ::waxwingloft::wire::AgentReport::Reader value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::AGENT_REPORT);
+  ::capnp::_::PointerHelpers< ::waxwingloft::wire::AgentReport>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::waxwingloft::wire::AgentReport::Builder Message::Builder::initAgentReport() {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::AGENT_REPORT);
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::AgentReport>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::adoptAgentReport(
+    ::capnp::Orphan< ::waxwingloft::wire::AgentReport>&& value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::AGENT_REPORT);
+  ::capnp::_::PointerHelpers< ::waxwingloft::wire::AgentReport>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::waxwingloft::wire::AgentReport> Message::Builder::disownAgentReport() {
+  KJ_IREQUIRE((which() == Message::AGENT_REPORT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::AgentReport>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Message::Reader::isAssignmentSync() const {
+  return which() == Message::ASSIGNMENT_SYNC;
+}
+inline bool Message::Builder::isAssignmentSync() {
+  return which() == Message::ASSIGNMENT_SYNC;
+}
+inline bool Message::Reader::hasAssignmentSync() const {
+  if (which() != Message::ASSIGNMENT_SYNC) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Message::Builder::hasAssignmentSync() {
+  if (which() != Message::ASSIGNMENT_SYNC) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::waxwingloft::wire::AssignmentSync::Reader Message::Reader::getAssignmentSync() const {
+  KJ_IREQUIRE((which() == Message::ASSIGNMENT_SYNC),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::AssignmentSync>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::waxwingloft::wire::AssignmentSync::Builder Message::Builder::getAssignmentSync() {
+  KJ_IREQUIRE((which() == Message::ASSIGNMENT_SYNC),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::AssignmentSync>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setAssignmentSync( ::waxwingloft::wire::AssignmentSync::Reader value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::ASSIGNMENT_SYNC);
+  ::capnp::_::PointerHelpers< ::waxwingloft::wire::AssignmentSync>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::waxwingloft::wire::AssignmentSync::Builder Message::Builder::initAssignmentSync() {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::ASSIGNMENT_SYNC);
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::AssignmentSync>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::adoptAssignmentSync(
+    ::capnp::Orphan< ::waxwingloft::wire::AssignmentSync>&& value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::ASSIGNMENT_SYNC);
+  ::capnp::_::PointerHelpers< ::waxwingloft::wire::AssignmentSync>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::waxwingloft::wire::AssignmentSync> Message::Builder::disownAssignmentSync() {
+  KJ_IREQUIRE((which() == Message::ASSIGNMENT_SYNC),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::AssignmentSync>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 #if !CAPNP_LITE
 inline Node::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- /dev/null
+++ b/src/connection/taskcodec.cpp
@@ -0,0 +1,183 @@
+#include "taskcodec.h"
+
+#include "recordcodec.h"
+
+namespace waxwingloft::codec {
+
+namespace {
+
+/** Reads an enumerator; a number of a newer version becomes @p fallback. */
+template<typename Enum>
+Enum enumOf(std::uint8_t number, Enum fallback)
+{
+    return number < NameTable<Enum>::names.size() ? static_cast<Enum>(number) : fallback;
+}
+
+void encode(const TaskRun &run, wire::TaskRun::Builder builder)
+{
+    builder.setTask(toString(run.task));
+    builder.setRun(run.run);
+}
+
+TaskRun decode(wire::TaskRun::Reader reader)
+{
+    return {parseTaskKey(textOf(reader.getTask())).value_or(TaskKey{}), reader.getRun()};
+}
+
+void encode(const Capacity &capacity, wire::Capacity::Builder builder)
+{
+    builder.setMilliCores(capacity.milliCores);
+    builder.setMemoryMb(capacity.memoryMb);
+    builder.setAccelerators(capacity.accelerators);
+}
+
+Capacity decode(wire::Capacity::Reader reader)
+{
+    return {reader.getMilliCores(), reader.getMemoryMb(), reader.getAccelerators()};
+}
+
+void encode(const ExecutorLife &life, wire::ExecutorLife::Builder builder)
+{
+    builder.setId(life.id);
+    builder.setStartedAt(life.startedAt);
+}
+
+ExecutorLife decode(wire::ExecutorLife::Reader reader)
+{
+    return {textOf(reader.getId()), reader.getStartedAt()};
+}
+
+void encode(const RunReport &report, wire::RunReport::Builder builder)
+{
+    encode(report.run, builder.initRun());
+    builder.setPhase(static_cast<std::uint8_t>(report.phase));
+    builder.setCheckpoint(report.checkpoint);
+    builder.setPercent(report.percent);
+}
+
+RunReport decode(wire::RunReport::Reader reader)
+{
+    return {decode(reader.getRun()), enumOf(reader.getPhase(), RunPhase::Running), textOf(reader.getCheckpoint()), reader.getPercent()};
+}
+
+void encode(const EndReport &report, wire::EndReport::Builder builder)
+{
+    builder.setNumber(report.number);
+    encode(report.run, builder.initRun());
+    builder.setEnd(static_cast<std::uint8_t>(report.end));
+    builder.setCheckpoint(report.checkpoint);
+    builder.setRefusal(static_cast<std::uint8_t>(report.refusal));
+}
+
+EndReport decode(wire::EndReport::Reader reader)
+{
+    return {reader.getNumber(),
+            decode(reader.getRun()),
+            enumOf(reader.getEnd(), RunEnd::Lapsed),
+            textOf(reader.getCheckpoint()),
+            enumOf(reader.getRefusal(), RefusalReason::Unhealthy)};
+}
+
+void encode(const Assignment &assignment, wire::Assignment::Builder builder)
+{
+    encode(assignment.run, builder.initRun());
+    encode(assignment.needs, builder.initNeeds());
+    builder.setHasOrder(assignment.hasOrder);
+    builder.setSpec(assignment.spec);
+    builder.setCheckpoint(assignment.checkpoint);
+}
+
+Assignment decode(wire::Assignment::Reader reader)
+{
+    return {decode(reader.getRun()), decode(reader.getNeeds()), reader.getHasOrder(), textOf(reader.getSpec()), textOf(reader.getCheckpoint())};
+}
+
+template<typename Items, typename ListBuilder>
+void encodeList(const Items &items, ListBuilder builder)
+{
+    for (unsigned index = 0; index < builder.size(); ++index) {
+        encode(items[index], builder[index]);
+    }
+}
+
+template<typename Item, typename ListReader>
+std::vector<Item> decodeList(ListReader reader)
+{
+    std::vector<Item> items;
+    items.reserve(reader.size());
+    for (const auto item : reader) {
+        items.push_back(decode(item));
+    }
+    return items;
+}
+
+} // namespace
+
+void encode(const AgentReport &report, wire::AgentReport::Builder builder)
+{
+    builder.setNode(report.node.value);
+    builder.setAddress(report.address);
+    builder.setGeneration(report.generation);
+    builder.setSequence(report.sequence);
+    builder.setEpoch(report.epoch);
+    encode(report.life, builder.initLife());
+    builder.setService(report.service);
+    builder.setZone(report.zone);
+    builder.setDraining(report.isDraining);
+    builder.setReachable(report.isReachable);
+    encode(report.capacity, builder.initCapacity());
+    auto labels = builder.initLabels(static_cast<unsigned>(report.labels.size()));
+    for (unsigned index = 0; index < labels.size(); ++index) {
+        labels.set(index, report.labels[index]);
+    }
+    builder.setSyncSequence(report.syncSequence);
+    encodeList(report.runs, builder.initRuns(static_cast<unsigned>(report.runs.size())));
+    encodeList(report.ends, builder.initEnds(static_cast<unsigned>(report.ends.size())));
+}
+
+AgentReport decode(wire::AgentReport::Reader reader)
+{
+    AgentReport report;
+    report.node.value = textOf(reader.getNode());
+    report.address = textOf(reader.getAddress());
+    report.generation = reader.getGeneration();
+    report.sequence = reader.getSequence();
+    report.epoch = reader.getEpoch();
+    report.life = decode(reader.getLife());
+    report.service = textOf(reader.getService());
+    report.zone = textOf(reader.getZone());
+    report.isDraining = reader.getDraining();
+    report.isReachable = reader.getReachable();
+    report.capacity = decode(reader.getCapacity());
+    for (const auto label : reader.getLabels()) {
+        report.labels.push_back(textOf(label));
+    }
+    report.syncSequence = reader.getSyncSequence();
+    report.runs = decodeList<RunReport>(reader.getRuns());
+    report.ends = decodeList<EndReport>(reader.getEnds());
+    return report;
+}
+
+void encode(const AssignmentSync &sync, wire::AssignmentSync::Builder builder)
+{
+    builder.setEpoch(sync.epoch);
+    builder.setSequence(sync.sequence);
+    encode(sync.life, builder.initLife());
+    builder.setNotedEnds(sync.notedEnds);
+    builder.setLicenceMs(sync.licence.count());
+    encodeList(sync.assignments, builder.initAssignments(static_cast<unsigned>(sync.assignments.size())));
+}
+
+AssignmentSync decode(wire::AssignmentSync::Reader reader)
+{
+    AssignmentSync sync;
+    sync.epoch = reader.getEpoch();
+    sync.sequence = reader.getSequence();
+    sync.life = decode(reader.getLife());
+    sync.notedEnds = reader.getNotedEnds();
+    sync.licence = Millis(reader.getLicenceMs());
+    sync.assignments = decodeList<Assignment>(reader.getAssignments());
+    return sync;
+}
+
+} // namespace waxwingloft::codec
--- a/src/process/clock.cpp
+++ b/src/process/clock.cpp
@@ -1,12 +1,16 @@
 #include "waxwingloft/process/clock.h"
 
+#include <ctime>
 #include <thread>
 
 namespace waxwingloft {
 
 Instant SystemClock::now() const
 {
-    return std::chrono::time_point_cast<Millis>(std::chrono::steady_clock::now());
+    // The steady clock stands still while a host is suspended, and leases of others do not.
+    timespec time{};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return Instant(std::chrono::duration_cast<Millis>(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec)));
 }
 
 std::int64_t SystemClock::wallMillis() const
--- a/src/process/daemon/agentrole.cpp
+++ b/src/process/daemon/agentrole.cpp
@@ -43,9 +43,9 @@
 class AgentRole : public Role
 {
 public:
-    explicit AgentRole(Node &node)
-        : node(node)
-        , service(contextOf(node), termsOf(node.config))
+    explicit AgentRole(const NodeConfig &config)
+        : node(config)
+        , service(contextOf(this->node), termsOf(config))
     {
     }
 
@@ -73,7 +73,7 @@
     }
 
 private:
-    Node &node;
+    Node node;
     AgentService service;
     std::unique_ptr<Ticker> membershipTicker;
     std::unique_ptr<Ticker> gangTicker;
@@ -81,9 +81,9 @@
 
 } // namespace
 
-std::unique_ptr<Role> makeAgentRole(Node &node)
+std::unique_ptr<Role> makeAgentRole(const NodeConfig &config)
 {
-    return std::make_unique<AgentRole>(node);
+    return std::make_unique<AgentRole>(config);
 }
 
 } // namespace waxwingloft
--- a/src/process/daemon/entryrole.cpp
+++ b/src/process/daemon/entryrole.cpp
@@ -50,11 +50,11 @@
 class EntryRole : public Role
 {
 public:
-    explicit EntryRole(Node &node)
-        : node(node)
+    explicit EntryRole(const NodeConfig &config)
+        : node(config)
         , fanOut(FanOutThreads)
         , launches(LaunchThreads, MaxQueuedLaunches)
-        , service(contextOf(node, this->fanOut, this->launches), termsOf(node.config))
+        , service(contextOf(this->node, this->fanOut, this->launches), termsOf(config))
     {
     }
 
@@ -90,7 +90,7 @@
     }
 
 private:
-    Node &node;
+    Node node;
     PoolFanOut fanOut;
     ThreadPool launches;
     EntryService service;
@@ -102,9 +102,9 @@
 
 } // namespace
 
-std::unique_ptr<Role> makeEntryRole(Node &node)
+std::unique_ptr<Role> makeEntryRole(const NodeConfig &config)
 {
-    return std::make_unique<EntryRole>(node);
+    return std::make_unique<EntryRole>(config);
 }
 
 } // namespace waxwingloft
--- /dev/null
+++ b/src/process/daemon/jobagentrole.cpp
@@ -0,0 +1,79 @@
+#include "heartbeatfront.h"
+#include "jobnode.h"
+#include "platformexecutor.h"
+
+#include "waxwingloft/request/executoragent.h"
+#include "waxwingloft/request/placeroffice.h"
+
+namespace waxwingloft {
+
+namespace {
+
+constexpr auto ExecutorTimeout = Millis(500); ///< the executor stands on the same host; a gang's members must come within seconds
+constexpr auto LeaseReserve = Millis(100); ///< below the longest lease that the executor grants
+constexpr std::size_t HeartbeatThreads = 3; ///< an executor's connection, one of its next life, and a spare
+constexpr auto OfficeWait = Millis(5000); ///< the office changes hands rarely
+
+KeeperTerms keeperTermsOf(const NodeConfig &config)
+{
+    KeeperTerms terms;
+    terms.lease = config.jobs.longestLease - LeaseReserve;
+    return terms;
+}
+
+FollowTerms officeFollowing()
+{
+    FollowTerms terms;
+    terms.wait = OfficeWait;
+    return terms;
+}
+
+/** The agent beside an executor of the users' platform. */
+class JobAgentRole : public Role
+{
+public:
+    explicit JobAgentRole(const NodeConfig &config)
+        : node(config)
+        , executor(config.jobs.executorAddress, ExecutorTimeout)
+        , agent(this->node.clock, this->node.table, this->node.rpc, this->executor, NodeId{config.node}, config.rpcAddress, keeperTermsOf(config), AgentLoopTerms())
+        , heartbeats(config.jobs.heartbeatAddress, ListenerTerms{HeartbeatThreads}, this->agent)
+    {
+    }
+
+    void start() override
+    {
+        this->node.rpc.serve(this->agent);
+        this->agent.start();
+        this->officeFollower =
+            std::make_unique<TableFollower>(this->node.table, this->node.store, this->node.clock, std::string(OfficeTable), this->agent, officeFollowing());
+        this->heartbeats.start();
+        this->node.http.run();
+    }
+
+    /** What runs goes on under its lease until the next start of this agent takes it over. */
+    bool finish(Millis /*limit*/) override
+    {
+        this->node.isLeaving.store(true, std::memory_order_release);
+        this->heartbeats.stop();
+        this->agent.stop();
+        this->node.http.stop();
+        this->node.rpc.close();
+        return true;
+    }
+
+private:
+    JobNode node;
+    PlatformExecutor executor;
+    ExecutorAgent agent;
+    HeartbeatFront heartbeats;
+    std::unique_ptr<TableFollower> officeFollower;
+};
+
+} // namespace
+
+std::unique_ptr<Role> makeJobAgentRole(const NodeConfig &config)
+{
+    return std::make_unique<JobAgentRole>(config);
+}
+
+} // namespace waxwingloft
--- /dev/null
+++ b/src/process/daemon/jobentryrole.cpp
@@ -0,0 +1,156 @@
+#include "jobfront.h"
+#include "jobnode.h"
+#include "operatorroutes.h"
+
+#include "waxwingloft/request/jobgate.h"
+#include "waxwingloft/request/jobrows.h"
+#include "waxwingloft/request/placeroffice.h"
+
+namespace waxwingloft {
+
+namespace {
+
+constexpr auto RoutesWait = Millis(1000); ///< below the time in which a version must be in force, with a silent feed in between
+constexpr auto RoutesRelist = Millis(0);
+constexpr double ClockDrift = 0.02; ///< an executor's clock may be this share slow; the platform's pages
+
+FollowTerms routesFollowing()
+{
+    FollowTerms terms;
+    terms.wait = RoutesWait;
+    terms.relist = RoutesRelist;
+    return terms;
+}
+
+OfficeTerms officeTermsOf(const NodeConfig &config)
+{
+    OfficeTerms terms;
+    terms.longestLease = Millis(static_cast<std::int64_t>(static_cast<double>(config.jobs.longestLease.count()) / (1.0 - ClockDrift)));
+    return terms;
+}
+
+ListenerTerms frontTermsOf(const NodeConfig &config)
+{
+    ListenerTerms terms;
+    terms.threads = config.httpThreads;
+    return terms;
+}
+
+/** An entry on the users' platform: callers' calls on jobs, and the office of the placer when it holds it. */
+class JobEntryRole : public Role
+{
+public:
+    explicit JobEntryRole(const NodeConfig &config)
+        : node(config)
+        , placer(this->node.clock, officeTermsOf(config), RankTerms())
+        , board(this->placer)
+        , gate(this->node.clock, this->node.ids, this->node.metrics, this->node.table, this->board, this->routes, &parseGraph, GateTerms())
+        , office(this->node.clock,
+                 this->node.events,
+                 this->node.ids,
+                 this->node.metrics,
+                 this->node.table,
+                 this->node.rpc,
+                 NodeId{config.node},
+                 config.rpcAddress,
+                 this->placer,
+                 this->board,
+                 OfficeLoopTerms())
+        , operatorRoutes(this->routes,
+                         this->node.events,
+                         [this](const RouteBook &book) {
+                             this->placer.setRoutes(book);
+                             this->office.nudge();
+                         })
+        , nudger(this->board, this->office)
+        , front(config.jobs.frontAddress, frontTermsOf(config), this->gate)
+        , ready(config.jobs.readyAddress, [this] { return this->isReady(); })
+    {
+    }
+
+    void start() override
+    {
+        this->node.rpc.serve(this->office);
+        this->office.start();
+        this->routesFollower =
+            std::make_unique<TableFollower>(this->node.table, this->node.store, this->node.clock, std::string(OperatorTable), this->operatorRoutes, routesFollowing());
+        this->jobsFollower =
+            std::make_unique<TableFollower>(this->node.table, this->node.store, this->node.clock, std::string(JobTable), this->nudger, FollowTerms());
+        this->ready.start();
+        this->front.start();
+        this->node.http.run();
+    }
+
+    bool finish(Millis limit) override
+    {
+        this->node.isLeaving.store(true, std::memory_order_release);
+        this->front.drain();
+        this->office.stop();
+        this->node.clock.sleepFor(std::min(this->node.config.balancerWait, limit));
+        this->front.stop();
+        this->ready.stop();
+        this->node.http.stop();
+        this->routesFollower->stop();
+        this->jobsFollower->stop();
+        this->node.rpc.close();
+        return true;
+    }
+
+private:
+    /** Passes changes of jobs to the board and wakes the placer. */
+    class Nudger : public TableObserver
+    {
+    public:
+        Nudger(JobBoard &board, PlacerOffice &office)
+            : board(board)
+            , office(office)
+        {
+        }
+
+        void reset(const RowList &rows) override
+        {
+            this->board.reset(rows);
+            this->office.nudge();
+        }
+
+        void apply(const ChangeBatch &batch) override
+        {
+            this->board.apply(batch);
+            if (!batch.changes.empty()) {
+                this->office.nudge();
+            }
+        }
+
+    private:
+        JobBoard &board;
+        PlacerOffice &office;
+    };
+
+    bool isReady() const
+    {
+        const ReadSection section;
+        return !this->node.isLeaving.load(std::memory_order_acquire) && this->routes.read(section).version > 0 && this->board.isLoaded();
+    }
+
+    JobNode node;
+    Published<RouteBook> routes{RouteBook()};
+    TaskPlacer placer;
+    JobBoard board;
+    JobGate gate;
+    PlacerOffice office;
+    OperatorRoutes operatorRoutes;
+    Nudger nudger;
+    JobFront front;
+    ReadyFront ready;
+    std::unique_ptr<TableFollower> routesFollower;
+    std::unique_ptr<TableFollower> jobsFollower;
+};
+
+} // namespace
+
+std::unique_ptr<Role> makeJobEntryRole(const NodeConfig &config)
+{
+    return std::make_unique<JobEntryRole>(config);
+}
+
+} // namespace waxwingloft
--- /dev/null
+++ b/src/process/daemon/jobnode.cpp
@@ -0,0 +1,56 @@
+#include "jobnode.h"
+
+namespace waxwingloft {
+
+namespace {
+
+constexpr auto StoreTimeout = Millis(1200); ///< above the slowest answers that the platform announces, 60 times 4 ms and a queue
+constexpr auto LongestBackoff = Millis(400); ///< after an outage of the store work goes on within half a second
+constexpr int FailuresToOpen = 4;
+constexpr int SettleTries = 5; ///< a lost answer is settled within about a second
+constexpr std::size_t RequestThreads = 1; ///< nothing on this path waits in a handler
+constexpr std::size_t ControlThreads = 2;
+constexpr std::size_t HealthThreads = 2;
+constexpr std::size_t EventsKept = 2000; ///< hosts have little memory; the log has all of them
+constexpr std::size_t LargestHealthBody = 4096;
+
+} // namespace
+
+JobNode::JobNode(const NodeConfig &config)
+    : config(config)
+    , events(this->clock, config.node, EventsKept)
+    , ids(IdSource::entropySeed())
+    , store(config.jobs.storeAddress, StoreTimeout, this->metrics)
+    , table(this->store,
+            this->clock,
+            TableBudget{config.tableCallsPerSecond, config.tableCallsPerSecond * 2, SettleTries, Millis(50), LongestBackoff, FailuresToOpen},
+            IdSource::entropySeed())
+    , rpc(config.rpcAddress, *this, this->metrics, RpcTerms{RequestThreads, ControlThreads, 1024, Millis(1000), Millis(800), Millis(800), Millis(60000)})
+    , http(config.httpAddress, *this, HttpTerms{HealthThreads, LargestHealthBody, Millis(5000), Millis(5000), Millis(5000)})
+{
+    this->events.record(EventKind::Started, config.node, {}, std::string(nameOf(config.role)));
+}
+
+JobNode::~JobNode() = default;
+
+std::optional<std::string> JobNode::whyNotReady() const
+{
+    return this->isLeaving.load(std::memory_order_acquire) ? std::optional<std::string>("leaving") : std::nullopt;
+}
+
+std::string JobNode::metricsText() const
+{
+    return this->metrics.text();
+}
+
+Header JobNode::outgoing()
+{
+    return {NodeId{this->config.node}, this->config.rpcAddress, this->events.tick(), 0};
+}
+
+void JobNode::incoming(const Header &header)
+{
+    this->events.observe(header.time);
+}
+
+} // namespace waxwingloft
--- a/src/process/daemon/main.cpp
+++ b/src/process/daemon/main.cpp
@@ -1,4 +1,4 @@
-#include "node.h"
+#include "role.h"
 
 #include "waxwingloft/process/logger.h"
 
@@ -7,13 +7,14 @@
 #include <absl/flags/usage.h>
 #include <array>
 #include <csignal>
+#include <cstdlib>
 #include <fstream>
 #include <iostream>
 #include <sstream>
 #include <stdexcept>
 #include <thread>
 
-ABSL_FLAG(std::string, config, "", "settings file of this process, in TOML");
+ABSL_FLAG(std::string, config, "", "settings file of this process, in TOML; by default what WAXWINGLOFT_CONFIG names");
 ABSL_FLAG(bool, check_config, false, "report every mistake in the settings file and exit");
 
 namespace waxwingloft {
@@ -25,8 +26,15 @@
 constexpr int ExitCannotStart = 3;
 constexpr int ExitUnfinished = 4;
 
-using RoleMaker = std::unique_ptr<Role> (*)(Node &);
-constexpr std::array<RoleMaker, NameTable<NodeRole>::names.size()> RoleMakers = {&makeEntryRole, &makeAgentRole};
+using RoleMaker = std::unique_ptr<Role> (*)(const NodeConfig &);
+constexpr std::array<RoleMaker, NameTable<NodeRole>::names.size()> RoleMakers = {&makeEntryRole, &makeAgentRole, &makeJobEntryRole, &makeJobAgentRole};
+
+std::string configFile()
+{
+    const auto file = absl::GetFlag(FLAGS_config);
+    const char *const fallback = std::getenv("WAXWINGLOFT_CONFIG");
+    return file.empty() && fallback != nullptr ? std::string(fallback) : file;
+}
 
 std::optional<NodeConfig> readConfig(const std::string &file)
 {
@@ -51,6 +59,7 @@
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     signal(SIGPIPE, SIG_IGN);
     return signals;
@@ -60,23 +69,34 @@
 void watchForSecondSignal(sigset_t signals)
 {
     std::thread([signals] {
-        int signal = 0;
-        sigwait(&signals, &signal);
+        int signal = SIGHUP;
+        while (signal == SIGHUP) {
+            sigwait(&signals, &signal);
+        }
         std::_Exit(ExitUnfinished);
     }).detach();
 }
 
+/** Waits for a signal that ends the process. Settings are read at the start only, so a hang-up changes nothing. */
+void waitForEnd(const sigset_t &signals, const Logger &log)
+{
+    int signal = 0;
+    sigwait(&signals, &signal);
+    while (signal == SIGHUP) {
+        log.info("Settings are read at the start only; restart this process to put a changed file in force.");
+        sigwait(&signals, &signal);
+    }
+}
+
 int run(const NodeConfig &config)
 {
     const auto signals = blockSignals();
     openLog(config.node, config.logLevel);
     const Logger log(LogPart::Main);
-    Node node(config);
-    const auto role = RoleMakers.at(static_cast<std::size_t>(config.role))(node);
+    const auto role = RoleMakers.at(static_cast<std::size_t>(config.role))(config);
     role->start();
     log.info("Started as " + std::string(nameOf(config.role)) + ", RPC on " + config.rpcAddress + ", HTTP on " + config.httpAddress + ".");
-    int signal = 0;
-    sigwait(&signals, &signal);
+    waitForEnd(signals, log);
     log.info("Stopping: no new work, finishing what is in hand.");
     watchForSecondSignal(signals);
     const bool isFinished = role->finish(config.shutdownLimit);
@@ -96,7 +116,7 @@
                                  "Exit codes: 0 stopped cleanly, 2 mistakes in the command line or settings,\n"
                                  "3 cannot start, 4 stopped with work in hand.");
     const auto rest = absl::ParseCommandLine(argc, argv);
-    const auto file = absl::GetFlag(FLAGS_config);
+    const auto file = waxwingloft::configFile();
     if (rest.size() > 1 || file.empty()) {
         std::cerr << "usage: waxwingloftd --config=FILE [--check_config]; see --help\n";
         return waxwingloft::ExitUsage;
--- a/src/process/daemon/node.h
+++ b/src/process/daemon/node.h
@@ -1,6 +1,7 @@
 #ifndef WAXWINGLOFT_PROCESS_DAEMON_NODE_H
 #define WAXWINGLOFT_PROCESS_DAEMON_NODE_H
 
+#include "role.h"
 #include "waxwingloft/connection/httpfront.h"
 #include "waxwingloft/connection/httptablestore.h"
 #include "waxwingloft/connection/rpcnode.h"
@@ -43,21 +44,6 @@
     std::unique_ptr<Ticker> syncTicker;
 };
 
-/** One role of the daemon. */
-class Role
-{
-public:
-    virtual ~Role() = default;
-
-    virtual void start() = 0;
-
-    /** Takes no new work, finishes what is in hand within @p limit and hands duties over. Returns whether all was finished. */
-    virtual bool finish(Millis limit) = 0;
-};
-
-std::unique_ptr<Role> makeEntryRole(Node &node);
-std::unique_ptr<Role> makeAgentRole(Node &node);
-
 } // namespace waxwingloft
 
 #endif
--- a/src/process/nodeconfig.cpp
+++ b/src/process/nodeconfig.cpp
@@ -156,6 +156,9 @@
 void readPlatform(TableReader &root, NodeConfig &config, std::vector<ConfigMistake> &mistakes)
 {
     const auto *const table = root.child("platform");
+    if (table == nullptr && isJobRole(config.role)) {
+        return;
+    }
     if (table == nullptr) {
         mistakes.push_back({1, 1, "platform: is missing; add [platform] with table_url and objects_url"});
         return;
@@ -167,6 +170,26 @@
     platform.finish();
 }
 
+void readJobs(TableReader &root, NodeConfig &config, std::vector<ConfigMistake> &mistakes)
+{
+    const auto *const table = root.child("jobs");
+    if (table == nullptr) {
+        if (isJobRole(config.role)) {
+            mistakes.push_back({1, 1, "jobs: is missing; add [jobs] with store and the addresses of the role"});
+        }
+        return;
+    }
+    const bool isEntry = config.role == NodeRole::JobEntry;
+    TableReader jobs(*table, "jobs.", mistakes);
+    jobs.address("store", config.jobs.storeAddress, true);
+    jobs.address("front", config.jobs.frontAddress, isEntry);
+    jobs.address("ready", config.jobs.readyAddress, isEntry);
+    jobs.address("heartbeats", config.jobs.heartbeatAddress, !isEntry);
+    jobs.address("executor", config.jobs.executorAddress, !isEntry);
+    config.jobs.longestLease = Millis(jobs.whole("longest_lease_ms", config.jobs.longestLease.count(), 1000, 600'000));
+    jobs.finish();
+}
+
 void readLimits(TableReader &root, NodeConfig &config, std::vector<ConfigMistake> &mistakes)
 {
     const auto *const table = root.child("limits");
@@ -207,6 +230,7 @@
     root.text("log_level", config.logLevel);
     readPlace(root, config, parsed.mistakes);
     readPlatform(root, config, parsed.mistakes);
+    readJobs(root, config, parsed.mistakes);
     readLimits(root, config, parsed.mistakes);
     root.finish();
     if (config.shard.empty()) {
--- /dev/null
+++ b/src/process/tablefollower.cpp
@@ -0,0 +1,105 @@
+#include "waxwingloft/process/tablefollower.h"
+
+#include "waxwingloft/process/ids.h"
+
+#include <algorithm>
+
+namespace waxwingloft {
+
+namespace {
+
+constexpr int LongestBackoffStep = 6;
+
+} // namespace
+
+TableFollower::TableFollower(TableStore &store, TableFeed &feed, Clock &clock, std::string table, TableObserver &observer, FollowTerms terms)
+    : store(store)
+    , feed(feed)
+    , clock(clock)
+    , table(std::move(table))
+    , observer(observer)
+    , terms(terms)
+    , log(LogPart::Table)
+    , random(IdSource::entropySeed())
+{
+    this->thread = std::thread([this] { this->run(); });
+}
+
+TableFollower::~TableFollower()
+{
+    this->stop();
+}
+
+void TableFollower::stop()
+{
+    this->isStopping.store(true, std::memory_order_release);
+    if (this->thread.joinable()) {
+        this->thread.join();
+    }
+}
+
+void TableFollower::run()
+{
+    while (!this->isStopping.load(std::memory_order_acquire)) {
+        const bool isRelistDue = this->terms.relist.count() > 0 && this->clock.now() - this->listedAt >= this->terms.relist;
+        const bool succeeded = this->isListed && !isRelistDue ? this->follow() : this->list();
+        this->failures = succeeded ? 0 : this->failures + 1;
+        if (!succeeded) {
+            this->pause();
+        }
+    }
+}
+
+bool TableFollower::list()
+{
+    const auto rows = this->store.list(this->table + "/", 0);
+    if (!succeeded(rows)) {
+        this->noteReachable(false, toString(errorOf(rows)));
+        return false;
+    }
+    this->noteReachable(true, {});
+    this->revision = valueOf(rows).revision;
+    this->isListed = true;
+    this->listedAt = this->clock.now();
+    this->observer.reset(valueOf(rows));
+    return true;
+}
+
+bool TableFollower::follow()
+{
+    const auto batch = this->feed.changes(this->table, this->revision, this->terms.wait);
+    if (succeeded(batch)) {
+        this->noteReachable(true, {});
+        this->revision = std::max(this->revision, valueOf(batch).revision);
+        this->observer.apply(valueOf(batch));
+        return true;
+    }
+    if (errorOf(batch).kind == ErrorKind::Stale) {
+        this->log.warn("The history of table " + this->table + " after " + std::to_string(this->revision) + " is gone; reading it whole.");
+        this->isListed = false;
+        return this->list();
+    }
+    this->noteReachable(false, toString(errorOf(batch)));
+    return false;
+}
+
+void TableFollower::pause()
+{
+    const auto ceiling = std::min(this->terms.retryLimit, this->terms.retryBase * (1 << std::min(this->failures, LongestBackoffStep)));
+    this->clock.sleepFor(Millis(std::uniform_int_distribution<std::int64_t>(ceiling.count() / 2, ceiling.count())(this->random)));
+}
+
+void TableFollower::noteReachable(bool isReachable, const std::string &reason)
+{
+    if (isReachable == this->isReachable) {
+        return;
+    }
+    this->isReachable = isReachable;
+    if (isReachable) {
+        this->log.info("Table " + this->table + " is followed again from revision " + std::to_string(this->revision) + ".");
+    } else {
+        this->log.warn("Table " + this->table + " cannot be followed: " + reason);
+    }
+}
+
+} // namespace waxwingloft
--- /dev/null
+++ b/src/request/executorkeeper.cpp
@@ -0,0 +1,457 @@
+#include "waxwingloft/request/executorkeeper.h"
+
+#include <algorithm>
+#include <set>
+
+namespace waxwingloft {
+
+ExecutorKeeper::ExecutorKeeper(Clock &clock, NodeId node, std::string address, KeeperTerms terms)
+    : clock(clock)
+    , node(std::move(node))
+    , address(std::move(address))
+    , terms(terms)
+    , log(LogPart::Gangs)
+    , licenceUntil(clock.now())
+    , leaseOver(clock.now())
+{
+}
+
+void ExecutorKeeper::setGeneration(std::uint64_t generation)
+{
+    {
+        const std::lock_guard<std::mutex> guard(this->mutex);
+        this->generation = generation;
+    }
+    this->wake();
+}
+
+void ExecutorKeeper::setWakeUp(std::function<void()> wakeUp)
+{
+    this->wakeUp = std::move(wakeUp);
+}
+
+void ExecutorKeeper::wake()
+{
+    if (this->wakeUp) {
+        this->wakeUp();
+    }
+}
+
+void ExecutorKeeper::heartbeat(const ExecutorHeartbeat &heartbeat)
+{
+    {
+        const std::lock_guard<std::mutex> guard(this->mutex);
+        const bool isSameLife = this->latest && this->latest->life == heartbeat.life;
+        if (this->latest && !isSameLife && heartbeat.life.startedAt < this->latest->life.startedAt) {
+            this->log.warn("Heartbeat of executor " + heartbeat.life.id + " is older than the life of " + this->latest->life.id + "; ignored.");
+            return;
+        }
+        if (isSameLife && heartbeat.sequence <= this->latest->sequence) {
+            return;
+        }
+        const bool isChange = !isSameLife || this->latest->isDraining != heartbeat.isDraining || this->latest->capacity != heartbeat.capacity;
+        if (!isSameLife) {
+            this->beginLife(heartbeat);
+        }
+        if (isSameLife && !this->latest->isDraining && heartbeat.isDraining) {
+            this->log.info("Executor " + heartbeat.life.id + " drains; it gets no new work.");
+        }
+        this->latest = heartbeat;
+        if (!isChange) {
+            return;
+        }
+        ++this->changeCount;
+    }
+    this->wake();
+}
+
+void ExecutorKeeper::beginLife(const ExecutorHeartbeat &heartbeat)
+{
+    this->log.info("Executor " + heartbeat.life.id + " started at " + std::to_string(heartbeat.life.startedAt) + " with " + toString(heartbeat.capacity)
+                   + (this->entries.empty() ? "." : "; " + std::to_string(this->entries.size()) + " runs of its earlier life are over."));
+    this->entries.clear();
+    this->ends.clear();
+    this->isSurveyed = false;
+    this->hasLeft = false;
+    this->silences = 0;
+    this->notedEnds = 0;
+    // An earlier start of this agent may have granted a lease a moment ago.
+    this->leaseOver = this->clock.now() + this->longestLease();
+    this->clockAhead.reset();
+}
+
+void ExecutorKeeper::deregister(const std::string &executorId)
+{
+    {
+        const std::lock_guard<std::mutex> guard(this->mutex);
+        if (!this->latest || this->latest->life.id != executorId) {
+            return;
+        }
+        this->log.info("Executor " + executorId + " has left with " + std::to_string(this->entries.size()) + " runs.");
+        this->hasLeft = true;
+        while (!this->entries.empty()) {
+            const auto run = this->entries.begin()->first;
+            this->end(run, RunEnd::Lapsed);
+        }
+        ++this->changeCount;
+    }
+    this->wake();
+}
+
+void ExecutorKeeper::apply(const AssignmentSync &sync)
+{
+    bool hasNews = false;
+    {
+        const std::lock_guard<std::mutex> guard(this->mutex);
+        hasNews = this->adopt(sync);
+    }
+    if (hasNews) {
+        this->wake();
+    }
+}
+
+void ExecutorKeeper::applyAnswer(const AssignmentSync &sync, Instant sentAt)
+{
+    bool hasNews = false;
+    {
+        const std::lock_guard<std::mutex> guard(this->mutex);
+        if (sync.epoch >= this->highestEpoch) {
+            this->licenceUntil = std::max(this->licenceUntil, sentAt + sync.licence);
+        }
+        hasNews = this->adopt(sync);
+    }
+    if (hasNews) {
+        this->wake();
+    }
+}
+
+/** Returns whether orders may have become due. */
+bool ExecutorKeeper::adopt(const AssignmentSync &sync)
+{
+    if (sync.epoch < this->highestEpoch || (sync.epoch == this->highestEpoch && sync.sequence <= this->syncSequence)) {
+        return false;
+    }
+    if (sync.epoch > this->highestEpoch) {
+        this->log.info("Placer of epoch " + std::to_string(sync.epoch) + " is in office; the one of " + std::to_string(this->highestEpoch) + " is fenced off.");
+    }
+    this->syncSequence = sync.epoch > this->highestEpoch ? 0 : this->syncSequence;
+    this->highestEpoch = sync.epoch;
+    if (!this->latest || sync.life != this->latest->life || !this->isSurveyed) {
+        return false;
+    }
+    this->syncSequence = sync.sequence;
+    this->notedEnds = std::max(this->notedEnds, sync.notedEnds);
+    const auto entriesBefore = this->entries.size();
+    const auto endsBefore = this->ends.size();
+    bool hasStops = false;
+    std::set<TaskRun> wanted;
+    for (const auto &assignment : sync.assignments) {
+        wanted.insert(assignment.run);
+        this->takeAssignment(assignment);
+    }
+    const bool hasNews = this->entries.size() != entriesBefore || this->ends.size() != endsBefore;
+    std::erase_if(this->ends, [this, &wanted](const EndReport &end) {
+        return end.number > 0 ? end.number <= this->notedEnds : !wanted.contains(end.run);
+    });
+    for (auto &[run, entry] : this->entries) {
+        if (!wanted.contains(run) && !entry.isStopWanted) {
+            hasStops = true;
+            entry.isStopWanted = true;
+            entry.dueAt = this->clock.now();
+            this->log.info("Run " + std::to_string(run.run) + " of " + toString(run.task) + " is to stop, by epoch " + std::to_string(sync.epoch) + ".");
+        }
+    }
+    return hasNews || hasStops;
+}
+
+void ExecutorKeeper::takeAssignment(const Assignment &assignment)
+{
+    if (this->entries.contains(assignment.run) || this->hasEnded(assignment.run) || !assignment.hasOrder) {
+        return;
+    }
+    if (this->latest->isDraining || this->hasLeft) {
+        this->end(assignment.run, RunEnd::Refused, RefusalReason::Unhealthy);
+        return;
+    }
+    Entry entry;
+    entry.needs = assignment.needs;
+    entry.spec = assignment.spec;
+    entry.checkpoint = assignment.checkpoint;
+    entry.dueAt = this->clock.now();
+    this->entries.emplace(assignment.run, std::move(entry));
+}
+
+bool ExecutorKeeper::hasEnded(const TaskRun &run) const
+{
+    return std::any_of(this->ends.begin(), this->ends.end(), [&run](const EndReport &end) { return end.run == run; });
+}
+
+std::vector<DueOrder> ExecutorKeeper::takeDueOrders()
+{
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    std::vector<DueOrder> orders;
+    const auto now = this->clock.now();
+    if (!this->latest || this->generation == 0 || this->hasLeft) {
+        return orders;
+    }
+    for (auto &[run, entry] : this->entries) {
+        const bool isStart = entry.phase == RunPhase::Ordered && entry.settledBy == 0 && !entry.isStopWanted;
+        const bool isStop = entry.isStopWanted && !entry.isStopAnswered;
+        if (entry.isUnderWay || now < entry.dueAt || !(isStart || isStop)) {
+            continue;
+        }
+        // A start without a lease could not be bounded; it waits for a licence.
+        const auto leaseEnd = this->grantableLeaseEnd(now);
+        if (isStart && !leaseEnd) {
+            continue;
+        }
+        entry.isUnderWay = true;
+        entry.phase = isStop ? RunPhase::Stopping : entry.phase;
+        orders.push_back({isStop, this->latest->life, {run, entry.spec, entry.checkpoint, leaseEnd.value_or(Millis(0)), this->fencingToken()}});
+    }
+    return orders;
+}
+
+void ExecutorKeeper::startAnswered(const DueOrder &order, const Result<StartAnswer> &answer)
+{
+    {
+        const std::lock_guard<std::mutex> guard(this->mutex);
+        const auto found = this->entries.find(order.start.run);
+        if (found == this->entries.end() || !this->latest || this->latest->life != order.life) {
+            return;
+        }
+        auto &entry = found->second;
+        entry.isUnderWay = false;
+        entry.dueAt = this->clock.now() + this->terms.resendAfter;
+        if (!succeeded(answer)) {
+            this->log.warn("Start of run " + std::to_string(order.start.run.run) + " of " + toString(order.start.run.task)
+                           + " has no answer and is sent again: " + toString(errorOf(answer)));
+            return;
+        }
+        this->noteStamp(valueOf(answer).stamp);
+        const auto refusal = valueOf(answer).refusal;
+        if (refusal == RefusalReason::TooLate) {
+            return;
+        }
+        if (refusal != RefusalReason::None) {
+            this->end(order.start.run, RunEnd::Refused, refusal);
+        } else {
+            entry.phase = entry.isStopWanted ? RunPhase::Stopping : RunPhase::Running;
+            entry.settledBy = this->holdSerial + 1;
+        }
+        ++this->changeCount;
+    }
+    this->wake();
+}
+
+void ExecutorKeeper::stopAnswered(const DueOrder &order, const Result<ExecutorStamp> &answer)
+{
+    {
+        const std::lock_guard<std::mutex> guard(this->mutex);
+        const auto found = this->entries.find(order.start.run);
+        if (found == this->entries.end() || !this->latest || this->latest->life != order.life) {
+            return;
+        }
+        auto &entry = found->second;
+        entry.isUnderWay = false;
+        entry.dueAt = this->clock.now() + this->terms.resendAfter;
+        if (succeeded(answer)) {
+            this->noteStamp(valueOf(answer));
+            // From here on the executor refuses this run, so a list without it proves that it is over.
+            entry.isStopAnswered = true;
+            entry.settledBy = this->holdSerial + 1;
+        }
+    }
+    this->wake();
+}
+
+std::optional<DueHold> ExecutorKeeper::nextHold()
+{
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    if (!this->latest || this->generation == 0 || this->hasLeft) {
+        return std::nullopt;
+    }
+    DueHold hold;
+    hold.life = this->latest->life;
+    hold.serial = ++this->holdSerial;
+    hold.question.fencingToken = this->fencingToken();
+    hold.question.notedEnds = this->notedEnds;
+    hold.question.leaseEnd = this->grantableLeaseEnd(this->clock.now());
+    const bool isStopOpen = std::any_of(this->entries.begin(), this->entries.end(), [](const auto &item) { return item.second.isStopWanted; });
+    hold.question.wait = !this->isSurveyed ? Millis(0) : (isStopOpen ? this->terms.stopWait : this->terms.holdWait);
+    return hold;
+}
+
+/** Returns the lease end to ask for within the licence, and keeps account of when it is surely over. */
+std::optional<Millis> ExecutorKeeper::grantableLeaseEnd(Instant now)
+{
+    if (now >= this->licenceUntil || !this->clockAhead) {
+        return std::nullopt;
+    }
+    this->leaseOver = now + this->longestLease();
+    return std::chrono::duration_cast<Millis>(now.time_since_epoch()) + *this->clockAhead + this->terms.lease;
+}
+
+Millis ExecutorKeeper::longestLease() const
+{
+    return Millis(static_cast<std::int64_t>(static_cast<double>(this->terms.lease.count()) / (1.0 - this->terms.clockDrift)));
+}
+
+void ExecutorKeeper::holdAnswered(const DueHold &hold, const Result<HoldAnswer> &answer)
+{
+    bool hasNews = false;
+    {
+        const std::lock_guard<std::mutex> guard(this->mutex);
+        if (!this->latest || this->latest->life != hold.life || this->hasLeft) {
+            return;
+        }
+        const auto before = this->changeCount;
+        if (succeeded(answer)) {
+            this->takeLists(hold, valueOf(answer));
+        } else {
+            this->noteSilence();
+        }
+        hasNews = this->changeCount != before;
+    }
+    if (hasNews) {
+        this->wake();
+    }
+}
+
+void ExecutorKeeper::noteSilence()
+{
+    ++this->silences;
+    if (this->silences == this->terms.silencesToUnreachable) {
+        this->log.warn("Executor " + this->latest->life.id + " does not answer; it gets no new work.");
+        ++this->changeCount;
+    }
+    if (this->clock.now() < this->leaseOver || this->entries.empty()) {
+        return;
+    }
+    this->log.warn("The lease of executor " + this->latest->life.id + " is over; " + std::to_string(this->entries.size()) + " runs count as ended.");
+    while (!this->entries.empty()) {
+        const auto run = this->entries.begin()->first;
+        this->end(run, RunEnd::Lapsed);
+    }
+    ++this->changeCount;
+}
+
+void ExecutorKeeper::takeLists(const DueHold &hold, const HoldAnswer &answer)
+{
+    this->noteStamp(answer.stamp);
+    if (this->silences >= this->terms.silencesToUnreachable || !this->isSurveyed) {
+        ++this->changeCount;
+    }
+    this->silences = 0;
+    this->isSurveyed = true;
+    for (const auto &listed : answer.running) {
+        auto &entry = this->entries[listed.run];
+        const bool isNews = entry.phase == RunPhase::Ordered && !entry.isStopWanted;
+        entry.phase = entry.isStopWanted ? RunPhase::Stopping : RunPhase::Running;
+        entry.settledBy = entry.settledBy == 0 ? hold.serial : entry.settledBy;
+        entry.checkpoint = listed.checkpoint.empty() ? entry.checkpoint : listed.checkpoint;
+        entry.percent = listed.percent;
+        this->changeCount += isNews ? 1 : 0;
+    }
+    for (const auto &ended : answer.ended) {
+        if (ended.number <= this->notedEnds || this->hasEnded(ended.run)) {
+            continue;
+        }
+        this->entries.erase(ended.run);
+        this->ends.push_back(ended);
+        ++this->changeCount;
+    }
+    this->dropVanished(hold, answer);
+}
+
+/** Ends runs that the executor should list but does not. */
+void ExecutorKeeper::dropVanished(const DueHold &hold, const HoldAnswer &answer)
+{
+    std::set<TaskRun> listed;
+    for (const auto &run : answer.running) {
+        listed.insert(run.run);
+    }
+    std::vector<TaskRun> vanished;
+    for (const auto &[run, entry] : this->entries) {
+        if (entry.settledBy != 0 && hold.serial >= entry.settledBy && !entry.isUnderWay && !listed.contains(run)) {
+            vanished.push_back(run);
+        }
+    }
+    for (const auto &run : vanished) {
+        this->log.info("Run " + std::to_string(run.run) + " of " + toString(run.task) + " is not at executor " + hold.life.id + " any more.");
+        this->end(run, RunEnd::Stopped);
+        ++this->changeCount;
+    }
+}
+
+void ExecutorKeeper::end(const TaskRun &run, RunEnd how, RefusalReason refusal)
+{
+    const auto found = this->entries.find(run);
+    const auto checkpoint = found == this->entries.end() ? std::string() : found->second.checkpoint;
+    this->entries.erase(run);
+    this->ends.push_back({0, run, how, checkpoint, refusal});
+    if (how == RunEnd::Refused) {
+        this->log.warn("Run " + std::to_string(run.run) + " of " + toString(run.task) + " was refused: " + std::string(nameOf(refusal)) + ".");
+    }
+}
+
+void ExecutorKeeper::noteStamp(const ExecutorStamp &stamp)
+{
+    if (stamp.clock.count() == 0) {
+        return;
+    }
+    this->clockAhead = stamp.clock - std::chrono::duration_cast<Millis>(this->clock.now().time_since_epoch());
+}
+
+std::optional<AgentReport> ExecutorKeeper::report()
+{
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    if (!this->latest || this->generation == 0) {
+        return std::nullopt;
+    }
+    AgentReport report;
+    report.node = this->node;
+    report.address = this->address;
+    report.generation = this->generation;
+    report.sequence = ++this->reportSequence;
+    report.epoch = this->highestEpoch;
+    report.life = this->latest->life;
+    report.service = this->latest->service;
+    report.zone = this->latest->zone;
+    report.isDraining = this->latest->isDraining || this->hasLeft;
+    report.isReachable = this->isSurveyed && this->silences < this->terms.silencesToUnreachable;
+    report.capacity = this->latest->capacity;
+    report.labels = this->latest->labels;
+    report.syncSequence = this->syncSequence;
+    for (const auto &[run, entry] : this->entries) {
+        report.runs.push_back({run, entry.phase, entry.checkpoint, entry.percent});
+    }
+    report.ends = this->ends;
+    return report;
+}
+
+Epoch ExecutorKeeper::epoch() const
+{
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    return this->highestEpoch;
+}
+
+std::uint64_t ExecutorKeeper::changes() const
+{
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    return this->changeCount;
+}
+
+bool ExecutorKeeper::isReady() const
+{
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    return this->isSurveyed && !this->hasLeft && !this->latest->isDraining;
+}
+
+/** Rises with every new placer and every start of the agent, as both numbers come from one counter of the table. */
+std::uint64_t ExecutorKeeper::fencingToken() const
+{
+    return std::max(this->highestEpoch, this->generation);
+}
+
+} // namespace waxwingloft
--- /dev/null
+++ b/src/request/jobboard.cpp
@@ -0,0 +1,198 @@
+#include "waxwingloft/request/jobboard.h"
+
+#include "waxwingloft/request/jobrows.h"
+
+#include <algorithm>
+
+namespace waxwingloft {
+
+JobState visibleState(const JobProgress &progress, bool isCancelled)
+{
+    return isCancelled && !isFinal(progress.state) ? JobState::Cancelled : progress.state;
+}
+
+std::vector<StoredJob> storedJobsOf(const RowList &rows, const Logger &log)
+{
+    std::map<JobId, StoredJob> jobs;
+    std::map<JobId, bool> hasSubmission;
+    for (const auto &row : rows.rows) {
+        const auto name = parseJobKey(row.key);
+        if (!name) {
+            log.warn("Row " + row.key + " is no row of a job; left out.");
+            continue;
+        }
+        auto &job = jobs[name->job];
+        if (name->kind == JobRowKind::Cancellation) {
+            job.isCancelled = true;
+        } else if (name->kind == JobRowKind::Submission) {
+            const auto submission = parseSubmission(row.value);
+            if (succeeded(submission)) {
+                job.submission = valueOf(submission);
+                hasSubmission[name->job] = true;
+            } else {
+                log.error("Row " + row.key + " left out: " + toString(errorOf(submission)));
+            }
+        } else {
+            const auto progress = parseProgress(row.value);
+            job.progressRevision = row.revision;
+            if (succeeded(progress)) {
+                job.progress = valueOf(progress);
+            } else {
+                log.error("Row " + row.key + " left out: " + toString(errorOf(progress)));
+            }
+        }
+    }
+    std::vector<StoredJob> stored;
+    for (auto &[id, job] : jobs) {
+        if (!hasSubmission[id]) {
+            continue;
+        }
+        if (job.progress.occurrences.empty()) {
+            job.progress = freshProgress(job.submission.graph);
+        }
+        stored.push_back(std::move(job));
+    }
+    return stored;
+}
+
+JobBoard::JobBoard(TaskPlacer &placer)
+    : placer(placer)
+    , log(LogPart::Requests)
+{
+}
+
+void JobBoard::reset(const RowList &rows)
+{
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    for (const auto &row : rows.rows) {
+        this->takeLocked(row);
+    }
+    this->hasLoaded = true;
+}
+
+void JobBoard::apply(const ChangeBatch &batch)
+{
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    for (const auto &change : batch.changes) {
+        if (!change.isRemoved) {
+            this->takeLocked(change.row);
+            continue;
+        }
+        const auto name = parseJobKey(change.row.key);
+        if (name && name->kind == JobRowKind::Submission) {
+            this->jobs.erase(name->job);
+        }
+    }
+}
+
+void JobBoard::take(const Row &row)
+{
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    this->takeLocked(row);
+}
+
+void JobBoard::takeLocked(const Row &row)
+{
+    const auto name = parseJobKey(row.key);
+    if (!name) {
+        return;
+    }
+    switch (name->kind) {
+    case JobRowKind::Submission:
+        this->takeSubmission(name->job, row);
+        return;
+    case JobRowKind::Cancellation:
+        this->takeCancellation(name->job);
+        return;
+    case JobRowKind::Progress:
+        this->takeProgress(name->job, row);
+        return;
+    }
+}
+
+void JobBoard::takeSubmission(const JobId &job, const Row &row)
+{
+    auto &entry = this->jobs[job];
+    if (entry.submission) {
+        return;
+    }
+    auto submission = parseSubmission(row.value);
+    if (!succeeded(submission)) {
+        this->log.error("Job " + job.value + " left out: " + toString(errorOf(submission)));
+        return;
+    }
+    entry.submission = std::move(valueOf(submission));
+    entry.submissionRevision = row.revision;
+    this->placer.submit(*entry.submission);
+}
+
+void JobBoard::takeCancellation(const JobId &job)
+{
+    auto &entry = this->jobs[job];
+    if (entry.isCancelled) {
+        return;
+    }
+    entry.isCancelled = true;
+    this->placer.cancel(job);
+}
+
+void JobBoard::takeProgress(const JobId &job, const Row &row)
+{
+    auto &entry = this->jobs[job];
+    if (row.revision <= entry.progressRevision) {
+        return;
+    }
+    auto progress = parseProgress(row.value);
+    if (!succeeded(progress)) {
+        this->log.error("Progress of job " + job.value + " left out: " + toString(errorOf(progress)));
+        return;
+    }
+    entry.progress = std::move(valueOf(progress));
+    entry.progressRevision = row.revision;
+}
+
+std::optional<JobState> JobBoard::stateOf(const JobId &job) const
+{
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    const auto found = this->jobs.find(job);
+    if (found == this->jobs.end() || !found->second.submission) {
+        return std::nullopt;
+    }
+    return visibleState(found->second.progress, found->second.isCancelled);
+}
+
+std::size_t JobBoard::waitingOf(const std::string &route) const
+{
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    return static_cast<std::size_t>(std::count_if(this->jobs.begin(), this->jobs.end(), [&route](const auto &item) {
+        const auto &job = item.second;
+        return job.submission && job.submission->route == route && visibleState(job.progress, job.isCancelled) == JobState::Pending;
+    }));
+}
+
+bool JobBoard::knows(const JobId &job) const
+{
+    return this->stateOf(job).has_value();
+}
+
+bool JobBoard::isLoaded() const
+{
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    return this->hasLoaded;
+}
+
+void JobBoard::replay()
+{
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    for (const auto &[id, job] : this->jobs) {
+        if (!job.submission) {
+            continue;
+        }
+        this->placer.submit(*job.submission);
+        if (job.isCancelled) {
+            this->placer.cancel(id);
+        }
+    }
+}
+
+} // namespace waxwingloft
--- /dev/null
+++ b/src/request/jobrank.cpp
@@ -0,0 +1,96 @@
+#include "waxwingloft/request/jobrank.h"
+
+#include <algorithm>
+
+namespace waxwingloft {
+
+namespace {
+
+constexpr double LeastCost = 1e-6; ///< keeps the rank of a job without estimates finite
+
+double secondsOf(Millis millis)
+{
+    return static_cast<double>(millis.count()) / 1000.0;
+}
+
+double share(std::int64_t part, std::int64_t whole)
+{
+    return whole > 0 ? static_cast<double>(part) / static_cast<double>(whole) : 0.0;
+}
+
+double dominantShare(const Capacity &needs, const Capacity &fleet)
+{
+    return std::max({share(needs.milliCores, fleet.milliCores), share(needs.memoryMb, fleet.memoryMb), share(needs.accelerators, fleet.accelerators)});
+}
+
+/** Work that is left: shares of the fleet times seconds, and the longest chain. */
+struct Remaining {
+    double fleetSeconds = 0.0;
+    double chainSeconds = 0.0;
+};
+
+Remaining remainingOf(const JobSubmission &submission, const JobProgress &progress, const Capacity &fleet)
+{
+    Remaining remaining;
+    for (const auto &occurrence : progress.occurrences) {
+        std::vector<double> ends(occurrence.size(), 0.0);
+        for (std::size_t index = 0; index < occurrence.size(); ++index) {
+            const auto &step = submission.graph.steps[index];
+            const auto left = std::count_if(occurrence[index].begin(), occurrence[index].end(), [](const TaskProgress &task) {
+                return task.state != TaskState::Done;
+            });
+            double begin = 0.0;
+            for (const auto earlier : step.after) {
+                begin = std::max(begin, ends[earlier]);
+            }
+            const double seconds = left > 0 ? secondsOf(step.estimate) : 0.0;
+            ends[index] = begin + seconds;
+            remaining.chainSeconds = std::max(remaining.chainSeconds, ends[index]);
+            remaining.fleetSeconds += static_cast<double>(left) * seconds * dominantShare(step.needs, fleet);
+        }
+    }
+    return remaining;
+}
+
+} // namespace
+
+JobRank::JobRank(RankTerms terms)
+    : terms(terms)
+{
+}
+
+void JobRank::learn(const JobSubmission &submission)
+{
+    auto &mean = this->meanByRoute[submission.route];
+    mean.total += this->workOf(submission);
+    ++mean.count;
+}
+
+double JobRank::workOf(const JobSubmission &submission) const
+{
+    double work = 0.0;
+    for (const auto &step : submission.graph.steps) {
+        const double cores = static_cast<double>(step.needs.milliCores) / 1000.0 + this->terms.coresPerAccelerator * static_cast<double>(step.needs.accelerators);
+        work += cores * secondsOf(step.estimate) * step.count;
+    }
+    return work;
+}
+
+double JobRank::of(const JobSubmission &submission, const JobProgress &progress, const Capacity &fleet, std::int64_t wallNow) const
+{
+    const auto found = this->meanByRoute.find(submission.route);
+    const double mean = found == this->meanByRoute.end() ? 0.0 : found->second.total / static_cast<double>(found->second.count);
+    const double size = mean > 0.0 ? std::min(this->terms.largestSize, this->workOf(submission) / mean) : 1.0;
+    const auto priority = static_cast<std::size_t>(std::clamp(submission.priority, 0, static_cast<int>(this->terms.worthByPriority.size()) - 1));
+    const double worth = this->terms.worthByPriority[priority] * (this->terms.baseShare + (1.0 - this->terms.baseShare) * size);
+
+    const auto remaining = remainingOf(submission, progress, fleet);
+    const double objective = submission.stretch * secondsOf(longestChain(submission.graph)) + secondsOf(submission.latencySlack);
+    const double endsAfter = static_cast<double>(wallNow - submission.acceptedAt) / 1000.0 + remaining.chainSeconds;
+    const bool isInTime = endsAfter <= objective;
+    const bool isLate = !isInTime && endsAfter <= this->terms.lateFactor * objective;
+    const double left = isInTime ? 1.0 : (isLate ? this->terms.lateShare : this->terms.hopelessShare);
+    return worth * left / std::max(LeastCost, remaining.fleetSeconds);
+}
+
+} // namespace waxwingloft
--- /dev/null
+++ b/src/request/placeroffice.cpp
@@ -0,0 +1,201 @@
+#include "waxwingloft/request/placeroffice.h"
+
+#include "waxwingloft/request/jobrows.h"
+
+#include <nlohmann/json.hpp>
+
+namespace waxwingloft {
+
+namespace {
+
+constexpr std::size_t MaxQueuedPushes = 10'000;
+
+} // namespace
+
+std::string encodeOffice(const OfficeRecord &record)
+{
+    return nlohmann::json{{"holder", record.holder.value}, {"address", record.address}}.dump();
+}
+
+Result<OfficeRecord> parseOffice(const std::string &value)
+{
+    const auto json = nlohmann::json::parse(value, nullptr, false);
+    if (!json.is_object()) {
+        return makeError(ErrorKind::Damaged, "the row of the office is not a JSON object");
+    }
+    return OfficeRecord{NodeId{json.value("holder", "")}, json.value("address", "")};
+}
+
+PlacerOffice::PlacerOffice(Clock &clock,
+                           EventLog &events,
+                           IdSource &ids,
+                           Metrics &metrics,
+                           TableStore &table,
+                           NodePort &nodes,
+                           NodeId self,
+                           std::string address,
+                           TaskPlacer &placer,
+                           JobBoard &board,
+                           OfficeLoopTerms terms)
+    : clock(clock)
+    , ids(ids)
+    , metrics(metrics)
+    , table(table)
+    , nodes(nodes)
+    , self(std::move(self))
+    , address(std::move(address))
+    , placer(placer)
+    , board(board)
+    , terms(terms)
+    , log(LogPart::Placer)
+    , duty(table, clock, events, ids, "placer", this->self, this->address, terms.lease)
+{
+}
+
+PlacerOffice::~PlacerOffice()
+{
+    this->stop();
+}
+
+void PlacerOffice::start()
+{
+    this->pushes = std::make_unique<ThreadPool>(this->terms.pushThreads, MaxQueuedPushes);
+    this->writing = std::make_unique<Ticker>(this->terms.planInterval, [this] { this->write(); });
+    this->planning = std::make_unique<Ticker>(this->terms.planInterval, [this] { this->plan(); });
+    this->pursuing = std::make_unique<Ticker>(this->terms.pursueInterval, [this] { this->pursue(); });
+}
+
+void PlacerOffice::stop()
+{
+    if (!this->pursuing) {
+        return;
+    }
+    this->pursuing->stop();
+    this->planning->stop();
+    this->writing->stop();
+    this->placer.leaveOffice("this process is stopping");
+    this->duty.release();
+    this->pushes->close();
+    this->pursuing.reset();
+}
+
+void PlacerOffice::nudge()
+{
+    this->planning->nudge();
+}
+
+void PlacerOffice::pursue()
+{
+    this->duty.pursue();
+    const auto holder = this->duty.lastKnown();
+    if (!this->duty.heldEpoch()) {
+        if (holder && !holder->holder.isEmpty() && holder->holder != this->self) {
+            this->placer.leaveOffice("the duty is held by " + holder->holder.value);
+        }
+        return;
+    }
+    this->placer.renewMandate(this->clock.now());
+    if (!this->placer.isInOffice() && this->takeOffice()) {
+        this->board.replay();
+        this->planning->nudge();
+    }
+}
+
+/** Writes the row of the office, which fences off all earlier placers, and then reads the jobs. */
+bool PlacerOffice::takeOffice()
+{
+    const std::string key(OfficeKey);
+    const auto row = this->table.get(key);
+    if (!succeeded(row)) {
+        this->log.warn("The row of the office cannot be read: " + toString(errorOf(row)));
+        return false;
+    }
+    const auto revision = valueOf(row) ? valueOf(row)->revision : 0;
+    const auto written = this->table.commit(Transaction{this->ids.next(), {{key, revision}}, {{key, encodeOffice({this->self, this->address})}}});
+    if (!succeeded(written)) {
+        this->log.warn("The row of the office cannot be written: " + toString(errorOf(written)));
+        return false;
+    }
+    const auto rows = this->table.list(std::string(JobTable) + "/", 0);
+    if (!succeeded(rows)) {
+        this->log.warn("The jobs cannot be read: " + toString(errorOf(rows)));
+        return false;
+    }
+    this->officeRevision.store(valueOf(written).revision, std::memory_order_release);
+    this->placer.takeOffice(valueOf(written).revision, storedJobsOf(valueOf(rows), this->log));
+    return true;
+}
+
+void PlacerOffice::plan()
+{
+    if (!this->placer.isInOffice()) {
+        return;
+    }
+    this->placer.plan();
+    this->push();
+    this->writing->nudge();
+}
+
+void PlacerOffice::write()
+{
+    this->commitWrites();
+}
+
+/** Writes all progress that is due, transaction by transaction. */
+void PlacerOffice::commitWrites()
+{
+    auto writes = this->placer.takeWrites();
+    while (!writes.empty()) {
+        const auto epoch = this->officeRevision.load(std::memory_order_acquire);
+        Transaction transaction{this->ids.next(), {{std::string(OfficeKey), epoch}}, {}};
+        for (const auto &write : writes) {
+            transaction.conditions.push_back({progressKey(write.job), write.revision});
+            transaction.writes.push_back({progressKey(write.job), write.value});
+        }
+        const auto committed = this->table.commit(transaction);
+        if (succeeded(committed)) {
+            this->placer.written(writes, valueOf(committed).revision);
+            this->push();
+            writes = this->placer.takeWrites();
+        } else if (errorOf(committed).kind == ErrorKind::PlatformDown) {
+            this->clock.sleepFor(this->terms.writeRetry);
+            if (!this->placer.isInOffice()) {
+                return;
+            }
+        } else {
+            this->placer.leaveOffice("progress could not be written: " + toString(errorOf(committed)));
+            return;
+        }
+    }
+}
+
+void PlacerOffice::push()
+{
+    for (auto &outgoing : this->placer.takeSyncs()) {
+        const bool isPosted = this->pushes->post([this, outgoing = std::move(outgoing)] {
+            const auto reply = this->nodes.call(outgoing.address, outgoing.sync, this->terms.pushTimeout);
+            if (!succeeded(reply)) {
+                this->log.warn("Assignments to " + outgoing.address + " were not acknowledged; its next report gets them: " + toString(errorOf(reply)));
+            }
+        });
+        if (!isPosted) {
+            this->log.warn("Too many assignments wait to be sent; the agents get them with their next reports.");
+        }
+    }
+}
+
+Message PlacerOffice::handle(const Header & /*header*/, const Message &message)
+{
+    const auto *const report = std::get_if<AgentReport>(&message);
+    if (report == nullptr) {
+        return replyWith(makeError(ErrorKind::InvalidInput, "a placer takes reports of agents only"));
+    }
+    auto sync = this->placer.report(*report);
+    if (!succeeded(sync)) {
+        return replyWith(errorOf(sync));
+    }
+    this->planning->nudge();
+    return std::move(valueOf(sync));
+}
+
+} // namespace waxwingloft
--- /dev/null
+++ b/src/request/taskplacer.cpp
@@ -0,0 +1,497 @@
+#include "waxwingloft/request/taskplacer.h"
+
+#include "waxwingloft/request/jobrows.h"
+
+#include <algorithm>
+
+namespace waxwingloft {
+
+TaskPlacer::TaskPlacer(Clock &clock, OfficeTerms terms, RankTerms rankTerms)
+    : clock(clock)
+    , terms(terms)
+    , log(LogPart::Placer)
+    , rank(rankTerms)
+{
+}
+
+void TaskPlacer::takeOffice(Epoch epoch, std::vector<StoredJob> jobs)
+{
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    this->epoch = epoch;
+    this->inOfficeSince = this->clock.now();
+    this->jobs.clear();
+    this->workers.clear();
+    for (auto &job : jobs) {
+        this->addJob(std::move(job));
+    }
+    this->log.info("In office under epoch " + std::to_string(epoch) + " with " + std::to_string(this->jobs.size()) + " jobs and "
+                   + std::to_string(this->workers.size()) + " executors that may run something.");
+}
+
+/** Takes in a job with every run that may be under way. */
+void TaskPlacer::addJob(StoredJob stored)
+{
+    const auto id = stored.submission.id;
+    auto &job = this->jobs[id];
+    job.submission = std::move(stored.submission);
+    job.progress = std::move(stored.progress);
+    job.revision = stored.progressRevision;
+    job.knownSince = this->clock.now();
+    this->rank.learn(job.submission);
+    for (std::uint32_t occurrence = 0; occurrence < job.progress.occurrences.size(); ++occurrence) {
+        auto &steps = job.progress.occurrences[occurrence];
+        for (std::uint32_t step = 0; step < steps.size(); ++step) {
+            for (std::uint32_t index = 0; index < steps[step].size(); ++index) {
+                const auto &task = steps[step][index];
+                if (task.state != TaskState::Assigned) {
+                    continue;
+                }
+                auto &worker = this->workers[task.worker];
+                worker.last.life = task.life;
+                const TaskRun run{{id, occurrence, step, index}, task.run};
+                worker.runs[run] = LiveRun{0, this->clock.now(), false, true, 0, job.submission.graph.steps[step].needs};
+            }
+        }
+    }
+    if (stored.isCancelled && !isFinal(job.progress.state)) {
+        job.progress.state = JobState::Cancelled;
+        this->change(job);
+    }
+}
+
+void TaskPlacer::leaveOffice(const std::string &reason)
+{
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    if (this->epoch == 0) {
+        return;
+    }
+    this->log.warn("Left the office of epoch " + std::to_string(this->epoch) + ": " + reason);
+    this->epoch = 0;
+    this->jobs.clear();
+    this->workers.clear();
+}
+
+bool TaskPlacer::isInOffice() const
+{
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    return this->epoch != 0;
+}
+
+void TaskPlacer::renewMandate(Instant sentAt)
+{
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    this->mandateUntil = sentAt + this->terms.mandate;
+}
+
+void TaskPlacer::submit(const JobSubmission &submission)
+{
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    if (this->epoch == 0 || this->jobs.contains(submission.id)) {
+        return;
+    }
+    StoredJob stored{submission, false, freshProgress(submission.graph), 0};
+    this->addJob(std::move(stored));
+    this->log.info("Job " + submission.id.value + " of " + submission.workspace.value + " came in, priority " + std::to_string(submission.priority) + ", "
+                   + std::to_string(static_cast<std::int64_t>(this->rank.workOf(submission))) + " core seconds by its estimate.");
+}
+
+void TaskPlacer::cancel(const JobId &job)
+{
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    const auto found = this->jobs.find(job);
+    if (this->epoch == 0 || found == this->jobs.end() || isFinal(found->second.progress.state)) {
+        return;
+    }
+    this->log.info("Job " + job.value + " is cancelled.");
+    found->second.progress.state = JobState::Cancelled;
+    this->change(found->second);
+    this->stopRuns(job);
+}
+
+void TaskPlacer::setRoutes(const RouteBook &routes)
+{
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    this->routes = routes;
+}
+
+void TaskPlacer::change(LiveJob &job)
+{
+    ++job.change;
+}
+
+const JobStep &TaskPlacer::stepOf(const LiveJob &job, const TaskKey &key)
+{
+    return job.submission.graph.steps[key.step];
+}
+
+void TaskPlacer::refreshState(LiveJob &job)
+{
+    if (isFinal(job.progress.state)) {
+        return;
+    }
+    bool isAllDone = true;
+    bool hasBegun = false;
+    bool hasFailed = false;
+    for (const auto &occurrence : job.progress.occurrences) {
+        for (const auto &step : occurrence) {
+            for (const auto &task : step) {
+                isAllDone = isAllDone && task.state == TaskState::Done;
+                hasBegun = hasBegun || task.run > 0;
+                hasFailed = hasFailed || task.state == TaskState::Failed;
+            }
+        }
+    }
+    const auto before = job.progress.state;
+    job.progress.state = hasFailed ? JobState::Failed : isAllDone ? JobState::Completed : hasBegun ? JobState::Running : JobState::Pending;
+    if (job.progress.state == before) {
+        return;
+    }
+    this->log.info("Job " + job.submission.id.value + " is " + std::string(nameOf(job.progress.state)) + " "
+                   + std::to_string(this->clock.wallMillis() - job.submission.acceptedAt) + " ms after it was accepted.");
+    if (hasFailed) {
+        this->stopRuns(job.submission.id);
+    }
+}
+
+/** Stops a run. One that no agent can have been told of is over at once. */
+void TaskPlacer::stopRun(Worker &worker, const TaskRun &run)
+{
+    auto &live = worker.runs.at(run);
+    if (!live.isSent) {
+        this->endRun(worker, run, RunEnd::Stopped, {});
+        return;
+    }
+    live.isStopping = true;
+    worker.needsSync = true;
+}
+
+void TaskPlacer::stopRuns(const JobId &job)
+{
+    for (auto &[node, worker] : this->workers) {
+        std::vector<TaskRun> runs;
+        for (const auto &[run, live] : worker.runs) {
+            if (run.task.job == job) {
+                runs.push_back(run);
+            }
+        }
+        for (const auto &run : runs) {
+            this->stopRun(worker, run);
+        }
+    }
+}
+
+void TaskPlacer::endRun(Worker &worker, const TaskRun &run, RunEnd how, const std::string &checkpoint)
+{
+    if (worker.runs.erase(run) == 0) {
+        return;
+    }
+    const auto found = this->jobs.find(run.task.job);
+    if (found == this->jobs.end()) {
+        return;
+    }
+    auto &job = found->second;
+    auto *const task = findTask(job.progress, run.task);
+    if (task == nullptr || task->state != TaskState::Assigned || task->run != run.run) {
+        return;
+    }
+    this->log.info("Run " + std::to_string(run.run) + " of " + toString(run.task) + " ended as " + std::string(nameOf(how)) + " at " + task->life.id + ".");
+    this->applyEnd(job, run, *task, how, checkpoint);
+    this->change(job);
+    this->refreshState(job);
+}
+
+void TaskPlacer::applyEnd(LiveJob &job, const TaskRun &run, TaskProgress &task, RunEnd how, const std::string &checkpoint)
+{
+    const auto &step = stepOf(job, run.task);
+    if (how == RunEnd::Done && !step.isPerpetual) {
+        if (step.isGang) {
+            this->finishGang(job, run);
+        } else {
+            task.state = TaskState::Done;
+        }
+        return;
+    }
+    task.state = TaskState::Waiting;
+    task.checkpoint = checkpoint.empty() ? task.checkpoint : checkpoint;
+    if (how == RunEnd::Failed && !step.isPerpetual) {
+        this->countFailure(job, run.task, task);
+    }
+    if (step.isGang) {
+        this->breakGang(job, run, task.checkpoint);
+    }
+}
+
+/** The members of a gang are done together; the end of one speaks for all. */
+void TaskPlacer::finishGang(LiveJob &job, const TaskRun &run)
+{
+    for (auto &member : job.progress.occurrences[run.task.occurrence][run.task.step]) {
+        if (member.run == run.run) {
+            member.state = TaskState::Done;
+        }
+    }
+}
+
+/** Stops the other members of a run and lets all go on from one checkpoint. */
+void TaskPlacer::breakGang(LiveJob &job, const TaskRun &run, const std::string &checkpoint)
+{
+    auto &members = job.progress.occurrences[run.task.occurrence][run.task.step];
+    for (std::uint32_t index = 0; index < members.size(); ++index) {
+        auto &member = members[index];
+        member.checkpoint = checkpoint;
+        if (member.state != TaskState::Assigned || member.run != run.run) {
+            continue;
+        }
+        const TaskRun other{{run.task.job, run.task.occurrence, run.task.step, index}, member.run};
+        const auto worker = this->workers.find(member.worker);
+        if (worker != this->workers.end() && worker->second.runs.contains(other) && !worker->second.runs.at(other).isStopping) {
+            this->stopRun(worker->second, other);
+        }
+    }
+}
+
+void TaskPlacer::countFailure(LiveJob &job, const TaskKey &key, TaskProgress &task)
+{
+    auto &counted = stepOf(job, key).isGang ? job.progress.occurrences[key.occurrence][key.step].front() : task;
+    ++counted.failures;
+    if (counted.failures >= job.submission.maxAttempts) {
+        task.state = TaskState::Failed;
+        this->log.warn("Task " + toString(key) + " failed " + std::to_string(counted.failures) + " times, which is all that its queue allows.");
+    }
+}
+
+Result<AssignmentSync> TaskPlacer::report(const AgentReport &report)
+{
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    if (this->epoch == 0 || report.epoch > this->epoch) {
+        return makeError(ErrorKind::Stale, "this process is not the placer in office", "read the row of the office again");
+    }
+    const auto now = this->clock.now();
+    auto &worker = this->workers[report.node];
+    const bool isOlder = worker.isKnown && std::pair(report.generation, report.sequence) < std::pair(worker.last.generation, worker.last.sequence);
+    if (isOlder) {
+        return makeError(ErrorKind::Stale, "a newer report of this agent has been taken in", "send a new report");
+    }
+    if (worker.last.life.isKnown() && worker.last.life != report.life) {
+        this->loseRuns(worker, "executor " + worker.last.life.id + " has been replaced by " + report.life.id);
+        worker.seenEnds = 0;
+        worker.notedEnds = 0;
+        worker.pendingNotes.clear();
+    }
+    if (!worker.isKnown) {
+        this->log.info("Executor " + report.life.id + " of " + report.service + " at " + report.node.value + " joined with " + toString(report.capacity) + ".");
+    }
+    worker.isKnown = true;
+    worker.heardAt = now;
+    worker.last = report;
+    this->takeEnds(worker, report);
+    this->takeRuns(worker, report);
+    this->dropUnknown(worker, report);
+    auto sync = this->makeSync(worker);
+    sync.licence = now < this->mandateUntil ? this->terms.licence : Millis(0);
+    return sync;
+}
+
+void TaskPlacer::takeEnds(Worker &worker, const AgentReport &report)
+{
+    for (const auto &end : report.ends) {
+        const bool isNew = end.number == 0 || end.number > worker.seenEnds;
+        if (!isNew) {
+            continue;
+        }
+        if (end.refusal == RefusalReason::NoRoom || end.refusal == RefusalReason::Unhealthy) {
+            worker.pausedUntil = this->clock.now() + this->terms.refusalPause;
+        }
+        this->endRun(worker, end.run, end.end, end.checkpoint);
+        if (end.number > 0) {
+            const auto job = this->jobs.find(end.run.task.job);
+            worker.seenEnds = end.number;
+            worker.pendingNotes.push_back({end.number, end.run.task.job, job == this->jobs.end() ? 0 : job->second.change});
+        }
+    }
+}
+
+void TaskPlacer::takeRuns(Worker &worker, const AgentReport &report)
+{
+    worker.hasOrphans = false;
+    for (const auto &reported : report.runs) {
+        worker.hasOrphans = worker.hasOrphans || !worker.runs.contains(reported.run);
+    }
+}
+
+/** Ends runs that were left out of assignments which the agent has taken over, and that it does not have. */
+void TaskPlacer::dropUnknown(Worker &worker, const AgentReport &report)
+{
+    if (report.epoch != this->epoch || !report.isReachable) {
+        return;
+    }
+    std::set<TaskRun> reported;
+    for (const auto &run : report.runs) {
+        reported.insert(run.run);
+    }
+    std::vector<TaskRun> gone;
+    for (const auto &[run, live] : worker.runs) {
+        if (live.leftOutBy != 0 && report.syncSequence >= live.leftOutBy && !reported.contains(run)) {
+            gone.push_back(run);
+        }
+    }
+    for (const auto &run : gone) {
+        this->endRun(worker, run, RunEnd::Stopped, {});
+    }
+}
+
+/** Ends all that is assigned to a life of an executor that is surely over. */
+void TaskPlacer::loseRuns(Worker &worker, const std::string &reason)
+{
+    if (!worker.runs.empty()) {
+        this->log.warn("Lost " + std::to_string(worker.runs.size()) + " runs: " + reason + ".");
+    }
+    std::map<TaskRun, std::string> checkpoints;
+    for (const auto &run : worker.last.runs) {
+        checkpoints[run.run] = run.checkpoint;
+    }
+    while (!worker.runs.empty()) {
+        const auto run = worker.runs.begin()->first;
+        this->endRun(worker, run, RunEnd::Lapsed, checkpoints[run]);
+    }
+}
+
+/**
+ * Gives up agents whose executor's lease is surely over.
+ *
+ * An agent prolongs the lease only within a licence, so all is over one licence and one lease after its last
+ * report. One that has not reported in this office may have had a licence of an earlier placer, which
+ * grants them for as long as its mandate lasts.
+ */
+void TaskPlacer::sweepSilent(Instant now)
+{
+    const auto afterReport = this->terms.licence + this->terms.longestLease + this->terms.margin;
+    for (auto worker = this->workers.begin(); worker != this->workers.end();) {
+        const auto over = worker->second.isKnown ? worker->second.heardAt + afterReport : this->inOfficeSince + this->terms.mandate + afterReport;
+        if (now < over) {
+            ++worker;
+            continue;
+        }
+        this->loseRuns(worker->second, "agent " + worker->first.value + " has been silent for longer than its licence and lease");
+        this->log.warn("Agent " + worker->first.value + " is gone.");
+        worker = this->workers.erase(worker);
+    }
+}
+
+void TaskPlacer::advanceNotes(Worker &worker)
+{
+    while (!worker.pendingNotes.empty()) {
+        const auto &note = worker.pendingNotes.front();
+        const auto job = this->jobs.find(note.job);
+        if (job != this->jobs.end() && job->second.stored < note.change) {
+            return;
+        }
+        worker.notedEnds = note.number;
+        worker.pendingNotes.pop_front();
+    }
+}
+
+bool TaskPlacer::isStored(const TaskRun &run, const LiveRun &live) const
+{
+    const auto job = this->jobs.find(run.task.job);
+    return job == this->jobs.end() || job->second.stored >= live.change;
+}
+
+bool TaskPlacer::isWanted(const Worker &worker, const TaskRun &run, const LiveRun &live)
+{
+    const auto job = this->jobs.find(run.task.job);
+    if (live.isStopping || job == this->jobs.end() || isFinal(job->second.progress.state)) {
+        return false;
+    }
+    const auto *const task = findTask(job->second.progress, run.task);
+    return task != nullptr && task->state == TaskState::Assigned && task->run == run.run && task->life == worker.last.life;
+}
+
+Assignment TaskPlacer::assignmentOf(const Worker &worker, const TaskRun &run, const LiveRun &live, const LiveJob &job) const
+{
+    const auto &reported = worker.last.runs;
+    const bool isKnown = std::any_of(reported.begin(), reported.end(), [&run](const RunReport &report) { return report.run == run; });
+    Assignment assignment{run, live.needs, !isKnown, {}, {}};
+    if (!isKnown) {
+        const auto &step = job.progress.occurrences[run.task.occurrence][run.task.step];
+        assignment.spec = job.submission.graph.spec;
+        assignment.checkpoint = step[run.task.index].checkpoint;
+    }
+    return assignment;
+}
+
+AssignmentSync TaskPlacer::makeSync(Worker &worker)
+{
+    this->advanceNotes(worker);
+    AssignmentSync sync;
+    sync.epoch = this->epoch;
+    sync.sequence = ++worker.syncSequence;
+    sync.life = worker.last.life;
+    sync.notedEnds = worker.notedEnds;
+    for (auto &[run, live] : worker.runs) {
+        if (this->isWanted(worker, run, live)) {
+            if (this->isStored(run, live)) {
+                live.isSent = true;
+                sync.assignments.push_back(this->assignmentOf(worker, run, live, this->jobs.at(run.task.job)));
+            }
+        } else if (live.leftOutBy == 0) {
+            live.leftOutBy = sync.sequence;
+        }
+    }
+    worker.needsSync = false;
+    return sync;
+}
+
+std::vector<ProgressWrite> TaskPlacer::takeWrites()
+{
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    std::vector<ProgressWrite> writes;
+    for (auto &[id, job] : this->jobs) {
+        if (job.change > job.stored && !job.isBeingWritten && writes.size() < this->terms.batchRows) {
+            job.isBeingWritten = true;
+            writes.push_back({id, job.revision, job.change, encodeProgress(job.progress)});
+        }
+    }
+    return writes;
+}
+
+void TaskPlacer::written(const std::vector<ProgressWrite> &writes, std::uint64_t revision)
+{
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    for (const auto &write : writes) {
+        const auto found = this->jobs.find(write.job);
+        if (found == this->jobs.end()) {
+            continue;
+        }
+        found->second.stored = write.change;
+        found->second.revision = revision;
+        found->second.isBeingWritten = false;
+        for (auto &[node, worker] : this->workers) {
+            const auto isNews = [&write](const auto &item) { return item.first.task.job == write.job && !item.second.isSent; };
+            worker.needsSync = worker.needsSync || std::any_of(worker.runs.begin(), worker.runs.end(), isNews);
+        }
+    }
+}
+
+std::vector<OutgoingSync> TaskPlacer::takeSyncs()
+{
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    std::vector<OutgoingSync> syncs;
+    for (auto &[node, worker] : this->workers) {
+        if (worker.needsSync && worker.isKnown) {
+            syncs.push_back({worker.last.address, this->makeSync(worker)});
+        }
+    }
+    return syncs;
+}
+
+OfficeView TaskPlacer::view() const
+{
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    OfficeView view{this->epoch, this->jobs.size(), this->workers.size(), 0};
+    for (const auto &[node, worker] : this->workers) {
+        view.assigned += worker.runs.size();
+    }
+    return view;
+}
+
+} // namespace waxwingloft
--- /dev/null
+++ b/src/request/taskplanning.cpp
@@ -0,0 +1,272 @@
+#include "waxwingloft/request/taskplacer.h"
+
+#include <algorithm>
+
+namespace waxwingloft {
+
+namespace {
+
+constexpr double CoresPerAccelerator = 8.0; ///< how the users count work
+constexpr std::string_view RackLabelPrefix = "r"; ///< labels such as "r1-3" name the rack of a machine
+
+std::string rackOf(const std::vector<std::string> &labels)
+{
+    for (const auto &label : labels) {
+        if (label.starts_with(RackLabelPrefix) && label.find('-') != std::string::npos) {
+            return label;
+        }
+    }
+    return {};
+}
+
+double coresOf(const Capacity &capacity)
+{
+    return static_cast<double>(capacity.milliCores) / 1000.0 + CoresPerAccelerator * static_cast<double>(capacity.accelerators);
+}
+
+} // namespace
+
+void TaskPlacer::plan()
+{
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    const auto now = this->clock.now();
+    if (this->epoch == 0) {
+        return;
+    }
+    this->sweepSilent(now);
+    if (!this->isSettled(now)) {
+        return;
+    }
+    const auto entitled = this->entitledJobs();
+    const auto fleet = this->collectFleet(now);
+    const auto units = this->collectUnits(fleet, entitled, now);
+    if (units.empty()) {
+        return;
+    }
+    std::vector<WaitingTasks> waiting;
+    for (const auto &unit : units) {
+        waiting.push_back(this->waitingOf(unit, fleet));
+    }
+    const auto running = this->collectRunning(fleet, entitled, now);
+    const auto plan = planSteps(fleet.workers, waiting, running.tasks);
+    for (const auto index : plan.stops) {
+        for (const auto &[worker, run] : running.runs[index]) {
+            if (worker->runs.contains(run)) {
+                this->log.info("Run " + std::to_string(run.run) + " of " + toString(run.task) + " makes room for guaranteed work.");
+                this->stopRun(*worker, run);
+            }
+        }
+    }
+    for (const auto &start : plan.starts) {
+        this->assign(units[start.waiting], start.workers, fleet, now);
+    }
+}
+
+/** Whether the agents have had time to report, or all that may run something have. */
+bool TaskPlacer::isSettled(Instant now) const
+{
+    if (now - this->inOfficeSince >= this->terms.settleTime) {
+        return true;
+    }
+    return !this->workers.empty() && std::all_of(this->workers.begin(), this->workers.end(), [](const auto &item) { return item.second.isKnown; })
+        && now - this->inOfficeSince >= this->terms.settleTime / 2;
+}
+
+bool TaskPlacer::takesWork(const Worker &worker, Instant now) const
+{
+    return worker.isKnown && worker.last.isReachable && !worker.last.isDraining && !worker.hasOrphans && now >= worker.pausedUntil
+        && now - worker.heardAt < this->terms.freshness;
+}
+
+TaskPlacer::Fleet TaskPlacer::collectFleet(Instant now)
+{
+    Fleet fleet;
+    for (auto &[node, worker] : this->workers) {
+        if (!worker.isKnown) {
+            continue;
+        }
+        PlannerWorker view{node, worker.last.service, rackOf(worker.last.labels), worker.last.labels, worker.last.capacity, worker.last.capacity, false};
+        for (const auto &[run, live] : worker.runs) {
+            view.free -= live.needs;
+        }
+        view.acceptsWork = this->takesWork(worker, now);
+        if (view.acceptsWork) {
+            fleet.total += view.capacity;
+        }
+        fleet.indexOf[node] = fleet.workers.size();
+        fleet.workers.push_back(std::move(view));
+        fleet.byIndex.push_back(&worker);
+    }
+    return fleet;
+}
+
+/** Jobs of priority zero that fit into their workspace's guarantee, earliest first. */
+std::set<JobId> TaskPlacer::entitledJobs() const
+{
+    std::vector<const LiveJob *> urgent;
+    for (const auto &[id, job] : this->jobs) {
+        if (job.submission.priority == 0 && !isFinal(job.progress.state)) {
+            urgent.push_back(&job);
+        }
+    }
+    std::sort(urgent.begin(), urgent.end(), [](const LiveJob *left, const LiveJob *right) {
+        return std::tie(left->submission.acceptedAt, left->submission.id) < std::tie(right->submission.acceptedAt, right->submission.id);
+    });
+    std::map<WorkspaceId, std::int64_t> used;
+    std::set<JobId> entitled;
+    for (const auto *const job : urgent) {
+        std::int64_t peak = 0;
+        for (const auto &step : job->submission.graph.steps) {
+            peak = std::max(peak, step.needs.accelerators * static_cast<std::int64_t>(step.count));
+        }
+        const auto tenant = this->routes.tenants.find(job->submission.workspace);
+        const auto guaranteed = tenant == this->routes.tenants.end() ? 0 : tenant->second.guaranteedAccelerators;
+        auto &total = used[job->submission.workspace];
+        if (total + peak <= guaranteed) {
+            total += peak;
+            entitled.insert(job->submission.id);
+        }
+    }
+    return entitled;
+}
+
+std::vector<TaskPlacer::Unit> TaskPlacer::collectUnits(const Fleet &fleet, const std::set<JobId> &entitled, Instant now)
+{
+    std::vector<Unit> units;
+    const auto wallNow = this->clock.wallMillis();
+    for (auto &[id, job] : this->jobs) {
+        if (isFinal(job.progress.state)) {
+            continue;
+        }
+        Unit base;
+        base.job = &job;
+        base.isEntitled = entitled.contains(id);
+        base.rank = this->rank.of(job.submission, job.progress, fleet.total, wallNow);
+        base.hasWaitedLong = now - job.knownSince >= this->terms.reserveAfter;
+        for (std::uint32_t occurrence = 0; occurrence < job.progress.occurrences.size(); ++occurrence) {
+            const auto &graph = job.submission.graph;
+            const bool isDue = graph.firstRunAt + static_cast<std::int64_t>(occurrence) * graph.interval.count() <= wallNow;
+            if (isDue) {
+                this->addUnits(job, occurrence, base, units);
+            }
+        }
+    }
+    std::stable_sort(units.begin(), units.end(), [](const Unit &left, const Unit &right) {
+        return std::pair(left.isEntitled, left.rank) > std::pair(right.isEntitled, right.rank);
+    });
+    return units;
+}
+
+void TaskPlacer::addUnits(LiveJob &job, std::uint32_t occurrence, const Unit &base, std::vector<Unit> &units)
+{
+    const auto &graph = job.submission.graph;
+    auto &steps = job.progress.occurrences[occurrence];
+    for (std::uint32_t step = 0; step < steps.size(); ++step) {
+        if (!isReady(graph, steps, step)) {
+            continue;
+        }
+        Unit unit = base;
+        unit.occurrence = occurrence;
+        unit.step = step;
+        for (std::uint32_t index = 0; index < steps[step].size(); ++index) {
+            if (steps[step][index].state == TaskState::Waiting) {
+                unit.indices.push_back(index);
+            }
+        }
+        // The members of a gang start together, so all runs of the last try must be over.
+        const bool isWhole = !graph.steps[step].isGang || unit.indices.size() == steps[step].size();
+        if (!unit.indices.empty() && isWhole) {
+            units.push_back(std::move(unit));
+        }
+    }
+}
+
+WaitingTasks TaskPlacer::waitingOf(const Unit &unit, const Fleet &fleet) const
+{
+    const auto &step = unit.job->submission.graph.steps[unit.step];
+    WaitingTasks waiting;
+    waiting.count = static_cast<std::uint32_t>(unit.indices.size());
+    waiting.needs = step.needs;
+    waiting.needs.milliCores = step.isFilling ? 0 : step.needs.milliCores;
+    waiting.service = unit.job->submission.service;
+    waiting.requiredLabel = step.requiredLabel;
+    waiting.dataRack = step.dataRack;
+    waiting.isGang = step.isGang;
+    waiting.prefersOneRack = step.prefersOneRack;
+    waiting.mayReclaim = unit.isEntitled;
+    waiting.mayReserve = unit.hasWaitedLong && step.isGang;
+    waiting.maxPerWorker = step.maxPerExecutor;
+    if (step.maxPerExecutor > 0) {
+        waiting.present.assign(fleet.workers.size(), 0);
+        for (const auto &task : unit.job->progress.occurrences[unit.occurrence][unit.step]) {
+            const auto worker = fleet.indexOf.find(task.worker);
+            if (task.state == TaskState::Assigned && worker != fleet.indexOf.end()) {
+                ++waiting.present[worker->second];
+            }
+        }
+    }
+    return waiting;
+}
+
+/** What may be stopped for entitled jobs: the members of a gang together, other tasks each on its own. */
+TaskPlacer::RunningSet TaskPlacer::collectRunning(const Fleet &fleet, const std::set<JobId> &entitled, Instant now)
+{
+    RunningSet running;
+    std::map<TaskKey, std::size_t> gangs;
+    for (std::size_t index = 0; index < fleet.byIndex.size(); ++index) {
+        auto &worker = *fleet.byIndex[index];
+        for (const auto &[run, live] : worker.runs) {
+            const auto job = this->jobs.find(run.task.job);
+            if (job == this->jobs.end() || entitled.contains(run.task.job)) {
+                continue;
+            }
+            const auto &step = stepOf(job->second, run.task);
+            const TaskKey unit{run.task.job, run.task.occurrence, run.task.step, step.isGang ? 0 : run.task.index};
+            const auto [entry, isNew] = gangs.emplace(unit, running.tasks.size());
+            if (isNew) {
+                running.tasks.push_back({{}, live.needs, 0.0, true});
+                running.runs.emplace_back();
+            }
+            auto &tasks = running.tasks[entry->second];
+            const bool isEnding = live.isStopping || isFinal(job->second.progress.state);
+            auto lost = std::chrono::duration<double>(now - live.assignedAt).count();
+            lost = step.isCheckpointing ? std::min(lost, 1.0) : lost;
+            tasks.isStopping = tasks.isStopping && isEnding;
+            tasks.lostWork += lost * coresOf(live.needs);
+            tasks.parts.push_back({index, 1});
+            running.runs[entry->second].emplace_back(&worker, run);
+        }
+    }
+    return running;
+}
+
+void TaskPlacer::assign(const Unit &unit, const std::vector<std::size_t> &places, const Fleet &fleet, Instant now)
+{
+    auto &job = *unit.job;
+    auto &step = job.progress.occurrences[unit.occurrence][unit.step];
+    const auto &shape = job.submission.graph.steps[unit.step];
+    const bool isGang = shape.isGang;
+    std::uint32_t gangRun = 0;
+    for (const auto &task : step) {
+        gangRun = std::max(gangRun, task.run);
+    }
+    this->change(job);
+    for (std::size_t place = 0; place < places.size(); ++place) {
+        const auto index = unit.indices[place];
+        auto &worker = *fleet.byIndex[places[place]];
+        auto &task = step[index];
+        task.state = TaskState::Assigned;
+        task.run = (isGang ? gangRun : task.run) + 1;
+        task.worker = worker.last.node;
+        task.life = worker.last.life;
+        const TaskRun run{{job.submission.id, unit.occurrence, unit.step, index}, task.run};
+        auto needs = shape.needs;
+        needs.milliCores = shape.isFilling ? 0 : needs.milliCores;
+        worker.runs[run] = LiveRun{job.change, now, false, false, 0, needs};
+    }
+    this->refreshState(job);
+    this->log.info("Step " + std::to_string(unit.step) + " of job " + job.submission.id.value + ": " + std::to_string(places.size()) + " of "
+                   + std::to_string(unit.indices.size()) + " tasks assigned, rank " + std::to_string(unit.rank) + (unit.isEntitled ? ", guaranteed." : "."));
+}
+
+} // namespace waxwingloft
