--- a/include/waxwingloft/request/jobboard.h
+++ b/include/waxwingloft/request/jobboard.h
@@ -40,7 +40,7 @@
     void take(const Row &row);
 
     /** Returns the state of a job; nothing when it is not known here, which is no proof that there is none. */
-    std::optional<JobState> stateOf(const JobId &job) const;
+    std::optional<JobPhase> stateOf(const JobId &job) const;
 
     /** Returns how many accepted jobs of @p route have not begun. */
     std::size_t waitingOf(const std::string &route) const;
@@ -67,7 +67,7 @@
 };
 
 /** Returns the state that callers see of a job in @p progress. */
-JobState visibleState(const JobProgress &progress, bool isCancelled);
+JobPhase visibleState(const JobProgress &progress, bool isCancelled);
 
 /** Reads all jobs out of the rows of the table; rows that cannot be read are logged and left out. */
 std::vector<StoredJob> storedJobsOf(const RowList &rows, const Logger &log);
--- a/include/waxwingloft/request/jobprogress.h
+++ b/include/waxwingloft/request/jobprogress.h
@@ -12,7 +12,7 @@
 namespace waxwingloft {
 
 /** How far a task is. */
-enum class TaskState {
+enum class TaskPhase {
     Waiting,
     Assigned, ///< a run may be under way on an executor
     Done,
@@ -20,12 +20,12 @@
 };
 
 template<>
-struct NameTable<TaskState> {
+struct NameTable<TaskPhase> {
     static constexpr std::array<std::string_view, 4> names = {"waiting", "assigned", "done", "failed"};
 };
 
 /** What callers see of a job. */
-enum class JobState {
+enum class JobPhase {
     Pending,
     Running,
     Completed,
@@ -34,19 +34,19 @@
 };
 
 template<>
-struct NameTable<JobState> {
+struct NameTable<JobPhase> {
     static constexpr std::array<std::string_view, 5> names = {"pending", "running", "completed", "failed", "cancelled"};
 };
 
 /** Whether nothing more will be started for a job in @p state. */
-constexpr bool isFinal(JobState state)
+constexpr bool isFinal(JobPhase state)
 {
-    return state == JobState::Completed || state == JobState::Failed || state == JobState::Cancelled;
+    return state == JobPhase::Completed || state == JobPhase::Failed || state == JobPhase::Cancelled;
 }
 
 /** Progress of one task. */
 struct TaskProgress {
-    TaskState state = TaskState::Waiting;
+    TaskPhase state = TaskPhase::Waiting;
     std::uint32_t run = 0; ///< number of its latest run; zero before the first
     std::uint32_t failures = 0; ///< runs that ended as failed; of a gang, counted at its first task
     std::string checkpoint; ///< to go on from; empty for the beginning
@@ -61,7 +61,7 @@
 
 /** Progress of a job: tasks by occurrence and step. */
 struct JobProgress {
-    JobState state = JobState::Pending;
+    JobPhase state = JobPhase::Pending;
     std::vector<OccurrenceProgress> occurrences;
 
     bool operator==(const JobProgress &) const = default;
--- a/src/request/jobboard.cpp
+++ b/src/request/jobboard.cpp
@@ -6,9 +6,9 @@
 
 namespace waxwingloft {
 
-JobState visibleState(const JobProgress &progress, bool isCancelled)
+JobPhase visibleState(const JobProgress &progress, bool isCancelled)
 {
-    return isCancelled && !isFinal(progress.state) ? JobState::Cancelled : progress.state;
+    return isCancelled && !isFinal(progress.state) ? JobPhase::Cancelled : progress.state;
 }
 
 std::vector<StoredJob> storedJobsOf(const RowList &rows, const Logger &log)
@@ -151,7 +151,7 @@
     entry.progressRevision = row.revision;
 }
 
-std::optional<JobState> JobBoard::stateOf(const JobId &job) const
+std::optional<JobPhase> JobBoard::stateOf(const JobId &job) const
 {
     const std::lock_guard<std::mutex> guard(this->mutex);
     const auto found = this->jobs.find(job);
@@ -166,7 +166,7 @@
     const std::lock_guard<std::mutex> guard(this->mutex);
     return static_cast<std::size_t>(std::count_if(this->jobs.begin(), this->jobs.end(), [&route](const auto &item) {
         const auto &job = item.second;
-        return job.submission && job.submission->route == route && visibleState(job.progress, job.isCancelled) == JobState::Pending;
+        return job.submission && job.submission->route == route && visibleState(job.progress, job.isCancelled) == JobPhase::Pending;
     }));
 }
 
--- a/src/request/jobprogress.cpp
+++ b/src/request/jobprogress.cpp
@@ -17,7 +17,7 @@
 
 bool isDone(const StepProgress &step)
 {
-    return std::all_of(step.begin(), step.end(), [](const TaskProgress &task) { return task.state == TaskState::Done; });
+    return std::all_of(step.begin(), step.end(), [](const TaskProgress &task) { return task.state == TaskPhase::Done; });
 }
 
 bool isReady(const JobGraph &graph, const OccurrenceProgress &occurrence, std::uint32_t step)
--- a/src/request/jobrank.cpp
+++ b/src/request/jobrank.cpp
@@ -37,7 +37,7 @@
         for (std::size_t index = 0; index < occurrence.size(); ++index) {
             const auto &step = submission.graph.steps[index];
             const auto left = std::count_if(occurrence[index].begin(), occurrence[index].end(), [](const TaskProgress &task) {
-                return task.state != TaskState::Done;
+                return task.state != TaskPhase::Done;
             });
             double begin = 0.0;
             for (const auto earlier : step.after) {
--- a/src/request/jobrows.cpp
+++ b/src/request/jobrows.cpp
@@ -103,7 +103,7 @@
 Json toJson(const TaskProgress &task, ExecutorList &executors)
 {
     Json json = {static_cast<int>(task.state), task.run, task.failures, task.checkpoint};
-    if (task.state == TaskState::Assigned) {
+    if (task.state == TaskPhase::Assigned) {
         json.push_back(executors.placeOf(task));
     }
     return json;
@@ -112,7 +112,7 @@
 TaskProgress taskOf(const Json &json, const Json &executors)
 {
     TaskProgress task;
-    task.state = static_cast<TaskState>(std::clamp(json.at(StateField).get<int>(), 0, static_cast<int>(TaskState::Failed)));
+    task.state = static_cast<TaskPhase>(std::clamp(json.at(StateField).get<int>(), 0, static_cast<int>(TaskPhase::Failed)));
     task.run = json.at(RunField).get<std::uint32_t>();
     task.failures = json.at(FailuresField).get<std::uint32_t>();
     task.checkpoint = json.at(CheckpointField).get<std::string>();
@@ -127,7 +127,7 @@
 JobProgress progressOf(const Json &json)
 {
     JobProgress progress;
-    progress.state = fromName<JobState>(json.at("state").get<std::string>()).value_or(JobState::Pending);
+    progress.state = fromName<JobPhase>(json.at("state").get<std::string>()).value_or(JobPhase::Pending);
     for (const auto &steps : json.at("tasks")) {
         OccurrenceProgress occurrence;
         for (const auto &tasks : steps) {
--- a/src/request/taskplacer.cpp
+++ b/src/request/taskplacer.cpp
@@ -43,7 +43,7 @@
         for (std::uint32_t step = 0; step < steps.size(); ++step) {
             for (std::uint32_t index = 0; index < steps[step].size(); ++index) {
                 const auto &task = steps[step][index];
-                if (task.state != TaskState::Assigned) {
+                if (task.state != TaskPhase::Assigned) {
                     continue;
                 }
                 auto &worker = this->workers[task.worker];
@@ -54,7 +54,7 @@
         }
     }
     if (stored.isCancelled && !isFinal(job.progress.state)) {
-        job.progress.state = JobState::Cancelled;
+        job.progress.state = JobPhase::Cancelled;
         this->change(job);
     }
 }
@@ -103,7 +103,7 @@
         return;
     }
     this->log.info("Job " + job.value + " is cancelled.");
-    found->second.progress.state = JobState::Cancelled;
+    found->second.progress.state = JobPhase::Cancelled;
     this->change(found->second);
     this->stopRuns(job);
 }
@@ -135,14 +135,14 @@
     for (const auto &occurrence : job.progress.occurrences) {
         for (const auto &step : occurrence) {
             for (const auto &task : step) {
-                isAllDone = isAllDone && task.state == TaskState::Done;
+                isAllDone = isAllDone && task.state == TaskPhase::Done;
                 hasBegun = hasBegun || task.run > 0;
-                hasFailed = hasFailed || task.state == TaskState::Failed;
+                hasFailed = hasFailed || task.state == TaskPhase::Failed;
             }
         }
     }
     const auto before = job.progress.state;
-    job.progress.state = hasFailed ? JobState::Failed : isAllDone ? JobState::Completed : hasBegun ? JobState::Running : JobState::Pending;
+    job.progress.state = hasFailed ? JobPhase::Failed : isAllDone ? JobPhase::Completed : hasBegun ? JobPhase::Running : JobPhase::Pending;
     if (job.progress.state == before) {
         return;
     }
@@ -191,7 +191,7 @@
     }
     auto &job = found->second;
     auto *const task = findTask(job.progress, run.task);
-    if (task == nullptr || task->state != TaskState::Assigned || task->run != run.run) {
+    if (task == nullptr || task->state != TaskPhase::Assigned || task->run != run.run) {
         return;
     }
     this->log.info("Run " + std::to_string(run.run) + " of " + toString(run.task) + " ended as " + std::string(nameOf(how)) + " at " + task->life.id + ".");
@@ -207,11 +207,11 @@
         if (step.isGang) {
             this->finishGang(job, run);
         } else {
-            task.state = TaskState::Done;
+            task.state = TaskPhase::Done;
         }
         return;
     }
-    task.state = TaskState::Waiting;
+    task.state = TaskPhase::Waiting;
     task.checkpoint = checkpoint.empty() ? task.checkpoint : checkpoint;
     if (how == RunEnd::Failed && !step.isPerpetual) {
         this->countFailure(job, run.task, task);
@@ -226,7 +226,7 @@
 {
     for (auto &member : job.progress.occurrences[run.task.occurrence][run.task.step]) {
         if (member.run == run.run) {
-            member.state = TaskState::Done;
+            member.state = TaskPhase::Done;
         }
     }
 }
@@ -238,7 +238,7 @@
     for (std::uint32_t index = 0; index < members.size(); ++index) {
         auto &member = members[index];
         member.checkpoint = checkpoint;
-        if (member.state != TaskState::Assigned || member.run != run.run) {
+        if (member.state != TaskPhase::Assigned || member.run != run.run) {
             continue;
         }
         const TaskRun other{{run.task.job, run.task.occurrence, run.task.step, index}, member.run};
@@ -254,7 +254,7 @@
     auto &counted = stepOf(job, key).isGang ? job.progress.occurrences[key.occurrence][key.step].front() : task;
     ++counted.failures;
     if (counted.failures >= job.submission.maxAttempts) {
-        task.state = TaskState::Failed;
+        task.state = TaskPhase::Failed;
         this->log.warn("Task " + toString(key) + " failed " + std::to_string(counted.failures) + " times, which is all that its queue allows.");
     }
 }
@@ -403,7 +403,7 @@
         return false;
     }
     const auto *const task = findTask(job->second.progress, run.task);
-    return task != nullptr && task->state == TaskState::Assigned && task->run == run.run && task->life == worker.last.life;
+    return task != nullptr && task->state == TaskPhase::Assigned && task->run == run.run && task->life == worker.last.life;
 }
 
 Assignment TaskPlacer::assignmentOf(const Worker &worker, const TaskRun &run, const LiveRun &live, const LiveJob &job) const
--- a/src/request/taskplanning.cpp
+++ b/src/request/taskplanning.cpp
@@ -169,7 +169,7 @@
         unit.occurrence = occurrence;
         unit.step = step;
         for (std::uint32_t index = 0; index < steps[step].size(); ++index) {
-            if (steps[step][index].state == TaskState::Waiting) {
+            if (steps[step][index].state == TaskPhase::Waiting) {
                 unit.indices.push_back(index);
             }
         }
@@ -200,7 +200,7 @@
         waiting.present.assign(fleet.workers.size(), 0);
         for (const auto &task : unit.job->progress.occurrences[unit.occurrence][unit.step]) {
             const auto worker = fleet.indexOf.find(task.worker);
-            if (task.state == TaskState::Assigned && worker != fleet.indexOf.end()) {
+            if (task.state == TaskPhase::Assigned && worker != fleet.indexOf.end()) {
                 ++waiting.present[worker->second];
             }
         }
@@ -255,7 +255,7 @@
         const auto index = unit.indices[place];
         auto &worker = *fleet.byIndex[places[place]];
         auto &task = step[index];
-        task.state = TaskState::Assigned;
+        task.state = TaskPhase::Assigned;
         task.run = (isGang ? gangRun : task.run) + 1;
         task.worker = worker.last.node;
         task.life = worker.last.life;
