--- /dev/null
+++ b/tests/connection/fakeexecutor.h
@@ -0,0 +1,267 @@
+#ifndef WAXWINGLOFT_TESTS_CONNECTION_FAKEEXECUTOR_H
+#define WAXWINGLOFT_TESTS_CONNECTION_FAKEEXECUTOR_H
+
+#include "waxwingloft/connection/executorport.h"
+#include "waxwingloft/process/clock.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace waxwingloft::tests {
+
+/** What happens to the next orders of an executor. */
+enum class OrderFate {
+    Answered,
+    Lost, ///< never arrives
+    CarriedOutLate, ///< no answer; takes effect after a while
+    AnswerLost, ///< takes effect at once; no answer
+};
+
+/** A run at the fake executor. */
+struct FakeRun {
+    std::string spec;
+    std::string checkpoint;
+    Millis endsAt = Millis(0); ///< on the executor's clock
+    Millis stopsAt = Millis(0); ///< zero: is not being stopped
+    RunEnd endsAs = RunEnd::Done;
+};
+
+/** Sees what really runs; checks the promises. */
+class RunObserver
+{
+public:
+    virtual ~RunObserver() = default;
+
+    virtual void started(const std::string &executor, const TaskRun &run, const std::string &spec) = 0;
+    virtual void ended(const std::string &executor, const TaskRun &run, RunEnd how) = 0;
+
+    /** Ends up to @p number of this life may be forgotten now. */
+    virtual void noted(const std::string &executor, const TaskRun &run, RunEnd how) = 0;
+};
+
+/** An executor of the users' platform in memory: lease, fencing token, lists, and orders that go astray. */
+class FakeExecutor : public ExecutorPort
+{
+public:
+    FakeExecutor(Clock &clock, std::string id, RunObserver &observer)
+        : clock(clock)
+        , observer(observer)
+        , id(std::move(id))
+    {
+        this->restart();
+    }
+
+    /** Begins a new life, under the same id. What ran is gone. */
+    void restart()
+    {
+        for (const auto &[run, state] : this->running) {
+            this->observer.ended(this->id, run, RunEnd::Lapsed);
+        }
+        this->running.clear();
+        this->ends.clear();
+        this->highestEnded.clear();
+        this->late.clear();
+        this->highestToken = 0;
+        this->lastEnd = 0;
+        this->bornAt = this->clock.now();
+        this->startedAt = this->clock.wallMillis();
+        this->leaseEnd = Millis(0);
+        this->sequence = 0;
+    }
+
+    ExecutorHeartbeat heartbeat()
+    {
+        ExecutorHeartbeat heartbeat;
+        heartbeat.life = {this->id, this->startedAt};
+        heartbeat.sequence = ++this->sequence;
+        heartbeat.service = "tune";
+        heartbeat.zone = "vejle-a";
+        heartbeat.address = "127.0.0.1:1";
+        heartbeat.isDraining = this->isDraining;
+        heartbeat.capacity = this->capacity;
+        heartbeat.labels = {"a", this->rack};
+        return heartbeat;
+    }
+
+    /** Lets time pass: ends, lapses and late orders. */
+    void advance()
+    {
+        const auto now = this->now();
+        for (std::size_t index = 0; index < this->late.size();) {
+            if (this->clock.now() < this->late[index].first) {
+                ++index;
+                continue;
+            }
+            const auto order = this->late[index].second;
+            this->late.erase(this->late.begin() + static_cast<std::ptrdiff_t>(index));
+            order();
+        }
+        std::vector<std::pair<TaskRun, RunEnd>> over;
+        for (const auto &[run, state] : this->running) {
+            if (now >= this->leaseEnd) {
+                over.emplace_back(run, RunEnd::Lapsed);
+            } else if (state.stopsAt != Millis(0) && now >= state.stopsAt) {
+                over.emplace_back(run, RunEnd::Stopped);
+            } else if (now >= state.endsAt) {
+                over.emplace_back(run, state.endsAs);
+            }
+        }
+        for (const auto &[run, how] : over) {
+            this->end(run, how);
+        }
+    }
+
+    Result<StartAnswer> start(const ExecutorLife &life, const StartOrder &order) override
+    {
+        return this->order<StartAnswer>([this, life, order] { return this->doStart(life, order); });
+    }
+
+    Result<ExecutorStamp> stop(const ExecutorLife &life, const TaskRun &run, std::uint64_t fencingToken) override
+    {
+        return this->order<ExecutorStamp>([this, life, run, fencingToken] { return this->doStop(life, run, fencingToken); });
+    }
+
+    Result<HoldAnswer> hold(const ExecutorLife &life, const HoldQuestion &question) override
+    {
+        if (this->isDark) {
+            return makeError(ErrorKind::Ambiguous, "dark");
+        }
+        if (life.id != this->id) {
+            return makeError(ErrorKind::Stale, "other life");
+        }
+        HoldAnswer answer;
+        answer.stamp = this->stamp();
+        if (question.fencingToken >= this->highestToken) {
+            this->highestToken = question.fencingToken;
+            this->extend(question.leaseEnd);
+            for (const auto &end : this->ends) {
+                if (end.number <= question.notedEnds) {
+                    this->observer.noted(this->id, end.run, end.end);
+                }
+            }
+            std::erase_if(this->ends, [&question](const EndReport &end) { return end.number <= question.notedEnds; });
+        }
+        for (const auto &[run, state] : this->running) {
+            answer.running.push_back({run, state.checkpoint, 50});
+        }
+        answer.ended = this->ends;
+        return answer;
+    }
+
+    Capacity capacity = {128'000, 262'144, 8};
+    std::string rack = "r1-1";
+    bool isDraining = false;
+    bool isDark = false; ///< answers nothing
+    OrderFate fate = OrderFate::Answered;
+    Millis lateBy = Millis(3000);
+    Millis stopTime = Millis(400);
+    double clockRate = 1.0; ///< of its own clock against ours
+    std::function<FakeRun(const StartOrder &)> runOf = [](const StartOrder &) { return FakeRun(); };
+    std::map<TaskRun, FakeRun> running;
+    std::vector<EndReport> ends;
+
+private:
+    Millis now() const
+    {
+        const auto lived = std::chrono::duration<double, std::milli>(this->clock.now() - this->bornAt).count();
+        return Millis(1000 + static_cast<std::int64_t>(lived * this->clockRate));
+    }
+
+    ExecutorStamp stamp() const
+    {
+        return {this->now(), this->startedAt};
+    }
+
+    void extend(const std::optional<Millis> &until)
+    {
+        constexpr auto LongestLease = Millis(6000);
+        if (until) {
+            this->leaseEnd = std::max(this->leaseEnd, std::min(*until, this->now() + LongestLease));
+        }
+    }
+
+    template<typename Answer, typename Action>
+    Result<Answer> order(Action action)
+    {
+        if (this->isDark || this->fate == OrderFate::Lost) {
+            return makeError(ErrorKind::Ambiguous, "no answer");
+        }
+        if (this->fate == OrderFate::CarriedOutLate) {
+            this->late.emplace_back(this->clock.now() + this->lateBy, [action] { action(); });
+            return makeError(ErrorKind::Ambiguous, "no answer");
+        }
+        auto answer = action();
+        return this->fate == OrderFate::AnswerLost ? Result<Answer>(makeError(ErrorKind::Ambiguous, "answer lost")) : answer;
+    }
+
+    Result<StartAnswer> doStart(const ExecutorLife &life, const StartOrder &order)
+    {
+        if (life.id != this->id) {
+            return makeError(ErrorKind::Stale, "other life");
+        }
+        StartAnswer answer{this->stamp(), RefusalReason::None};
+        if (order.fencingToken < this->highestToken) {
+            answer.refusal = RefusalReason::Fenced;
+        } else if (this->running.contains(order.run)) {
+            this->highestToken = order.fencingToken;
+        } else if (this->highestEnded.contains(order.run.task) && order.run.run <= this->highestEnded[order.run.task]) {
+            answer.refusal = RefusalReason::OldRun;
+        } else if (order.leaseEnd <= this->now()) {
+            answer.refusal = RefusalReason::TooLate;
+        } else {
+            this->highestToken = order.fencingToken;
+            this->extend(order.leaseEnd);
+            auto run = this->runOf(order);
+            run.spec = order.spec;
+            run.endsAt += this->now();
+            this->running[order.run] = run;
+            this->observer.started(this->id, order.run, order.spec);
+        }
+        return answer;
+    }
+
+    Result<ExecutorStamp> doStop(const ExecutorLife &life, const TaskRun &run, std::uint64_t fencingToken)
+    {
+        if (life.id != this->id) {
+            return makeError(ErrorKind::Stale, "other life");
+        }
+        if (fencingToken < this->highestToken) {
+            return makeError(ErrorKind::Conflict, "fenced");
+        }
+        const auto found = this->running.find(run);
+        if (found != this->running.end()) {
+            found->second.stopsAt = this->now() + this->stopTime;
+        }
+        this->highestEnded[run.task] = std::max(this->highestEnded[run.task], run.run);
+        return this->stamp();
+    }
+
+    void end(const TaskRun &run, RunEnd how)
+    {
+        const auto checkpoint = this->running[run].checkpoint;
+        this->running.erase(run);
+        this->highestEnded[run.task] = std::max(this->highestEnded[run.task], run.run);
+        this->ends.push_back({++this->lastEnd, run, how, checkpoint, RefusalReason::None});
+        this->observer.ended(this->id, run, how);
+    }
+
+    Clock &clock;
+    RunObserver &observer;
+    const std::string id;
+    Instant bornAt;
+    std::int64_t startedAt = 0;
+    std::uint64_t sequence = 0;
+    std::uint64_t highestToken = 0;
+    std::uint64_t lastEnd = 0;
+    Millis leaseEnd = Millis(0);
+    std::map<TaskKey, std::uint32_t> highestEnded;
+    std::deque<std::pair<Instant, std::function<void()>>> late;
+};
+
+} // namespace waxwingloft::tests
+
+#endif
--- /dev/null
+++ b/tests/request/jobsite.cpp
@@ -0,0 +1,332 @@
+#include "jobsite.h"
+
+#include <algorithm>
+#include <cstdio>
+
+namespace waxwingloft::tests {
+
+namespace {
+
+constexpr auto Step = Millis(10);
+constexpr auto ReportInterval = Millis(800);
+constexpr auto HoldInterval = Millis(100);
+constexpr auto HeartbeatInterval = Millis(1500);
+constexpr auto TaskTime = Millis(2000);
+
+std::string agentName(std::size_t index)
+{
+    return "agent-" + std::to_string(index);
+}
+
+std::string describe(const TaskRun &run)
+{
+    return toString(run.task) + " run " + std::to_string(run.run);
+}
+
+} // namespace
+
+JobGraph oneStep(std::uint32_t count, Capacity needs, bool isGang)
+{
+    JobGraph graph;
+    graph.spec = "spec";
+    JobStep step;
+    step.count = count;
+    step.needs = needs;
+    step.estimate = TaskTime;
+    step.isGang = isGang;
+    graph.steps.push_back(step);
+    return graph;
+}
+
+void PromiseChecker::expect(const JobSubmission &job)
+{
+    this->jobs[job.id] = job;
+}
+
+void PromiseChecker::forbid(const JobId &job)
+{
+    this->forbidden.insert(job);
+}
+
+Capacity PromiseChecker::heldBy(const std::string &executor) const
+{
+    Capacity held;
+    const auto found = this->running.find(executor);
+    if (found == this->running.end()) {
+        return held;
+    }
+    for (const auto &run : found->second) {
+        held += this->jobs.at(run.task.job).graph.steps[run.task.step].needs;
+    }
+    return held;
+}
+
+void PromiseChecker::checkOrder(const TaskRun &run)
+{
+    const auto &graph = this->jobs.at(run.task.job).graph;
+    for (const auto earlier : graph.steps[run.task.step].after) {
+        for (std::uint32_t index = 0; index < graph.steps[earlier].count; ++index) {
+            if (!this->done.contains({run.task.job, run.task.occurrence, earlier, index})) {
+                this->broken.push_back("started before an earlier step was done: " + describe(run));
+                return;
+            }
+        }
+    }
+}
+
+void PromiseChecker::started(const std::string &executor, const TaskRun &run, const std::string &spec)
+{
+    if (!this->jobs.contains(run.task.job)) {
+        this->broken.push_back("started a job that nobody handed in: " + describe(run));
+        return;
+    }
+    const auto &job = this->jobs.at(run.task.job);
+    if (spec != job.graph.spec) {
+        this->broken.push_back("started with another spec: " + describe(run));
+    }
+    if (this->forbidden.contains(job.id)) {
+        this->broken.push_back("started after it was cancelled: " + describe(run));
+    }
+    for (const auto &[other, runs] : this->running) {
+        for (const auto &present : runs) {
+            if (present.task == run.task) {
+                this->broken.push_back("runs twice at one time: " + describe(run) + " at " + executor + " and " + other);
+            }
+        }
+    }
+    if (this->notedDone.contains(run.task)) {
+        this->broken.push_back("started after it was done: " + describe(run));
+    }
+    this->checkOrder(run);
+    this->running[executor].insert(run);
+    ++this->starts[run.task];
+    const auto capacity = this->capacities.find(executor);
+    if (capacity != this->capacities.end() && !capacity->second.covers(this->heldBy(executor))) {
+        this->broken.push_back("over capacity: " + describe(run) + " at " + executor);
+    }
+}
+
+void PromiseChecker::ended(const std::string &executor, const TaskRun &run, RunEnd how)
+{
+    this->running[executor].erase(run);
+    if (how == RunEnd::Done) {
+        this->done.insert(run.task);
+    }
+}
+
+void PromiseChecker::noted(const std::string & /*executor*/, const TaskRun &run, RunEnd how)
+{
+    if (how == RunEnd::Done) {
+        this->notedDone.insert(run.task);
+    }
+}
+
+JobSite::JobSite(std::size_t agents, std::size_t placers)
+{
+    for (std::size_t index = 0; index < agents; ++index) {
+        SiteAgent agent;
+        const auto id = "executor-" + std::to_string(index);
+        agent.executor = std::make_unique<FakeExecutor>(this->clock, id, this->checker);
+        agent.executor->runOf = [](const StartOrder &) {
+            FakeRun run;
+            run.endsAt = TaskTime;
+            return run;
+        };
+        agent.executor->rack = "r1-" + std::to_string(index / 3);
+        this->checker.capacities[id] = agent.executor->capacity;
+        this->agents.push_back(std::move(agent));
+        this->startKeeper(this->agents.back(), index);
+    }
+    for (std::size_t index = 0; index < placers; ++index) {
+        SitePlacer placer;
+        placer.placer = std::make_unique<TaskPlacer>(this->clock, OfficeTerms(), RankTerms());
+        placer.board = std::make_unique<JobBoard>(*placer.placer);
+        this->placers.push_back(std::move(placer));
+    }
+    this->elect(0);
+    this->advance(Millis(1000));
+}
+
+void JobSite::startKeeper(SiteAgent &agent, std::size_t index)
+{
+    agent.keeper = std::make_unique<ExecutorKeeper>(this->clock, NodeId{agentName(index)}, agentName(index), KeeperTerms());
+    const auto key = "agents/" + agentName(index);
+    const auto known = this->rows.rows.find(key);
+    const auto written = this->rows.commit({"op", {{key, known == this->rows.rows.end() ? 0 : known->second.revision}}, {{key, "{}"}}});
+    agent.keeper->setGeneration(valueOf(written).revision);
+    agent.nextReport = agent.nextHold = agent.nextHeartbeat = this->clock.now();
+}
+
+void JobSite::restartAgent(std::size_t index)
+{
+    this->startKeeper(this->agents[index], index);
+}
+
+JobId JobSite::submit(const JobGraph &graph, int priority, const std::string &workspace)
+{
+    std::array<char, 17> id{};
+    std::snprintf(id.data(), id.size(), "%016llx", static_cast<unsigned long long>(this->nextJob++));
+    JobSubmission job;
+    job.id.value = id.data();
+    job.workspace.value = workspace;
+    job.route = "route-" + std::to_string(priority);
+    job.service = "tune";
+    job.priority = priority;
+    job.maxAttempts = 3;
+    job.stretch = 3.0;
+    job.latencySlack = Millis(1000);
+    job.acceptedAt = this->clock.wallMillis();
+    job.graph = graph;
+    this->checker.expect(job);
+    this->rows.commit({"op", {{submissionKey(job.id), 0}}, {{submissionKey(job.id), encodeSubmission(job)}}});
+    return job.id;
+}
+
+void JobSite::cancel(const JobId &job)
+{
+    this->rows.commit({"op", {{cancellationKey(job), 0}}, {{cancellationKey(job), "{}"}}});
+}
+
+void JobSite::elect(std::size_t index)
+{
+    const std::string key = "office/placer";
+    const auto known = this->rows.rows.find(key);
+    const auto written = this->rows.commit({"op", {{key, known == this->rows.rows.end() ? 0 : known->second.revision}}, {{key, "{}"}}});
+    const auto rows = this->rows.list("jobs/", 0);
+    auto &placer = this->placers[index];
+    placer.officeRevision = valueOf(written).revision;
+    placer.placer->takeOffice(placer.officeRevision, storedJobsOf(valueOf(rows), Logger(LogPart::Placer)));
+    placer.placer->setRoutes(this->routes);
+    placer.board->reset(valueOf(rows));
+    placer.board->replay();
+    this->inOffice = index;
+}
+
+void JobSite::advance(Millis duration)
+{
+    const auto until = this->clock.now() + duration;
+    while (this->clock.now() < until) {
+        this->step();
+    }
+}
+
+JobPhase JobSite::finish(const JobId &job, Millis limit)
+{
+    const auto until = this->clock.now() + limit;
+    while (this->clock.now() < until && !isFinal(this->stateOf(job))) {
+        this->step();
+    }
+    return this->stateOf(job);
+}
+
+JobProgress JobSite::progressOf(const JobId &job) const
+{
+    const auto row = this->rows.rows.find(progressKey(job));
+    if (row == this->rows.rows.end()) {
+        return JobProgress();
+    }
+    return valueOf(parseProgress(row->second.value));
+}
+
+JobPhase JobSite::stateOf(const JobId &job) const
+{
+    return this->progressOf(job).state;
+}
+
+void JobSite::step()
+{
+    this->clock.advance(Step);
+    for (auto &agent : this->agents) {
+        agent.executor->advance();
+        this->stepAgent(agent);
+    }
+    for (auto &placer : this->placers) {
+        this->stepPlacer(placer);
+    }
+}
+
+void JobSite::stepAgent(SiteAgent &agent)
+{
+    const auto now = this->clock.now();
+    if (!agent.isAlive) {
+        return;
+    }
+    if (now >= agent.nextHeartbeat && !agent.executor->isDark) {
+        agent.keeper->heartbeat(agent.executor->heartbeat());
+        agent.nextHeartbeat = now + HeartbeatInterval;
+    }
+    for (const auto &order : agent.keeper->takeDueOrders()) {
+        if (order.isStop) {
+            agent.keeper->stopAnswered(order, agent.executor->stop(order.life, order.start.run, order.start.fencingToken));
+        } else {
+            agent.keeper->startAnswered(order, agent.executor->start(order.life, order.start));
+        }
+    }
+    const auto hold = now >= agent.nextHold ? agent.keeper->nextHold() : std::nullopt;
+    if (hold) {
+        agent.nextHold = now + HoldInterval;
+        agent.keeper->holdAnswered(*hold, agent.executor->hold(hold->life, hold->question));
+    }
+    if (now >= agent.nextReport || agent.keeper->changes() != agent.reportedChanges) {
+        this->report(agent);
+    }
+}
+
+void JobSite::report(SiteAgent &agent)
+{
+    const auto now = this->clock.now();
+    agent.nextReport = now + ReportInterval;
+    agent.reportedChanges = agent.keeper->changes();
+    const auto report = agent.keeper->report();
+    if (!report || agent.isCut || !this->inOffice || !this->placers[*this->inOffice].isAlive) {
+        return;
+    }
+    const auto sync = this->placers[*this->inOffice].placer->report(*report);
+    if (succeeded(sync)) {
+        agent.keeper->applyAnswer(valueOf(sync), now);
+    }
+}
+
+void JobSite::stepPlacer(SitePlacer &site)
+{
+    if (!site.isAlive) {
+        return;
+    }
+    if (site.reachesTable) {
+        const auto rows = this->rows.list("jobs/", site.boardRevision);
+        if (succeeded(rows)) {
+            site.board->reset(valueOf(rows));
+            site.boardRevision = valueOf(rows).revision;
+            site.placer->renewMandate(this->clock.now());
+        }
+    }
+    site.placer->plan();
+    if (site.writing.empty()) {
+        site.writing = site.placer->takeWrites();
+    }
+    if (!site.writing.empty() && site.reachesTable) {
+        Transaction transaction{"op", {{"office/placer", site.officeRevision}}, {}};
+        for (const auto &write : site.writing) {
+            transaction.conditions.push_back({progressKey(write.job), write.revision});
+            transaction.writes.push_back({progressKey(write.job), write.value});
+        }
+        const auto committed = this->rows.commit(transaction);
+        if (succeeded(committed)) {
+            site.placer->written(site.writing, valueOf(committed).revision);
+            site.writing.clear();
+        } else if (errorOf(committed).kind == ErrorKind::Conflict) {
+            site.placer->leaveOffice("fenced");
+            site.writing.clear();
+        }
+    }
+    for (const auto &outgoing : site.placer->takeSyncs()) {
+        for (auto &agent : this->agents) {
+            const auto report = agent.isAlive && !agent.isCut ? agent.keeper->report() : std::nullopt;
+            if (report && report->address == outgoing.address) {
+                agent.keeper->apply(outgoing.sync);
+            }
+        }
+    }
+}
+
+} // namespace waxwingloft::tests
--- /dev/null
+++ b/tests/request/jobsite.h
@@ -0,0 +1,119 @@
+#ifndef WAXWINGLOFT_TESTS_REQUEST_JOBSITE_H
+#define WAXWINGLOFT_TESTS_REQUEST_JOBSITE_H
+
+#include "connection/fakeexecutor.h"
+#include "process/faketable.h"
+#include "process/manualclock.h"
+#include "waxwingloft/request/executorkeeper.h"
+#include "waxwingloft/request/jobboard.h"
+#include "waxwingloft/request/jobrows.h"
+#include "waxwingloft/request/taskplacer.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace waxwingloft::tests {
+
+/** Checks what really runs against what callers were promised. */
+class PromiseChecker : public RunObserver
+{
+public:
+    void started(const std::string &executor, const TaskRun &run, const std::string &spec) override;
+    void ended(const std::string &executor, const TaskRun &run, RunEnd how) override;
+    void noted(const std::string &executor, const TaskRun &run, RunEnd how) override;
+
+    /** A job that callers handed in; its shapes tell what fits where. */
+    void expect(const JobSubmission &job);
+
+    /** From now on nothing of the job may start. */
+    void forbid(const JobId &job);
+
+    std::map<std::string, Capacity> capacities; ///< by executor
+    std::vector<std::string> broken; ///< promises that were not kept
+    std::map<TaskKey, std::uint32_t> starts;
+    std::map<std::string, std::set<TaskRun>> running; ///< by executor
+
+private:
+    Capacity heldBy(const std::string &executor) const;
+    void checkOrder(const TaskRun &run);
+
+    std::map<JobId, JobSubmission> jobs;
+    std::set<JobId> forbidden;
+    std::set<TaskKey> done;
+    std::set<TaskKey> notedDone;
+};
+
+/** An agent and its executor. */
+struct SiteAgent {
+    std::unique_ptr<FakeExecutor> executor;
+    std::unique_ptr<ExecutorKeeper> keeper;
+    bool isAlive = true;
+    bool isCut = false; ///< reaches no placer
+    std::uint64_t reportedChanges = 0;
+    Instant nextReport;
+    Instant nextHold;
+    Instant nextHeartbeat;
+};
+
+/** A placer with the writes that it has under way. */
+struct SitePlacer {
+    std::unique_ptr<TaskPlacer> placer;
+    std::unique_ptr<JobBoard> board;
+    std::uint64_t officeRevision = 0;
+    bool isAlive = true;
+    bool reachesTable = true;
+    std::vector<ProgressWrite> writing;
+    std::uint64_t boardRevision = 0;
+};
+
+/** Placers, agents and executors on virtual time, with the table in memory. Deterministic. */
+class JobSite
+{
+public:
+    explicit JobSite(std::size_t agents, std::size_t placers = 2);
+
+    /** Hands a job in through the table, as an entry does. */
+    JobId submit(const JobGraph &graph, int priority = 1, const std::string &workspace = "plant");
+    void cancel(const JobId &job);
+
+    void advance(Millis duration);
+
+    /** Advances until the job is final, at most @p limit; returns its state. */
+    JobPhase finish(const JobId &job, Millis limit);
+    JobPhase stateOf(const JobId &job) const;
+    JobProgress progressOf(const JobId &job) const;
+
+    /** Lets placer @p index take office. */
+    void elect(std::size_t index);
+
+    /** Ends the agent's process and starts it anew. */
+    void restartAgent(std::size_t index);
+
+    ManualClock clock;
+    FakeRows rows;
+    PromiseChecker checker;
+    std::vector<SiteAgent> agents;
+    std::vector<SitePlacer> placers;
+    std::optional<std::size_t> inOffice;
+    RouteBook routes;
+
+private:
+    void step();
+    void stepAgent(SiteAgent &agent);
+    void stepPlacer(SitePlacer &placer);
+    void report(SiteAgent &agent);
+    void startKeeper(SiteAgent &agent, std::size_t index);
+
+    std::uint64_t nextJob = 1;
+};
+
+/** Returns a job of one step. */
+JobGraph oneStep(std::uint32_t count, Capacity needs, bool isGang = false);
+
+} // namespace waxwingloft::tests
+
+#endif
--- /dev/null
+++ b/tests/request/jobsitetest.cpp
@@ -0,0 +1,312 @@
+#include "jobsite.h"
+
+#include <gtest/gtest.h>
+
+#include <random>
+
+namespace waxwingloft::tests {
+
+namespace {
+
+const Capacity Half{64'000, 131'072, 4};
+const Capacity Whole{128'000, 262'144, 8};
+const Capacity Small{10'000, 10'000, 1};
+
+void expectKept(const JobSite &site)
+{
+    for (const auto &text : site.checker.broken) {
+        ADD_FAILURE() << text;
+    }
+}
+
+std::size_t runningIn(const JobSite &site)
+{
+    std::size_t count = 0;
+    for (const auto &[executor, runs] : site.checker.running) {
+        count += runs.size();
+    }
+    return count;
+}
+
+} // namespace
+
+TEST(JobSite, RunsAJobToItsEnd)
+{
+    JobSite site(3);
+    const auto job = site.submit(oneStep(5, Half));
+    EXPECT_EQ(site.finish(job, Millis(5000)), JobPhase::Completed);
+    expectKept(site);
+}
+
+TEST(JobSite, StartsAStepOnlyAfterThoseItComesAfter)
+{
+    JobSite site(3);
+    auto graph = oneStep(4, Half);
+    graph.steps.push_back(graph.steps[0]);
+    graph.steps[1].after = {0};
+    const auto job = site.submit(graph);
+    EXPECT_EQ(site.finish(job, Millis(8000)), JobPhase::Completed);
+    expectKept(site);
+}
+
+TEST(JobSite, StartsTheMembersOfAGangTogetherOnOneRack)
+{
+    JobSite site(6);
+    auto graph = oneStep(3, Whole, true);
+    graph.steps[0].prefersOneRack = true;
+    const auto job = site.submit(graph);
+    site.advance(Millis(500));
+    std::set<std::string> racks;
+    for (const auto &agent : site.agents) {
+        if (!agent.executor->running.empty()) {
+            racks.insert(agent.executor->rack);
+        }
+    }
+    EXPECT_EQ(racks.size(), 1U);
+    EXPECT_EQ(runningIn(site), 3U);
+    EXPECT_EQ(site.finish(job, Millis(5000)), JobPhase::Completed);
+    expectKept(site);
+}
+
+TEST(JobSite, StopsACancelledJobAndStartsNoMoreOfIt)
+{
+    JobSite site(2);
+    const auto job = site.submit(oneStep(40, Half));
+    site.advance(Millis(1000));
+    ASSERT_GT(runningIn(site), 0U);
+    site.cancel(job);
+    site.advance(Millis(100));
+    site.checker.forbid(job);
+    site.advance(Millis(900));
+    EXPECT_EQ(runningIn(site), 0U);
+    EXPECT_EQ(site.stateOf(job), JobPhase::Cancelled);
+    expectKept(site);
+}
+
+TEST(JobSite, FailsAJobAfterAllItsAttempts)
+{
+    JobSite site(2);
+    for (auto &agent : site.agents) {
+        agent.executor->runOf = [](const StartOrder &) {
+            FakeRun run;
+            run.endsAt = Millis(300);
+            run.endsAs = RunEnd::Failed;
+            return run;
+        };
+    }
+    const auto job = site.submit(oneStep(1, Small));
+    EXPECT_EQ(site.finish(job, Millis(5000)), JobPhase::Failed);
+    EXPECT_EQ(site.checker.starts.begin()->second, 3U);
+    expectKept(site);
+}
+
+TEST(JobSite, GuaranteedWorkGetsItsRoomBackInTime)
+{
+    JobSite site(2);
+    site.routes.tenants[WorkspaceId{"owner"}] = {WorkspaceId{"owner"}, 8};
+    site.placers[0].placer->setRoutes(site.routes);
+    for (auto &agent : site.agents) {
+        agent.executor->runOf = [](const StartOrder &) {
+            FakeRun run;
+            run.endsAt = Millis(20'000);
+            return run;
+        };
+    }
+    site.submit(oneStep(4, Half));
+    site.advance(Millis(1000));
+    ASSERT_EQ(runningIn(site), 4U);
+    const auto urgent = site.submit(oneStep(1, Whole), 0, "owner");
+    site.advance(Millis(1500));
+    EXPECT_EQ(site.checker.starts[(TaskKey{urgent, 0, 0, 0})], 1U);
+    EXPECT_EQ(runningIn(site), 3U);
+    expectKept(site);
+}
+
+TEST(JobSite, ASuccessorGoesOnWhereTheLastPlacerEnded)
+{
+    JobSite site(3);
+    const auto job = site.submit(oneStep(12, Half));
+    site.advance(Millis(500));
+    site.placers[0].isAlive = false;
+    site.advance(Millis(700));
+    site.elect(1);
+    EXPECT_EQ(site.finish(job, Millis(15'000)), JobPhase::Completed);
+    for (const auto &[task, starts] : site.checker.starts) {
+        EXPECT_EQ(starts, 1U) << toString(task);
+    }
+    expectKept(site);
+}
+
+TEST(JobSite, APlacerThatHasBeenReplacedChangesNothing)
+{
+    JobSite site(3);
+    const auto job = site.submit(oneStep(12, Half));
+    site.advance(Millis(500));
+    site.elect(1);
+    site.placers[0].reachesTable = true;
+    EXPECT_EQ(site.finish(job, Millis(15'000)), JobPhase::Completed);
+    EXPECT_FALSE(site.placers[0].placer->isInOffice());
+    expectKept(site);
+}
+
+TEST(JobSite, AnAgentThatStartsAnewTakesOverWhatRuns)
+{
+    JobSite site(2);
+    const auto job = site.submit(oneStep(8, Half));
+    site.advance(Millis(600));
+    site.restartAgent(0);
+    EXPECT_EQ(site.finish(job, Millis(12'000)), JobPhase::Completed);
+    for (const auto &[task, starts] : site.checker.starts) {
+        EXPECT_EQ(starts, 1U) << toString(task);
+    }
+    expectKept(site);
+}
+
+TEST(JobSite, WorkOfACrashedExecutorRunsElsewhere)
+{
+    JobSite site(2);
+    const auto job = site.submit(oneStep(4, Half));
+    site.advance(Millis(600));
+    site.agents[0].executor->restart();
+    site.agents[0].executor->isDark = true;
+    EXPECT_EQ(site.finish(job, Millis(15'000)), JobPhase::Completed);
+    expectKept(site);
+}
+
+TEST(JobSite, AnExecutorMayStartAgainUnderItsId)
+{
+    JobSite site(1);
+    const auto job = site.submit(oneStep(2, Half));
+    site.advance(Millis(600));
+    site.agents[0].executor->restart();
+    EXPECT_EQ(site.finish(job, Millis(15'000)), JobPhase::Completed);
+    expectKept(site);
+}
+
+TEST(JobSite, OrdersCarriedOutLateRunNothingTwice)
+{
+    JobSite site(3);
+    site.agents[0].executor->fate = OrderFate::CarriedOutLate;
+    const auto job = site.submit(oneStep(10, Half));
+    site.advance(Millis(1500));
+    site.agents[0].executor->fate = OrderFate::Answered;
+    EXPECT_EQ(site.finish(job, Millis(30'000)), JobPhase::Completed);
+    expectKept(site);
+}
+
+TEST(JobSite, AnAgentThatIsCutOffLosesItsWorkOnlyAfterItsLease)
+{
+    JobSite site(2);
+    for (auto &agent : site.agents) {
+        agent.executor->clockRate = 0.98;
+        agent.executor->runOf = [](const StartOrder &) {
+            FakeRun run;
+            run.endsAt = Millis(60'000);
+            return run;
+        };
+    }
+    const auto job = site.submit(oneStep(2, Whole));
+    site.advance(Millis(800));
+    ASSERT_EQ(runningIn(site), 2U);
+    site.agents[0].isCut = true;
+    site.advance(Millis(30'000));
+    expectKept(site);
+    EXPECT_EQ(runningIn(site), 1U) << "the run of the agent that is cut off lapsed, and there is room for one only";
+    EXPECT_EQ(site.stateOf(job), JobPhase::Running);
+}
+
+TEST(JobSite, RunningWorkOutlivesAShortOutageOfTheTable)
+{
+    JobSite site(2);
+    for (auto &agent : site.agents) {
+        agent.executor->runOf = [](const StartOrder &) {
+            FakeRun run;
+            run.endsAt = Millis(9000);
+            return run;
+        };
+    }
+    const auto job = site.submit(oneStep(4, Half));
+    site.advance(Millis(800));
+    site.rows.isDown = true;
+    site.advance(Millis(6000));
+    site.rows.isDown = false;
+    EXPECT_EQ(site.finish(job, Millis(15'000)), JobPhase::Completed);
+    for (const auto &[task, starts] : site.checker.starts) {
+        EXPECT_EQ(starts, 1U) << toString(task);
+    }
+    expectKept(site);
+}
+
+/** Jobs, cancellations and faults at random times; the promises hold throughout, and all jobs end. */
+class JobSiteFaults : public testing::TestWithParam<std::uint64_t>
+{
+};
+
+TEST_P(JobSiteFaults, KeepEveryPromise)
+{
+    std::mt19937_64 random(GetParam());
+    const auto draw = [&random](std::uint64_t below) { return random() % below; };
+    JobSite site(5);
+    std::vector<JobId> jobs;
+    for (int round = 0; round < 60; ++round) {
+        auto &agent = site.agents[draw(site.agents.size())];
+        switch (draw(12)) {
+        case 0:
+            agent.executor->restart();
+            break;
+        case 1:
+            agent.executor->isDark = !agent.executor->isDark;
+            break;
+        case 2:
+            agent.executor->fate = static_cast<OrderFate>(draw(4));
+            break;
+        case 3:
+            agent.isCut = !agent.isCut;
+            break;
+        case 4:
+            site.restartAgent(draw(site.agents.size()));
+            break;
+        case 5:
+            site.elect(draw(site.placers.size()));
+            break;
+        case 6:
+            site.rows.isDown = !site.rows.isDown;
+            if (site.rows.isDown) {
+                site.advance(Millis(draw(5000)));
+                site.rows.isDown = false;
+            }
+            break;
+        case 7:
+            agent.isAlive = !agent.isAlive;
+            break;
+        case 8:
+            if (!jobs.empty()) {
+                site.cancel(jobs[draw(jobs.size())]);
+            }
+            break;
+        default:
+            jobs.push_back(site.submit(oneStep(1 + static_cast<std::uint32_t>(draw(6)), draw(2) == 0 ? Half : Small, draw(3) == 0), static_cast<int>(draw(3))));
+            break;
+        }
+        site.advance(Millis(draw(1500)));
+    }
+    for (std::size_t index = 0; index < site.agents.size(); ++index) {
+        auto &agent = site.agents[index];
+        agent.executor->isDark = false;
+        agent.executor->fate = OrderFate::Answered;
+        agent.isCut = false;
+        if (!agent.isAlive) {
+            agent.isAlive = true;
+            site.restartAgent(index);
+        }
+    }
+    site.advance(Millis(90'000));
+    for (const auto &job : jobs) {
+        EXPECT_TRUE(isFinal(site.stateOf(job))) << job.value << " is " << nameOf(site.stateOf(job));
+    }
+    expectKept(site);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, JobSiteFaults, testing::Range<std::uint64_t>(1, 41));
+
+} // namespace waxwingloft::tests
