Let no renewal without an answer prolong a lease for ever, and fence each new life of an executor

Now a silent executor is only asked, each life under a known id draws a new generation, and the placer takes no report before the lists of a life are read.

--- a/include/waxwingloft/request/executoragent.h
+++ b/include/waxwingloft/request/executoragent.h
@@ -34,7 +34,14 @@
 class ExecutorAgent : public MessageHandler, public HeartbeatService, public TableObserver
 {
 public:
-    ExecutorAgent(Clock &clock, TableStore &table, NodePort &nodes, ExecutorPort &executor, NodeId self, std::string address, KeeperTerms keeperTerms, AgentLoopTerms terms);
+    ExecutorAgent(Clock &clock,
+                  TableStore &table,
+                  NodePort &nodes,
+                  ExecutorPort &executor,
+                  NodeId self,
+                  std::string address,
+                  KeeperTerms keeperTerms,
+                  AgentLoopTerms terms);
     ~ExecutorAgent() override;
 
     void start();
@@ -74,7 +81,6 @@
     std::uint64_t officeRevision = 0;
     Instant placerHeardAt;
     bool isTold = true; ///< the placer's silence has been logged
-    bool hasBegun = false;
     bool isStopping = false;
 
     std::unique_ptr<ThreadPool> orders;
--- a/include/waxwingloft/request/executorkeeper.h
+++ b/include/waxwingloft/request/executorkeeper.h
@@ -50,7 +50,10 @@
 public:
     ExecutorKeeper(Clock &clock, NodeId node, std::string address, KeeperTerms terms);
 
-    /** Sets the number of this start of the agent; nothing is ordered before. */
+    /** Whether a new number is to be drawn: at the start, and when the executor has begun another life under its id. */
+    bool needsGeneration() const;
+
+    /** Sets a number that is higher than all before; nothing is ordered before it is set. */
     void setGeneration(std::uint64_t generation);
 
     /** Is called, without a lock held, after changes that the placer should hear of and when orders are due. */
@@ -74,12 +77,9 @@
     std::optional<DueHold> nextHold();
     void holdAnswered(const DueHold &hold, const Result<HoldAnswer> &answer);
 
-    /** Returns a report; nothing before the executor is known. */
+    /** Returns a report; nothing before the lists of the executor's life have been read. */
     std::optional<AgentReport> report();
 
-    /** Returns the highest epoch of a placer that was heard of. */
-    Epoch epoch() const;
-
     /** Returns a number that rises with every change worth a report. */
     std::uint64_t changes() const;
 
@@ -96,6 +96,7 @@
         bool isStopWanted = false;
         bool isUnderWay = false; ///< a call is open
         bool isStopAnswered = false;
+        bool isRepeated = false; ///< a start had no answer
         std::uint64_t settledBy = 0; ///< a question from this serial on shows it, or it is not there
         Instant dueAt;
     };
--- a/include/waxwingloft/request/jobgate.h
+++ b/include/waxwingloft/request/jobgate.h
@@ -39,7 +39,14 @@
 class JobGate : public JobCallHandler
 {
 public:
-    JobGate(Clock &clock, IdSource &ids, Metrics &metrics, TableStore &table, JobBoard &board, const Published<RouteBook> &routes, GraphParser parser, GateTerms terms);
+    JobGate(Clock &clock,
+            IdSource &ids,
+            Metrics &metrics,
+            TableStore &table,
+            JobBoard &board,
+            const Published<RouteBook> &routes,
+            GraphParser parser,
+            GateTerms terms);
 
     JobAnswer handle(const JobCall &call) override;
 
--- a/include/waxwingloft/request/jobrows.h
+++ b/include/waxwingloft/request/jobrows.h
@@ -25,7 +25,6 @@
 /** Table that holds every row of jobs. */
 constexpr std::string_view JobTable = "jobs";
 
-
 std::string submissionKey(const JobId &job);
 std::string cancellationKey(const JobId &job);
 std::string progressKey(const JobId &job);
--- a/include/waxwingloft/request/placeroffice.h
+++ b/include/waxwingloft/request/placeroffice.h
@@ -49,7 +49,17 @@
 class PlacerOffice : public MessageHandler
 {
 public:
-    PlacerOffice(Clock &clock, EventLog &events, IdSource &ids, Metrics &metrics, TableStore &table, NodePort &nodes, NodeId self, std::string address, TaskPlacer &placer, JobBoard &board, OfficeLoopTerms terms);
+    PlacerOffice(Clock &clock,
+                 EventLog &events,
+                 IdSource &ids,
+                 Metrics &metrics,
+                 TableStore &table,
+                 NodePort &nodes,
+                 NodeId self,
+                 std::string address,
+                 TaskPlacer &placer,
+                 JobBoard &board,
+                 OfficeLoopTerms terms);
     ~PlacerOffice() override;
 
     void start();
--- a/include/waxwingloft/request/taskplacer.h
+++ b/include/waxwingloft/request/taskplacer.h
@@ -173,6 +173,7 @@
         std::vector<std::vector<std::pair<Worker *, TaskRun>>> runs;
     };
 
+    void leave(const std::string &reason);
     void change(LiveJob &job);
     void refreshState(LiveJob &job);
     void addJob(StoredJob stored);
@@ -188,6 +189,8 @@
     void takeEnds(Worker &worker, const AgentReport &report);
     void takeRuns(Worker &worker, const AgentReport &report);
     void dropUnknown(Worker &worker, const AgentReport &report);
+    void rebindRuns(Worker &worker, const AgentReport &report);
+    bool isOrphaned(const TaskKey &task) const;
     void loseRuns(Worker &worker, const std::string &reason);
     void sweepSilent(Instant now);
     void advanceNotes(Worker &worker);
--- a/src/process/daemon/jobagentrole.cpp
+++ b/src/process/daemon/jobagentrole.cpp
@@ -35,7 +35,14 @@
     explicit JobAgentRole(const NodeConfig &config)
         : node(config)
         , executor(config.jobs.executorAddress, ExecutorTimeout)
-        , agent(this->node.clock, this->node.table, this->node.rpc, this->executor, NodeId{config.node}, config.rpcAddress, keeperTermsOf(config), AgentLoopTerms())
+        , agent(this->node.clock,
+                this->node.table,
+                this->node.rpc,
+                this->executor,
+                NodeId{config.node},
+                config.rpcAddress,
+                keeperTermsOf(config),
+                AgentLoopTerms())
         , heartbeats(config.jobs.heartbeatAddress, ListenerTerms{HeartbeatThreads}, this->agent)
     {
     }
--- a/src/process/daemon/jobentryrole.cpp
+++ b/src/process/daemon/jobentryrole.cpp
@@ -72,8 +72,8 @@
     {
         this->node.rpc.serve(this->office);
         this->office.start();
-        this->routesFollower =
-            std::make_unique<TableFollower>(this->node.table, this->node.store, this->node.clock, std::string(OperatorTable), this->operatorRoutes, routesFollowing());
+        this->routesFollower = std::make_unique<TableFollower>(
+            this->node.table, this->node.store, this->node.clock, std::string(OperatorTable), this->operatorRoutes, routesFollowing());
         this->jobsFollower =
             std::make_unique<TableFollower>(this->node.table, this->node.store, this->node.clock, std::string(JobTable), this->nudger, FollowTerms());
         this->ready.start();
--- a/src/request/executoragent.cpp
+++ b/src/request/executoragent.cpp
@@ -10,14 +10,8 @@
 
 } // namespace
 
-ExecutorAgent::ExecutorAgent(Clock &clock,
-                             TableStore &table,
-                             NodePort &nodes,
-                             ExecutorPort &executor,
-                             NodeId self,
-                             std::string address,
-                             KeeperTerms keeperTerms,
-                             AgentLoopTerms terms)
+ExecutorAgent::ExecutorAgent(
+    Clock &clock, TableStore &table, NodePort &nodes, ExecutorPort &executor, NodeId self, std::string address, KeeperTerms keeperTerms, AgentLoopTerms terms)
     : clock(clock)
     , table(table)
     , nodes(nodes)
@@ -127,12 +121,12 @@
 }
 
 /**
- * Writes this start of the agent into the table. The revision of the row is its generation: it is higher than
- * every epoch and generation before, so orders of an earlier start that are still under way are fenced off.
+ * Writes the agent's row. Its revision is the generation: it is higher than every epoch and generation before,
+ * so orders that are still under way from before are fenced off.
  */
 bool ExecutorAgent::begin()
 {
-    if (this->hasBegun) {
+    if (!this->keeper.needsGeneration()) {
         return true;
     }
     const auto key = "agents/" + this->self.value;
@@ -148,7 +142,6 @@
         this->log.warn("Row " + key + " cannot be written: " + toString(errorOf(written)));
         return false;
     }
-    this->hasBegun = true;
     this->log.info("Agent of generation " + std::to_string(valueOf(written).revision) + ".");
     this->keeper.setGeneration(valueOf(written).revision);
     return true;
--- a/src/request/executorkeeper.cpp
+++ b/src/request/executorkeeper.cpp
@@ -69,6 +69,9 @@
 {
     this->log.info("Executor " + heartbeat.life.id + " started at " + std::to_string(heartbeat.life.startedAt) + " with " + toString(heartbeat.capacity)
                    + (this->entries.empty() ? "." : "; " + std::to_string(this->entries.size()) + " runs of its earlier life are over."));
+    // Orders to the last life that are still under way would reach one of the same id; a new number fences them off.
+    const bool isSameId = this->latest && this->latest->life.id == heartbeat.life.id;
+    this->generation = isSameId ? 0 : this->generation;
     this->entries.clear();
     this->ends.clear();
     this->isSurveyed = false;
@@ -150,9 +153,7 @@
         this->takeAssignment(assignment);
     }
     const bool hasNews = this->entries.size() != entriesBefore || this->ends.size() != endsBefore;
-    std::erase_if(this->ends, [this, &wanted](const EndReport &end) {
-        return end.number > 0 ? end.number <= this->notedEnds : !wanted.contains(end.run);
-    });
+    std::erase_if(this->ends, [this, &wanted](const EndReport &end) { return end.number > 0 ? end.number <= this->notedEnds : !wanted.contains(end.run); });
     for (auto &[run, entry] : this->entries) {
         if (!wanted.contains(run) && !entry.isStopWanted) {
             hasStops = true;
@@ -200,8 +201,9 @@
         if (entry.isUnderWay || now < entry.dueAt || !(isStart || isStop)) {
             continue;
         }
-        // A start without a lease could not be bounded; it waits for a licence.
-        const auto leaseEnd = this->grantableLeaseEnd(now);
+        // A start without a lease could not be bounded; it waits for a licence, and for the executor to answer.
+        const bool isSilent = this->silences >= this->terms.silencesToUnreachable;
+        const auto leaseEnd = isStart && !isSilent ? this->grantableLeaseEnd(now) : std::nullopt;
         if (isStart && !leaseEnd) {
             continue;
         }
@@ -224,8 +226,11 @@
         entry.isUnderWay = false;
         entry.dueAt = this->clock.now() + this->terms.resendAfter;
         if (!succeeded(answer)) {
-            this->log.warn("Start of run " + std::to_string(order.start.run.run) + " of " + toString(order.start.run.task)
-                           + " has no answer and is sent again: " + toString(errorOf(answer)));
+            if (!entry.isRepeated) {
+                this->log.warn("Start of run " + std::to_string(order.start.run.run) + " of " + toString(order.start.run.task)
+                               + " has no answer and is repeated until it has: " + errorOf(answer).message);
+            }
+            entry.isRepeated = true;
             return;
         }
         this->noteStamp(valueOf(answer).stamp);
@@ -276,7 +281,9 @@
     hold.serial = ++this->holdSerial;
     hold.question.fencingToken = this->fencingToken();
     hold.question.notedEnds = this->notedEnds;
-    hold.question.leaseEnd = this->grantableLeaseEnd(this->clock.now());
+    // An unanswered renewal may take effect, so a silent executor is only asked until its lease is over.
+    const bool isSilent = this->silences >= this->terms.silencesToUnreachable;
+    hold.question.leaseEnd = isSilent ? std::nullopt : this->grantableLeaseEnd(this->clock.now());
     const bool isStopOpen = std::any_of(this->entries.begin(), this->entries.end(), [](const auto &item) { return item.second.isStopWanted; });
     hold.question.wait = !this->isSurveyed ? Millis(0) : (isStopOpen ? this->terms.stopWait : this->terms.holdWait);
     return hold;
@@ -406,7 +413,8 @@
 std::optional<AgentReport> ExecutorKeeper::report()
 {
     const std::lock_guard<std::mutex> guard(this->mutex);
-    if (!this->latest || this->generation == 0) {
+    // Before its lists are read it is not known what a late order has started in this life.
+    if (!this->latest || this->generation == 0 || !this->isSurveyed) {
         return std::nullopt;
     }
     AgentReport report;
@@ -419,7 +427,7 @@
     report.service = this->latest->service;
     report.zone = this->latest->zone;
     report.isDraining = this->latest->isDraining || this->hasLeft;
-    report.isReachable = this->isSurveyed && this->silences < this->terms.silencesToUnreachable;
+    report.isReachable = this->silences < this->terms.silencesToUnreachable;
     report.capacity = this->latest->capacity;
     report.labels = this->latest->labels;
     report.syncSequence = this->syncSequence;
@@ -430,10 +438,10 @@
     return report;
 }
 
-Epoch ExecutorKeeper::epoch() const
+bool ExecutorKeeper::needsGeneration() const
 {
     const std::lock_guard<std::mutex> guard(this->mutex);
-    return this->highestEpoch;
+    return this->generation == 0;
 }
 
 std::uint64_t ExecutorKeeper::changes() const
--- a/src/request/jobgate.cpp
+++ b/src/request/jobgate.cpp
@@ -22,19 +22,11 @@
 
 } // namespace
 
-const std::array<JobGate::VerbHandler, NameTable<JobVerb>::names.size()> JobGate::verbHandlers = {&JobGate::submit,
-                                                                                                 &JobGate::show,
-                                                                                                 &JobGate::cancel,
-                                                                                                 &JobGate::countWaiting};
-
-JobGate::JobGate(Clock &clock,
-                 IdSource &ids,
-                 Metrics &metrics,
-                 TableStore &table,
-                 JobBoard &board,
-                 const Published<RouteBook> &routes,
-                 GraphParser parser,
-                 GateTerms terms)
+const std::array<JobGate::VerbHandler, NameTable<JobVerb>::names.size()> JobGate::verbHandlers = {
+    &JobGate::submit, &JobGate::show, &JobGate::cancel, &JobGate::countWaiting};
+
+JobGate::JobGate(
+    Clock &clock, IdSource &ids, Metrics &metrics, TableStore &table, JobBoard &board, const Published<RouteBook> &routes, GraphParser parser, GateTerms terms)
     : clock(clock)
     , ids(ids)
     , metrics(metrics)
--- a/src/request/jobrank.cpp
+++ b/src/request/jobrank.cpp
@@ -36,9 +36,8 @@
         std::vector<double> ends(occurrence.size(), 0.0);
         for (std::size_t index = 0; index < occurrence.size(); ++index) {
             const auto &step = submission.graph.steps[index];
-            const auto left = std::count_if(occurrence[index].begin(), occurrence[index].end(), [](const TaskProgress &task) {
-                return task.state != TaskPhase::Done;
-            });
+            const auto left =
+                std::count_if(occurrence[index].begin(), occurrence[index].end(), [](const TaskProgress &task) { return task.state != TaskPhase::Done; });
             double begin = 0.0;
             for (const auto earlier : step.after) {
                 begin = std::max(begin, ends[earlier]);
@@ -70,7 +69,8 @@
 {
     double work = 0.0;
     for (const auto &step : submission.graph.steps) {
-        const double cores = static_cast<double>(step.needs.milliCores) / 1000.0 + this->terms.coresPerAccelerator * static_cast<double>(step.needs.accelerators);
+        const double cores =
+            static_cast<double>(step.needs.milliCores) / 1000.0 + this->terms.coresPerAccelerator * static_cast<double>(step.needs.accelerators);
         work += cores * secondsOf(step.estimate) * step.count;
     }
     return work;
--- a/src/request/taskplacer.cpp
+++ b/src/request/taskplacer.cpp
@@ -62,6 +62,11 @@
 void TaskPlacer::leaveOffice(const std::string &reason)
 {
     const std::lock_guard<std::mutex> guard(this->mutex);
+    this->leave(reason);
+}
+
+void TaskPlacer::leave(const std::string &reason)
+{
     if (this->epoch == 0) {
         return;
     }
@@ -262,7 +267,10 @@
 Result<AssignmentSync> TaskPlacer::report(const AgentReport &report)
 {
     const std::lock_guard<std::mutex> guard(this->mutex);
-    if (this->epoch == 0 || report.epoch > this->epoch) {
+    if (report.epoch > this->epoch && this->epoch != 0) {
+        this->leave("agent " + report.node.value + " has heard of epoch " + std::to_string(report.epoch));
+    }
+    if (this->epoch == 0) {
         return makeError(ErrorKind::Stale, "this process is not the placer in office", "read the row of the office again");
     }
     const auto now = this->clock.now();
@@ -272,6 +280,7 @@
         return makeError(ErrorKind::Stale, "a newer report of this agent has been taken in", "send a new report");
     }
     if (worker.last.life.isKnown() && worker.last.life != report.life) {
+        this->rebindRuns(worker, report);
         this->loseRuns(worker, "executor " + worker.last.life.id + " has been replaced by " + report.life.id);
         worker.seenEnds = 0;
         worker.notedEnds = 0;
@@ -339,18 +348,54 @@
     }
 }
 
+/** A late order to the last life may have started its run in the new one, when both have one id. */
+void TaskPlacer::rebindRuns(Worker &worker, const AgentReport &report)
+{
+    std::vector<TaskRun> listed;
+    for (const auto &run : report.runs) {
+        listed.push_back(run.run);
+    }
+    for (const auto &end : report.ends) {
+        listed.push_back(end.run);
+    }
+    for (const auto &run : listed) {
+        const auto job = this->jobs.find(run.task.job);
+        auto *const task = job == this->jobs.end() || !worker.runs.contains(run) ? nullptr : findTask(job->second.progress, run.task);
+        if (task != nullptr && task->state == TaskPhase::Assigned && task->run == run.run) {
+            task->life = report.life;
+            this->change(job->second);
+        }
+    }
+}
+
+/** Whether a run of the task is listed by an executor that is not known to be assigned it. */
+bool TaskPlacer::isOrphaned(const TaskKey &task) const
+{
+    return std::any_of(this->workers.begin(), this->workers.end(), [&task](const auto &item) {
+        const auto &runs = item.second.last.runs;
+        return item.second.hasOrphans && std::any_of(runs.begin(), runs.end(), [&task](const RunReport &run) { return run.run.task == task; });
+    });
+}
+
 /** Ends all that is assigned to a life of an executor that is surely over. */
 void TaskPlacer::loseRuns(Worker &worker, const std::string &reason)
 {
-    if (!worker.runs.empty()) {
-        this->log.warn("Lost " + std::to_string(worker.runs.size()) + " runs: " + reason + ".");
-    }
     std::map<TaskRun, std::string> checkpoints;
     for (const auto &run : worker.last.runs) {
         checkpoints[run.run] = run.checkpoint;
     }
-    while (!worker.runs.empty()) {
-        const auto run = worker.runs.begin()->first;
+    std::vector<TaskRun> lost;
+    for (const auto &[run, live] : worker.runs) {
+        const auto job = this->jobs.find(run.task.job);
+        const auto *const task = job == this->jobs.end() ? nullptr : findTask(job->second.progress, run.task);
+        if (task == nullptr || task->run != run.run || task->life == worker.last.life) {
+            lost.push_back(run);
+        }
+    }
+    if (!lost.empty()) {
+        this->log.warn("Lost " + std::to_string(lost.size()) + " runs: " + reason + ".");
+    }
+    for (const auto &run : lost) {
         this->endRun(worker, run, RunEnd::Lapsed, checkpoints[run]);
     }
 }
--- a/src/request/taskplanning.cpp
+++ b/src/request/taskplanning.cpp
@@ -169,7 +169,8 @@
         unit.occurrence = occurrence;
         unit.step = step;
         for (std::uint32_t index = 0; index < steps[step].size(); ++index) {
-            if (steps[step][index].state == TaskPhase::Waiting) {
+            const TaskKey key{job.submission.id, occurrence, step, index};
+            if (steps[step][index].state == TaskPhase::Waiting && !this->isOrphaned(key)) {
                 unit.indices.push_back(index);
             }
         }
--- a/tests/connection/fakeexecutor.h
+++ b/tests/connection/fakeexecutor.h
@@ -67,6 +67,7 @@
         this->late.clear();
         this->highestToken = 0;
         this->lastEnd = 0;
+        this->voidedEnds = 0;
         this->bornAt = this->clock.now();
         this->startedAt = this->clock.wallMillis();
         this->leaseEnd = Millis(0);
@@ -100,6 +101,7 @@
             this->late.erase(this->late.begin() + static_cast<std::ptrdiff_t>(index));
             order();
         }
+        this->voidedEnds = now >= this->leaseEnd ? this->lastEnd : this->voidedEnds;
         std::vector<std::pair<TaskRun, RunEnd>> over;
         for (const auto &[run, state] : this->running) {
             if (now >= this->leaseEnd) {
@@ -139,7 +141,8 @@
             this->highestToken = question.fencingToken;
             this->extend(question.leaseEnd);
             for (const auto &end : this->ends) {
-                if (end.number <= question.notedEnds) {
+                // The platform's rules: an end counts as noted unless the lease lapsed between the two.
+                if (end.number <= question.notedEnds && end.number > this->voidedEnds) {
                     this->observer.noted(this->id, end.run, end.end);
                 }
             }
@@ -257,6 +260,7 @@
     std::uint64_t sequence = 0;
     std::uint64_t highestToken = 0;
     std::uint64_t lastEnd = 0;
+    std::uint64_t voidedEnds = 0; ///< ends up to this number were followed by a lapse of the lease
     Millis leaseEnd = Millis(0);
     std::map<TaskKey, std::uint32_t> highestEnded;
     std::deque<std::pair<Instant, std::function<void()>>> late;
--- a/tests/request/jobsite.cpp
+++ b/tests/request/jobsite.cpp
@@ -97,6 +97,7 @@
     if (this->notedDone.contains(run.task)) {
         this->broken.push_back("started after it was done: " + describe(run));
     }
+    Logger(LogPart::Main).info("STARTED " + describe(run) + " at " + executor);
     this->checkOrder(run);
     this->running[executor].insert(run);
     ++this->starts[run.task];
@@ -108,6 +109,7 @@
 
 void PromiseChecker::ended(const std::string &executor, const TaskRun &run, RunEnd how)
 {
+    Logger(LogPart::Main).info("ENDED " + describe(run) + " at " + executor + " " + std::string(nameOf(how)));
     this->running[executor].erase(run);
     if (how == RunEnd::Done) {
         this->done.insert(run.task);
@@ -149,12 +151,19 @@
 
 void JobSite::startKeeper(SiteAgent &agent, std::size_t index)
 {
-    agent.keeper = std::make_unique<ExecutorKeeper>(this->clock, NodeId{agentName(index)}, agentName(index), KeeperTerms());
-    const auto key = "agents/" + agentName(index);
+    agent.name = agentName(index);
+    agent.keeper = std::make_unique<ExecutorKeeper>(this->clock, NodeId{agent.name}, agent.name, KeeperTerms());
+    agent.nextReport = agent.nextHold = agent.nextHeartbeat = this->clock.now();
+}
+
+void JobSite::drawGeneration(SiteAgent &agent)
+{
+    const auto key = "agents/" + agent.name;
     const auto known = this->rows.rows.find(key);
     const auto written = this->rows.commit({"op", {{key, known == this->rows.rows.end() ? 0 : known->second.revision}}, {{key, "{}"}}});
-    agent.keeper->setGeneration(valueOf(written).revision);
-    agent.nextReport = agent.nextHold = agent.nextHeartbeat = this->clock.now();
+    if (succeeded(written)) {
+        agent.keeper->setGeneration(valueOf(written).revision);
+    }
 }
 
 void JobSite::restartAgent(std::size_t index)
@@ -255,6 +264,9 @@
         agent.keeper->heartbeat(agent.executor->heartbeat());
         agent.nextHeartbeat = now + HeartbeatInterval;
     }
+    if (agent.keeper->needsGeneration()) {
+        this->drawGeneration(agent);
+    }
     for (const auto &order : agent.keeper->takeDueOrders()) {
         if (order.isStop) {
             agent.keeper->stopAnswered(order, agent.executor->stop(order.life, order.start.run, order.start.fencingToken));
--- a/tests/request/jobsite.h
+++ b/tests/request/jobsite.h
@@ -49,6 +49,7 @@
 
 /** An agent and its executor. */
 struct SiteAgent {
+    std::string name;
     std::unique_ptr<FakeExecutor> executor;
     std::unique_ptr<ExecutorKeeper> keeper;
     bool isAlive = true;
@@ -106,6 +107,7 @@
     void stepAgent(SiteAgent &agent);
     void stepPlacer(SitePlacer &placer);
     void report(SiteAgent &agent);
+    void drawGeneration(SiteAgent &agent);
     void startKeeper(SiteAgent &agent, std::size_t index);
 
     std::uint64_t nextJob = 1;
--- a/tests/request/jobsitetest.cpp
+++ b/tests/request/jobsitetest.cpp
@@ -143,8 +143,8 @@
     const auto job = site.submit(oneStep(12, Half));
     site.advance(Millis(500));
     site.elect(1);
-    site.placers[0].reachesTable = true;
     EXPECT_EQ(site.finish(job, Millis(15'000)), JobPhase::Completed);
+    EXPECT_FALSE(succeeded(site.placers[0].placer->report(*site.agents[0].keeper->report())));
     EXPECT_FALSE(site.placers[0].placer->isInOffice());
     expectKept(site);
 }
