--- a/include/waxwingloft/connection/messages.h
+++ b/include/waxwingloft/connection/messages.h
@@ -1,6 +1,7 @@
 #ifndef WAXWINGLOFT_CONNECTION_MESSAGES_H
 #define WAXWINGLOFT_CONNECTION_MESSAGES_H
 
+#include "waxwingloft/connection/tablemessages.h"
 #include "waxwingloft/connection/taskmessages.h"
 #include "waxwingloft/process/clock.h"
 #include "waxwingloft/process/error.h"
@@ -250,7 +251,9 @@
                              NudgePlacer,
                              DrainNode,
                              AgentReport,
-                             AssignmentSync>;
+                             AssignmentSync,
+                             RelayTableCall,
+                             RelayTableAnswer>;
 
 /** Returns the index of an alternative of Message, for tables of handlers. */
 template<typename T, std::size_t Index = 0>
--- /dev/null
+++ b/include/waxwingloft/connection/relaytable.h
@@ -0,0 +1,72 @@
+#ifndef WAXWINGLOFT_CONNECTION_RELAYTABLE_H
+#define WAXWINGLOFT_CONNECTION_RELAYTABLE_H
+
+#include "waxwingloft/connection/nodeport.h"
+#include "waxwingloft/process/clock.h"
+#include "waxwingloft/process/logger.h"
+#include "waxwingloft/process/tablefeed.h"
+#include "waxwingloft/process/tablestore.h"
+
+#include <atomic>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace waxwingloft {
+
+/** Bounds of relayed calls. */
+struct RelayTerms {
+    Millis timeout = Millis(900); ///< of a relayed call; above the table's own timeout at the peer
+    std::size_t peers = 2; ///< peers tried for one call
+    Millis pollInterval = Millis(200); ///< between looks for changes while they come through a peer
+};
+
+/**
+ * The table as reached directly, or through a peer while the direct way fails.
+ *
+ * The table may turn some hosts away and serve others. A call without an answer is never repeated here: it ends as
+ * Ambiguous, and its settling goes through a peer. Thread safe.
+ */
+class RelayTable : public TableStore, public TableFeed
+{
+public:
+    /** Returns the RPC addresses of processes that may reach the table. */
+    using PeerSource = std::function<std::vector<std::string>()>;
+
+    RelayTable(TableStore &direct, TableFeed &directFeed, NodePort &nodes, Clock &clock, PeerSource peers, RelayTerms terms);
+
+    Result<std::optional<Row>> get(const std::string &key) override;
+    Result<RowList> list(const std::string &prefix, std::uint64_t since) override;
+    Result<Commit> commit(const Transaction &transaction) override;
+    Result<ChangeBatch> changes(const std::string &table, std::uint64_t after, Millis wait) override;
+
+    /** Looks whether the direct way works again. Call about once a second. */
+    void probe();
+
+    /** Whether the direct way has failed last. */
+    bool isFailing() const;
+
+    /** Makes a call for a peer, on the direct way only. */
+    Message serve(const RelayTableCall &call);
+
+private:
+    template<typename T, typename Direct, typename Relayed>
+    Result<T> through(Direct direct, Relayed relayed);
+    template<typename T>
+    Result<T> noted(Result<T> result);
+    Result<RelayTableAnswer> relay(const RelayTableCall &call);
+
+    TableStore &direct;
+    TableFeed &directFeed;
+    NodePort &nodes;
+    Clock &clock;
+    const PeerSource peers;
+    const RelayTerms terms;
+    const Logger log;
+    std::atomic<bool> isDirectFailing = false;
+    std::atomic<std::size_t> nextPeer = 0;
+};
+
+} // namespace waxwingloft
+
+#endif
--- /dev/null
+++ b/include/waxwingloft/connection/tablemessages.h
@@ -0,0 +1,41 @@
+#ifndef WAXWINGLOFT_CONNECTION_TABLEMESSAGES_H
+#define WAXWINGLOFT_CONNECTION_TABLEMESSAGES_H
+
+#include "waxwingloft/process/nametable.h"
+#include "waxwingloft/process/tablefeed.h"
+
+#include <string>
+#include <vector>
+
+namespace waxwingloft {
+
+/** Calls on the table that one process makes for another. */
+enum class TableCallKind {
+    Get,
+    List,
+    Commit,
+    Changes,
+};
+
+template<>
+struct NameTable<TableCallKind> {
+    static constexpr std::array<std::string_view, 4> names = {"get", "list", "commit", "changes"};
+};
+
+/** Asks a process that reaches the table to make a call for one that does not. */
+struct RelayTableCall {
+    TableCallKind kind = TableCallKind::Get;
+    std::string key; ///< of Get; the prefix of List; the table of Changes
+    std::uint64_t since = 0; ///< of List and Changes
+    Transaction transaction; ///< of Commit
+};
+
+/** The answer of the table. */
+struct RelayTableAnswer {
+    std::vector<RowChange> rows;
+    std::uint64_t revision = 0;
+};
+
+} // namespace waxwingloft
+
+#endif
--- a/include/waxwingloft/request/executoragent.h
+++ b/include/waxwingloft/request/executoragent.h
@@ -3,10 +3,10 @@
 
 #include "waxwingloft/connection/executorport.h"
 #include "waxwingloft/connection/nodeport.h"
-#include "waxwingloft/process/tablefollower.h"
 #include "waxwingloft/process/threadpool.h"
 #include "waxwingloft/process/ticker.h"
 #include "waxwingloft/request/executorkeeper.h"
+#include "waxwingloft/request/officewatch.h"
 
 #include <atomic>
 #include <condition_variable>
@@ -31,13 +31,14 @@
 /**
  * The agent beside an executor: carries out what its keeper says is due, and reports to the placer in office.
  */
-class ExecutorAgent : public MessageHandler, public HeartbeatService, public TableObserver
+class ExecutorAgent : public MessageHandler, public HeartbeatService
 {
 public:
     ExecutorAgent(Clock &clock,
                   TableStore &table,
                   NodePort &nodes,
                   ExecutorPort &executor,
+                  OfficeWatch &office,
                   NodeId self,
                   std::string address,
                   KeeperTerms keeperTerms,
@@ -53,15 +54,10 @@
     void heartbeat(const ExecutorHeartbeat &heartbeat) override;
     void deregister(const std::string &executorId) override;
 
-    /** Follows the table of the office. */
-    void reset(const RowList &rows) override;
-    void apply(const ChangeBatch &batch) override;
-
 private:
     bool begin();
     void report();
     void readOffice();
-    void takeOfficeRow(const Row &row);
     void sendOrders();
     void carryOut(const DueOrder &order);
     void holdLoop();
@@ -70,6 +66,7 @@
     TableStore &table;
     NodePort &nodes;
     ExecutorPort &executor;
+    OfficeWatch &office;
     const NodeId self;
     const AgentLoopTerms terms;
     const Logger log;
@@ -77,10 +74,7 @@
 
     std::mutex mutex;
     std::condition_variable wakeUp; ///< of the loop that asks for the lists
-    std::string placerAddress;
-    std::uint64_t officeRevision = 0;
     Instant placerHeardAt;
-    bool isTold = true; ///< the placer's silence has been logged
     bool isStopping = false;
 
     std::unique_ptr<ThreadPool> orders;
--- a/include/waxwingloft/request/placeroffice.h
+++ b/include/waxwingloft/request/placeroffice.h
@@ -8,6 +8,7 @@
 #include "waxwingloft/process/threadpool.h"
 #include "waxwingloft/process/ticker.h"
 #include "waxwingloft/request/jobboard.h"
+#include "waxwingloft/request/officewatch.h"
 #include "waxwingloft/request/taskplacer.h"
 
 #include <atomic>
@@ -17,19 +18,6 @@
 
 namespace waxwingloft {
 
-/** Table whose one row tells who is the placer in office. */
-constexpr std::string_view OfficeTable = "office";
-constexpr std::string_view OfficeKey = "office/placer";
-
-/** The placer in office. The revision of its row is its epoch. */
-struct OfficeRecord {
-    NodeId holder;
-    std::string address; ///< RPC address
-};
-
-std::string encodeOffice(const OfficeRecord &record);
-Result<OfficeRecord> parseOffice(const std::string &value);
-
 /** Intervals and bounds of the office's loops. */
 struct OfficeLoopTerms {
     LeaseTerms lease; ///< of the duty
@@ -74,6 +62,7 @@
 
 private:
     void pursue();
+    void makeKnown();
     bool takeOffice();
     void plan();
     void write();
@@ -92,6 +81,7 @@
     const OfficeLoopTerms terms;
     const Logger log;
     Duty duty;
+    bool isKnown = false; ///< the row of this entry has been written
     std::atomic<std::uint64_t> officeRevision = 0;
     std::unique_ptr<ThreadPool> pushes;
     std::unique_ptr<Ticker> pursuing;
--- a/proto/node.capnp
+++ b/proto/node.capnp
@@ -68,6 +68,13 @@
   assignments @5 :List(Assignment);
 }
 
+struct Row { key @0 :Text; value @1 :Data; revision @2 :UInt64; operation @3 :Text; removed @4 :Bool; }
+struct Condition { key @0 :Text; revision @1 :UInt64; }
+struct Write { key @0 :Text; hasValue @1 :Bool; value @2 :Data; }
+struct Transaction { operation @0 :Text; conditions @1 :List(Condition); writes @2 :List(Write); }
+struct RelayTableCall { kind @0 :UInt8; key @1 :Text; since @2 :UInt64; transaction @3 :Transaction; }
+struct RelayTableAnswer { rows @0 :List(Row); revision @1 :UInt64; }
+
 struct Message {
   union {
     ping @0 :Void;
@@ -95,6 +102,8 @@
     drainNode @22 :Void;
     agentReport @23 :AgentReport;
     assignmentSync @24 :AssignmentSync;
+    relayTableCall @25 :RelayTableCall;
+    relayTableAnswer @26 :RelayTableAnswer;
   }
 }
 
--- a/src/connection/messagecodec.cpp
+++ b/src/connection/messagecodec.cpp
@@ -1,6 +1,7 @@
 #include "messagecodec.h"
 
 #include "recordcodec.h"
+#include "tablecodec.h"
 #include "taskcodec.h"
 
 #include <array>
@@ -32,6 +33,16 @@
         this->builder.setDrainNode();
     }
 
+    void operator()(const RelayTableCall &message)
+    {
+        encode(message, this->builder.initRelayTableCall());
+    }
+
+    void operator()(const RelayTableAnswer &message)
+    {
+        encode(message, this->builder.initRelayTableAnswer());
+    }
+
     void operator()(const AgentReport &message)
     {
         encode(message, this->builder.initAgentReport());
@@ -180,6 +191,8 @@
     [](wire::Message::Reader) -> Message { return DrainNode{}; },
     [](wire::Message::Reader reader) -> Message { return decode(reader.getAgentReport()); },
     [](wire::Message::Reader reader) -> Message { return decode(reader.getAssignmentSync()); },
+    [](wire::Message::Reader reader) -> Message { return decode(reader.getRelayTableCall()); },
+    [](wire::Message::Reader reader) -> Message { return decode(reader.getRelayTableAnswer()); },
 };
 
 } // namespace
--- a/src/connection/nodeserver.cpp
+++ b/src/connection/nodeserver.cpp
@@ -10,7 +10,8 @@
 
 bool waitsForWork(const Message &message)
 {
-    return std::holds_alternative<Dispatch>(message) || std::holds_alternative<QueryAttempt>(message) || std::holds_alternative<StopGang>(message);
+    return std::holds_alternative<Dispatch>(message) || std::holds_alternative<QueryAttempt>(message) || std::holds_alternative<StopGang>(message)
+        || std::holds_alternative<RelayTableCall>(message);
 }
 
 } // namespace
--- a/src/connection/private/node.capnp.h
+++ b/src/connection/private/node.capnp.h
@@ -54,6 +54,12 @@
 CAPNP_DECLARE_SCHEMA(c2873ed4eee4c1a4);
 CAPNP_DECLARE_SCHEMA(8b6fa5e96dc8fbb9);
 CAPNP_DECLARE_SCHEMA(fce35736e5d8778d);
+CAPNP_DECLARE_SCHEMA(88e813482e81c899);
+CAPNP_DECLARE_SCHEMA(e3be91237ce8470f);
+CAPNP_DECLARE_SCHEMA(b9a0537784f63f1f);
+CAPNP_DECLARE_SCHEMA(f02a1cb77a7139cf);
+CAPNP_DECLARE_SCHEMA(e1e122576e7e2fc0);
+CAPNP_DECLARE_SCHEMA(b126e55bde016717);
 CAPNP_DECLARE_SCHEMA(b1d14edf52eb4bd4);
 CAPNP_DECLARE_SCHEMA(a686ef0bfb6c8718);
 CAPNP_DECLARE_SCHEMA(c8c284d775d1652a);
@@ -590,6 +596,96 @@
   };
 };
 
+struct Row {
+  Row() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(88e813482e81c899, 2, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Condition {
+  Condition() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e3be91237ce8470f, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Write {
+  Write() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b9a0537784f63f1f, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Transaction {
+  Transaction() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f02a1cb77a7139cf, 0, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct RelayTableCall {
+  RelayTableCall() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e1e122576e7e2fc0, 2, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct RelayTableAnswer {
+  RelayTableAnswer() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b126e55bde016717, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Message {
   Message() = delete;
 
@@ -622,6 +718,8 @@
     DRAIN_NODE,
     AGENT_REPORT,
     ASSIGNMENT_SYNC,
+    RELAY_TABLE_CALL,
+    RELAY_TABLE_ANSWER,
   };
 
   struct _capnpPrivate {
@@ -4433,9 +4531,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Message::Reader {
+class Row::Reader {
 public:
-  typedef Message Reads;
+  typedef Row Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4450,102 +4548,121 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline Which which() const;
-  inline bool isPing() const;
-  inline  ::capnp::Void getPing() const;
-
-  inline bool isAck() const;
-  inline  ::capnp::Void getAck() const;
+  inline bool hasKey() const;
+  inline  ::capnp::Text::Reader getKey() const;
 
-  inline bool isErrorReply() const;
-  inline bool hasErrorReply() const;
-  inline  ::waxwingloft::wire::Error::Reader getErrorReply() const;
+  inline bool hasValue() const;
+  inline  ::capnp::Data::Reader getValue() const;
 
-  inline bool isDispatch() const;
-  inline bool hasDispatch() const;
-  inline  ::waxwingloft::wire::Dispatch::Reader getDispatch() const;
+  inline  ::uint64_t getRevision() const;
 
-  inline bool isQueryAttempt() const;
-  inline bool hasQueryAttempt() const;
-  inline  ::waxwingloft::wire::QueryAttempt::Reader getQueryAttempt() const;
+  inline bool hasOperation() const;
+  inline  ::capnp::Text::Reader getOperation() const;
 
-  inline bool isAttemptReply() const;
-  inline bool hasAttemptReply() const;
-  inline  ::waxwingloft::wire::AttemptReply::Reader getAttemptReply() const;
+  inline bool getRemoved() const;
 
-  inline bool isPrepareGang() const;
-  inline bool hasPrepareGang() const;
-  inline  ::waxwingloft::wire::PrepareGang::Reader getPrepareGang() const;
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
 
-  inline bool isStartGang() const;
-  inline bool hasStartGang() const;
-  inline  ::waxwingloft::wire::StartGang::Reader getStartGang() const;
+class Row::Builder {
+public:
+  typedef Row Builds;
 
-  inline bool isStopGang() const;
-  inline bool hasStopGang() const;
-  inline  ::waxwingloft::wire::StopGang::Reader getStopGang() const;
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
 
-  inline bool isRenewGang() const;
-  inline bool hasRenewGang() const;
-  inline  ::waxwingloft::wire::RenewGang::Reader getRenewGang() const;
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
-  inline bool isGangReply() const;
-  inline bool hasGangReply() const;
-  inline  ::waxwingloft::wire::GangReply::Reader getGangReply() const;
+  inline bool hasKey();
+  inline  ::capnp::Text::Builder getKey();
+  inline void setKey( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initKey(unsigned int size);
+  inline void adoptKey(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownKey();
 
-  inline bool isAskReport() const;
-  inline bool hasAskReport() const;
-  inline  ::waxwingloft::wire::AskReport::Reader getAskReport() const;
+  inline bool hasValue();
+  inline  ::capnp::Data::Builder getValue();
+  inline void setValue( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initValue(unsigned int size);
+  inline void adoptValue(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownValue();
 
-  inline bool isNodeReport() const;
-  inline bool hasNodeReport() const;
-  inline  ::waxwingloft::wire::NodeReport::Reader getNodeReport() const;
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
 
-  inline bool isHeartbeat() const;
-  inline bool hasHeartbeat() const;
-  inline  ::waxwingloft::wire::Heartbeat::Reader getHeartbeat() const;
+  inline bool hasOperation();
+  inline  ::capnp::Text::Builder getOperation();
+  inline void setOperation( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initOperation(unsigned int size);
+  inline void adoptOperation(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownOperation();
 
-  inline bool isHeartbeatReply() const;
-  inline bool hasHeartbeatReply() const;
-  inline  ::waxwingloft::wire::HeartbeatReply::Reader getHeartbeatReply() const;
+  inline bool getRemoved();
+  inline void setRemoved(bool value);
 
-  inline bool isPushMembers() const;
-  inline bool hasPushMembers() const;
-  inline  ::waxwingloft::wire::MembersDelta::Reader getPushMembers() const;
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
 
-  inline bool isPushMembersReply() const;
-  inline bool hasPushMembersReply() const;
-  inline  ::waxwingloft::wire::PushMembersReply::Reader getPushMembersReply() const;
+#if !CAPNP_LITE
+class Row::Pipeline {
+public:
+  typedef Row Pipelines;
 
-  inline bool isFetchSettings() const;
-  inline  ::uint64_t getFetchSettings() const;
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
-  inline bool isSettingsUpdate() const;
-  inline bool hasSettingsUpdate() const;
-  inline  ::waxwingloft::wire::SettingsDelta::Reader getSettingsUpdate() const;
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
 
-  inline bool isFetchEvents() const;
-  inline bool hasFetchEvents() const;
-  inline  ::waxwingloft::wire::FetchEvents::Reader getFetchEvents() const;
+class Condition::Reader {
+public:
+  typedef Condition Reads;
 
-  inline bool isEventBatch() const;
-  inline bool hasEventBatch() const;
-  inline  ::capnp::List< ::waxwingloft::wire::Event,  ::capnp::Kind::STRUCT>::Reader getEventBatch() const;
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline bool isNudgePlacer() const;
-  inline bool hasNudgePlacer() const;
-  inline  ::capnp::Text::Reader getNudgePlacer() const;
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-  inline bool isDrainNode() const;
-  inline  ::capnp::Void getDrainNode() const;
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-  inline bool isAgentReport() const;
-  inline bool hasAgentReport() const;
-  inline  ::waxwingloft::wire::AgentReport::Reader getAgentReport() const;
+  inline bool hasKey() const;
+  inline  ::capnp::Text::Reader getKey() const;
 
-  inline bool isAssignmentSync() const;
-  inline bool hasAssignmentSync() const;
-  inline  ::waxwingloft::wire::AssignmentSync::Reader getAssignmentSync() const;
+  inline  ::uint64_t getRevision() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4559,9 +4676,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Message::Builder {
+class Condition::Builder {
 public:
-  typedef Message Builds;
+  typedef Condition Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4575,190 +4692,111 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline Which which();
-  inline bool isPing();
-  inline  ::capnp::Void getPing();
-  inline void setPing( ::capnp::Void value = ::capnp::VOID);
+  inline bool hasKey();
+  inline  ::capnp::Text::Builder getKey();
+  inline void setKey( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initKey(unsigned int size);
+  inline void adoptKey(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownKey();
 
-  inline bool isAck();
-  inline  ::capnp::Void getAck();
-  inline void setAck( ::capnp::Void value = ::capnp::VOID);
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
 
-  inline bool isErrorReply();
-  inline bool hasErrorReply();
-  inline  ::waxwingloft::wire::Error::Builder getErrorReply();
-  inline void setErrorReply( ::waxwingloft::wire::Error::Reader value);
-  inline  ::waxwingloft::wire::Error::Builder initErrorReply();
-  inline void adoptErrorReply(::capnp::Orphan< ::waxwingloft::wire::Error>&& value);
-  inline ::capnp::Orphan< ::waxwingloft::wire::Error> disownErrorReply();
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
 
-  inline bool isDispatch();
-  inline bool hasDispatch();
-  inline  ::waxwingloft::wire::Dispatch::Builder getDispatch();
-  inline void setDispatch( ::waxwingloft::wire::Dispatch::Reader value);
-  inline  ::waxwingloft::wire::Dispatch::Builder initDispatch();
-  inline void adoptDispatch(::capnp::Orphan< ::waxwingloft::wire::Dispatch>&& value);
-  inline ::capnp::Orphan< ::waxwingloft::wire::Dispatch> disownDispatch();
+#if !CAPNP_LITE
+class Condition::Pipeline {
+public:
+  typedef Condition Pipelines;
 
-  inline bool isQueryAttempt();
-  inline bool hasQueryAttempt();
-  inline  ::waxwingloft::wire::QueryAttempt::Builder getQueryAttempt();
-  inline void setQueryAttempt( ::waxwingloft::wire::QueryAttempt::Reader value);
-  inline  ::waxwingloft::wire::QueryAttempt::Builder initQueryAttempt();
-  inline void adoptQueryAttempt(::capnp::Orphan< ::waxwingloft::wire::QueryAttempt>&& value);
-  inline ::capnp::Orphan< ::waxwingloft::wire::QueryAttempt> disownQueryAttempt();
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
-  inline bool isAttemptReply();
-  inline bool hasAttemptReply();
-  inline  ::waxwingloft::wire::AttemptReply::Builder getAttemptReply();
-  inline void setAttemptReply( ::waxwingloft::wire::AttemptReply::Reader value);
-  inline  ::waxwingloft::wire::AttemptReply::Builder initAttemptReply();
-  inline void adoptAttemptReply(::capnp::Orphan< ::waxwingloft::wire::AttemptReply>&& value);
-  inline ::capnp::Orphan< ::waxwingloft::wire::AttemptReply> disownAttemptReply();
-
-  inline bool isPrepareGang();
-  inline bool hasPrepareGang();
-  inline  ::waxwingloft::wire::PrepareGang::Builder getPrepareGang();
-  inline void setPrepareGang( ::waxwingloft::wire::PrepareGang::Reader value);
-  inline  ::waxwingloft::wire::PrepareGang::Builder initPrepareGang();
-  inline void adoptPrepareGang(::capnp::Orphan< ::waxwingloft::wire::PrepareGang>&& value);
-  inline ::capnp::Orphan< ::waxwingloft::wire::PrepareGang> disownPrepareGang();
-
-  inline bool isStartGang();
-  inline bool hasStartGang();
-  inline  ::waxwingloft::wire::StartGang::Builder getStartGang();
-  inline void setStartGang( ::waxwingloft::wire::StartGang::Reader value);
-  inline  ::waxwingloft::wire::StartGang::Builder initStartGang();
-  inline void adoptStartGang(::capnp::Orphan< ::waxwingloft::wire::StartGang>&& value);
-  inline ::capnp::Orphan< ::waxwingloft::wire::StartGang> disownStartGang();
-
-  inline bool isStopGang();
-  inline bool hasStopGang();
-  inline  ::waxwingloft::wire::StopGang::Builder getStopGang();
-  inline void setStopGang( ::waxwingloft::wire::StopGang::Reader value);
-  inline  ::waxwingloft::wire::StopGang::Builder initStopGang();
-  inline void adoptStopGang(::capnp::Orphan< ::waxwingloft::wire::StopGang>&& value);
-  inline ::capnp::Orphan< ::waxwingloft::wire::StopGang> disownStopGang();
-
-  inline bool isRenewGang();
-  inline bool hasRenewGang();
-  inline  ::waxwingloft::wire::RenewGang::Builder getRenewGang();
-  inline void setRenewGang( ::waxwingloft::wire::RenewGang::Reader value);
-  inline  ::waxwingloft::wire::RenewGang::Builder initRenewGang();
-  inline void adoptRenewGang(::capnp::Orphan< ::waxwingloft::wire::RenewGang>&& value);
-  inline ::capnp::Orphan< ::waxwingloft::wire::RenewGang> disownRenewGang();
-
-  inline bool isGangReply();
-  inline bool hasGangReply();
-  inline  ::waxwingloft::wire::GangReply::Builder getGangReply();
-  inline void setGangReply( ::waxwingloft::wire::GangReply::Reader value);
-  inline  ::waxwingloft::wire::GangReply::Builder initGangReply();
-  inline void adoptGangReply(::capnp::Orphan< ::waxwingloft::wire::GangReply>&& value);
-  inline ::capnp::Orphan< ::waxwingloft::wire::GangReply> disownGangReply();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
 
-  inline bool isAskReport();
-  inline bool hasAskReport();
-  inline  ::waxwingloft::wire::AskReport::Builder getAskReport();
-  inline void setAskReport( ::waxwingloft::wire::AskReport::Reader value);
-  inline  ::waxwingloft::wire::AskReport::Builder initAskReport();
-  inline void adoptAskReport(::capnp::Orphan< ::waxwingloft::wire::AskReport>&& value);
-  inline ::capnp::Orphan< ::waxwingloft::wire::AskReport> disownAskReport();
+class Write::Reader {
+public:
+  typedef Write Reads;
 
-  inline bool isNodeReport();
-  inline bool hasNodeReport();
-  inline  ::waxwingloft::wire::NodeReport::Builder getNodeReport();
-  inline void setNodeReport( ::waxwingloft::wire::NodeReport::Reader value);
-  inline  ::waxwingloft::wire::NodeReport::Builder initNodeReport();
-  inline void adoptNodeReport(::capnp::Orphan< ::waxwingloft::wire::NodeReport>&& value);
-  inline ::capnp::Orphan< ::waxwingloft::wire::NodeReport> disownNodeReport();
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline bool isHeartbeat();
-  inline bool hasHeartbeat();
-  inline  ::waxwingloft::wire::Heartbeat::Builder getHeartbeat();
-  inline void setHeartbeat( ::waxwingloft::wire::Heartbeat::Reader value);
-  inline  ::waxwingloft::wire::Heartbeat::Builder initHeartbeat();
-  inline void adoptHeartbeat(::capnp::Orphan< ::waxwingloft::wire::Heartbeat>&& value);
-  inline ::capnp::Orphan< ::waxwingloft::wire::Heartbeat> disownHeartbeat();
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-  inline bool isHeartbeatReply();
-  inline bool hasHeartbeatReply();
-  inline  ::waxwingloft::wire::HeartbeatReply::Builder getHeartbeatReply();
-  inline void setHeartbeatReply( ::waxwingloft::wire::HeartbeatReply::Reader value);
-  inline  ::waxwingloft::wire::HeartbeatReply::Builder initHeartbeatReply();
-  inline void adoptHeartbeatReply(::capnp::Orphan< ::waxwingloft::wire::HeartbeatReply>&& value);
-  inline ::capnp::Orphan< ::waxwingloft::wire::HeartbeatReply> disownHeartbeatReply();
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-  inline bool isPushMembers();
-  inline bool hasPushMembers();
-  inline  ::waxwingloft::wire::MembersDelta::Builder getPushMembers();
-  inline void setPushMembers( ::waxwingloft::wire::MembersDelta::Reader value);
-  inline  ::waxwingloft::wire::MembersDelta::Builder initPushMembers();
-  inline void adoptPushMembers(::capnp::Orphan< ::waxwingloft::wire::MembersDelta>&& value);
-  inline ::capnp::Orphan< ::waxwingloft::wire::MembersDelta> disownPushMembers();
+  inline bool hasKey() const;
+  inline  ::capnp::Text::Reader getKey() const;
 
-  inline bool isPushMembersReply();
-  inline bool hasPushMembersReply();
-  inline  ::waxwingloft::wire::PushMembersReply::Builder getPushMembersReply();
-  inline void setPushMembersReply( ::waxwingloft::wire::PushMembersReply::Reader value);
-  inline  ::waxwingloft::wire::PushMembersReply::Builder initPushMembersReply();
-  inline void adoptPushMembersReply(::capnp::Orphan< ::waxwingloft::wire::PushMembersReply>&& value);
-  inline ::capnp::Orphan< ::waxwingloft::wire::PushMembersReply> disownPushMembersReply();
+  inline bool getHasValue() const;
 
-  inline bool isFetchSettings();
-  inline  ::uint64_t getFetchSettings();
-  inline void setFetchSettings( ::uint64_t value);
+  inline bool hasValue() const;
+  inline  ::capnp::Data::Reader getValue() const;
 
-  inline bool isSettingsUpdate();
-  inline bool hasSettingsUpdate();
-  inline  ::waxwingloft::wire::SettingsDelta::Builder getSettingsUpdate();
-  inline void setSettingsUpdate( ::waxwingloft::wire::SettingsDelta::Reader value);
-  inline  ::waxwingloft::wire::SettingsDelta::Builder initSettingsUpdate();
-  inline void adoptSettingsUpdate(::capnp::Orphan< ::waxwingloft::wire::SettingsDelta>&& value);
-  inline ::capnp::Orphan< ::waxwingloft::wire::SettingsDelta> disownSettingsUpdate();
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
 
-  inline bool isFetchEvents();
-  inline bool hasFetchEvents();
-  inline  ::waxwingloft::wire::FetchEvents::Builder getFetchEvents();
-  inline void setFetchEvents( ::waxwingloft::wire::FetchEvents::Reader value);
-  inline  ::waxwingloft::wire::FetchEvents::Builder initFetchEvents();
-  inline void adoptFetchEvents(::capnp::Orphan< ::waxwingloft::wire::FetchEvents>&& value);
-  inline ::capnp::Orphan< ::waxwingloft::wire::FetchEvents> disownFetchEvents();
+class Write::Builder {
+public:
+  typedef Write Builds;
 
-  inline bool isEventBatch();
-  inline bool hasEventBatch();
-  inline  ::capnp::List< ::waxwingloft::wire::Event,  ::capnp::Kind::STRUCT>::Builder getEventBatch();
-  inline void setEventBatch( ::capnp::List< ::waxwingloft::wire::Event,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::waxwingloft::wire::Event,  ::capnp::Kind::STRUCT>::Builder initEventBatch(unsigned int size);
-  inline void adoptEventBatch(::capnp::Orphan< ::capnp::List< ::waxwingloft::wire::Event,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::waxwingloft::wire::Event,  ::capnp::Kind::STRUCT>> disownEventBatch();
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
 
-  inline bool isNudgePlacer();
-  inline bool hasNudgePlacer();
-  inline  ::capnp::Text::Builder getNudgePlacer();
-  inline void setNudgePlacer( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initNudgePlacer(unsigned int size);
-  inline void adoptNudgePlacer(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownNudgePlacer();
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
-  inline bool isDrainNode();
-  inline  ::capnp::Void getDrainNode();
-  inline void setDrainNode( ::capnp::Void value = ::capnp::VOID);
+  inline bool hasKey();
+  inline  ::capnp::Text::Builder getKey();
+  inline void setKey( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initKey(unsigned int size);
+  inline void adoptKey(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownKey();
 
-  inline bool isAgentReport();
-  inline bool hasAgentReport();
-  inline  ::waxwingloft::wire::AgentReport::Builder getAgentReport();
-  inline void setAgentReport( ::waxwingloft::wire::AgentReport::Reader value);
-  inline  ::waxwingloft::wire::AgentReport::Builder initAgentReport();
-  inline void adoptAgentReport(::capnp::Orphan< ::waxwingloft::wire::AgentReport>&& value);
-  inline ::capnp::Orphan< ::waxwingloft::wire::AgentReport> disownAgentReport();
+  inline bool getHasValue();
+  inline void setHasValue(bool value);
 
-  inline bool isAssignmentSync();
-  inline bool hasAssignmentSync();
-  inline  ::waxwingloft::wire::AssignmentSync::Builder getAssignmentSync();
-  inline void setAssignmentSync( ::waxwingloft::wire::AssignmentSync::Reader value);
-  inline  ::waxwingloft::wire::AssignmentSync::Builder initAssignmentSync();
-  inline void adoptAssignmentSync(::capnp::Orphan< ::waxwingloft::wire::AssignmentSync>&& value);
-  inline ::capnp::Orphan< ::waxwingloft::wire::AssignmentSync> disownAssignmentSync();
+  inline bool hasValue();
+  inline  ::capnp::Data::Builder getValue();
+  inline void setValue( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initValue(unsigned int size);
+  inline void adoptValue(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownValue();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4770,9 +4808,9 @@
 };
 
 #if !CAPNP_LITE
-class Message::Pipeline {
+class Write::Pipeline {
 public:
-  typedef Message Pipelines;
+  typedef Write Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -4786,62 +4824,9 @@
 };
 #endif  // !CAPNP_LITE
 
-#if !CAPNP_LITE
-class Node::Client
-    : public virtual ::capnp::Capability::Client {
-public:
-  typedef Node Calls;
-  typedef Node Reads;
-
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
-
-  ::capnp::Request< ::waxwingloft::wire::Node::ExchangeParams,  ::waxwingloft::wire::Node::ExchangeResults> exchangeRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-
-protected:
-  Client() = default;
-};
-
-class Node::Server
-    : public virtual ::capnp::Capability::Server {
-public:
-  typedef Node Serves;
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
-
-protected:
-  typedef  ::waxwingloft::wire::Node::ExchangeParams ExchangeParams;
-  typedef  ::waxwingloft::wire::Node::ExchangeResults ExchangeResults;
-  typedef ::capnp::CallContext<ExchangeParams, ExchangeResults> ExchangeContext;
-  virtual ::kj::Promise<void> exchange(ExchangeContext context);
-
-  inline  ::waxwingloft::wire::Node::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::waxwingloft::wire::Node>();
-  }
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
-};
-#endif  // !CAPNP_LITE
-
-class Node::ExchangeParams::Reader {
+class Transaction::Reader {
 public:
-  typedef ExchangeParams Reads;
+  typedef Transaction Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4856,11 +4841,14 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasHeader() const;
-  inline  ::waxwingloft::wire::Header::Reader getHeader() const;
+  inline bool hasOperation() const;
+  inline  ::capnp::Text::Reader getOperation() const;
 
-  inline bool hasMessage() const;
-  inline  ::waxwingloft::wire::Message::Reader getMessage() const;
+  inline bool hasConditions() const;
+  inline  ::capnp::List< ::waxwingloft::wire::Condition,  ::capnp::Kind::STRUCT>::Reader getConditions() const;
+
+  inline bool hasWrites() const;
+  inline  ::capnp::List< ::waxwingloft::wire::Write,  ::capnp::Kind::STRUCT>::Reader getWrites() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4874,9 +4862,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::ExchangeParams::Builder {
+class Transaction::Builder {
 public:
-  typedef ExchangeParams Builds;
+  typedef Transaction Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4890,19 +4878,26 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasHeader();
-  inline  ::waxwingloft::wire::Header::Builder getHeader();
-  inline void setHeader( ::waxwingloft::wire::Header::Reader value);
-  inline  ::waxwingloft::wire::Header::Builder initHeader();
-  inline void adoptHeader(::capnp::Orphan< ::waxwingloft::wire::Header>&& value);
-  inline ::capnp::Orphan< ::waxwingloft::wire::Header> disownHeader();
+  inline bool hasOperation();
+  inline  ::capnp::Text::Builder getOperation();
+  inline void setOperation( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initOperation(unsigned int size);
+  inline void adoptOperation(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownOperation();
 
-  inline bool hasMessage();
-  inline  ::waxwingloft::wire::Message::Builder getMessage();
-  inline void setMessage( ::waxwingloft::wire::Message::Reader value);
-  inline  ::waxwingloft::wire::Message::Builder initMessage();
-  inline void adoptMessage(::capnp::Orphan< ::waxwingloft::wire::Message>&& value);
-  inline ::capnp::Orphan< ::waxwingloft::wire::Message> disownMessage();
+  inline bool hasConditions();
+  inline  ::capnp::List< ::waxwingloft::wire::Condition,  ::capnp::Kind::STRUCT>::Builder getConditions();
+  inline void setConditions( ::capnp::List< ::waxwingloft::wire::Condition,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::waxwingloft::wire::Condition,  ::capnp::Kind::STRUCT>::Builder initConditions(unsigned int size);
+  inline void adoptConditions(::capnp::Orphan< ::capnp::List< ::waxwingloft::wire::Condition,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::waxwingloft::wire::Condition,  ::capnp::Kind::STRUCT>> disownConditions();
+
+  inline bool hasWrites();
+  inline  ::capnp::List< ::waxwingloft::wire::Write,  ::capnp::Kind::STRUCT>::Builder getWrites();
+  inline void setWrites( ::capnp::List< ::waxwingloft::wire::Write,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::waxwingloft::wire::Write,  ::capnp::Kind::STRUCT>::Builder initWrites(unsigned int size);
+  inline void adoptWrites(::capnp::Orphan< ::capnp::List< ::waxwingloft::wire::Write,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::waxwingloft::wire::Write,  ::capnp::Kind::STRUCT>> disownWrites();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4914,16 +4909,14 @@
 };
 
 #if !CAPNP_LITE
-class Node::ExchangeParams::Pipeline {
+class Transaction::Pipeline {
 public:
-  typedef ExchangeParams Pipelines;
+  typedef Transaction Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::waxwingloft::wire::Header::Pipeline getHeader();
-  inline  ::waxwingloft::wire::Message::Pipeline getMessage();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4932,9 +4925,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::ExchangeResults::Reader {
+class RelayTableCall::Reader {
 public:
-  typedef ExchangeResults Reads;
+  typedef RelayTableCall Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4949,11 +4942,15 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasHeader() const;
-  inline  ::waxwingloft::wire::Header::Reader getHeader() const;
+  inline  ::uint8_t getKind() const;
 
-  inline bool hasMessage() const;
-  inline  ::waxwingloft::wire::Message::Reader getMessage() const;
+  inline bool hasKey() const;
+  inline  ::capnp::Text::Reader getKey() const;
+
+  inline  ::uint64_t getSince() const;
+
+  inline bool hasTransaction() const;
+  inline  ::waxwingloft::wire::Transaction::Reader getTransaction() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4967,9 +4964,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::ExchangeResults::Builder {
+class RelayTableCall::Builder {
 public:
-  typedef ExchangeResults Builds;
+  typedef RelayTableCall Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4983,19 +4980,25 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasHeader();
-  inline  ::waxwingloft::wire::Header::Builder getHeader();
-  inline void setHeader( ::waxwingloft::wire::Header::Reader value);
-  inline  ::waxwingloft::wire::Header::Builder initHeader();
-  inline void adoptHeader(::capnp::Orphan< ::waxwingloft::wire::Header>&& value);
-  inline ::capnp::Orphan< ::waxwingloft::wire::Header> disownHeader();
+  inline  ::uint8_t getKind();
+  inline void setKind( ::uint8_t value);
 
-  inline bool hasMessage();
-  inline  ::waxwingloft::wire::Message::Builder getMessage();
-  inline void setMessage( ::waxwingloft::wire::Message::Reader value);
-  inline  ::waxwingloft::wire::Message::Builder initMessage();
-  inline void adoptMessage(::capnp::Orphan< ::waxwingloft::wire::Message>&& value);
-  inline ::capnp::Orphan< ::waxwingloft::wire::Message> disownMessage();
+  inline bool hasKey();
+  inline  ::capnp::Text::Builder getKey();
+  inline void setKey( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initKey(unsigned int size);
+  inline void adoptKey(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownKey();
+
+  inline  ::uint64_t getSince();
+  inline void setSince( ::uint64_t value);
+
+  inline bool hasTransaction();
+  inline  ::waxwingloft::wire::Transaction::Builder getTransaction();
+  inline void setTransaction( ::waxwingloft::wire::Transaction::Reader value);
+  inline  ::waxwingloft::wire::Transaction::Builder initTransaction();
+  inline void adoptTransaction(::capnp::Orphan< ::waxwingloft::wire::Transaction>&& value);
+  inline ::capnp::Orphan< ::waxwingloft::wire::Transaction> disownTransaction();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -5007,16 +5010,15 @@
 };
 
 #if !CAPNP_LITE
-class Node::ExchangeResults::Pipeline {
+class RelayTableCall::Pipeline {
 public:
-  typedef ExchangeResults Pipelines;
+  typedef RelayTableCall Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::waxwingloft::wire::Header::Pipeline getHeader();
-  inline  ::waxwingloft::wire::Message::Pipeline getMessage();
+  inline  ::waxwingloft::wire::Transaction::Pipeline getTransaction();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -5025,4118 +5027,5331 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
+class RelayTableAnswer::Reader {
+public:
+  typedef RelayTableAnswer Reads;
 
-inline  ::int64_t HybridTime::Reader::getMillis() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRows() const;
+  inline  ::capnp::List< ::waxwingloft::wire::Row,  ::capnp::Kind::STRUCT>::Reader getRows() const;
+
+  inline  ::uint64_t getRevision() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RelayTableAnswer::Builder {
+public:
+  typedef RelayTableAnswer Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRows();
+  inline  ::capnp::List< ::waxwingloft::wire::Row,  ::capnp::Kind::STRUCT>::Builder getRows();
+  inline void setRows( ::capnp::List< ::waxwingloft::wire::Row,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::waxwingloft::wire::Row,  ::capnp::Kind::STRUCT>::Builder initRows(unsigned int size);
+  inline void adoptRows(::capnp::Orphan< ::capnp::List< ::waxwingloft::wire::Row,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::waxwingloft::wire::Row,  ::capnp::Kind::STRUCT>> disownRows();
+
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RelayTableAnswer::Pipeline {
+public:
+  typedef RelayTableAnswer Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Message::Reader {
+public:
+  typedef Message Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline Which which() const;
+  inline bool isPing() const;
+  inline  ::capnp::Void getPing() const;
+
+  inline bool isAck() const;
+  inline  ::capnp::Void getAck() const;
+
+  inline bool isErrorReply() const;
+  inline bool hasErrorReply() const;
+  inline  ::waxwingloft::wire::Error::Reader getErrorReply() const;
+
+  inline bool isDispatch() const;
+  inline bool hasDispatch() const;
+  inline  ::waxwingloft::wire::Dispatch::Reader getDispatch() const;
+
+  inline bool isQueryAttempt() const;
+  inline bool hasQueryAttempt() const;
+  inline  ::waxwingloft::wire::QueryAttempt::Reader getQueryAttempt() const;
+
+  inline bool isAttemptReply() const;
+  inline bool hasAttemptReply() const;
+  inline  ::waxwingloft::wire::AttemptReply::Reader getAttemptReply() const;
+
+  inline bool isPrepareGang() const;
+  inline bool hasPrepareGang() const;
+  inline  ::waxwingloft::wire::PrepareGang::Reader getPrepareGang() const;
+
+  inline bool isStartGang() const;
+  inline bool hasStartGang() const;
+  inline  ::waxwingloft::wire::StartGang::Reader getStartGang() const;
+
+  inline bool isStopGang() const;
+  inline bool hasStopGang() const;
+  inline  ::waxwingloft::wire::StopGang::Reader getStopGang() const;
+
+  inline bool isRenewGang() const;
+  inline bool hasRenewGang() const;
+  inline  ::waxwingloft::wire::RenewGang::Reader getRenewGang() const;
+
+  inline bool isGangReply() const;
+  inline bool hasGangReply() const;
+  inline  ::waxwingloft::wire::GangReply::Reader getGangReply() const;
+
+  inline bool isAskReport() const;
+  inline bool hasAskReport() const;
+  inline  ::waxwingloft::wire::AskReport::Reader getAskReport() const;
+
+  inline bool isNodeReport() const;
+  inline bool hasNodeReport() const;
+  inline  ::waxwingloft::wire::NodeReport::Reader getNodeReport() const;
+
+  inline bool isHeartbeat() const;
+  inline bool hasHeartbeat() const;
+  inline  ::waxwingloft::wire::Heartbeat::Reader getHeartbeat() const;
+
+  inline bool isHeartbeatReply() const;
+  inline bool hasHeartbeatReply() const;
+  inline  ::waxwingloft::wire::HeartbeatReply::Reader getHeartbeatReply() const;
+
+  inline bool isPushMembers() const;
+  inline bool hasPushMembers() const;
+  inline  ::waxwingloft::wire::MembersDelta::Reader getPushMembers() const;
+
+  inline bool isPushMembersReply() const;
+  inline bool hasPushMembersReply() const;
+  inline  ::waxwingloft::wire::PushMembersReply::Reader getPushMembersReply() const;
+
+  inline bool isFetchSettings() const;
+  inline  ::uint64_t getFetchSettings() const;
+
+  inline bool isSettingsUpdate() const;
+  inline bool hasSettingsUpdate() const;
+  inline  ::waxwingloft::wire::SettingsDelta::Reader getSettingsUpdate() const;
+
+  inline bool isFetchEvents() const;
+  inline bool hasFetchEvents() const;
+  inline  ::waxwingloft::wire::FetchEvents::Reader getFetchEvents() const;
+
+  inline bool isEventBatch() const;
+  inline bool hasEventBatch() const;
+  inline  ::capnp::List< ::waxwingloft::wire::Event,  ::capnp::Kind::STRUCT>::Reader getEventBatch() const;
+
+  inline bool isNudgePlacer() const;
+  inline bool hasNudgePlacer() const;
+  inline  ::capnp::Text::Reader getNudgePlacer() const;
+
+  inline bool isDrainNode() const;
+  inline  ::capnp::Void getDrainNode() const;
+
+  inline bool isAgentReport() const;
+  inline bool hasAgentReport() const;
+  inline  ::waxwingloft::wire::AgentReport::Reader getAgentReport() const;
+
+  inline bool isAssignmentSync() const;
+  inline bool hasAssignmentSync() const;
+  inline  ::waxwingloft::wire::AssignmentSync::Reader getAssignmentSync() const;
+
+  inline bool isRelayTableCall() const;
+  inline bool hasRelayTableCall() const;
+  inline  ::waxwingloft::wire::RelayTableCall::Reader getRelayTableCall() const;
+
+  inline bool isRelayTableAnswer() const;
+  inline bool hasRelayTableAnswer() const;
+  inline  ::waxwingloft::wire::RelayTableAnswer::Reader getRelayTableAnswer() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Message::Builder {
+public:
+  typedef Message Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline Which which();
+  inline bool isPing();
+  inline  ::capnp::Void getPing();
+  inline void setPing( ::capnp::Void value = ::capnp::VOID);
+
+  inline bool isAck();
+  inline  ::capnp::Void getAck();
+  inline void setAck( ::capnp::Void value = ::capnp::VOID);
+
+  inline bool isErrorReply();
+  inline bool hasErrorReply();
+  inline  ::waxwingloft::wire::Error::Builder getErrorReply();
+  inline void setErrorReply( ::waxwingloft::wire::Error::Reader value);
+  inline  ::waxwingloft::wire::Error::Builder initErrorReply();
+  inline void adoptErrorReply(::capnp::Orphan< ::waxwingloft::wire::Error>&& value);
+  inline ::capnp::Orphan< ::waxwingloft::wire::Error> disownErrorReply();
+
+  inline bool isDispatch();
+  inline bool hasDispatch();
+  inline  ::waxwingloft::wire::Dispatch::Builder getDispatch();
+  inline void setDispatch( ::waxwingloft::wire::Dispatch::Reader value);
+  inline  ::waxwingloft::wire::Dispatch::Builder initDispatch();
+  inline void adoptDispatch(::capnp::Orphan< ::waxwingloft::wire::Dispatch>&& value);
+  inline ::capnp::Orphan< ::waxwingloft::wire::Dispatch> disownDispatch();
+
+  inline bool isQueryAttempt();
+  inline bool hasQueryAttempt();
+  inline  ::waxwingloft::wire::QueryAttempt::Builder getQueryAttempt();
+  inline void setQueryAttempt( ::waxwingloft::wire::QueryAttempt::Reader value);
+  inline  ::waxwingloft::wire::QueryAttempt::Builder initQueryAttempt();
+  inline void adoptQueryAttempt(::capnp::Orphan< ::waxwingloft::wire::QueryAttempt>&& value);
+  inline ::capnp::Orphan< ::waxwingloft::wire::QueryAttempt> disownQueryAttempt();
+
+  inline bool isAttemptReply();
+  inline bool hasAttemptReply();
+  inline  ::waxwingloft::wire::AttemptReply::Builder getAttemptReply();
+  inline void setAttemptReply( ::waxwingloft::wire::AttemptReply::Reader value);
+  inline  ::waxwingloft::wire::AttemptReply::Builder initAttemptReply();
+  inline void adoptAttemptReply(::capnp::Orphan< ::waxwingloft::wire::AttemptReply>&& value);
+  inline ::capnp::Orphan< ::waxwingloft::wire::AttemptReply> disownAttemptReply();
+
+  inline bool isPrepareGang();
+  inline bool hasPrepareGang();
+  inline  ::waxwingloft::wire::PrepareGang::Builder getPrepareGang();
+  inline void setPrepareGang( ::waxwingloft::wire::PrepareGang::Reader value);
+  inline  ::waxwingloft::wire::PrepareGang::Builder initPrepareGang();
+  inline void adoptPrepareGang(::capnp::Orphan< ::waxwingloft::wire::PrepareGang>&& value);
+  inline ::capnp::Orphan< ::waxwingloft::wire::PrepareGang> disownPrepareGang();
+
+  inline bool isStartGang();
+  inline bool hasStartGang();
+  inline  ::waxwingloft::wire::StartGang::Builder getStartGang();
+  inline void setStartGang( ::waxwingloft::wire::StartGang::Reader value);
+  inline  ::waxwingloft::wire::StartGang::Builder initStartGang();
+  inline void adoptStartGang(::capnp::Orphan< ::waxwingloft::wire::StartGang>&& value);
+  inline ::capnp::Orphan< ::waxwingloft::wire::StartGang> disownStartGang();
+
+  inline bool isStopGang();
+  inline bool hasStopGang();
+  inline  ::waxwingloft::wire::StopGang::Builder getStopGang();
+  inline void setStopGang( ::waxwingloft::wire::StopGang::Reader value);
+  inline  ::waxwingloft::wire::StopGang::Builder initStopGang();
+  inline void adoptStopGang(::capnp::Orphan< ::waxwingloft::wire::StopGang>&& value);
+  inline ::capnp::Orphan< ::waxwingloft::wire::StopGang> disownStopGang();
+
+  inline bool isRenewGang();
+  inline bool hasRenewGang();
+  inline  ::waxwingloft::wire::RenewGang::Builder getRenewGang();
+  inline void setRenewGang( ::waxwingloft::wire::RenewGang::Reader value);
+  inline  ::waxwingloft::wire::RenewGang::Builder initRenewGang();
+  inline void adoptRenewGang(::capnp::Orphan< ::waxwingloft::wire::RenewGang>&& value);
+  inline ::capnp::Orphan< ::waxwingloft::wire::RenewGang> disownRenewGang();
+
+  inline bool isGangReply();
+  inline bool hasGangReply();
+  inline  ::waxwingloft::wire::GangReply::Builder getGangReply();
+  inline void setGangReply( ::waxwingloft::wire::GangReply::Reader value);
+  inline  ::waxwingloft::wire::GangReply::Builder initGangReply();
+  inline void adoptGangReply(::capnp::Orphan< ::waxwingloft::wire::GangReply>&& value);
+  inline ::capnp::Orphan< ::waxwingloft::wire::GangReply> disownGangReply();
+
+  inline bool isAskReport();
+  inline bool hasAskReport();
+  inline  ::waxwingloft::wire::AskReport::Builder getAskReport();
+  inline void setAskReport( ::waxwingloft::wire::AskReport::Reader value);
+  inline  ::waxwingloft::wire::AskReport::Builder initAskReport();
+  inline void adoptAskReport(::capnp::Orphan< ::waxwingloft::wire::AskReport>&& value);
+  inline ::capnp::Orphan< ::waxwingloft::wire::AskReport> disownAskReport();
+
+  inline bool isNodeReport();
+  inline bool hasNodeReport();
+  inline  ::waxwingloft::wire::NodeReport::Builder getNodeReport();
+  inline void setNodeReport( ::waxwingloft::wire::NodeReport::Reader value);
+  inline  ::waxwingloft::wire::NodeReport::Builder initNodeReport();
+  inline void adoptNodeReport(::capnp::Orphan< ::waxwingloft::wire::NodeReport>&& value);
+  inline ::capnp::Orphan< ::waxwingloft::wire::NodeReport> disownNodeReport();
+
+  inline bool isHeartbeat();
+  inline bool hasHeartbeat();
+  inline  ::waxwingloft::wire::Heartbeat::Builder getHeartbeat();
+  inline void setHeartbeat( ::waxwingloft::wire::Heartbeat::Reader value);
+  inline  ::waxwingloft::wire::Heartbeat::Builder initHeartbeat();
+  inline void adoptHeartbeat(::capnp::Orphan< ::waxwingloft::wire::Heartbeat>&& value);
+  inline ::capnp::Orphan< ::waxwingloft::wire::Heartbeat> disownHeartbeat();
+
+  inline bool isHeartbeatReply();
+  inline bool hasHeartbeatReply();
+  inline  ::waxwingloft::wire::HeartbeatReply::Builder getHeartbeatReply();
+  inline void setHeartbeatReply( ::waxwingloft::wire::HeartbeatReply::Reader value);
+  inline  ::waxwingloft::wire::HeartbeatReply::Builder initHeartbeatReply();
+  inline void adoptHeartbeatReply(::capnp::Orphan< ::waxwingloft::wire::HeartbeatReply>&& value);
+  inline ::capnp::Orphan< ::waxwingloft::wire::HeartbeatReply> disownHeartbeatReply();
+
+  inline bool isPushMembers();
+  inline bool hasPushMembers();
+  inline  ::waxwingloft::wire::MembersDelta::Builder getPushMembers();
+  inline void setPushMembers( ::waxwingloft::wire::MembersDelta::Reader value);
+  inline  ::waxwingloft::wire::MembersDelta::Builder initPushMembers();
+  inline void adoptPushMembers(::capnp::Orphan< ::waxwingloft::wire::MembersDelta>&& value);
+  inline ::capnp::Orphan< ::waxwingloft::wire::MembersDelta> disownPushMembers();
+
+  inline bool isPushMembersReply();
+  inline bool hasPushMembersReply();
+  inline  ::waxwingloft::wire::PushMembersReply::Builder getPushMembersReply();
+  inline void setPushMembersReply( ::waxwingloft::wire::PushMembersReply::Reader value);
+  inline  ::waxwingloft::wire::PushMembersReply::Builder initPushMembersReply();
+  inline void adoptPushMembersReply(::capnp::Orphan< ::waxwingloft::wire::PushMembersReply>&& value);
+  inline ::capnp::Orphan< ::waxwingloft::wire::PushMembersReply> disownPushMembersReply();
+
+  inline bool isFetchSettings();
+  inline  ::uint64_t getFetchSettings();
+  inline void setFetchSettings( ::uint64_t value);
+
+  inline bool isSettingsUpdate();
+  inline bool hasSettingsUpdate();
+  inline  ::waxwingloft::wire::SettingsDelta::Builder getSettingsUpdate();
+  inline void setSettingsUpdate( ::waxwingloft::wire::SettingsDelta::Reader value);
+  inline  ::waxwingloft::wire::SettingsDelta::Builder initSettingsUpdate();
+  inline void adoptSettingsUpdate(::capnp::Orphan< ::waxwingloft::wire::SettingsDelta>&& value);
+  inline ::capnp::Orphan< ::waxwingloft::wire::SettingsDelta> disownSettingsUpdate();
+
+  inline bool isFetchEvents();
+  inline bool hasFetchEvents();
+  inline  ::waxwingloft::wire::FetchEvents::Builder getFetchEvents();
+  inline void setFetchEvents( ::waxwingloft::wire::FetchEvents::Reader value);
+  inline  ::waxwingloft::wire::FetchEvents::Builder initFetchEvents();
+  inline void adoptFetchEvents(::capnp::Orphan< ::waxwingloft::wire::FetchEvents>&& value);
+  inline ::capnp::Orphan< ::waxwingloft::wire::FetchEvents> disownFetchEvents();
+
+  inline bool isEventBatch();
+  inline bool hasEventBatch();
+  inline  ::capnp::List< ::waxwingloft::wire::Event,  ::capnp::Kind::STRUCT>::Builder getEventBatch();
+  inline void setEventBatch( ::capnp::List< ::waxwingloft::wire::Event,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::waxwingloft::wire::Event,  ::capnp::Kind::STRUCT>::Builder initEventBatch(unsigned int size);
+  inline void adoptEventBatch(::capnp::Orphan< ::capnp::List< ::waxwingloft::wire::Event,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::waxwingloft::wire::Event,  ::capnp::Kind::STRUCT>> disownEventBatch();
+
+  inline bool isNudgePlacer();
+  inline bool hasNudgePlacer();
+  inline  ::capnp::Text::Builder getNudgePlacer();
+  inline void setNudgePlacer( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initNudgePlacer(unsigned int size);
+  inline void adoptNudgePlacer(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownNudgePlacer();
+
+  inline bool isDrainNode();
+  inline  ::capnp::Void getDrainNode();
+  inline void setDrainNode( ::capnp::Void value = ::capnp::VOID);
+
+  inline bool isAgentReport();
+  inline bool hasAgentReport();
+  inline  ::waxwingloft::wire::AgentReport::Builder getAgentReport();
+  inline void setAgentReport( ::waxwingloft::wire::AgentReport::Reader value);
+  inline  ::waxwingloft::wire::AgentReport::Builder initAgentReport();
+  inline void adoptAgentReport(::capnp::Orphan< ::waxwingloft::wire::AgentReport>&& value);
+  inline ::capnp::Orphan< ::waxwingloft::wire::AgentReport> disownAgentReport();
+
+  inline bool isAssignmentSync();
+  inline bool hasAssignmentSync();
+  inline  ::waxwingloft::wire::AssignmentSync::Builder getAssignmentSync();
+  inline void setAssignmentSync( ::waxwingloft::wire::AssignmentSync::Reader value);
+  inline  ::waxwingloft::wire::AssignmentSync::Builder initAssignmentSync();
+  inline void adoptAssignmentSync(::capnp::Orphan< ::waxwingloft::wire::AssignmentSync>&& value);
+  inline ::capnp::Orphan< ::waxwingloft::wire::AssignmentSync> disownAssignmentSync();
+
+  inline bool isRelayTableCall();
+  inline bool hasRelayTableCall();
+  inline  ::waxwingloft::wire::RelayTableCall::Builder getRelayTableCall();
+  inline void setRelayTableCall( ::waxwingloft::wire::RelayTableCall::Reader value);
+  inline  ::waxwingloft::wire::RelayTableCall::Builder initRelayTableCall();
+  inline void adoptRelayTableCall(::capnp::Orphan< ::waxwingloft::wire::RelayTableCall>&& value);
+  inline ::capnp::Orphan< ::waxwingloft::wire::RelayTableCall> disownRelayTableCall();
+
+  inline bool isRelayTableAnswer();
+  inline bool hasRelayTableAnswer();
+  inline  ::waxwingloft::wire::RelayTableAnswer::Builder getRelayTableAnswer();
+  inline void setRelayTableAnswer( ::waxwingloft::wire::RelayTableAnswer::Reader value);
+  inline  ::waxwingloft::wire::RelayTableAnswer::Builder initRelayTableAnswer();
+  inline void adoptRelayTableAnswer(::capnp::Orphan< ::waxwingloft::wire::RelayTableAnswer>&& value);
+  inline ::capnp::Orphan< ::waxwingloft::wire::RelayTableAnswer> disownRelayTableAnswer();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Message::Pipeline {
+public:
+  typedef Message Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+#if !CAPNP_LITE
+class Node::Client
+    : public virtual ::capnp::Capability::Client {
+public:
+  typedef Node Calls;
+  typedef Node Reads;
+
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
+
+  ::capnp::Request< ::waxwingloft::wire::Node::ExchangeParams,  ::waxwingloft::wire::Node::ExchangeResults> exchangeRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+
+protected:
+  Client() = default;
+};
+
+class Node::Server
+    : public virtual ::capnp::Capability::Server {
+public:
+  typedef Node Serves;
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
+
+protected:
+  typedef  ::waxwingloft::wire::Node::ExchangeParams ExchangeParams;
+  typedef  ::waxwingloft::wire::Node::ExchangeResults ExchangeResults;
+  typedef ::capnp::CallContext<ExchangeParams, ExchangeResults> ExchangeContext;
+  virtual ::kj::Promise<void> exchange(ExchangeContext context);
+
+  inline  ::waxwingloft::wire::Node::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::waxwingloft::wire::Node>();
+  }
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+};
+#endif  // !CAPNP_LITE
+
+class Node::ExchangeParams::Reader {
+public:
+  typedef ExchangeParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHeader() const;
+  inline  ::waxwingloft::wire::Header::Reader getHeader() const;
+
+  inline bool hasMessage() const;
+  inline  ::waxwingloft::wire::Message::Reader getMessage() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Node::ExchangeParams::Builder {
+public:
+  typedef ExchangeParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHeader();
+  inline  ::waxwingloft::wire::Header::Builder getHeader();
+  inline void setHeader( ::waxwingloft::wire::Header::Reader value);
+  inline  ::waxwingloft::wire::Header::Builder initHeader();
+  inline void adoptHeader(::capnp::Orphan< ::waxwingloft::wire::Header>&& value);
+  inline ::capnp::Orphan< ::waxwingloft::wire::Header> disownHeader();
+
+  inline bool hasMessage();
+  inline  ::waxwingloft::wire::Message::Builder getMessage();
+  inline void setMessage( ::waxwingloft::wire::Message::Reader value);
+  inline  ::waxwingloft::wire::Message::Builder initMessage();
+  inline void adoptMessage(::capnp::Orphan< ::waxwingloft::wire::Message>&& value);
+  inline ::capnp::Orphan< ::waxwingloft::wire::Message> disownMessage();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Node::ExchangeParams::Pipeline {
+public:
+  typedef ExchangeParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::waxwingloft::wire::Header::Pipeline getHeader();
+  inline  ::waxwingloft::wire::Message::Pipeline getMessage();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Node::ExchangeResults::Reader {
+public:
+  typedef ExchangeResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHeader() const;
+  inline  ::waxwingloft::wire::Header::Reader getHeader() const;
+
+  inline bool hasMessage() const;
+  inline  ::waxwingloft::wire::Message::Reader getMessage() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Node::ExchangeResults::Builder {
+public:
+  typedef ExchangeResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHeader();
+  inline  ::waxwingloft::wire::Header::Builder getHeader();
+  inline void setHeader( ::waxwingloft::wire::Header::Reader value);
+  inline  ::waxwingloft::wire::Header::Builder initHeader();
+  inline void adoptHeader(::capnp::Orphan< ::waxwingloft::wire::Header>&& value);
+  inline ::capnp::Orphan< ::waxwingloft::wire::Header> disownHeader();
+
+  inline bool hasMessage();
+  inline  ::waxwingloft::wire::Message::Builder getMessage();
+  inline void setMessage( ::waxwingloft::wire::Message::Reader value);
+  inline  ::waxwingloft::wire::Message::Builder initMessage();
+  inline void adoptMessage(::capnp::Orphan< ::waxwingloft::wire::Message>&& value);
+  inline ::capnp::Orphan< ::waxwingloft::wire::Message> disownMessage();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Node::ExchangeResults::Pipeline {
+public:
+  typedef ExchangeResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::waxwingloft::wire::Header::Pipeline getHeader();
+  inline  ::waxwingloft::wire::Message::Pipeline getMessage();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline  ::int64_t HybridTime::Reader::getMillis() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t HybridTime::Builder::getMillis() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void HybridTime::Builder::setMillis( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t HybridTime::Reader::getCounter() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t HybridTime::Builder::getCounter() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void HybridTime::Builder::setCounter( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Header::Reader::hasFrom() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Header::Builder::hasFrom() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Header::Reader::getFrom() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Header::Builder::getFrom() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Header::Builder::setFrom( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Header::Builder::initFrom(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Header::Builder::adoptFrom(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Header::Builder::disownFrom() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Header::Reader::hasAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Header::Builder::hasAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Header::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Header::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Header::Builder::setAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Header::Builder::initAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Header::Builder::adoptAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Header::Builder::disownAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Header::Reader::hasTime() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Header::Builder::hasTime() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::waxwingloft::wire::HybridTime::Reader Header::Reader::getTime() const {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::HybridTime>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::waxwingloft::wire::HybridTime::Builder Header::Builder::getTime() {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::HybridTime>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::waxwingloft::wire::HybridTime::Pipeline Header::Pipeline::getTime() {
+  return  ::waxwingloft::wire::HybridTime::Pipeline(_typeless.getPointerField(2));
+}
+#endif  // !CAPNP_LITE
+inline void Header::Builder::setTime( ::waxwingloft::wire::HybridTime::Reader value) {
+  ::capnp::_::PointerHelpers< ::waxwingloft::wire::HybridTime>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::waxwingloft::wire::HybridTime::Builder Header::Builder::initTime() {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::HybridTime>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Header::Builder::adoptTime(
+    ::capnp::Orphan< ::waxwingloft::wire::HybridTime>&& value) {
+  ::capnp::_::PointerHelpers< ::waxwingloft::wire::HybridTime>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::waxwingloft::wire::HybridTime> Header::Builder::disownTime() {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::HybridTime>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Header::Reader::getSettingsVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Header::Builder::getSettingsVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Header::Builder::setSettingsVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t Error::Reader::getKind() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t Error::Builder::getKind() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Error::Builder::setKind( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Error::Reader::hasMessage() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Error::Builder::hasMessage() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Error::Reader::getMessage() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Error::Builder::getMessage() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Error::Builder::setMessage( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Error::Builder::initMessage(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Error::Builder::adoptMessage(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Error::Builder::disownMessage() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Error::Reader::hasRemedy() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Error::Builder::hasRemedy() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Error::Reader::getRemedy() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Error::Builder::getRemedy() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Error::Builder::setRemedy( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Error::Builder::initRemedy(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Error::Builder::adoptRemedy(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Error::Builder::disownRemedy() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t Load::Reader::getInUse() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Load::Builder::getInUse() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setInUse( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Load::Reader::getSlots() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Load::Builder::getSlots() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setSlots( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t Resources::Reader::getProcessors() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Resources::Builder::getProcessors() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Resources::Builder::setProcessors( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t Resources::Reader::getMemoryGb() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Resources::Builder::getMemoryGb() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Resources::Builder::setMemoryGb( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t Resources::Reader::getAccelerators() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Resources::Builder::getAccelerators() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Resources::Builder::setAccelerators( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Location::Reader::hasRegion() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Location::Builder::hasRegion() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Location::Reader::getRegion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Location::Builder::getRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Location::Builder::setRegion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Location::Builder::initRegion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Location::Builder::adoptRegion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Location::Builder::disownRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Location::Reader::hasDataCentre() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Location::Builder::hasDataCentre() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Location::Reader::getDataCentre() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Location::Builder::getDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Location::Builder::setDataCentre( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Location::Builder::initDataCentre(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Location::Builder::adoptDataCentre(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Location::Builder::disownDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Location::Reader::hasRack() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Location::Builder::hasRack() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Location::Reader::getRack() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Location::Builder::getRack() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Location::Builder::setRack( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Location::Builder::initRack(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Location::Builder::adoptRack(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Location::Builder::disownRack() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool Dispatch::Reader::hasAttempt() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Dispatch::Builder::hasAttempt() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Dispatch::Reader::getAttempt() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Dispatch::Builder::getAttempt() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Dispatch::Builder::setAttempt( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Dispatch::Builder::initAttempt(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Dispatch::Builder::adoptAttempt(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Dispatch::Builder::disownAttempt() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Dispatch::Reader::hasWorkspace() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Dispatch::Builder::hasWorkspace() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Dispatch::Reader::getWorkspace() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Dispatch::Builder::getWorkspace() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Dispatch::Builder::setWorkspace( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Dispatch::Builder::initWorkspace(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Dispatch::Builder::adoptWorkspace(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Dispatch::Builder::disownWorkspace() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Dispatch::Reader::hasRequest() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Dispatch::Builder::hasRequest() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Dispatch::Reader::getRequest() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Dispatch::Builder::getRequest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Dispatch::Builder::setRequest( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Dispatch::Builder::initRequest(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Dispatch::Builder::adoptRequest(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Dispatch::Builder::disownRequest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool Dispatch::Reader::hasKind() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Dispatch::Builder::hasKind() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Dispatch::Reader::getKind() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Dispatch::Builder::getKind() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Dispatch::Builder::setKind( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Dispatch::Builder::initKind(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void Dispatch::Builder::adoptKind(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Dispatch::Builder::disownKind() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool Dispatch::Reader::hasTeam() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool Dispatch::Builder::hasTeam() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Dispatch::Reader::getTeam() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Dispatch::Builder::getTeam() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void Dispatch::Builder::setTeam( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Dispatch::Builder::initTeam(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void Dispatch::Builder::adoptTeam(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Dispatch::Builder::disownTeam() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Dispatch::Reader::getTeamVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Dispatch::Builder::getTeamVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Dispatch::Builder::setTeamVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Dispatch::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Dispatch::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Dispatch::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Dispatch::Reader::getIdempotent() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool Dispatch::Builder::getIdempotent() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void Dispatch::Builder::setIdempotent(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t Dispatch::Reader::getTimeLeftMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Dispatch::Builder::getTimeLeftMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Dispatch::Builder::setTimeLeftMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Dispatch::Reader::hasPayload() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool Dispatch::Builder::hasPayload() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader Dispatch::Reader::getPayload() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-
-inline  ::int64_t HybridTime::Builder::getMillis() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::capnp::Data::Builder Dispatch::Builder::getPayload() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline void HybridTime::Builder::setMillis( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Dispatch::Builder::setPayload( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint32_t HybridTime::Reader::getCounter() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::capnp::Data::Builder Dispatch::Builder::initPayload(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
 }
-
-inline  ::uint32_t HybridTime::Builder::getCounter() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline void Dispatch::Builder::adoptPayload(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void HybridTime::Builder::setCounter( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::Data> Dispatch::Builder::disownPayload() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
-inline bool Header::Reader::hasFrom() const {
+inline bool QueryAttempt::Reader::hasAttempt() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Header::Builder::hasFrom() {
+inline bool QueryAttempt::Builder::hasAttempt() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Header::Reader::getFrom() const {
+inline  ::capnp::Text::Reader QueryAttempt::Reader::getAttempt() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Header::Builder::getFrom() {
+inline  ::capnp::Text::Builder QueryAttempt::Builder::getAttempt() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Header::Builder::setFrom( ::capnp::Text::Reader value) {
+inline void QueryAttempt::Builder::setAttempt( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Header::Builder::initFrom(unsigned int size) {
+inline  ::capnp::Text::Builder QueryAttempt::Builder::initAttempt(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Header::Builder::adoptFrom(
+inline void QueryAttempt::Builder::adoptAttempt(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Header::Builder::disownFrom() {
+inline ::capnp::Orphan< ::capnp::Text> QueryAttempt::Builder::disownAttempt() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Header::Reader::hasAddress() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool Header::Builder::hasAddress() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Header::Reader::getAddress() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Header::Builder::getAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void Header::Builder::setAddress( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Header::Builder::initAddress(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void Header::Builder::adoptAddress(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> Header::Builder::disownAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline bool Header::Reader::hasTime() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool Header::Builder::hasTime() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::waxwingloft::wire::HybridTime::Reader Header::Reader::getTime() const {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::HybridTime>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::waxwingloft::wire::HybridTime::Builder Header::Builder::getTime() {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::HybridTime>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::waxwingloft::wire::HybridTime::Pipeline Header::Pipeline::getTime() {
-  return  ::waxwingloft::wire::HybridTime::Pipeline(_typeless.getPointerField(2));
-}
-#endif  // !CAPNP_LITE
-inline void Header::Builder::setTime( ::waxwingloft::wire::HybridTime::Reader value) {
-  ::capnp::_::PointerHelpers< ::waxwingloft::wire::HybridTime>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::waxwingloft::wire::HybridTime::Builder Header::Builder::initTime() {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::HybridTime>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void Header::Builder::adoptTime(
-    ::capnp::Orphan< ::waxwingloft::wire::HybridTime>&& value) {
-  ::capnp::_::PointerHelpers< ::waxwingloft::wire::HybridTime>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::waxwingloft::wire::HybridTime> Header::Builder::disownTime() {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::HybridTime>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-
-inline  ::uint64_t Header::Reader::getSettingsVersion() const {
+inline  ::uint64_t QueryAttempt::Reader::getIncarnation() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Header::Builder::getSettingsVersion() {
+inline  ::uint64_t QueryAttempt::Builder::getIncarnation() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Header::Builder::setSettingsVersion( ::uint64_t value) {
+inline void QueryAttempt::Builder::setIncarnation( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint8_t Error::Reader::getKind() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::int64_t QueryAttempt::Reader::getWaitMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t Error::Builder::getKind() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::int64_t QueryAttempt::Builder::getWaitMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Error::Builder::setKind( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void QueryAttempt::Builder::setWaitMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Error::Reader::hasMessage() const {
+inline  ::int64_t QueryAttempt::Reader::getAgeMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t QueryAttempt::Builder::getAgeMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void QueryAttempt::Builder::setAgeMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool AttemptReply::Reader::hasAttempt() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Error::Builder::hasMessage() {
+inline bool AttemptReply::Builder::hasAttempt() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Error::Reader::getMessage() const {
+inline  ::capnp::Text::Reader AttemptReply::Reader::getAttempt() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Error::Builder::getMessage() {
+inline  ::capnp::Text::Builder AttemptReply::Builder::getAttempt() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Error::Builder::setMessage( ::capnp::Text::Reader value) {
+inline void AttemptReply::Builder::setAttempt( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Error::Builder::initMessage(unsigned int size) {
+inline  ::capnp::Text::Builder AttemptReply::Builder::initAttempt(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Error::Builder::adoptMessage(
+inline void AttemptReply::Builder::adoptAttempt(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Error::Builder::disownMessage() {
+inline ::capnp::Orphan< ::capnp::Text> AttemptReply::Builder::disownAttempt() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Error::Reader::hasRemedy() const {
+inline  ::uint8_t AttemptReply::Reader::getState() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t AttemptReply::Builder::getState() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void AttemptReply::Builder::setState( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t AttemptReply::Reader::getOutcome() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t AttemptReply::Builder::getOutcome() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void AttemptReply::Builder::setOutcome( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool AttemptReply::Reader::hasError() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Error::Builder::hasRemedy() {
+inline bool AttemptReply::Builder::hasError() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Error::Reader::getRemedy() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::waxwingloft::wire::Error::Reader AttemptReply::Reader::getError() const {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Error>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Error::Builder::getRemedy() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::waxwingloft::wire::Error::Builder AttemptReply::Builder::getError() {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Error>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Error::Builder::setRemedy( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::waxwingloft::wire::Error::Pipeline AttemptReply::Pipeline::getError() {
+  return  ::waxwingloft::wire::Error::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void AttemptReply::Builder::setError( ::waxwingloft::wire::Error::Reader value) {
+  ::capnp::_::PointerHelpers< ::waxwingloft::wire::Error>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Error::Builder::initRemedy(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::waxwingloft::wire::Error::Builder AttemptReply::Builder::initError() {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Error>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Error::Builder::adoptRemedy(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void AttemptReply::Builder::adoptError(
+    ::capnp::Orphan< ::waxwingloft::wire::Error>&& value) {
+  ::capnp::_::PointerHelpers< ::waxwingloft::wire::Error>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Error::Builder::disownRemedy() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::waxwingloft::wire::Error> AttemptReply::Builder::disownError() {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Error>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t Load::Reader::getInUse() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool AttemptReply::Reader::hasPayload() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool AttemptReply::Builder::hasPayload() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader AttemptReply::Reader::getPayload() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-
-inline  ::uint32_t Load::Builder::getInUse() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::capnp::Data::Builder AttemptReply::Builder::getPayload() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Load::Builder::setInUse( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void AttemptReply::Builder::setPayload( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint32_t Load::Reader::getSlots() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::capnp::Data::Builder AttemptReply::Builder::initPayload(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-
-inline  ::uint32_t Load::Builder::getSlots() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline void AttemptReply::Builder::adoptPayload(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void Load::Builder::setSlots( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::Data> AttemptReply::Builder::disownPayload() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::int64_t Resources::Reader::getProcessors() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool AttemptReply::Reader::hasLoad() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::int64_t Resources::Builder::getProcessors() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool AttemptReply::Builder::hasLoad() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline void Resources::Builder::setProcessors( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline  ::waxwingloft::wire::Load::Reader AttemptReply::Reader::getLoad() const {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Load>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-
-inline  ::int64_t Resources::Reader::getMemoryGb() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::waxwingloft::wire::Load::Builder AttemptReply::Builder::getLoad() {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Load>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-
-inline  ::int64_t Resources::Builder::getMemoryGb() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+#if !CAPNP_LITE
+inline  ::waxwingloft::wire::Load::Pipeline AttemptReply::Pipeline::getLoad() {
+  return  ::waxwingloft::wire::Load::Pipeline(_typeless.getPointerField(3));
 }
-inline void Resources::Builder::setMemoryGb( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+#endif  // !CAPNP_LITE
+inline void AttemptReply::Builder::setLoad( ::waxwingloft::wire::Load::Reader value) {
+  ::capnp::_::PointerHelpers< ::waxwingloft::wire::Load>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-
-inline  ::int64_t Resources::Reader::getAccelerators() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::waxwingloft::wire::Load::Builder AttemptReply::Builder::initLoad() {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Load>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-
-inline  ::int64_t Resources::Builder::getAccelerators() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline void AttemptReply::Builder::adoptLoad(
+    ::capnp::Orphan< ::waxwingloft::wire::Load>&& value) {
+  ::capnp::_::PointerHelpers< ::waxwingloft::wire::Load>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void Resources::Builder::setAccelerators( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::waxwingloft::wire::Load> AttemptReply::Builder::disownLoad() {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Load>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool Location::Reader::hasRegion() const {
+inline bool GangMember::Reader::hasNode() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Location::Builder::hasRegion() {
+inline bool GangMember::Builder::hasNode() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Location::Reader::getRegion() const {
+inline  ::capnp::Text::Reader GangMember::Reader::getNode() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Location::Builder::getRegion() {
+inline  ::capnp::Text::Builder GangMember::Builder::getNode() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Location::Builder::setRegion( ::capnp::Text::Reader value) {
+inline void GangMember::Builder::setNode( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Location::Builder::initRegion(unsigned int size) {
+inline  ::capnp::Text::Builder GangMember::Builder::initNode(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Location::Builder::adoptRegion(
+inline void GangMember::Builder::adoptNode(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Location::Builder::disownRegion() {
+inline ::capnp::Orphan< ::capnp::Text> GangMember::Builder::disownNode() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Location::Reader::hasDataCentre() const {
+inline bool GangMember::Reader::hasAddress() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Location::Builder::hasDataCentre() {
+inline bool GangMember::Builder::hasAddress() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Location::Reader::getDataCentre() const {
+inline  ::capnp::Text::Reader GangMember::Reader::getAddress() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Location::Builder::getDataCentre() {
+inline  ::capnp::Text::Builder GangMember::Builder::getAddress() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Location::Builder::setDataCentre( ::capnp::Text::Reader value) {
+inline void GangMember::Builder::setAddress( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Location::Builder::initDataCentre(unsigned int size) {
+inline  ::capnp::Text::Builder GangMember::Builder::initAddress(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Location::Builder::adoptDataCentre(
+inline void GangMember::Builder::adoptAddress(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Location::Builder::disownDataCentre() {
+inline ::capnp::Orphan< ::capnp::Text> GangMember::Builder::disownAddress() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Location::Reader::hasRack() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool Location::Builder::hasRack() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Location::Reader::getRack() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::uint64_t GangMember::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::Text::Builder Location::Builder::getRack() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+
+inline  ::uint64_t GangMember::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Location::Builder::setRack( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void GangMember::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::Text::Builder Location::Builder::initRack(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+
+inline  ::uint32_t GangMember::Reader::getTasks() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Location::Builder::adoptRack(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint32_t GangMember::Builder::getTasks() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Text> Location::Builder::disownRack() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline void GangMember::Builder::setTasks( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Dispatch::Reader::hasAttempt() const {
+inline bool PrepareGang::Reader::hasJob() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Dispatch::Builder::hasAttempt() {
+inline bool PrepareGang::Builder::hasJob() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Dispatch::Reader::getAttempt() const {
+inline  ::capnp::Text::Reader PrepareGang::Reader::getJob() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Dispatch::Builder::getAttempt() {
+inline  ::capnp::Text::Builder PrepareGang::Builder::getJob() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Dispatch::Builder::setAttempt( ::capnp::Text::Reader value) {
+inline void PrepareGang::Builder::setJob( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Dispatch::Builder::initAttempt(unsigned int size) {
+inline  ::capnp::Text::Builder PrepareGang::Builder::initJob(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Dispatch::Builder::adoptAttempt(
+inline void PrepareGang::Builder::adoptJob(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Dispatch::Builder::disownAttempt() {
+inline ::capnp::Orphan< ::capnp::Text> PrepareGang::Builder::disownJob() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Dispatch::Reader::hasWorkspace() const {
+inline bool PrepareGang::Reader::hasAttempt() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Dispatch::Builder::hasWorkspace() {
+inline bool PrepareGang::Builder::hasAttempt() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Dispatch::Reader::getWorkspace() const {
+inline  ::capnp::Text::Reader PrepareGang::Reader::getAttempt() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Dispatch::Builder::getWorkspace() {
+inline  ::capnp::Text::Builder PrepareGang::Builder::getAttempt() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Dispatch::Builder::setWorkspace( ::capnp::Text::Reader value) {
+inline void PrepareGang::Builder::setAttempt( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Dispatch::Builder::initWorkspace(unsigned int size) {
+inline  ::capnp::Text::Builder PrepareGang::Builder::initAttempt(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Dispatch::Builder::adoptWorkspace(
+inline void PrepareGang::Builder::adoptAttempt(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Dispatch::Builder::disownWorkspace() {
+inline ::capnp::Orphan< ::capnp::Text> PrepareGang::Builder::disownAttempt() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Dispatch::Reader::hasRequest() const {
+inline bool PrepareGang::Reader::hasRegion() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool Dispatch::Builder::hasRequest() {
+inline bool PrepareGang::Builder::hasRegion() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Dispatch::Reader::getRequest() const {
+inline  ::capnp::Text::Reader PrepareGang::Reader::getRegion() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Dispatch::Builder::getRequest() {
+inline  ::capnp::Text::Builder PrepareGang::Builder::getRegion() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Dispatch::Builder::setRequest( ::capnp::Text::Reader value) {
+inline void PrepareGang::Builder::setRegion( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Dispatch::Builder::initRequest(unsigned int size) {
+inline  ::capnp::Text::Builder PrepareGang::Builder::initRegion(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void Dispatch::Builder::adoptRequest(
+inline void PrepareGang::Builder::adoptRegion(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Dispatch::Builder::disownRequest() {
+inline ::capnp::Orphan< ::capnp::Text> PrepareGang::Builder::disownRegion() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool Dispatch::Reader::hasKind() const {
+inline  ::uint64_t PrepareGang::Reader::getEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PrepareGang::Builder::getEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PrepareGang::Builder::setEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PrepareGang::Reader::hasWorkspace() const {
   return !_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool Dispatch::Builder::hasKind() {
+inline bool PrepareGang::Builder::hasWorkspace() {
   return !_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Dispatch::Reader::getKind() const {
+inline  ::capnp::Text::Reader PrepareGang::Reader::getWorkspace() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Dispatch::Builder::getKind() {
+inline  ::capnp::Text::Builder PrepareGang::Builder::getWorkspace() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void Dispatch::Builder::setKind( ::capnp::Text::Reader value) {
+inline void PrepareGang::Builder::setWorkspace( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Dispatch::Builder::initKind(unsigned int size) {
+inline  ::capnp::Text::Builder PrepareGang::Builder::initWorkspace(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void Dispatch::Builder::adoptKind(
+inline void PrepareGang::Builder::adoptWorkspace(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Dispatch::Builder::disownKind() {
+inline ::capnp::Orphan< ::capnp::Text> PrepareGang::Builder::disownWorkspace() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool Dispatch::Reader::hasTeam() const {
+inline bool PrepareGang::Reader::hasTeam() const {
   return !_reader.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline bool Dispatch::Builder::hasTeam() {
+inline bool PrepareGang::Builder::hasTeam() {
   return !_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Dispatch::Reader::getTeam() const {
+inline  ::capnp::Text::Reader PrepareGang::Reader::getTeam() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Dispatch::Builder::getTeam() {
+inline  ::capnp::Text::Builder PrepareGang::Builder::getTeam() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void Dispatch::Builder::setTeam( ::capnp::Text::Reader value) {
+inline void PrepareGang::Builder::setTeam( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Dispatch::Builder::initTeam(unsigned int size) {
+inline  ::capnp::Text::Builder PrepareGang::Builder::initTeam(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
-inline void Dispatch::Builder::adoptTeam(
+inline void PrepareGang::Builder::adoptTeam(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Dispatch::Builder::disownTeam() {
+inline ::capnp::Orphan< ::capnp::Text> PrepareGang::Builder::disownTeam() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Dispatch::Reader::getTeamVersion() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t Dispatch::Builder::getTeamVersion() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Dispatch::Builder::setTeamVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t Dispatch::Reader::getIncarnation() const {
+inline  ::uint64_t PrepareGang::Reader::getTeamVersion() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Dispatch::Builder::getIncarnation() {
+inline  ::uint64_t PrepareGang::Builder::getTeamVersion() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Dispatch::Builder::setIncarnation( ::uint64_t value) {
+inline void PrepareGang::Builder::setTeamVersion( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Dispatch::Reader::getIdempotent() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
-}
-
-inline bool Dispatch::Builder::getIdempotent() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
-}
-inline void Dispatch::Builder::setIdempotent(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::int64_t Dispatch::Reader::getTimeLeftMs() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-
-inline  ::int64_t Dispatch::Builder::getTimeLeftMs() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-inline void Dispatch::Builder::setTimeLeftMs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Dispatch::Reader::hasPayload() const {
+inline bool PrepareGang::Reader::hasKind() const {
   return !_reader.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline bool Dispatch::Builder::hasPayload() {
+inline bool PrepareGang::Builder::hasKind() {
   return !_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Data::Reader Dispatch::Reader::getPayload() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader PrepareGang::Reader::getKind() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder Dispatch::Builder::getPayload() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder PrepareGang::Builder::getKind() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline void Dispatch::Builder::setPayload( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+inline void PrepareGang::Builder::setKind( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Data::Builder Dispatch::Builder::initPayload(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder PrepareGang::Builder::initKind(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS), size);
 }
-inline void Dispatch::Builder::adoptPayload(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+inline void PrepareGang::Builder::adoptKind(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Data> Dispatch::Builder::disownPayload() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> PrepareGang::Builder::disownKind() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
-inline bool QueryAttempt::Reader::hasAttempt() const {
+inline bool PrepareGang::Reader::hasPerTask() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
-inline bool QueryAttempt::Builder::hasAttempt() {
+inline bool PrepareGang::Builder::hasPerTask() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader QueryAttempt::Reader::getAttempt() const {
+inline  ::waxwingloft::wire::Resources::Reader PrepareGang::Reader::getPerTask() const {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Resources>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::waxwingloft::wire::Resources::Builder PrepareGang::Builder::getPerTask() {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Resources>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::waxwingloft::wire::Resources::Pipeline PrepareGang::Pipeline::getPerTask() {
+  return  ::waxwingloft::wire::Resources::Pipeline(_typeless.getPointerField(6));
+}
+#endif  // !CAPNP_LITE
+inline void PrepareGang::Builder::setPerTask( ::waxwingloft::wire::Resources::Reader value) {
+  ::capnp::_::PointerHelpers< ::waxwingloft::wire::Resources>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::waxwingloft::wire::Resources::Builder PrepareGang::Builder::initPerTask() {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Resources>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void PrepareGang::Builder::adoptPerTask(
+    ::capnp::Orphan< ::waxwingloft::wire::Resources>&& value) {
+  ::capnp::_::PointerHelpers< ::waxwingloft::wire::Resources>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::waxwingloft::wire::Resources> PrepareGang::Builder::disownPerTask() {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Resources>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
+inline bool PrepareGang::Reader::hasMembers() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool PrepareGang::Builder::hasMembers() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::waxwingloft::wire::GangMember,  ::capnp::Kind::STRUCT>::Reader PrepareGang::Reader::getMembers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::GangMember,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::waxwingloft::wire::GangMember,  ::capnp::Kind::STRUCT>::Builder PrepareGang::Builder::getMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::GangMember,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void PrepareGang::Builder::setMembers( ::capnp::List< ::waxwingloft::wire::GangMember,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::GangMember,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::waxwingloft::wire::GangMember,  ::capnp::Kind::STRUCT>::Builder PrepareGang::Builder::initMembers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::GangMember,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+}
+inline void PrepareGang::Builder::adoptMembers(
+    ::capnp::Orphan< ::capnp::List< ::waxwingloft::wire::GangMember,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::GangMember,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::waxwingloft::wire::GangMember,  ::capnp::Kind::STRUCT>> PrepareGang::Builder::disownMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::GangMember,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t PrepareGang::Reader::getReserveForMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t PrepareGang::Builder::getReserveForMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void PrepareGang::Builder::setReserveForMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t PrepareGang::Reader::getTaskLeaseMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t PrepareGang::Builder::getTaskLeaseMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void PrepareGang::Builder::setTaskLeaseMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PrepareGang::Reader::hasCheckpoint() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline bool PrepareGang::Builder::hasCheckpoint() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader PrepareGang::Reader::getCheckpoint() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder QueryAttempt::Builder::getAttempt() {
+inline  ::capnp::Text::Builder PrepareGang::Builder::getCheckpoint() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
-inline void QueryAttempt::Builder::setAttempt( ::capnp::Text::Reader value) {
+inline void PrepareGang::Builder::setCheckpoint( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder QueryAttempt::Builder::initAttempt(unsigned int size) {
+inline  ::capnp::Text::Builder PrepareGang::Builder::initCheckpoint(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
 }
-inline void QueryAttempt::Builder::adoptAttempt(
+inline void PrepareGang::Builder::adoptCheckpoint(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> QueryAttempt::Builder::disownAttempt() {
+inline ::capnp::Orphan< ::capnp::Text> PrepareGang::Builder::disownCheckpoint() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline  ::uint64_t QueryAttempt::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t QueryAttempt::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool PrepareGang::Reader::hasPayload() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
 }
-inline void QueryAttempt::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline bool PrepareGang::Builder::hasPayload() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::int64_t QueryAttempt::Reader::getWaitMs() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::capnp::Data::Reader PrepareGang::Reader::getPayload() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
 }
-
-inline  ::int64_t QueryAttempt::Builder::getWaitMs() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::capnp::Data::Builder PrepareGang::Builder::getPayload() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
 }
-inline void QueryAttempt::Builder::setWaitMs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void PrepareGang::Builder::setPayload( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
 }
-
-inline  ::int64_t QueryAttempt::Reader::getAgeMs() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::capnp::Data::Builder PrepareGang::Builder::initPayload(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), size);
 }
-
-inline  ::int64_t QueryAttempt::Builder::getAgeMs() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline void PrepareGang::Builder::adoptPayload(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void QueryAttempt::Builder::setAgeMs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::Data> PrepareGang::Builder::disownPayload() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
 }
 
-inline bool AttemptReply::Reader::hasAttempt() const {
+inline bool StartGang::Reader::hasJob() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool AttemptReply::Builder::hasAttempt() {
+inline bool StartGang::Builder::hasJob() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader AttemptReply::Reader::getAttempt() const {
+inline  ::capnp::Text::Reader StartGang::Reader::getJob() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder AttemptReply::Builder::getAttempt() {
+inline  ::capnp::Text::Builder StartGang::Builder::getJob() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void AttemptReply::Builder::setAttempt( ::capnp::Text::Reader value) {
+inline void StartGang::Builder::setJob( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder AttemptReply::Builder::initAttempt(unsigned int size) {
+inline  ::capnp::Text::Builder StartGang::Builder::initJob(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void AttemptReply::Builder::adoptAttempt(
+inline void StartGang::Builder::adoptJob(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> AttemptReply::Builder::disownAttempt() {
+inline ::capnp::Orphan< ::capnp::Text> StartGang::Builder::disownJob() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint8_t AttemptReply::Reader::getState() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint8_t AttemptReply::Builder::getState() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void AttemptReply::Builder::setState( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint8_t AttemptReply::Reader::getOutcome() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint8_t AttemptReply::Builder::getOutcome() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void AttemptReply::Builder::setOutcome( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool AttemptReply::Reader::hasError() const {
+inline bool StartGang::Reader::hasAttempt() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool AttemptReply::Builder::hasError() {
+inline bool StartGang::Builder::hasAttempt() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::waxwingloft::wire::Error::Reader AttemptReply::Reader::getError() const {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Error>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader StartGang::Reader::getAttempt() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::waxwingloft::wire::Error::Builder AttemptReply::Builder::getError() {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Error>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder StartGang::Builder::getAttempt() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::waxwingloft::wire::Error::Pipeline AttemptReply::Pipeline::getError() {
-  return  ::waxwingloft::wire::Error::Pipeline(_typeless.getPointerField(1));
-}
-#endif  // !CAPNP_LITE
-inline void AttemptReply::Builder::setError( ::waxwingloft::wire::Error::Reader value) {
-  ::capnp::_::PointerHelpers< ::waxwingloft::wire::Error>::set(_builder.getPointerField(
+inline void StartGang::Builder::setAttempt( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::waxwingloft::wire::Error::Builder AttemptReply::Builder::initError() {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Error>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder StartGang::Builder::initAttempt(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void AttemptReply::Builder::adoptError(
-    ::capnp::Orphan< ::waxwingloft::wire::Error>&& value) {
-  ::capnp::_::PointerHelpers< ::waxwingloft::wire::Error>::adopt(_builder.getPointerField(
+inline void StartGang::Builder::adoptAttempt(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::waxwingloft::wire::Error> AttemptReply::Builder::disownError() {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Error>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> StartGang::Builder::disownAttempt() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool AttemptReply::Reader::hasPayload() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool AttemptReply::Builder::hasPayload() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Data::Reader AttemptReply::Reader::getPayload() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Data::Builder AttemptReply::Builder::getPayload() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void AttemptReply::Builder::setPayload( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Data::Builder AttemptReply::Builder::initPayload(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
-}
-inline void AttemptReply::Builder::adoptPayload(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Data> AttemptReply::Builder::disownPayload() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::uint64_t StartGang::Reader::getEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool AttemptReply::Reader::hasLoad() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline bool AttemptReply::Builder::hasLoad() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline  ::waxwingloft::wire::Load::Reader AttemptReply::Reader::getLoad() const {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Load>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline  ::waxwingloft::wire::Load::Builder AttemptReply::Builder::getLoad() {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Load>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::waxwingloft::wire::Load::Pipeline AttemptReply::Pipeline::getLoad() {
-  return  ::waxwingloft::wire::Load::Pipeline(_typeless.getPointerField(3));
-}
-#endif  // !CAPNP_LITE
-inline void AttemptReply::Builder::setLoad( ::waxwingloft::wire::Load::Reader value) {
-  ::capnp::_::PointerHelpers< ::waxwingloft::wire::Load>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
-}
-inline  ::waxwingloft::wire::Load::Builder AttemptReply::Builder::initLoad() {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Load>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline void AttemptReply::Builder::adoptLoad(
-    ::capnp::Orphan< ::waxwingloft::wire::Load>&& value) {
-  ::capnp::_::PointerHelpers< ::waxwingloft::wire::Load>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::uint64_t StartGang::Builder::getEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::waxwingloft::wire::Load> AttemptReply::Builder::disownLoad() {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Load>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline void StartGang::Builder::setEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool GangMember::Reader::hasNode() const {
+inline bool StopGang::Reader::hasJob() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool GangMember::Builder::hasNode() {
+inline bool StopGang::Builder::hasJob() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader GangMember::Reader::getNode() const {
+inline  ::capnp::Text::Reader StopGang::Reader::getJob() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder GangMember::Builder::getNode() {
+inline  ::capnp::Text::Builder StopGang::Builder::getJob() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void GangMember::Builder::setNode( ::capnp::Text::Reader value) {
+inline void StopGang::Builder::setJob( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder GangMember::Builder::initNode(unsigned int size) {
+inline  ::capnp::Text::Builder StopGang::Builder::initJob(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void GangMember::Builder::adoptNode(
+inline void StopGang::Builder::adoptJob(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> GangMember::Builder::disownNode() {
+inline ::capnp::Orphan< ::capnp::Text> StopGang::Builder::disownJob() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool GangMember::Reader::hasAddress() const {
+inline bool StopGang::Reader::hasAttempt() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool GangMember::Builder::hasAddress() {
+inline bool StopGang::Builder::hasAttempt() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader GangMember::Reader::getAddress() const {
+inline  ::capnp::Text::Reader StopGang::Reader::getAttempt() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder GangMember::Builder::getAddress() {
+inline  ::capnp::Text::Builder StopGang::Builder::getAttempt() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void GangMember::Builder::setAddress( ::capnp::Text::Reader value) {
+inline void StopGang::Builder::setAttempt( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder GangMember::Builder::initAddress(unsigned int size) {
+inline  ::capnp::Text::Builder StopGang::Builder::initAttempt(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void GangMember::Builder::adoptAddress(
+inline void StopGang::Builder::adoptAttempt(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> GangMember::Builder::disownAddress() {
+inline ::capnp::Orphan< ::capnp::Text> StopGang::Builder::disownAttempt() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t GangMember::Reader::getIncarnation() const {
+inline  ::uint64_t StopGang::Reader::getEpoch() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t GangMember::Builder::getIncarnation() {
+inline  ::uint64_t StopGang::Builder::getEpoch() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void GangMember::Builder::setIncarnation( ::uint64_t value) {
+inline void StopGang::Builder::setEpoch( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t GangMember::Reader::getTasks() const {
-  return _reader.getDataField< ::uint32_t>(
+inline  ::int64_t StopGang::Reader::getGraceMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t StopGang::Builder::getGraceMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void StopGang::Builder::setGraceMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t StopGang::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t GangMember::Builder::getTasks() {
-  return _builder.getDataField< ::uint32_t>(
+inline  ::uint64_t StopGang::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void GangMember::Builder::setTasks( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
+inline void StopGang::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool PrepareGang::Reader::hasJob() const {
+inline bool RenewGang::Reader::hasJob() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool PrepareGang::Builder::hasJob() {
+inline bool RenewGang::Builder::hasJob() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader PrepareGang::Reader::getJob() const {
+inline  ::capnp::Text::Reader RenewGang::Reader::getJob() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder PrepareGang::Builder::getJob() {
+inline  ::capnp::Text::Builder RenewGang::Builder::getJob() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PrepareGang::Builder::setJob( ::capnp::Text::Reader value) {
+inline void RenewGang::Builder::setJob( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder PrepareGang::Builder::initJob(unsigned int size) {
+inline  ::capnp::Text::Builder RenewGang::Builder::initJob(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void PrepareGang::Builder::adoptJob(
+inline void RenewGang::Builder::adoptJob(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> PrepareGang::Builder::disownJob() {
+inline ::capnp::Orphan< ::capnp::Text> RenewGang::Builder::disownJob() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool PrepareGang::Reader::hasAttempt() const {
+inline bool RenewGang::Reader::hasAttempt() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool PrepareGang::Builder::hasAttempt() {
+inline bool RenewGang::Builder::hasAttempt() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader PrepareGang::Reader::getAttempt() const {
+inline  ::capnp::Text::Reader RenewGang::Reader::getAttempt() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder PrepareGang::Builder::getAttempt() {
+inline  ::capnp::Text::Builder RenewGang::Builder::getAttempt() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void PrepareGang::Builder::setAttempt( ::capnp::Text::Reader value) {
+inline void RenewGang::Builder::setAttempt( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder PrepareGang::Builder::initAttempt(unsigned int size) {
+inline  ::capnp::Text::Builder RenewGang::Builder::initAttempt(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void PrepareGang::Builder::adoptAttempt(
+inline void RenewGang::Builder::adoptAttempt(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> PrepareGang::Builder::disownAttempt() {
+inline ::capnp::Orphan< ::capnp::Text> RenewGang::Builder::disownAttempt() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool PrepareGang::Reader::hasRegion() const {
+inline bool RenewGang::Reader::hasMember() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool PrepareGang::Builder::hasRegion() {
+inline bool RenewGang::Builder::hasMember() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader PrepareGang::Reader::getRegion() const {
+inline  ::capnp::Text::Reader RenewGang::Reader::getMember() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder PrepareGang::Builder::getRegion() {
+inline  ::capnp::Text::Builder RenewGang::Builder::getMember() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void PrepareGang::Builder::setRegion( ::capnp::Text::Reader value) {
+inline void RenewGang::Builder::setMember( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder PrepareGang::Builder::initRegion(unsigned int size) {
+inline  ::capnp::Text::Builder RenewGang::Builder::initMember(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void PrepareGang::Builder::adoptRegion(
+inline void RenewGang::Builder::adoptMember(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> PrepareGang::Builder::disownRegion() {
+inline ::capnp::Orphan< ::capnp::Text> RenewGang::Builder::disownMember() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t PrepareGang::Reader::getEpoch() const {
-  return _reader.getDataField< ::uint64_t>(
+inline  ::uint8_t RenewGang::Reader::getState() const {
+  return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t PrepareGang::Builder::getEpoch() {
-  return _builder.getDataField< ::uint64_t>(
+inline  ::uint8_t RenewGang::Builder::getState() {
+  return _builder.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void PrepareGang::Builder::setEpoch( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void RenewGang::Builder::setState( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool PrepareGang::Reader::hasWorkspace() const {
+inline bool GangReply::Reader::hasJob() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool PrepareGang::Builder::hasWorkspace() {
+inline bool GangReply::Builder::hasJob() {
   return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader PrepareGang::Reader::getWorkspace() const {
+inline  ::capnp::Text::Reader GangReply::Reader::getJob() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder PrepareGang::Builder::getWorkspace() {
+inline  ::capnp::Text::Builder GangReply::Builder::getJob() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PrepareGang::Builder::setWorkspace( ::capnp::Text::Reader value) {
+inline void GangReply::Builder::setJob( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder PrepareGang::Builder::initWorkspace(unsigned int size) {
+inline  ::capnp::Text::Builder GangReply::Builder::initJob(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void PrepareGang::Builder::adoptWorkspace(
+inline void GangReply::Builder::adoptJob(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> PrepareGang::Builder::disownWorkspace() {
+inline ::capnp::Orphan< ::capnp::Text> GangReply::Builder::disownJob() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool PrepareGang::Reader::hasTeam() const {
+inline bool GangReply::Reader::hasAttempt() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool PrepareGang::Builder::hasTeam() {
+inline bool GangReply::Builder::hasAttempt() {
   return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader PrepareGang::Reader::getTeam() const {
+inline  ::capnp::Text::Reader GangReply::Reader::getAttempt() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder PrepareGang::Builder::getTeam() {
+inline  ::capnp::Text::Builder GangReply::Builder::getAttempt() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void PrepareGang::Builder::setTeam( ::capnp::Text::Reader value) {
+inline void GangReply::Builder::setAttempt( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder PrepareGang::Builder::initTeam(unsigned int size) {
+inline  ::capnp::Text::Builder GangReply::Builder::initAttempt(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void PrepareGang::Builder::adoptTeam(
+inline void GangReply::Builder::adoptAttempt(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> PrepareGang::Builder::disownTeam() {
+inline ::capnp::Orphan< ::capnp::Text> GangReply::Builder::disownAttempt() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t PrepareGang::Reader::getTeamVersion() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint8_t GangReply::Reader::getState() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t PrepareGang::Builder::getTeamVersion() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint8_t GangReply::Builder::getState() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void PrepareGang::Builder::setTeamVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void GangReply::Builder::setState( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool PrepareGang::Reader::hasKind() const {
+inline bool GangReply::Reader::getMustStop() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline bool GangReply::Builder::getMustStop() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void GangReply::Builder::setMustStop(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool GangReply::Reader::hasCheckpoint() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool PrepareGang::Builder::hasKind() {
+inline bool GangReply::Builder::hasCheckpoint() {
   return !_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader PrepareGang::Reader::getKind() const {
+inline  ::capnp::Text::Reader GangReply::Reader::getCheckpoint() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder PrepareGang::Builder::getKind() {
+inline  ::capnp::Text::Builder GangReply::Builder::getCheckpoint() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void PrepareGang::Builder::setKind( ::capnp::Text::Reader value) {
+inline void GangReply::Builder::setCheckpoint( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder PrepareGang::Builder::initKind(unsigned int size) {
+inline  ::capnp::Text::Builder GangReply::Builder::initCheckpoint(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void PrepareGang::Builder::adoptKind(
+inline void GangReply::Builder::adoptCheckpoint(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> PrepareGang::Builder::disownKind() {
+inline ::capnp::Orphan< ::capnp::Text> GangReply::Builder::disownCheckpoint() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool PrepareGang::Reader::hasPerTask() const {
+inline bool GangReply::Reader::hasError() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool PrepareGang::Builder::hasPerTask() {
+inline bool GangReply::Builder::hasError() {
   return !_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::waxwingloft::wire::Resources::Reader PrepareGang::Reader::getPerTask() const {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Resources>::get(_reader.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
+inline  ::waxwingloft::wire::Error::Reader GangReply::Reader::getError() const {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Error>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::waxwingloft::wire::Resources::Builder PrepareGang::Builder::getPerTask() {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Resources>::get(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
+inline  ::waxwingloft::wire::Error::Builder GangReply::Builder::getError() {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Error>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::waxwingloft::wire::Resources::Pipeline PrepareGang::Pipeline::getPerTask() {
-  return  ::waxwingloft::wire::Resources::Pipeline(_typeless.getPointerField(6));
+inline  ::waxwingloft::wire::Error::Pipeline GangReply::Pipeline::getError() {
+  return  ::waxwingloft::wire::Error::Pipeline(_typeless.getPointerField(3));
 }
 #endif  // !CAPNP_LITE
-inline void PrepareGang::Builder::setPerTask( ::waxwingloft::wire::Resources::Reader value) {
-  ::capnp::_::PointerHelpers< ::waxwingloft::wire::Resources>::set(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
-}
-inline  ::waxwingloft::wire::Resources::Builder PrepareGang::Builder::initPerTask() {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Resources>::init(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
-}
-inline void PrepareGang::Builder::adoptPerTask(
-    ::capnp::Orphan< ::waxwingloft::wire::Resources>&& value) {
-  ::capnp::_::PointerHelpers< ::waxwingloft::wire::Resources>::adopt(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::waxwingloft::wire::Resources> PrepareGang::Builder::disownPerTask() {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Resources>::disown(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
-}
-
-inline bool PrepareGang::Reader::hasMembers() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
-}
-inline bool PrepareGang::Builder::hasMembers() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::waxwingloft::wire::GangMember,  ::capnp::Kind::STRUCT>::Reader PrepareGang::Reader::getMembers() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::GangMember,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::waxwingloft::wire::GangMember,  ::capnp::Kind::STRUCT>::Builder PrepareGang::Builder::getMembers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::GangMember,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
-}
-inline void PrepareGang::Builder::setMembers( ::capnp::List< ::waxwingloft::wire::GangMember,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::GangMember,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::waxwingloft::wire::GangMember,  ::capnp::Kind::STRUCT>::Builder PrepareGang::Builder::initMembers(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::GangMember,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
-}
-inline void PrepareGang::Builder::adoptMembers(
-    ::capnp::Orphan< ::capnp::List< ::waxwingloft::wire::GangMember,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::GangMember,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::waxwingloft::wire::GangMember,  ::capnp::Kind::STRUCT>> PrepareGang::Builder::disownMembers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::GangMember,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
+inline void GangReply::Builder::setError( ::waxwingloft::wire::Error::Reader value) {
+  ::capnp::_::PointerHelpers< ::waxwingloft::wire::Error>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-
-inline  ::int64_t PrepareGang::Reader::getReserveForMs() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::waxwingloft::wire::Error::Builder GangReply::Builder::initError() {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Error>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-
-inline  ::int64_t PrepareGang::Builder::getReserveForMs() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline void GangReply::Builder::adoptError(
+    ::capnp::Orphan< ::waxwingloft::wire::Error>&& value) {
+  ::capnp::_::PointerHelpers< ::waxwingloft::wire::Error>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void PrepareGang::Builder::setReserveForMs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::waxwingloft::wire::Error> GangReply::Builder::disownError() {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Error>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline  ::int64_t PrepareGang::Reader::getTaskLeaseMs() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline bool GangReply::Reader::getRefused() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t PrepareGang::Builder::getTaskLeaseMs() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline bool GangReply::Builder::getRefused() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
 }
-inline void PrepareGang::Builder::setTaskLeaseMs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void GangReply::Builder::setRefused(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool PrepareGang::Reader::hasCheckpoint() const {
+inline bool AskReport::Reader::hasRegion() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
