+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool PrepareGang::Builder::hasCheckpoint() {
+inline bool AskReport::Builder::hasRegion() {
   return !_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader PrepareGang::Reader::getCheckpoint() const {
+inline  ::capnp::Text::Reader AskReport::Reader::getRegion() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder PrepareGang::Builder::getCheckpoint() {
+inline  ::capnp::Text::Builder AskReport::Builder::getRegion() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PrepareGang::Builder::setCheckpoint( ::capnp::Text::Reader value) {
+inline void AskReport::Builder::setRegion( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder PrepareGang::Builder::initCheckpoint(unsigned int size) {
+inline  ::capnp::Text::Builder AskReport::Builder::initRegion(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void PrepareGang::Builder::adoptCheckpoint(
+inline void AskReport::Builder::adoptRegion(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> PrepareGang::Builder::disownCheckpoint() {
+inline ::capnp::Orphan< ::capnp::Text> AskReport::Builder::disownRegion() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool PrepareGang::Reader::hasPayload() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
-}
-inline bool PrepareGang::Builder::hasPayload() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Data::Reader PrepareGang::Reader::getPayload() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<9>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Data::Builder PrepareGang::Builder::getPayload() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<9>() * ::capnp::POINTERS));
-}
-inline void PrepareGang::Builder::setPayload( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Data::Builder PrepareGang::Builder::initPayload(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<9>() * ::capnp::POINTERS), size);
+inline  ::uint64_t AskReport::Reader::getEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void PrepareGang::Builder::adoptPayload(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<9>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint64_t AskReport::Builder::getEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Data> PrepareGang::Builder::disownPayload() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<9>() * ::capnp::POINTERS));
+inline void AskReport::Builder::setEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool StartGang::Reader::hasJob() const {
+inline bool GangReport::Reader::hasJob() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool StartGang::Builder::hasJob() {
+inline bool GangReport::Builder::hasJob() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader StartGang::Reader::getJob() const {
+inline  ::capnp::Text::Reader GangReport::Reader::getJob() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder StartGang::Builder::getJob() {
+inline  ::capnp::Text::Builder GangReport::Builder::getJob() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void StartGang::Builder::setJob( ::capnp::Text::Reader value) {
+inline void GangReport::Builder::setJob( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder StartGang::Builder::initJob(unsigned int size) {
+inline  ::capnp::Text::Builder GangReport::Builder::initJob(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void StartGang::Builder::adoptJob(
+inline void GangReport::Builder::adoptJob(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> StartGang::Builder::disownJob() {
+inline ::capnp::Orphan< ::capnp::Text> GangReport::Builder::disownJob() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool StartGang::Reader::hasAttempt() const {
+inline bool GangReport::Reader::hasAttempt() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool StartGang::Builder::hasAttempt() {
+inline bool GangReport::Builder::hasAttempt() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader StartGang::Reader::getAttempt() const {
+inline  ::capnp::Text::Reader GangReport::Reader::getAttempt() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder StartGang::Builder::getAttempt() {
+inline  ::capnp::Text::Builder GangReport::Builder::getAttempt() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void StartGang::Builder::setAttempt( ::capnp::Text::Reader value) {
+inline void GangReport::Builder::setAttempt( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder StartGang::Builder::initAttempt(unsigned int size) {
+inline  ::capnp::Text::Builder GangReport::Builder::initAttempt(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void StartGang::Builder::adoptAttempt(
+inline void GangReport::Builder::adoptAttempt(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> StartGang::Builder::disownAttempt() {
+inline ::capnp::Orphan< ::capnp::Text> GangReport::Builder::disownAttempt() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t StartGang::Reader::getEpoch() const {
+inline bool GangReport::Reader::hasWorkspace() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool GangReport::Builder::hasWorkspace() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader GangReport::Reader::getWorkspace() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder GangReport::Builder::getWorkspace() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void GangReport::Builder::setWorkspace( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder GangReport::Builder::initWorkspace(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void GangReport::Builder::adoptWorkspace(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> GangReport::Builder::disownWorkspace() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::uint8_t GangReport::Reader::getState() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t GangReport::Builder::getState() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void GangReport::Builder::setState( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t GangReport::Reader::getTasks() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t GangReport::Builder::getTasks() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void GangReport::Builder::setTasks( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool GangReport::Reader::hasPerTask() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool GangReport::Builder::hasPerTask() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::waxwingloft::wire::Resources::Reader GangReport::Reader::getPerTask() const {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Resources>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::waxwingloft::wire::Resources::Builder GangReport::Builder::getPerTask() {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Resources>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::waxwingloft::wire::Resources::Pipeline GangReport::Pipeline::getPerTask() {
+  return  ::waxwingloft::wire::Resources::Pipeline(_typeless.getPointerField(3));
+}
+#endif  // !CAPNP_LITE
+inline void GangReport::Builder::setPerTask( ::waxwingloft::wire::Resources::Reader value) {
+  ::capnp::_::PointerHelpers< ::waxwingloft::wire::Resources>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::waxwingloft::wire::Resources::Builder GangReport::Builder::initPerTask() {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Resources>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void GangReport::Builder::adoptPerTask(
+    ::capnp::Orphan< ::waxwingloft::wire::Resources>&& value) {
+  ::capnp::_::PointerHelpers< ::waxwingloft::wire::Resources>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::waxwingloft::wire::Resources> GangReport::Builder::disownPerTask() {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Resources>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t NodeReport::Reader::getIncarnation() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t StartGang::Builder::getEpoch() {
+inline  ::uint64_t NodeReport::Builder::getIncarnation() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void StartGang::Builder::setEpoch( ::uint64_t value) {
+inline void NodeReport::Builder::setIncarnation( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool StopGang::Reader::hasJob() const {
+inline bool NodeReport::Reader::hasGangs() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool StopGang::Builder::hasJob() {
+inline bool NodeReport::Builder::hasGangs() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader StopGang::Reader::getJob() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::waxwingloft::wire::GangReport,  ::capnp::Kind::STRUCT>::Reader NodeReport::Reader::getGangs() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::GangReport,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder StopGang::Builder::getJob() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::waxwingloft::wire::GangReport,  ::capnp::Kind::STRUCT>::Builder NodeReport::Builder::getGangs() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::GangReport,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void StopGang::Builder::setJob( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void NodeReport::Builder::setGangs( ::capnp::List< ::waxwingloft::wire::GangReport,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::GangReport,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder StopGang::Builder::initJob(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::List< ::waxwingloft::wire::GangReport,  ::capnp::Kind::STRUCT>::Builder NodeReport::Builder::initGangs(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::GangReport,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void StopGang::Builder::adoptJob(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void NodeReport::Builder::adoptGangs(
+    ::capnp::Orphan< ::capnp::List< ::waxwingloft::wire::GangReport,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::GangReport,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> StopGang::Builder::disownJob() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::waxwingloft::wire::GangReport,  ::capnp::Kind::STRUCT>> NodeReport::Builder::disownGangs() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::GangReport,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool StopGang::Reader::hasAttempt() const {
+inline bool Member::Reader::hasNode() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool StopGang::Builder::hasAttempt() {
+inline bool Member::Builder::hasNode() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader StopGang::Reader::getAttempt() const {
+inline  ::capnp::Text::Reader Member::Reader::getNode() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder StopGang::Builder::getAttempt() {
+inline  ::capnp::Text::Builder Member::Builder::getNode() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void StopGang::Builder::setAttempt( ::capnp::Text::Reader value) {
+inline void Member::Builder::setNode( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder StopGang::Builder::initAttempt(unsigned int size) {
+inline  ::capnp::Text::Builder Member::Builder::initNode(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void StopGang::Builder::adoptAttempt(
+inline void Member::Builder::adoptNode(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> StopGang::Builder::disownAttempt() {
+inline ::capnp::Orphan< ::capnp::Text> Member::Builder::disownNode() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t StopGang::Reader::getEpoch() const {
+inline  ::uint64_t Member::Reader::getIncarnation() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t StopGang::Builder::getEpoch() {
+inline  ::uint64_t Member::Builder::getIncarnation() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void StopGang::Builder::setEpoch( ::uint64_t value) {
+inline void Member::Builder::setIncarnation( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t StopGang::Reader::getGraceMs() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint8_t Member::Reader::getRole() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t StopGang::Builder::getGraceMs() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint8_t Member::Builder::getRole() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
-inline void StopGang::Builder::setGraceMs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void Member::Builder::setRole( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t StopGang::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint8_t Member::Reader::getState() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t StopGang::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint8_t Member::Builder::getState() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
 }
-inline void StopGang::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void Member::Builder::setState( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool RenewGang::Reader::hasJob() const {
+inline bool Member::Reader::hasLocation() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool RenewGang::Builder::hasJob() {
+inline bool Member::Builder::hasLocation() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader RenewGang::Reader::getJob() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::waxwingloft::wire::Location::Reader Member::Reader::getLocation() const {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Location>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder RenewGang::Builder::getJob() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::waxwingloft::wire::Location::Builder Member::Builder::getLocation() {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Location>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void RenewGang::Builder::setJob( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+#if !CAPNP_LITE
+inline  ::waxwingloft::wire::Location::Pipeline Member::Pipeline::getLocation() {
+  return  ::waxwingloft::wire::Location::Pipeline(_typeless.getPointerField(1));
 }
-inline  ::capnp::Text::Builder RenewGang::Builder::initJob(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+#endif  // !CAPNP_LITE
+inline void Member::Builder::setLocation( ::waxwingloft::wire::Location::Reader value) {
+  ::capnp::_::PointerHelpers< ::waxwingloft::wire::Location>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline void RenewGang::Builder::adoptJob(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::waxwingloft::wire::Location::Builder Member::Builder::initLocation() {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Location>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan< ::capnp::Text> RenewGang::Builder::disownJob() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void Member::Builder::adoptLocation(
+    ::capnp::Orphan< ::waxwingloft::wire::Location>&& value) {
+  ::capnp::_::PointerHelpers< ::waxwingloft::wire::Location>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::waxwingloft::wire::Location> Member::Builder::disownLocation() {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Location>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool RenewGang::Reader::hasAttempt() const {
+inline bool Member::Reader::hasRpcAddress() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool RenewGang::Builder::hasAttempt() {
+inline bool Member::Builder::hasRpcAddress() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader RenewGang::Reader::getAttempt() const {
+inline  ::capnp::Text::Reader Member::Reader::getRpcAddress() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder RenewGang::Builder::getAttempt() {
+inline  ::capnp::Text::Builder Member::Builder::getRpcAddress() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void RenewGang::Builder::setAttempt( ::capnp::Text::Reader value) {
+inline void Member::Builder::setRpcAddress( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder RenewGang::Builder::initAttempt(unsigned int size) {
+inline  ::capnp::Text::Builder Member::Builder::initRpcAddress(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void RenewGang::Builder::adoptAttempt(
+inline void Member::Builder::adoptRpcAddress(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> RenewGang::Builder::disownAttempt() {
+inline ::capnp::Orphan< ::capnp::Text> Member::Builder::disownRpcAddress() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool RenewGang::Reader::hasMember() const {
+inline bool Member::Reader::hasKinds() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool RenewGang::Builder::hasMember() {
+inline bool Member::Builder::hasKinds() {
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader RenewGang::Reader::getMember() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Member::Reader::getKinds() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder RenewGang::Builder::getMember() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Member::Builder::getKinds() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void RenewGang::Builder::setMember( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void Member::Builder::setKinds( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder RenewGang::Builder::initMember(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline void Member::Builder::setKinds(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Member::Builder::initKinds(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void Member::Builder::adoptKinds(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Member::Builder::disownKinds() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t Member::Reader::getSlots() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Member::Builder::getSlots() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setSlots( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Member::Reader::hasResources() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool Member::Builder::hasResources() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::waxwingloft::wire::Resources::Reader Member::Reader::getResources() const {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Resources>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void RenewGang::Builder::adoptMember(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::waxwingloft::wire::Resources::Builder Member::Builder::getResources() {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Resources>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan< ::capnp::Text> RenewGang::Builder::disownMember() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+#if !CAPNP_LITE
+inline  ::waxwingloft::wire::Resources::Pipeline Member::Pipeline::getResources() {
+  return  ::waxwingloft::wire::Resources::Pipeline(_typeless.getPointerField(4));
 }
-
-inline  ::uint8_t RenewGang::Reader::getState() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+#endif  // !CAPNP_LITE
+inline void Member::Builder::setResources( ::waxwingloft::wire::Resources::Reader value) {
+  ::capnp::_::PointerHelpers< ::waxwingloft::wire::Resources>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint8_t RenewGang::Builder::getState() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::waxwingloft::wire::Resources::Builder Member::Builder::initResources() {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Resources>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void RenewGang::Builder::setState( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Member::Builder::adoptResources(
+    ::capnp::Orphan< ::waxwingloft::wire::Resources>&& value) {
+  ::capnp::_::PointerHelpers< ::waxwingloft::wire::Resources>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::waxwingloft::wire::Resources> Member::Builder::disownResources() {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Resources>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline bool GangReply::Reader::hasJob() const {
+inline bool Heartbeat::Reader::hasShard() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool GangReply::Builder::hasJob() {
+inline bool Heartbeat::Builder::hasShard() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader GangReply::Reader::getJob() const {
+inline  ::capnp::Text::Reader Heartbeat::Reader::getShard() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder GangReply::Builder::getJob() {
+inline  ::capnp::Text::Builder Heartbeat::Builder::getShard() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void GangReply::Builder::setJob( ::capnp::Text::Reader value) {
+inline void Heartbeat::Builder::setShard( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder GangReply::Builder::initJob(unsigned int size) {
+inline  ::capnp::Text::Builder Heartbeat::Builder::initShard(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void GangReply::Builder::adoptJob(
+inline void Heartbeat::Builder::adoptShard(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> GangReply::Builder::disownJob() {
+inline ::capnp::Orphan< ::capnp::Text> Heartbeat::Builder::disownShard() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool GangReply::Reader::hasAttempt() const {
+inline bool Heartbeat::Reader::hasMember() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool GangReply::Builder::hasAttempt() {
+inline bool Heartbeat::Builder::hasMember() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader GangReply::Reader::getAttempt() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::waxwingloft::wire::Member::Reader Heartbeat::Reader::getMember() const {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Member>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder GangReply::Builder::getAttempt() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::waxwingloft::wire::Member::Builder Heartbeat::Builder::getMember() {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Member>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void GangReply::Builder::setAttempt( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::waxwingloft::wire::Member::Pipeline Heartbeat::Pipeline::getMember() {
+  return  ::waxwingloft::wire::Member::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void Heartbeat::Builder::setMember( ::waxwingloft::wire::Member::Reader value) {
+  ::capnp::_::PointerHelpers< ::waxwingloft::wire::Member>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder GangReply::Builder::initAttempt(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::waxwingloft::wire::Member::Builder Heartbeat::Builder::initMember() {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Member>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void GangReply::Builder::adoptAttempt(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void Heartbeat::Builder::adoptMember(
+    ::capnp::Orphan< ::waxwingloft::wire::Member>&& value) {
+  ::capnp::_::PointerHelpers< ::waxwingloft::wire::Member>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> GangReply::Builder::disownAttempt() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::waxwingloft::wire::Member> Heartbeat::Builder::disownMember() {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Member>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint8_t GangReply::Reader::getState() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint8_t GangReply::Builder::getState() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void GangReply::Builder::setState( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool GangReply::Reader::getMustStop() const {
+inline bool HeartbeatReply::Reader::getAccepted() const {
   return _reader.getDataField<bool>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool GangReply::Builder::getMustStop() {
+inline bool HeartbeatReply::Builder::getAccepted() {
   return _builder.getDataField<bool>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void GangReply::Builder::setMustStop(bool value) {
+inline void HeartbeatReply::Builder::setAccepted(bool value) {
   _builder.setDataField<bool>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool GangReply::Reader::hasCheckpoint() const {
+inline bool MembersDelta::Reader::hasShard() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool GangReply::Builder::hasCheckpoint() {
+inline bool MembersDelta::Builder::hasShard() {
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader GangReply::Reader::getCheckpoint() const {
+inline  ::capnp::Text::Reader MembersDelta::Reader::getShard() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder GangReply::Builder::getCheckpoint() {
+inline  ::capnp::Text::Builder MembersDelta::Builder::getShard() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void GangReply::Builder::setCheckpoint( ::capnp::Text::Reader value) {
+inline void MembersDelta::Builder::setShard( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder GangReply::Builder::initCheckpoint(unsigned int size) {
+inline  ::capnp::Text::Builder MembersDelta::Builder::initShard(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void GangReply::Builder::adoptCheckpoint(
+inline void MembersDelta::Builder::adoptShard(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> GangReply::Builder::disownCheckpoint() {
+inline ::capnp::Orphan< ::capnp::Text> MembersDelta::Builder::disownShard() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool GangReply::Reader::hasError() const {
+inline  ::uint64_t MembersDelta::Reader::getBook() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t MembersDelta::Builder::getBook() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void MembersDelta::Builder::setBook( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t MembersDelta::Reader::getSince() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t MembersDelta::Builder::getSince() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void MembersDelta::Builder::setSince( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t MembersDelta::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t MembersDelta::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void MembersDelta::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool MembersDelta::Reader::hasChanged() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool GangReply::Builder::hasError() {
+inline bool MembersDelta::Builder::hasChanged() {
   return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::waxwingloft::wire::Error::Reader GangReply::Reader::getError() const {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Error>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::waxwingloft::wire::Member,  ::capnp::Kind::STRUCT>::Reader MembersDelta::Reader::getChanged() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::Member,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::waxwingloft::wire::Error::Builder GangReply::Builder::getError() {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Error>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::waxwingloft::wire::Member,  ::capnp::Kind::STRUCT>::Builder MembersDelta::Builder::getChanged() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::Member,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::waxwingloft::wire::Error::Pipeline GangReply::Pipeline::getError() {
-  return  ::waxwingloft::wire::Error::Pipeline(_typeless.getPointerField(3));
+inline void MembersDelta::Builder::setChanged( ::capnp::List< ::waxwingloft::wire::Member,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::Member,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-#endif  // !CAPNP_LITE
-inline void GangReply::Builder::setError( ::waxwingloft::wire::Error::Reader value) {
-  ::capnp::_::PointerHelpers< ::waxwingloft::wire::Error>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+inline  ::capnp::List< ::waxwingloft::wire::Member,  ::capnp::Kind::STRUCT>::Builder MembersDelta::Builder::initChanged(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::Member,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline  ::waxwingloft::wire::Error::Builder GangReply::Builder::initError() {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Error>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline void MembersDelta::Builder::adoptChanged(
+    ::capnp::Orphan< ::capnp::List< ::waxwingloft::wire::Member,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::Member,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void GangReply::Builder::adoptError(
-    ::capnp::Orphan< ::waxwingloft::wire::Error>&& value) {
-  ::capnp::_::PointerHelpers< ::waxwingloft::wire::Error>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+inline ::capnp::Orphan< ::capnp::List< ::waxwingloft::wire::Member,  ::capnp::Kind::STRUCT>> MembersDelta::Builder::disownChanged() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::Member,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t MembersDelta::Reader::getTotal() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t MembersDelta::Builder::getTotal() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void MembersDelta::Builder::setTotal( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t PushMembersReply::Reader::getBook() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::waxwingloft::wire::Error> GangReply::Builder::disownError() {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Error>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+
+inline  ::uint64_t PushMembersReply::Builder::getBook() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PushMembersReply::Builder::setBook( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool GangReply::Reader::getRefused() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+inline  ::uint64_t PushMembersReply::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline bool GangReply::Builder::getRefused() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+inline  ::uint64_t PushMembersReply::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void GangReply::Builder::setRefused(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+inline void PushMembersReply::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool AskReport::Reader::hasRegion() const {
+inline bool TeamSubtree::Reader::hasTeam() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool AskReport::Builder::hasRegion() {
+inline bool TeamSubtree::Builder::hasTeam() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader AskReport::Reader::getRegion() const {
+inline  ::capnp::Text::Reader TeamSubtree::Reader::getTeam() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder AskReport::Builder::getRegion() {
+inline  ::capnp::Text::Builder TeamSubtree::Builder::getTeam() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void AskReport::Builder::setRegion( ::capnp::Text::Reader value) {
+inline void TeamSubtree::Builder::setTeam( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder AskReport::Builder::initRegion(unsigned int size) {
+inline  ::capnp::Text::Builder TeamSubtree::Builder::initTeam(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void AskReport::Builder::adoptRegion(
+inline void TeamSubtree::Builder::adoptTeam(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> AskReport::Builder::disownRegion() {
+inline ::capnp::Orphan< ::capnp::Text> TeamSubtree::Builder::disownTeam() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t AskReport::Reader::getEpoch() const {
+inline  ::uint64_t TeamSubtree::Reader::getVersion() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t AskReport::Builder::getEpoch() {
+inline  ::uint64_t TeamSubtree::Builder::getVersion() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void AskReport::Builder::setEpoch( ::uint64_t value) {
+inline void TeamSubtree::Builder::setVersion( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool GangReport::Reader::hasJob() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool GangReport::Builder::hasJob() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader GangReport::Reader::getJob() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder GangReport::Builder::getJob() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void GangReport::Builder::setJob( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder GangReport::Builder::initJob(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void GangReport::Builder::adoptJob(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> GangReport::Builder::disownJob() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool GangReport::Reader::hasAttempt() const {
+inline bool TeamSubtree::Reader::hasJson() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool GangReport::Builder::hasAttempt() {
+inline bool TeamSubtree::Builder::hasJson() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader GangReport::Reader::getAttempt() const {
+inline  ::capnp::Text::Reader TeamSubtree::Reader::getJson() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder GangReport::Builder::getAttempt() {
+inline  ::capnp::Text::Builder TeamSubtree::Builder::getJson() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void GangReport::Builder::setAttempt( ::capnp::Text::Reader value) {
+inline void TeamSubtree::Builder::setJson( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder GangReport::Builder::initAttempt(unsigned int size) {
+inline  ::capnp::Text::Builder TeamSubtree::Builder::initJson(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void GangReport::Builder::adoptAttempt(
+inline void TeamSubtree::Builder::adoptJson(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> GangReport::Builder::disownAttempt() {
+inline ::capnp::Orphan< ::capnp::Text> TeamSubtree::Builder::disownJson() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool GangReport::Reader::hasWorkspace() const {
+inline bool TeamSubtree::Reader::hasChangedBy() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool GangReport::Builder::hasWorkspace() {
+inline bool TeamSubtree::Builder::hasChangedBy() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader GangReport::Reader::getWorkspace() const {
+inline  ::capnp::Text::Reader TeamSubtree::Reader::getChangedBy() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder GangReport::Builder::getWorkspace() {
+inline  ::capnp::Text::Builder TeamSubtree::Builder::getChangedBy() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void GangReport::Builder::setWorkspace( ::capnp::Text::Reader value) {
+inline void TeamSubtree::Builder::setChangedBy( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder GangReport::Builder::initWorkspace(unsigned int size) {
+inline  ::capnp::Text::Builder TeamSubtree::Builder::initChangedBy(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void GangReport::Builder::adoptWorkspace(
+inline void TeamSubtree::Builder::adoptChangedBy(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> GangReport::Builder::disownWorkspace() {
+inline ::capnp::Orphan< ::capnp::Text> TeamSubtree::Builder::disownChangedBy() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint8_t GangReport::Reader::getState() const {
-  return _reader.getDataField< ::uint8_t>(
+inline  ::uint64_t SettingsDelta::Reader::getSince() const {
+  return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t GangReport::Builder::getState() {
-  return _builder.getDataField< ::uint8_t>(
+inline  ::uint64_t SettingsDelta::Builder::getSince() {
+  return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void GangReport::Builder::setState( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
+inline void SettingsDelta::Builder::setSince( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t GangReport::Reader::getTasks() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t GangReport::Builder::getTasks() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void GangReport::Builder::setTasks( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool GangReport::Reader::hasPerTask() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline bool GangReport::Builder::hasPerTask() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline  ::waxwingloft::wire::Resources::Reader GangReport::Reader::getPerTask() const {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Resources>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline  ::waxwingloft::wire::Resources::Builder GangReport::Builder::getPerTask() {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Resources>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::waxwingloft::wire::Resources::Pipeline GangReport::Pipeline::getPerTask() {
-  return  ::waxwingloft::wire::Resources::Pipeline(_typeless.getPointerField(3));
-}
-#endif  // !CAPNP_LITE
-inline void GangReport::Builder::setPerTask( ::waxwingloft::wire::Resources::Reader value) {
-  ::capnp::_::PointerHelpers< ::waxwingloft::wire::Resources>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
-}
-inline  ::waxwingloft::wire::Resources::Builder GangReport::Builder::initPerTask() {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Resources>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline void GangReport::Builder::adoptPerTask(
-    ::capnp::Orphan< ::waxwingloft::wire::Resources>&& value) {
-  ::capnp::_::PointerHelpers< ::waxwingloft::wire::Resources>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::waxwingloft::wire::Resources> GangReport::Builder::disownPerTask() {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Resources>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-
-inline  ::uint64_t NodeReport::Reader::getIncarnation() const {
+inline  ::uint64_t SettingsDelta::Reader::getVersion() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t NodeReport::Builder::getIncarnation() {
+inline  ::uint64_t SettingsDelta::Builder::getVersion() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void NodeReport::Builder::setIncarnation( ::uint64_t value) {
+inline void SettingsDelta::Builder::setVersion( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool NodeReport::Reader::hasGangs() const {
+inline bool SettingsDelta::Reader::hasTeams() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool NodeReport::Builder::hasGangs() {
+inline bool SettingsDelta::Builder::hasTeams() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::waxwingloft::wire::GangReport,  ::capnp::Kind::STRUCT>::Reader NodeReport::Reader::getGangs() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::GangReport,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::waxwingloft::wire::TeamSubtree,  ::capnp::Kind::STRUCT>::Reader SettingsDelta::Reader::getTeams() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::TeamSubtree,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::waxwingloft::wire::GangReport,  ::capnp::Kind::STRUCT>::Builder NodeReport::Builder::getGangs() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::GangReport,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::waxwingloft::wire::TeamSubtree,  ::capnp::Kind::STRUCT>::Builder SettingsDelta::Builder::getTeams() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::TeamSubtree,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void NodeReport::Builder::setGangs( ::capnp::List< ::waxwingloft::wire::GangReport,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::GangReport,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void SettingsDelta::Builder::setTeams( ::capnp::List< ::waxwingloft::wire::TeamSubtree,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::TeamSubtree,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::waxwingloft::wire::GangReport,  ::capnp::Kind::STRUCT>::Builder NodeReport::Builder::initGangs(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::GangReport,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::waxwingloft::wire::TeamSubtree,  ::capnp::Kind::STRUCT>::Builder SettingsDelta::Builder::initTeams(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::TeamSubtree,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void NodeReport::Builder::adoptGangs(
-    ::capnp::Orphan< ::capnp::List< ::waxwingloft::wire::GangReport,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::GangReport,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void SettingsDelta::Builder::adoptTeams(
+    ::capnp::Orphan< ::capnp::List< ::waxwingloft::wire::TeamSubtree,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::TeamSubtree,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::waxwingloft::wire::GangReport,  ::capnp::Kind::STRUCT>> NodeReport::Builder::disownGangs() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::GangReport,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::waxwingloft::wire::TeamSubtree,  ::capnp::Kind::STRUCT>> SettingsDelta::Builder::disownTeams() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::TeamSubtree,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Member::Reader::hasNode() const {
+inline bool FetchEvents::Reader::hasSince() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Member::Builder::hasNode() {
+inline bool FetchEvents::Builder::hasSince() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Member::Reader::getNode() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::waxwingloft::wire::HybridTime::Reader FetchEvents::Reader::getSince() const {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::HybridTime>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Member::Builder::getNode() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::waxwingloft::wire::HybridTime::Builder FetchEvents::Builder::getSince() {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::HybridTime>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Member::Builder::setNode( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::waxwingloft::wire::HybridTime::Pipeline FetchEvents::Pipeline::getSince() {
+  return  ::waxwingloft::wire::HybridTime::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void FetchEvents::Builder::setSince( ::waxwingloft::wire::HybridTime::Reader value) {
+  ::capnp::_::PointerHelpers< ::waxwingloft::wire::HybridTime>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Member::Builder::initNode(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::waxwingloft::wire::HybridTime::Builder FetchEvents::Builder::initSince() {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::HybridTime>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Member::Builder::adoptNode(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void FetchEvents::Builder::adoptSince(
+    ::capnp::Orphan< ::waxwingloft::wire::HybridTime>&& value) {
+  ::capnp::_::PointerHelpers< ::waxwingloft::wire::HybridTime>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Member::Builder::disownNode() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::waxwingloft::wire::HybridTime> FetchEvents::Builder::disownSince() {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::HybridTime>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Member::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
+inline  ::uint32_t FetchEvents::Reader::getLimit() const {
+  return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Member::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
+inline  ::uint32_t FetchEvents::Builder::getLimit() {
+  return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Member::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void FetchEvents::Builder::setLimit( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint8_t Member::Reader::getRole() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline bool Event::Reader::hasTime() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint8_t Member::Builder::getRole() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline bool Event::Builder::hasTime() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void Member::Builder::setRole( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+inline  ::waxwingloft::wire::HybridTime::Reader Event::Reader::getTime() const {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::HybridTime>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint8_t Member::Reader::getState() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+inline  ::waxwingloft::wire::HybridTime::Builder Event::Builder::getTime() {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::HybridTime>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint8_t Member::Builder::getState() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+#if !CAPNP_LITE
+inline  ::waxwingloft::wire::HybridTime::Pipeline Event::Pipeline::getTime() {
+  return  ::waxwingloft::wire::HybridTime::Pipeline(_typeless.getPointerField(0));
 }
-inline void Member::Builder::setState( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+#endif  // !CAPNP_LITE
+inline void Event::Builder::setTime( ::waxwingloft::wire::HybridTime::Reader value) {
+  ::capnp::_::PointerHelpers< ::waxwingloft::wire::HybridTime>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::waxwingloft::wire::HybridTime::Builder Event::Builder::initTime() {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::HybridTime>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Event::Builder::adoptTime(
+    ::capnp::Orphan< ::waxwingloft::wire::HybridTime>&& value) {
+  ::capnp::_::PointerHelpers< ::waxwingloft::wire::HybridTime>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::waxwingloft::wire::HybridTime> Event::Builder::disownTime() {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::HybridTime>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Member::Reader::hasLocation() const {
+inline bool Event::Reader::hasNode() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Member::Builder::hasLocation() {
+inline bool Event::Builder::hasNode() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::waxwingloft::wire::Location::Reader Member::Reader::getLocation() const {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Location>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader Event::Reader::getNode() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::waxwingloft::wire::Location::Builder Member::Builder::getLocation() {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Location>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder Event::Builder::getNode() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::waxwingloft::wire::Location::Pipeline Member::Pipeline::getLocation() {
-  return  ::waxwingloft::wire::Location::Pipeline(_typeless.getPointerField(1));
-}
-#endif  // !CAPNP_LITE
-inline void Member::Builder::setLocation( ::waxwingloft::wire::Location::Reader value) {
-  ::capnp::_::PointerHelpers< ::waxwingloft::wire::Location>::set(_builder.getPointerField(
+inline void Event::Builder::setNode( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::waxwingloft::wire::Location::Builder Member::Builder::initLocation() {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Location>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Event::Builder::initNode(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Member::Builder::adoptLocation(
-    ::capnp::Orphan< ::waxwingloft::wire::Location>&& value) {
-  ::capnp::_::PointerHelpers< ::waxwingloft::wire::Location>::adopt(_builder.getPointerField(
+inline void Event::Builder::adoptNode(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::waxwingloft::wire::Location> Member::Builder::disownLocation() {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Location>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> Event::Builder::disownNode() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Member::Reader::hasRpcAddress() const {
+inline  ::uint8_t Event::Reader::getKind() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t Event::Builder::getKind() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Event::Builder::setKind( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Event::Reader::hasSubject() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool Member::Builder::hasRpcAddress() {
+inline bool Event::Builder::hasSubject() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Member::Reader::getRpcAddress() const {
+inline  ::capnp::Text::Reader Event::Reader::getSubject() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Member::Builder::getRpcAddress() {
+inline  ::capnp::Text::Builder Event::Builder::getSubject() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Member::Builder::setRpcAddress( ::capnp::Text::Reader value) {
+inline void Event::Builder::setSubject( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Member::Builder::initRpcAddress(unsigned int size) {
+inline  ::capnp::Text::Builder Event::Builder::initSubject(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void Member::Builder::adoptRpcAddress(
+inline void Event::Builder::adoptSubject(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Member::Builder::disownRpcAddress() {
+inline ::capnp::Orphan< ::capnp::Text> Event::Builder::disownSubject() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool Member::Reader::hasKinds() const {
+inline bool Event::Reader::hasWorkspace() const {
   return !_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool Member::Builder::hasKinds() {
+inline bool Event::Builder::hasWorkspace() {
   return !_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Member::Reader::getKinds() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Member::Builder::getKinds() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline void Member::Builder::setKinds( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
-}
-inline void Member::Builder::setKinds(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Member::Builder::initKinds(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
-}
-inline void Member::Builder::adoptKinds(
-    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Member::Builder::disownKinds() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-
-inline  ::uint32_t Member::Reader::getSlots() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t Member::Builder::getSlots() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-inline void Member::Builder::setSlots( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Member::Reader::hasResources() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
-}
-inline bool Member::Builder::hasResources() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
-}
-inline  ::waxwingloft::wire::Resources::Reader Member::Reader::getResources() const {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Resources>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
-}
-inline  ::waxwingloft::wire::Resources::Builder Member::Builder::getResources() {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Resources>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::waxwingloft::wire::Resources::Pipeline Member::Pipeline::getResources() {
-  return  ::waxwingloft::wire::Resources::Pipeline(_typeless.getPointerField(4));
-}
-#endif  // !CAPNP_LITE
-inline void Member::Builder::setResources( ::waxwingloft::wire::Resources::Reader value) {
-  ::capnp::_::PointerHelpers< ::waxwingloft::wire::Resources>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
-}
-inline  ::waxwingloft::wire::Resources::Builder Member::Builder::initResources() {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Resources>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
-}
-inline void Member::Builder::adoptResources(
-    ::capnp::Orphan< ::waxwingloft::wire::Resources>&& value) {
-  ::capnp::_::PointerHelpers< ::waxwingloft::wire::Resources>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::waxwingloft::wire::Resources> Member::Builder::disownResources() {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Resources>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
-}
-
-inline bool Heartbeat::Reader::hasShard() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Heartbeat::Builder::hasShard() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Heartbeat::Reader::getShard() const {
+inline  ::capnp::Text::Reader Event::Reader::getWorkspace() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Heartbeat::Builder::getShard() {
+inline  ::capnp::Text::Builder Event::Builder::getWorkspace() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void Heartbeat::Builder::setShard( ::capnp::Text::Reader value) {
+inline void Event::Builder::setWorkspace( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Heartbeat::Builder::initShard(unsigned int size) {
+inline  ::capnp::Text::Builder Event::Builder::initWorkspace(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void Heartbeat::Builder::adoptShard(
+inline void Event::Builder::adoptWorkspace(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Heartbeat::Builder::disownShard() {
+inline ::capnp::Orphan< ::capnp::Text> Event::Builder::disownWorkspace() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool Heartbeat::Reader::hasMember() const {
+inline bool Event::Reader::hasDetail() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline bool Heartbeat::Builder::hasMember() {
+inline bool Event::Builder::hasDetail() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::waxwingloft::wire::Member::Reader Heartbeat::Reader::getMember() const {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Member>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::waxwingloft::wire::Member::Builder Heartbeat::Builder::getMember() {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Member>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::waxwingloft::wire::Member::Pipeline Heartbeat::Pipeline::getMember() {
-  return  ::waxwingloft::wire::Member::Pipeline(_typeless.getPointerField(1));
-}
-#endif  // !CAPNP_LITE
-inline void Heartbeat::Builder::setMember( ::waxwingloft::wire::Member::Reader value) {
-  ::capnp::_::PointerHelpers< ::waxwingloft::wire::Member>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline  ::waxwingloft::wire::Member::Builder Heartbeat::Builder::initMember() {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Member>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader Event::Reader::getDetail() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void Heartbeat::Builder::adoptMember(
-    ::capnp::Orphan< ::waxwingloft::wire::Member>&& value) {
-  ::capnp::_::PointerHelpers< ::waxwingloft::wire::Member>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::capnp::Text::Builder Event::Builder::getDetail() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan< ::waxwingloft::wire::Member> Heartbeat::Builder::disownMember() {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Member>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline void Event::Builder::setDetail( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-
-inline bool HeartbeatReply::Reader::getAccepted() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder Event::Builder::initDetail(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
-
-inline bool HeartbeatReply::Builder::getAccepted() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline void Event::Builder::adoptDetail(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void HeartbeatReply::Builder::setAccepted(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::Text> Event::Builder::disownDetail() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline bool MembersDelta::Reader::hasShard() const {
+inline bool TaskRun::Reader::hasTask() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool MembersDelta::Builder::hasShard() {
+inline bool TaskRun::Builder::hasTask() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader MembersDelta::Reader::getShard() const {
+inline  ::capnp::Text::Reader TaskRun::Reader::getTask() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder MembersDelta::Builder::getShard() {
+inline  ::capnp::Text::Builder TaskRun::Builder::getTask() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void MembersDelta::Builder::setShard( ::capnp::Text::Reader value) {
+inline void TaskRun::Builder::setTask( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder MembersDelta::Builder::initShard(unsigned int size) {
+inline  ::capnp::Text::Builder TaskRun::Builder::initTask(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void MembersDelta::Builder::adoptShard(
+inline void TaskRun::Builder::adoptTask(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> MembersDelta::Builder::disownShard() {
+inline ::capnp::Orphan< ::capnp::Text> TaskRun::Builder::disownTask() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t MembersDelta::Reader::getBook() const {
-  return _reader.getDataField< ::uint64_t>(
+inline  ::uint32_t TaskRun::Reader::getRun() const {
+  return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t MembersDelta::Builder::getBook() {
-  return _builder.getDataField< ::uint64_t>(
+inline  ::uint32_t TaskRun::Builder::getRun() {
+  return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void MembersDelta::Builder::setBook( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void TaskRun::Builder::setRun( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t MembersDelta::Reader::getSince() const {
-  return _reader.getDataField< ::uint64_t>(
+inline  ::int64_t Capacity::Reader::getMilliCores() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Capacity::Builder::getMilliCores() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Capacity::Builder::setMilliCores( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t Capacity::Reader::getMemoryMb() const {
+  return _reader.getDataField< ::int64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t MembersDelta::Builder::getSince() {
-  return _builder.getDataField< ::uint64_t>(
+inline  ::int64_t Capacity::Builder::getMemoryMb() {
+  return _builder.getDataField< ::int64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void MembersDelta::Builder::setSince( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void Capacity::Builder::setMemoryMb( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t MembersDelta::Reader::getRevision() const {
-  return _reader.getDataField< ::uint64_t>(
+inline  ::int64_t Capacity::Reader::getAccelerators() const {
+  return _reader.getDataField< ::int64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t MembersDelta::Builder::getRevision() {
-  return _builder.getDataField< ::uint64_t>(
+inline  ::int64_t Capacity::Builder::getAccelerators() {
+  return _builder.getDataField< ::int64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void MembersDelta::Builder::setRevision( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void Capacity::Builder::setAccelerators( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool MembersDelta::Reader::hasChanged() const {
+inline bool ExecutorLife::Reader::hasId() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool MembersDelta::Builder::hasChanged() {
+inline bool ExecutorLife::Builder::hasId() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::waxwingloft::wire::Member,  ::capnp::Kind::STRUCT>::Reader MembersDelta::Reader::getChanged() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::Member,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::waxwingloft::wire::Member,  ::capnp::Kind::STRUCT>::Builder MembersDelta::Builder::getChanged() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::Member,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void MembersDelta::Builder::setChanged( ::capnp::List< ::waxwingloft::wire::Member,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::Member,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::waxwingloft::wire::Member,  ::capnp::Kind::STRUCT>::Builder MembersDelta::Builder::initChanged(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::Member,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Reader ExecutorLife::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void MembersDelta::Builder::adoptChanged(
-    ::capnp::Orphan< ::capnp::List< ::waxwingloft::wire::Member,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::Member,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::capnp::Text::Builder ExecutorLife::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan< ::capnp::List< ::waxwingloft::wire::Member,  ::capnp::Kind::STRUCT>> MembersDelta::Builder::disownChanged() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::Member,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline void ExecutorLife::Builder::setId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint32_t MembersDelta::Reader::getTotal() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder ExecutorLife::Builder::initId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-
-inline  ::uint32_t MembersDelta::Builder::getTotal() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline void ExecutorLife::Builder::adoptId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void MembersDelta::Builder::setTotal( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::Text> ExecutorLife::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t PushMembersReply::Reader::getBook() const {
-  return _reader.getDataField< ::uint64_t>(
+inline  ::int64_t ExecutorLife::Reader::getStartedAt() const {
+  return _reader.getDataField< ::int64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t PushMembersReply::Builder::getBook() {
-  return _builder.getDataField< ::uint64_t>(
+inline  ::int64_t ExecutorLife::Builder::getStartedAt() {
+  return _builder.getDataField< ::int64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void PushMembersReply::Builder::setBook( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void ExecutorLife::Builder::setStartedAt( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t PushMembersReply::Reader::getRevision() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t PushMembersReply::Builder::getRevision() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void PushMembersReply::Builder::setRevision( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool TeamSubtree::Reader::hasTeam() const {
+inline bool RunReport::Reader::hasRun() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool TeamSubtree::Builder::hasTeam() {
+inline bool RunReport::Builder::hasRun() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader TeamSubtree::Reader::getTeam() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::waxwingloft::wire::TaskRun::Reader RunReport::Reader::getRun() const {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::TaskRun>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder TeamSubtree::Builder::getTeam() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::waxwingloft::wire::TaskRun::Builder RunReport::Builder::getRun() {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::TaskRun>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void TeamSubtree::Builder::setTeam( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::waxwingloft::wire::TaskRun::Pipeline RunReport::Pipeline::getRun() {
+  return  ::waxwingloft::wire::TaskRun::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void RunReport::Builder::setRun( ::waxwingloft::wire::TaskRun::Reader value) {
+  ::capnp::_::PointerHelpers< ::waxwingloft::wire::TaskRun>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder TeamSubtree::Builder::initTeam(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::waxwingloft::wire::TaskRun::Builder RunReport::Builder::initRun() {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::TaskRun>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void TeamSubtree::Builder::adoptTeam(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void RunReport::Builder::adoptRun(
+    ::capnp::Orphan< ::waxwingloft::wire::TaskRun>&& value) {
+  ::capnp::_::PointerHelpers< ::waxwingloft::wire::TaskRun>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> TeamSubtree::Builder::disownTeam() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::waxwingloft::wire::TaskRun> RunReport::Builder::disownRun() {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::TaskRun>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t TeamSubtree::Reader::getVersion() const {
-  return _reader.getDataField< ::uint64_t>(
+inline  ::uint8_t RunReport::Reader::getPhase() const {
+  return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t TeamSubtree::Builder::getVersion() {
-  return _builder.getDataField< ::uint64_t>(
+inline  ::uint8_t RunReport::Builder::getPhase() {
+  return _builder.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void TeamSubtree::Builder::setVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void RunReport::Builder::setPhase( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool TeamSubtree::Reader::hasJson() const {
+inline bool RunReport::Reader::hasCheckpoint() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool TeamSubtree::Builder::hasJson() {
+inline bool RunReport::Builder::hasCheckpoint() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader TeamSubtree::Reader::getJson() const {
+inline  ::capnp::Text::Reader RunReport::Reader::getCheckpoint() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder TeamSubtree::Builder::getJson() {
+inline  ::capnp::Text::Builder RunReport::Builder::getCheckpoint() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void TeamSubtree::Builder::setJson( ::capnp::Text::Reader value) {
+inline void RunReport::Builder::setCheckpoint( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder TeamSubtree::Builder::initJson(unsigned int size) {
+inline  ::capnp::Text::Builder RunReport::Builder::initCheckpoint(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void TeamSubtree::Builder::adoptJson(
+inline void RunReport::Builder::adoptCheckpoint(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> TeamSubtree::Builder::disownJson() {
+inline ::capnp::Orphan< ::capnp::Text> RunReport::Builder::disownCheckpoint() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool TeamSubtree::Reader::hasChangedBy() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool TeamSubtree::Builder::hasChangedBy() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader TeamSubtree::Reader::getChangedBy() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder TeamSubtree::Builder::getChangedBy() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void TeamSubtree::Builder::setChangedBy( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder TeamSubtree::Builder::initChangedBy(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline  ::uint32_t RunReport::Reader::getPercent() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void TeamSubtree::Builder::adoptChangedBy(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint32_t RunReport::Builder::getPercent() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Text> TeamSubtree::Builder::disownChangedBy() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline void RunReport::Builder::setPercent( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t SettingsDelta::Reader::getSince() const {
+inline  ::uint64_t EndReport::Reader::getNumber() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t SettingsDelta::Builder::getSince() {
+inline  ::uint64_t EndReport::Builder::getNumber() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void SettingsDelta::Builder::setSince( ::uint64_t value) {
+inline void EndReport::Builder::setNumber( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t SettingsDelta::Reader::getVersion() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t SettingsDelta::Builder::getVersion() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void SettingsDelta::Builder::setVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool SettingsDelta::Reader::hasTeams() const {
+inline bool EndReport::Reader::hasRun() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool SettingsDelta::Builder::hasTeams() {
+inline bool EndReport::Builder::hasRun() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::waxwingloft::wire::TeamSubtree,  ::capnp::Kind::STRUCT>::Reader SettingsDelta::Reader::getTeams() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::TeamSubtree,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::waxwingloft::wire::TaskRun::Reader EndReport::Reader::getRun() const {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::TaskRun>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::waxwingloft::wire::TeamSubtree,  ::capnp::Kind::STRUCT>::Builder SettingsDelta::Builder::getTeams() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::TeamSubtree,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::waxwingloft::wire::TaskRun::Builder EndReport::Builder::getRun() {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::TaskRun>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void SettingsDelta::Builder::setTeams( ::capnp::List< ::waxwingloft::wire::TeamSubtree,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::TeamSubtree,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::waxwingloft::wire::TaskRun::Pipeline EndReport::Pipeline::getRun() {
+  return  ::waxwingloft::wire::TaskRun::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void EndReport::Builder::setRun( ::waxwingloft::wire::TaskRun::Reader value) {
+  ::capnp::_::PointerHelpers< ::waxwingloft::wire::TaskRun>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::waxwingloft::wire::TeamSubtree,  ::capnp::Kind::STRUCT>::Builder SettingsDelta::Builder::initTeams(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::TeamSubtree,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::waxwingloft::wire::TaskRun::Builder EndReport::Builder::initRun() {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::TaskRun>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void SettingsDelta::Builder::adoptTeams(
-    ::capnp::Orphan< ::capnp::List< ::waxwingloft::wire::TeamSubtree,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::TeamSubtree,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void EndReport::Builder::adoptRun(
+    ::capnp::Orphan< ::waxwingloft::wire::TaskRun>&& value) {
+  ::capnp::_::PointerHelpers< ::waxwingloft::wire::TaskRun>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::waxwingloft::wire::TeamSubtree,  ::capnp::Kind::STRUCT>> SettingsDelta::Builder::disownTeams() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::TeamSubtree,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::waxwingloft::wire::TaskRun> EndReport::Builder::disownRun() {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::TaskRun>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool FetchEvents::Reader::hasSince() const {
+inline  ::uint8_t EndReport::Reader::getEnd() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t EndReport::Builder::getEnd() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void EndReport::Builder::setEnd( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool EndReport::Reader::hasCheckpoint() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool FetchEvents::Builder::hasSince() {
+inline bool EndReport::Builder::hasCheckpoint() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::waxwingloft::wire::HybridTime::Reader FetchEvents::Reader::getSince() const {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::HybridTime>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::waxwingloft::wire::HybridTime::Builder FetchEvents::Builder::getSince() {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::HybridTime>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader EndReport::Reader::getCheckpoint() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::waxwingloft::wire::HybridTime::Pipeline FetchEvents::Pipeline::getSince() {
-  return  ::waxwingloft::wire::HybridTime::Pipeline(_typeless.getPointerField(0));
+inline  ::capnp::Text::Builder EndReport::Builder::getCheckpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-#endif  // !CAPNP_LITE
-inline void FetchEvents::Builder::setSince( ::waxwingloft::wire::HybridTime::Reader value) {
-  ::capnp::_::PointerHelpers< ::waxwingloft::wire::HybridTime>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void EndReport::Builder::setCheckpoint( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::waxwingloft::wire::HybridTime::Builder FetchEvents::Builder::initSince() {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::HybridTime>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder EndReport::Builder::initCheckpoint(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void FetchEvents::Builder::adoptSince(
-    ::capnp::Orphan< ::waxwingloft::wire::HybridTime>&& value) {
-  ::capnp::_::PointerHelpers< ::waxwingloft::wire::HybridTime>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void EndReport::Builder::adoptCheckpoint(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::waxwingloft::wire::HybridTime> FetchEvents::Builder::disownSince() {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::HybridTime>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> EndReport::Builder::disownCheckpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t FetchEvents::Reader::getLimit() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint8_t EndReport::Reader::getRefusal() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t FetchEvents::Builder::getLimit() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint8_t EndReport::Builder::getRefusal() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
 }
-inline void FetchEvents::Builder::setLimit( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void EndReport::Builder::setRefusal( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Event::Reader::hasTime() const {
+inline bool AgentReport::Reader::hasNode() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Event::Builder::hasTime() {
+inline bool AgentReport::Builder::hasNode() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::waxwingloft::wire::HybridTime::Reader Event::Reader::getTime() const {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::HybridTime>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader AgentReport::Reader::getNode() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::waxwingloft::wire::HybridTime::Builder Event::Builder::getTime() {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::HybridTime>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder AgentReport::Builder::getNode() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::waxwingloft::wire::HybridTime::Pipeline Event::Pipeline::getTime() {
-  return  ::waxwingloft::wire::HybridTime::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Event::Builder::setTime( ::waxwingloft::wire::HybridTime::Reader value) {
-  ::capnp::_::PointerHelpers< ::waxwingloft::wire::HybridTime>::set(_builder.getPointerField(
+inline void AgentReport::Builder::setNode( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::waxwingloft::wire::HybridTime::Builder Event::Builder::initTime() {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::HybridTime>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder AgentReport::Builder::initNode(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Event::Builder::adoptTime(
-    ::capnp::Orphan< ::waxwingloft::wire::HybridTime>&& value) {
-  ::capnp::_::PointerHelpers< ::waxwingloft::wire::HybridTime>::adopt(_builder.getPointerField(
+inline void AgentReport::Builder::adoptNode(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::waxwingloft::wire::HybridTime> Event::Builder::disownTime() {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::HybridTime>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> AgentReport::Builder::disownNode() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Event::Reader::hasNode() const {
+inline bool AgentReport::Reader::hasAddress() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Event::Builder::hasNode() {
+inline bool AgentReport::Builder::hasAddress() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Event::Reader::getNode() const {
+inline  ::capnp::Text::Reader AgentReport::Reader::getAddress() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Event::Builder::getNode() {
+inline  ::capnp::Text::Builder AgentReport::Builder::getAddress() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Event::Builder::setNode( ::capnp::Text::Reader value) {
+inline void AgentReport::Builder::setAddress( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Event::Builder::initNode(unsigned int size) {
+inline  ::capnp::Text::Builder AgentReport::Builder::initAddress(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Event::Builder::adoptNode(
+inline void AgentReport::Builder::adoptAddress(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Event::Builder::disownNode() {
+inline ::capnp::Orphan< ::capnp::Text> AgentReport::Builder::disownAddress() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint8_t Event::Reader::getKind() const {
-  return _reader.getDataField< ::uint8_t>(
+inline  ::uint64_t AgentReport::Reader::getGeneration() const {
+  return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t Event::Builder::getKind() {
-  return _builder.getDataField< ::uint8_t>(
+inline  ::uint64_t AgentReport::Builder::getGeneration() {
+  return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Event::Builder::setKind( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
+inline void AgentReport::Builder::setGeneration( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Event::Reader::hasSubject() const {
+inline  ::uint64_t AgentReport::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t AgentReport::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void AgentReport::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t AgentReport::Reader::getEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t AgentReport::Builder::getEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void AgentReport::Builder::setEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool AgentReport::Reader::hasLife() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool Event::Builder::hasSubject() {
+inline bool AgentReport::Builder::hasLife() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Event::Reader::getSubject() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::waxwingloft::wire::ExecutorLife::Reader AgentReport::Reader::getLife() const {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::ExecutorLife>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Event::Builder::getSubject() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::waxwingloft::wire::ExecutorLife::Builder AgentReport::Builder::getLife() {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::ExecutorLife>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Event::Builder::setSubject( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::waxwingloft::wire::ExecutorLife::Pipeline AgentReport::Pipeline::getLife() {
+  return  ::waxwingloft::wire::ExecutorLife::Pipeline(_typeless.getPointerField(2));
+}
+#endif  // !CAPNP_LITE
+inline void AgentReport::Builder::setLife( ::waxwingloft::wire::ExecutorLife::Reader value) {
+  ::capnp::_::PointerHelpers< ::waxwingloft::wire::ExecutorLife>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Event::Builder::initSubject(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline  ::waxwingloft::wire::ExecutorLife::Builder AgentReport::Builder::initLife() {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::ExecutorLife>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Event::Builder::adoptSubject(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void AgentReport::Builder::adoptLife(
+    ::capnp::Orphan< ::waxwingloft::wire::ExecutorLife>&& value) {
+  ::capnp::_::PointerHelpers< ::waxwingloft::wire::ExecutorLife>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Event::Builder::disownSubject() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::waxwingloft::wire::ExecutorLife> AgentReport::Builder::disownLife() {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::ExecutorLife>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool Event::Reader::hasWorkspace() const {
+inline bool AgentReport::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool Event::Builder::hasWorkspace() {
+inline bool AgentReport::Builder::hasService() {
   return !_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Event::Reader::getWorkspace() const {
+inline  ::capnp::Text::Reader AgentReport::Reader::getService() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Event::Builder::getWorkspace() {
+inline  ::capnp::Text::Builder AgentReport::Builder::getService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void Event::Builder::setWorkspace( ::capnp::Text::Reader value) {
+inline void AgentReport::Builder::setService( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Event::Builder::initWorkspace(unsigned int size) {
+inline  ::capnp::Text::Builder AgentReport::Builder::initService(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void Event::Builder::adoptWorkspace(
+inline void AgentReport::Builder::adoptService(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Event::Builder::disownWorkspace() {
+inline ::capnp::Orphan< ::capnp::Text> AgentReport::Builder::disownService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool Event::Reader::hasDetail() const {
+inline bool AgentReport::Reader::hasZone() const {
   return !_reader.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline bool Event::Builder::hasDetail() {
+inline bool AgentReport::Builder::hasZone() {
   return !_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Event::Reader::getDetail() const {
+inline  ::capnp::Text::Reader AgentReport::Reader::getZone() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Event::Builder::getDetail() {
+inline  ::capnp::Text::Builder AgentReport::Builder::getZone() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void Event::Builder::setDetail( ::capnp::Text::Reader value) {
+inline void AgentReport::Builder::setZone( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Event::Builder::initDetail(unsigned int size) {
+inline  ::capnp::Text::Builder AgentReport::Builder::initZone(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
-inline void Event::Builder::adoptDetail(
+inline void AgentReport::Builder::adoptZone(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Event::Builder::disownDetail() {
+inline ::capnp::Orphan< ::capnp::Text> AgentReport::Builder::disownZone() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline bool TaskRun::Reader::hasTask() const {
+inline bool AgentReport::Reader::getDraining() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+
+inline bool AgentReport::Builder::getDraining() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+inline void AgentReport::Builder::setDraining(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool AgentReport::Reader::getReachable() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<193>() * ::capnp::ELEMENTS);
+}
+
+inline bool AgentReport::Builder::getReachable() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<193>() * ::capnp::ELEMENTS);
+}
+inline void AgentReport::Builder::setReachable(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<193>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool AgentReport::Reader::hasCapacity() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline bool TaskRun::Builder::hasTask() {
+inline bool AgentReport::Builder::hasCapacity() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader TaskRun::Reader::getTask() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::waxwingloft::wire::Capacity::Reader AgentReport::Reader::getCapacity() const {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Capacity>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder TaskRun::Builder::getTask() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::waxwingloft::wire::Capacity::Builder AgentReport::Builder::getCapacity() {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Capacity>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline void TaskRun::Builder::setTask( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+#if !CAPNP_LITE
+inline  ::waxwingloft::wire::Capacity::Pipeline AgentReport::Pipeline::getCapacity() {
+  return  ::waxwingloft::wire::Capacity::Pipeline(_typeless.getPointerField(5));
 }
-inline  ::capnp::Text::Builder TaskRun::Builder::initTask(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+#endif  // !CAPNP_LITE
+inline void AgentReport::Builder::setCapacity( ::waxwingloft::wire::Capacity::Reader value) {
+  ::capnp::_::PointerHelpers< ::waxwingloft::wire::Capacity>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
 }
-inline void TaskRun::Builder::adoptTask(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::waxwingloft::wire::Capacity::Builder AgentReport::Builder::initCapacity() {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Capacity>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan< ::capnp::Text> TaskRun::Builder::disownTask() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void AgentReport::Builder::adoptCapacity(
+    ::capnp::Orphan< ::waxwingloft::wire::Capacity>&& value) {
+  ::capnp::_::PointerHelpers< ::waxwingloft::wire::Capacity>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
 }
-
-inline  ::uint32_t TaskRun::Reader::getRun() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::capnp::Orphan< ::waxwingloft::wire::Capacity> AgentReport::Builder::disownCapacity() {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Capacity>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t TaskRun::Builder::getRun() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool AgentReport::Reader::hasLabels() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
-inline void TaskRun::Builder::setRun( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline bool AgentReport::Builder::hasLabels() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::int64_t Capacity::Reader::getMilliCores() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader AgentReport::Reader::getLabels() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-
-inline  ::int64_t Capacity::Builder::getMilliCores() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder AgentReport::Builder::getLabels() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-inline void Capacity::Builder::setMilliCores( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void AgentReport::Builder::setLabels( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
 }
-
-inline  ::int64_t Capacity::Reader::getMemoryMb() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline void AgentReport::Builder::setLabels(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
 }
-
-inline  ::int64_t Capacity::Builder::getMemoryMb() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder AgentReport::Builder::initLabels(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
 }
-inline void Capacity::Builder::setMemoryMb( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void AgentReport::Builder::adoptLabels(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
 }
-
-inline  ::int64_t Capacity::Reader::getAccelerators() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> AgentReport::Builder::disownLabels() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
-inline  ::int64_t Capacity::Builder::getAccelerators() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint64_t AgentReport::Reader::getSyncSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void Capacity::Builder::setAccelerators( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+
+inline  ::uint64_t AgentReport::Builder::getSyncSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void AgentReport::Builder::setSyncSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool ExecutorLife::Reader::hasId() const {
+inline bool AgentReport::Reader::hasRuns() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
 }
-inline bool ExecutorLife::Builder::hasId() {
+inline bool AgentReport::Builder::hasRuns() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader ExecutorLife::Reader::getId() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::waxwingloft::wire::RunReport,  ::capnp::Kind::STRUCT>::Reader AgentReport::Reader::getRuns() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::RunReport,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder ExecutorLife::Builder::getId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::waxwingloft::wire::RunReport,  ::capnp::Kind::STRUCT>::Builder AgentReport::Builder::getRuns() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::RunReport,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
-inline void ExecutorLife::Builder::setId( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void AgentReport::Builder::setRuns( ::capnp::List< ::waxwingloft::wire::RunReport,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::RunReport,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder ExecutorLife::Builder::initId(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::waxwingloft::wire::RunReport,  ::capnp::Kind::STRUCT>::Builder AgentReport::Builder::initRuns(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::RunReport,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
 }
-inline void ExecutorLife::Builder::adoptId(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void AgentReport::Builder::adoptRuns(
+    ::capnp::Orphan< ::capnp::List< ::waxwingloft::wire::RunReport,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::RunReport,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> ExecutorLife::Builder::disownId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::waxwingloft::wire::RunReport,  ::capnp::Kind::STRUCT>> AgentReport::Builder::disownRuns() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::RunReport,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
-inline  ::int64_t ExecutorLife::Reader::getStartedAt() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool AgentReport::Reader::hasEnds() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::int64_t ExecutorLife::Builder::getStartedAt() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool AgentReport::Builder::hasEnds() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
 }
-inline void ExecutorLife::Builder::setStartedAt( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::List< ::waxwingloft::wire::EndReport,  ::capnp::Kind::STRUCT>::Reader AgentReport::Reader::getEnds() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::EndReport,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::waxwingloft::wire::EndReport,  ::capnp::Kind::STRUCT>::Builder AgentReport::Builder::getEnds() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::EndReport,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void AgentReport::Builder::setEnds( ::capnp::List< ::waxwingloft::wire::EndReport,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::EndReport,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::waxwingloft::wire::EndReport,  ::capnp::Kind::STRUCT>::Builder AgentReport::Builder::initEnds(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::EndReport,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
+}
+inline void AgentReport::Builder::adoptEnds(
+    ::capnp::Orphan< ::capnp::List< ::waxwingloft::wire::EndReport,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::EndReport,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::waxwingloft::wire::EndReport,  ::capnp::Kind::STRUCT>> AgentReport::Builder::disownEnds() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::EndReport,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
 
-inline bool RunReport::Reader::hasRun() const {
+inline bool Assignment::Reader::hasRun() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool RunReport::Builder::hasRun() {
+inline bool Assignment::Builder::hasRun() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::waxwingloft::wire::TaskRun::Reader RunReport::Reader::getRun() const {
+inline  ::waxwingloft::wire::TaskRun::Reader Assignment::Reader::getRun() const {
   return ::capnp::_::PointerHelpers< ::waxwingloft::wire::TaskRun>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::waxwingloft::wire::TaskRun::Builder RunReport::Builder::getRun() {
+inline  ::waxwingloft::wire::TaskRun::Builder Assignment::Builder::getRun() {
   return ::capnp::_::PointerHelpers< ::waxwingloft::wire::TaskRun>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::waxwingloft::wire::TaskRun::Pipeline RunReport::Pipeline::getRun() {
+inline  ::waxwingloft::wire::TaskRun::Pipeline Assignment::Pipeline::getRun() {
   return  ::waxwingloft::wire::TaskRun::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void RunReport::Builder::setRun( ::waxwingloft::wire::TaskRun::Reader value) {
+inline void Assignment::Builder::setRun( ::waxwingloft::wire::TaskRun::Reader value) {
   ::capnp::_::PointerHelpers< ::waxwingloft::wire::TaskRun>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::waxwingloft::wire::TaskRun::Builder RunReport::Builder::initRun() {
+inline  ::waxwingloft::wire::TaskRun::Builder Assignment::Builder::initRun() {
   return ::capnp::_::PointerHelpers< ::waxwingloft::wire::TaskRun>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void RunReport::Builder::adoptRun(
+inline void Assignment::Builder::adoptRun(
     ::capnp::Orphan< ::waxwingloft::wire::TaskRun>&& value) {
   ::capnp::_::PointerHelpers< ::waxwingloft::wire::TaskRun>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::waxwingloft::wire::TaskRun> RunReport::Builder::disownRun() {
+inline ::capnp::Orphan< ::waxwingloft::wire::TaskRun> Assignment::Builder::disownRun() {
   return ::capnp::_::PointerHelpers< ::waxwingloft::wire::TaskRun>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint8_t RunReport::Reader::getPhase() const {
-  return _reader.getDataField< ::uint8_t>(
+inline bool Assignment::Reader::hasNeeds() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Assignment::Builder::hasNeeds() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::waxwingloft::wire::Capacity::Reader Assignment::Reader::getNeeds() const {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Capacity>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::waxwingloft::wire::Capacity::Builder Assignment::Builder::getNeeds() {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Capacity>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::waxwingloft::wire::Capacity::Pipeline Assignment::Pipeline::getNeeds() {
+  return  ::waxwingloft::wire::Capacity::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void Assignment::Builder::setNeeds( ::waxwingloft::wire::Capacity::Reader value) {
+  ::capnp::_::PointerHelpers< ::waxwingloft::wire::Capacity>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::waxwingloft::wire::Capacity::Builder Assignment::Builder::initNeeds() {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Capacity>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Assignment::Builder::adoptNeeds(
+    ::capnp::Orphan< ::waxwingloft::wire::Capacity>&& value) {
+  ::capnp::_::PointerHelpers< ::waxwingloft::wire::Capacity>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::waxwingloft::wire::Capacity> Assignment::Builder::disownNeeds() {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Capacity>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Assignment::Reader::getHasOrder() const {
+  return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t RunReport::Builder::getPhase() {
-  return _builder.getDataField< ::uint8_t>(
+inline bool Assignment::Builder::getHasOrder() {
+  return _builder.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void RunReport::Builder::setPhase( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
+inline void Assignment::Builder::setHasOrder(bool value) {
+  _builder.setDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool RunReport::Reader::hasCheckpoint() const {
+inline bool Assignment::Reader::hasSpec() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool RunReport::Builder::hasCheckpoint() {
+inline bool Assignment::Builder::hasSpec() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader RunReport::Reader::getCheckpoint() const {
+inline  ::capnp::Text::Reader Assignment::Reader::getSpec() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder RunReport::Builder::getCheckpoint() {
+inline  ::capnp::Text::Builder Assignment::Builder::getSpec() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void RunReport::Builder::setCheckpoint( ::capnp::Text::Reader value) {
+inline void Assignment::Builder::setSpec( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder RunReport::Builder::initCheckpoint(unsigned int size) {
+inline  ::capnp::Text::Builder Assignment::Builder::initSpec(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void RunReport::Builder::adoptCheckpoint(
+inline void Assignment::Builder::adoptSpec(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> RunReport::Builder::disownCheckpoint() {
+inline ::capnp::Orphan< ::capnp::Text> Assignment::Builder::disownSpec() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t RunReport::Reader::getPercent() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool Assignment::Reader::hasCheckpoint() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Assignment::Builder::hasCheckpoint() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Assignment::Reader::getCheckpoint() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Assignment::Builder::getCheckpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Assignment::Builder::setCheckpoint( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Assignment::Builder::initCheckpoint(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void Assignment::Builder::adoptCheckpoint(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Assignment::Builder::disownCheckpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t RunReport::Builder::getPercent() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t AssignmentSync::Reader::getEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void RunReport::Builder::setPercent( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+
+inline  ::uint64_t AssignmentSync::Builder::getEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void AssignmentSync::Builder::setEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t EndReport::Reader::getNumber() const {
+inline  ::uint64_t AssignmentSync::Reader::getSequence() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t EndReport::Builder::getNumber() {
+inline  ::uint64_t AssignmentSync::Builder::getSequence() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void EndReport::Builder::setNumber( ::uint64_t value) {
+inline void AssignmentSync::Builder::setSequence( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool EndReport::Reader::hasRun() const {
+inline bool AssignmentSync::Reader::hasLife() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool EndReport::Builder::hasRun() {
+inline bool AssignmentSync::Builder::hasLife() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::waxwingloft::wire::TaskRun::Reader EndReport::Reader::getRun() const {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::TaskRun>::get(_reader.getPointerField(
+inline  ::waxwingloft::wire::ExecutorLife::Reader AssignmentSync::Reader::getLife() const {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::ExecutorLife>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::waxwingloft::wire::TaskRun::Builder EndReport::Builder::getRun() {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::TaskRun>::get(_builder.getPointerField(
+inline  ::waxwingloft::wire::ExecutorLife::Builder AssignmentSync::Builder::getLife() {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::ExecutorLife>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::waxwingloft::wire::TaskRun::Pipeline EndReport::Pipeline::getRun() {
-  return  ::waxwingloft::wire::TaskRun::Pipeline(_typeless.getPointerField(0));
+inline  ::waxwingloft::wire::ExecutorLife::Pipeline AssignmentSync::Pipeline::getLife() {
+  return  ::waxwingloft::wire::ExecutorLife::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void EndReport::Builder::setRun( ::waxwingloft::wire::TaskRun::Reader value) {
-  ::capnp::_::PointerHelpers< ::waxwingloft::wire::TaskRun>::set(_builder.getPointerField(
+inline void AssignmentSync::Builder::setLife( ::waxwingloft::wire::ExecutorLife::Reader value) {
+  ::capnp::_::PointerHelpers< ::waxwingloft::wire::ExecutorLife>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::waxwingloft::wire::TaskRun::Builder EndReport::Builder::initRun() {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::TaskRun>::init(_builder.getPointerField(
+inline  ::waxwingloft::wire::ExecutorLife::Builder AssignmentSync::Builder::initLife() {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::ExecutorLife>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void EndReport::Builder::adoptRun(
-    ::capnp::Orphan< ::waxwingloft::wire::TaskRun>&& value) {
-  ::capnp::_::PointerHelpers< ::waxwingloft::wire::TaskRun>::adopt(_builder.getPointerField(
+inline void AssignmentSync::Builder::adoptLife(
+    ::capnp::Orphan< ::waxwingloft::wire::ExecutorLife>&& value) {
+  ::capnp::_::PointerHelpers< ::waxwingloft::wire::ExecutorLife>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::waxwingloft::wire::TaskRun> EndReport::Builder::disownRun() {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::TaskRun>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::waxwingloft::wire::ExecutorLife> AssignmentSync::Builder::disownLife() {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::ExecutorLife>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint8_t EndReport::Reader::getEnd() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline  ::uint64_t AssignmentSync::Reader::getNotedEnds() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t EndReport::Builder::getEnd() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline  ::uint64_t AssignmentSync::Builder::getNotedEnds() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void EndReport::Builder::setEnd( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+inline void AssignmentSync::Builder::setNotedEnds( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool EndReport::Reader::hasCheckpoint() const {
+inline  ::int64_t AssignmentSync::Reader::getLicenceMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t AssignmentSync::Builder::getLicenceMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void AssignmentSync::Builder::setLicenceMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool AssignmentSync::Reader::hasAssignments() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool EndReport::Builder::hasCheckpoint() {
+inline bool AssignmentSync::Builder::hasAssignments() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader EndReport::Reader::getCheckpoint() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::waxwingloft::wire::Assignment,  ::capnp::Kind::STRUCT>::Reader AssignmentSync::Reader::getAssignments() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::Assignment,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder EndReport::Builder::getCheckpoint() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::waxwingloft::wire::Assignment,  ::capnp::Kind::STRUCT>::Builder AssignmentSync::Builder::getAssignments() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::Assignment,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void EndReport::Builder::setCheckpoint( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void AssignmentSync::Builder::setAssignments( ::capnp::List< ::waxwingloft::wire::Assignment,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::Assignment,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder EndReport::Builder::initCheckpoint(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::List< ::waxwingloft::wire::Assignment,  ::capnp::Kind::STRUCT>::Builder AssignmentSync::Builder::initAssignments(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::Assignment,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void EndReport::Builder::adoptCheckpoint(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void AssignmentSync::Builder::adoptAssignments(
+    ::capnp::Orphan< ::capnp::List< ::waxwingloft::wire::Assignment,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::Assignment,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> EndReport::Builder::disownCheckpoint() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::waxwingloft::wire::Assignment,  ::capnp::Kind::STRUCT>> AssignmentSync::Builder::disownAssignments() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::Assignment,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint8_t EndReport::Reader::getRefusal() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint8_t EndReport::Builder::getRefusal() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
-}
-inline void EndReport::Builder::setRefusal( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool AgentReport::Reader::hasNode() const {
+inline bool Row::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool AgentReport::Builder::hasNode() {
+inline bool Row::Builder::hasKey() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader AgentReport::Reader::getNode() const {
+inline  ::capnp::Text::Reader Row::Reader::getKey() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder AgentReport::Builder::getNode() {
+inline  ::capnp::Text::Builder Row::Builder::getKey() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void AgentReport::Builder::setNode( ::capnp::Text::Reader value) {
+inline void Row::Builder::setKey( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder AgentReport::Builder::initNode(unsigned int size) {
+inline  ::capnp::Text::Builder Row::Builder::initKey(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void AgentReport::Builder::adoptNode(
+inline void Row::Builder::adoptKey(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> AgentReport::Builder::disownNode() {
+inline ::capnp::Orphan< ::capnp::Text> Row::Builder::disownKey() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool AgentReport::Reader::hasAddress() const {
+inline bool Row::Reader::hasValue() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool AgentReport::Builder::hasAddress() {
+inline bool Row::Builder::hasValue() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader AgentReport::Reader::getAddress() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::Data::Reader Row::Reader::getValue() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder AgentReport::Builder::getAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::Data::Builder Row::Builder::getValue() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void AgentReport::Builder::setAddress( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void Row::Builder::setValue( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder AgentReport::Builder::initAddress(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::Data::Builder Row::Builder::initValue(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void AgentReport::Builder::adoptAddress(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void Row::Builder::adoptValue(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> AgentReport::Builder::disownAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Data> Row::Builder::disownValue() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t AgentReport::Reader::getGeneration() const {
+inline  ::uint64_t Row::Reader::getRevision() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t AgentReport::Builder::getGeneration() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void AgentReport::Builder::setGeneration( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t AgentReport::Reader::getSequence() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t AgentReport::Builder::getSequence() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void AgentReport::Builder::setSequence( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t AgentReport::Reader::getEpoch() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t AgentReport::Builder::getEpoch() {
+inline  ::uint64_t Row::Builder::getRevision() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void AgentReport::Builder::setEpoch( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool AgentReport::Reader::hasLife() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool AgentReport::Builder::hasLife() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::waxwingloft::wire::ExecutorLife::Reader AgentReport::Reader::getLife() const {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::ExecutorLife>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::waxwingloft::wire::ExecutorLife::Builder AgentReport::Builder::getLife() {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::ExecutorLife>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::waxwingloft::wire::ExecutorLife::Pipeline AgentReport::Pipeline::getLife() {
-  return  ::waxwingloft::wire::ExecutorLife::Pipeline(_typeless.getPointerField(2));
-}
-#endif  // !CAPNP_LITE
-inline void AgentReport::Builder::setLife( ::waxwingloft::wire::ExecutorLife::Reader value) {
-  ::capnp::_::PointerHelpers< ::waxwingloft::wire::ExecutorLife>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::waxwingloft::wire::ExecutorLife::Builder AgentReport::Builder::initLife() {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::ExecutorLife>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void AgentReport::Builder::adoptLife(
-    ::capnp::Orphan< ::waxwingloft::wire::ExecutorLife>&& value) {
-  ::capnp::_::PointerHelpers< ::waxwingloft::wire::ExecutorLife>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::waxwingloft::wire::ExecutorLife> AgentReport::Builder::disownLife() {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::ExecutorLife>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-
-inline bool AgentReport::Reader::hasService() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline bool AgentReport::Builder::hasService() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader AgentReport::Reader::getService() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder AgentReport::Builder::getService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline void AgentReport::Builder::setService( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder AgentReport::Builder::initService(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
-}
-inline void AgentReport::Builder::adoptService(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Text> AgentReport::Builder::disownService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline void Row::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool AgentReport::Reader::hasZone() const {
+inline bool Row::Reader::hasOperation() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool AgentReport::Builder::hasZone() {
+inline bool Row::Builder::hasOperation() {
   return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader AgentReport::Reader::getZone() const {
+inline  ::capnp::Text::Reader Row::Reader::getOperation() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder AgentReport::Builder::getZone() {
+inline  ::capnp::Text::Builder Row::Builder::getOperation() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void AgentReport::Builder::setZone( ::capnp::Text::Reader value) {
+inline void Row::Builder::setOperation( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder AgentReport::Builder::initZone(unsigned int size) {
+inline  ::capnp::Text::Builder Row::Builder::initOperation(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void AgentReport::Builder::adoptZone(
+inline void Row::Builder::adoptOperation(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> AgentReport::Builder::disownZone() {
+inline ::capnp::Orphan< ::capnp::Text> Row::Builder::disownOperation() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
-}
-
-inline bool AgentReport::Reader::getDraining() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
-}
-
-inline bool AgentReport::Builder::getDraining() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
-}
-inline void AgentReport::Builder::setDraining(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool AgentReport::Reader::getReachable() const {
+inline bool Row::Reader::getRemoved() const {
   return _reader.getDataField<bool>(
-      ::capnp::bounded<193>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
 
-inline bool AgentReport::Builder::getReachable() {
+inline bool Row::Builder::getRemoved() {
   return _builder.getDataField<bool>(
-      ::capnp::bounded<193>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
-inline void AgentReport::Builder::setReachable(bool value) {
+inline void Row::Builder::setRemoved(bool value) {
   _builder.setDataField<bool>(
-      ::capnp::bounded<193>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool AgentReport::Reader::hasCapacity() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
-}
-inline bool AgentReport::Builder::hasCapacity() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
-}
-inline  ::waxwingloft::wire::Capacity::Reader AgentReport::Reader::getCapacity() const {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Capacity>::get(_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
-}
-inline  ::waxwingloft::wire::Capacity::Builder AgentReport::Builder::getCapacity() {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Capacity>::get(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::waxwingloft::wire::Capacity::Pipeline AgentReport::Pipeline::getCapacity() {
-  return  ::waxwingloft::wire::Capacity::Pipeline(_typeless.getPointerField(5));
-}
-#endif  // !CAPNP_LITE
-inline void AgentReport::Builder::setCapacity( ::waxwingloft::wire::Capacity::Reader value) {
-  ::capnp::_::PointerHelpers< ::waxwingloft::wire::Capacity>::set(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
-}
-inline  ::waxwingloft::wire::Capacity::Builder AgentReport::Builder::initCapacity() {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Capacity>::init(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
-}
-inline void AgentReport::Builder::adoptCapacity(
-    ::capnp::Orphan< ::waxwingloft::wire::Capacity>&& value) {
-  ::capnp::_::PointerHelpers< ::waxwingloft::wire::Capacity>::adopt(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::waxwingloft::wire::Capacity> AgentReport::Builder::disownCapacity() {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Capacity>::disown(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool AgentReport::Reader::hasLabels() const {
+inline bool Condition::Reader::hasKey() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool AgentReport::Builder::hasLabels() {
+inline bool Condition::Builder::hasKey() {
   return !_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader AgentReport::Reader::getLabels() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder AgentReport::Builder::getLabels() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader Condition::Reader::getKey() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void AgentReport::Builder::setLabels( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+inline  ::capnp::Text::Builder Condition::Builder::getKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void AgentReport::Builder::setLabels(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+inline void Condition::Builder::setKey( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder AgentReport::Builder::initLabels(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder Condition::Builder::initKey(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void AgentReport::Builder::adoptLabels(
-    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+inline void Condition::Builder::adoptKey(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> AgentReport::Builder::disownLabels() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> Condition::Builder::disownKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t AgentReport::Reader::getSyncSequence() const {
+inline  ::uint64_t Condition::Reader::getRevision() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t AgentReport::Builder::getSyncSequence() {
+inline  ::uint64_t Condition::Builder::getRevision() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void AgentReport::Builder::setSyncSequence( ::uint64_t value) {
+inline void Condition::Builder::setRevision( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool AgentReport::Reader::hasRuns() const {
+inline bool Write::Reader::hasKey() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool AgentReport::Builder::hasRuns() {
+inline bool Write::Builder::hasKey() {
   return !_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::waxwingloft::wire::RunReport,  ::capnp::Kind::STRUCT>::Reader AgentReport::Reader::getRuns() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::RunReport,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader Write::Reader::getKey() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::waxwingloft::wire::RunReport,  ::capnp::Kind::STRUCT>::Builder AgentReport::Builder::getRuns() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::RunReport,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Write::Builder::getKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void AgentReport::Builder::setRuns( ::capnp::List< ::waxwingloft::wire::RunReport,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::RunReport,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+inline void Write::Builder::setKey( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::waxwingloft::wire::RunReport,  ::capnp::Kind::STRUCT>::Builder AgentReport::Builder::initRuns(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::RunReport,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder Write::Builder::initKey(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void AgentReport::Builder::adoptRuns(
-    ::capnp::Orphan< ::capnp::List< ::waxwingloft::wire::RunReport,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::RunReport,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+inline void Write::Builder::adoptKey(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::waxwingloft::wire::RunReport,  ::capnp::Kind::STRUCT>> AgentReport::Builder::disownRuns() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::RunReport,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> Write::Builder::disownKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool AgentReport::Reader::hasEnds() const {
+inline bool Write::Reader::getHasValue() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool Write::Builder::getHasValue() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Write::Builder::setHasValue(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Write::Reader::hasValue() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool AgentReport::Builder::hasEnds() {
+inline bool Write::Builder::hasValue() {
   return !_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::waxwingloft::wire::EndReport,  ::capnp::Kind::STRUCT>::Reader AgentReport::Reader::getEnds() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::EndReport,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Reader Write::Reader::getValue() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::waxwingloft::wire::EndReport,  ::capnp::Kind::STRUCT>::Builder AgentReport::Builder::getEnds() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::EndReport,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Builder Write::Builder::getValue() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void AgentReport::Builder::setEnds( ::capnp::List< ::waxwingloft::wire::EndReport,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::EndReport,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+inline void Write::Builder::setValue( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::waxwingloft::wire::EndReport,  ::capnp::Kind::STRUCT>::Builder AgentReport::Builder::initEnds(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::EndReport,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
+inline  ::capnp::Data::Builder Write::Builder::initValue(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void AgentReport::Builder::adoptEnds(
-    ::capnp::Orphan< ::capnp::List< ::waxwingloft::wire::EndReport,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::EndReport,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+inline void Write::Builder::adoptValue(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
