-inline ::capnp::Orphan< ::capnp::List< ::waxwingloft::wire::EndReport,  ::capnp::Kind::STRUCT>> AgentReport::Builder::disownEnds() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::EndReport,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Data> Write::Builder::disownValue() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Assignment::Reader::hasRun() const {
+inline bool Transaction::Reader::hasOperation() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Assignment::Builder::hasRun() {
+inline bool Transaction::Builder::hasOperation() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::waxwingloft::wire::TaskRun::Reader Assignment::Reader::getRun() const {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::TaskRun>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader Transaction::Reader::getOperation() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::waxwingloft::wire::TaskRun::Builder Assignment::Builder::getRun() {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::TaskRun>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder Transaction::Builder::getOperation() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::waxwingloft::wire::TaskRun::Pipeline Assignment::Pipeline::getRun() {
-  return  ::waxwingloft::wire::TaskRun::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Assignment::Builder::setRun( ::waxwingloft::wire::TaskRun::Reader value) {
-  ::capnp::_::PointerHelpers< ::waxwingloft::wire::TaskRun>::set(_builder.getPointerField(
+inline void Transaction::Builder::setOperation( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::waxwingloft::wire::TaskRun::Builder Assignment::Builder::initRun() {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::TaskRun>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Transaction::Builder::initOperation(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Assignment::Builder::adoptRun(
-    ::capnp::Orphan< ::waxwingloft::wire::TaskRun>&& value) {
-  ::capnp::_::PointerHelpers< ::waxwingloft::wire::TaskRun>::adopt(_builder.getPointerField(
+inline void Transaction::Builder::adoptOperation(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::waxwingloft::wire::TaskRun> Assignment::Builder::disownRun() {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::TaskRun>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> Transaction::Builder::disownOperation() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Assignment::Reader::hasNeeds() const {
+inline bool Transaction::Reader::hasConditions() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Assignment::Builder::hasNeeds() {
+inline bool Transaction::Builder::hasConditions() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::waxwingloft::wire::Capacity::Reader Assignment::Reader::getNeeds() const {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Capacity>::get(_reader.getPointerField(
+inline  ::capnp::List< ::waxwingloft::wire::Condition,  ::capnp::Kind::STRUCT>::Reader Transaction::Reader::getConditions() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::Condition,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::waxwingloft::wire::Capacity::Builder Assignment::Builder::getNeeds() {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Capacity>::get(_builder.getPointerField(
+inline  ::capnp::List< ::waxwingloft::wire::Condition,  ::capnp::Kind::STRUCT>::Builder Transaction::Builder::getConditions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::Condition,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::waxwingloft::wire::Capacity::Pipeline Assignment::Pipeline::getNeeds() {
-  return  ::waxwingloft::wire::Capacity::Pipeline(_typeless.getPointerField(1));
-}
-#endif  // !CAPNP_LITE
-inline void Assignment::Builder::setNeeds( ::waxwingloft::wire::Capacity::Reader value) {
-  ::capnp::_::PointerHelpers< ::waxwingloft::wire::Capacity>::set(_builder.getPointerField(
+inline void Transaction::Builder::setConditions( ::capnp::List< ::waxwingloft::wire::Condition,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::Condition,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::waxwingloft::wire::Capacity::Builder Assignment::Builder::initNeeds() {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Capacity>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::waxwingloft::wire::Condition,  ::capnp::Kind::STRUCT>::Builder Transaction::Builder::initConditions(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::Condition,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Assignment::Builder::adoptNeeds(
-    ::capnp::Orphan< ::waxwingloft::wire::Capacity>&& value) {
-  ::capnp::_::PointerHelpers< ::waxwingloft::wire::Capacity>::adopt(_builder.getPointerField(
+inline void Transaction::Builder::adoptConditions(
+    ::capnp::Orphan< ::capnp::List< ::waxwingloft::wire::Condition,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::Condition,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::waxwingloft::wire::Capacity> Assignment::Builder::disownNeeds() {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Capacity>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::waxwingloft::wire::Condition,  ::capnp::Kind::STRUCT>> Transaction::Builder::disownConditions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::Condition,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Assignment::Reader::getHasOrder() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline bool Assignment::Builder::getHasOrder() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Assignment::Builder::setHasOrder(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Assignment::Reader::hasSpec() const {
+inline bool Transaction::Reader::hasWrites() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool Assignment::Builder::hasSpec() {
+inline bool Transaction::Builder::hasWrites() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Assignment::Reader::getSpec() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::waxwingloft::wire::Write,  ::capnp::Kind::STRUCT>::Reader Transaction::Reader::getWrites() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::Write,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Assignment::Builder::getSpec() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::waxwingloft::wire::Write,  ::capnp::Kind::STRUCT>::Builder Transaction::Builder::getWrites() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::Write,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Assignment::Builder::setSpec( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void Transaction::Builder::setWrites( ::capnp::List< ::waxwingloft::wire::Write,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::Write,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Assignment::Builder::initSpec(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::List< ::waxwingloft::wire::Write,  ::capnp::Kind::STRUCT>::Builder Transaction::Builder::initWrites(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::Write,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void Assignment::Builder::adoptSpec(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void Transaction::Builder::adoptWrites(
+    ::capnp::Orphan< ::capnp::List< ::waxwingloft::wire::Write,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::Write,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Assignment::Builder::disownSpec() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::waxwingloft::wire::Write,  ::capnp::Kind::STRUCT>> Transaction::Builder::disownWrites() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::Write,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool Assignment::Reader::hasCheckpoint() const {
+inline  ::uint8_t RelayTableCall::Reader::getKind() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t RelayTableCall::Builder::getKind() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RelayTableCall::Builder::setKind( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RelayTableCall::Reader::hasKey() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Assignment::Builder::hasCheckpoint() {
+inline bool RelayTableCall::Builder::hasKey() {
   return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Assignment::Reader::getCheckpoint() const {
+inline  ::capnp::Text::Reader RelayTableCall::Reader::getKey() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Assignment::Builder::getCheckpoint() {
+inline  ::capnp::Text::Builder RelayTableCall::Builder::getKey() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Assignment::Builder::setCheckpoint( ::capnp::Text::Reader value) {
+inline void RelayTableCall::Builder::setKey( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Assignment::Builder::initCheckpoint(unsigned int size) {
+inline  ::capnp::Text::Builder RelayTableCall::Builder::initKey(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Assignment::Builder::adoptCheckpoint(
+inline void RelayTableCall::Builder::adoptKey(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Assignment::Builder::disownCheckpoint() {
+inline ::capnp::Orphan< ::capnp::Text> RelayTableCall::Builder::disownKey() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t AssignmentSync::Reader::getEpoch() const {
+inline  ::uint64_t RelayTableCall::Reader::getSince() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t AssignmentSync::Builder::getEpoch() {
+inline  ::uint64_t RelayTableCall::Builder::getSince() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void AssignmentSync::Builder::setEpoch( ::uint64_t value) {
+inline void RelayTableCall::Builder::setSince( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t AssignmentSync::Reader::getSequence() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool RelayTableCall::Reader::hasTransaction() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t AssignmentSync::Builder::getSequence() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool RelayTableCall::Builder::hasTransaction() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline void AssignmentSync::Builder::setSequence( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline  ::waxwingloft::wire::Transaction::Reader RelayTableCall::Reader::getTransaction() const {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Transaction>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::waxwingloft::wire::Transaction::Builder RelayTableCall::Builder::getTransaction() {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Transaction>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::waxwingloft::wire::Transaction::Pipeline RelayTableCall::Pipeline::getTransaction() {
+  return  ::waxwingloft::wire::Transaction::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void RelayTableCall::Builder::setTransaction( ::waxwingloft::wire::Transaction::Reader value) {
+  ::capnp::_::PointerHelpers< ::waxwingloft::wire::Transaction>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::waxwingloft::wire::Transaction::Builder RelayTableCall::Builder::initTransaction() {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Transaction>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void RelayTableCall::Builder::adoptTransaction(
+    ::capnp::Orphan< ::waxwingloft::wire::Transaction>&& value) {
+  ::capnp::_::PointerHelpers< ::waxwingloft::wire::Transaction>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::waxwingloft::wire::Transaction> RelayTableCall::Builder::disownTransaction() {
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Transaction>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool AssignmentSync::Reader::hasLife() const {
+inline bool RelayTableAnswer::Reader::hasRows() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool AssignmentSync::Builder::hasLife() {
+inline bool RelayTableAnswer::Builder::hasRows() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::waxwingloft::wire::ExecutorLife::Reader AssignmentSync::Reader::getLife() const {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::ExecutorLife>::get(_reader.getPointerField(
+inline  ::capnp::List< ::waxwingloft::wire::Row,  ::capnp::Kind::STRUCT>::Reader RelayTableAnswer::Reader::getRows() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::Row,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::waxwingloft::wire::ExecutorLife::Builder AssignmentSync::Builder::getLife() {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::ExecutorLife>::get(_builder.getPointerField(
+inline  ::capnp::List< ::waxwingloft::wire::Row,  ::capnp::Kind::STRUCT>::Builder RelayTableAnswer::Builder::getRows() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::Row,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::waxwingloft::wire::ExecutorLife::Pipeline AssignmentSync::Pipeline::getLife() {
-  return  ::waxwingloft::wire::ExecutorLife::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void AssignmentSync::Builder::setLife( ::waxwingloft::wire::ExecutorLife::Reader value) {
-  ::capnp::_::PointerHelpers< ::waxwingloft::wire::ExecutorLife>::set(_builder.getPointerField(
+inline void RelayTableAnswer::Builder::setRows( ::capnp::List< ::waxwingloft::wire::Row,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::Row,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::waxwingloft::wire::ExecutorLife::Builder AssignmentSync::Builder::initLife() {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::ExecutorLife>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::waxwingloft::wire::Row,  ::capnp::Kind::STRUCT>::Builder RelayTableAnswer::Builder::initRows(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::Row,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void AssignmentSync::Builder::adoptLife(
-    ::capnp::Orphan< ::waxwingloft::wire::ExecutorLife>&& value) {
-  ::capnp::_::PointerHelpers< ::waxwingloft::wire::ExecutorLife>::adopt(_builder.getPointerField(
+inline void RelayTableAnswer::Builder::adoptRows(
+    ::capnp::Orphan< ::capnp::List< ::waxwingloft::wire::Row,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::Row,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::waxwingloft::wire::ExecutorLife> AssignmentSync::Builder::disownLife() {
-  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::ExecutorLife>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::waxwingloft::wire::Row,  ::capnp::Kind::STRUCT>> RelayTableAnswer::Builder::disownRows() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::Row,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t AssignmentSync::Reader::getNotedEnds() const {
+inline  ::uint64_t RelayTableAnswer::Reader::getRevision() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t AssignmentSync::Builder::getNotedEnds() {
+inline  ::uint64_t RelayTableAnswer::Builder::getRevision() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void AssignmentSync::Builder::setNotedEnds( ::uint64_t value) {
+inline void RelayTableAnswer::Builder::setRevision( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::int64_t AssignmentSync::Reader::getLicenceMs() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-
-inline  ::int64_t AssignmentSync::Builder::getLicenceMs() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-inline void AssignmentSync::Builder::setLicenceMs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool AssignmentSync::Reader::hasAssignments() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool AssignmentSync::Builder::hasAssignments() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::waxwingloft::wire::Assignment,  ::capnp::Kind::STRUCT>::Reader AssignmentSync::Reader::getAssignments() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::Assignment,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::waxwingloft::wire::Assignment,  ::capnp::Kind::STRUCT>::Builder AssignmentSync::Builder::getAssignments() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::Assignment,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void AssignmentSync::Builder::setAssignments( ::capnp::List< ::waxwingloft::wire::Assignment,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::Assignment,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::waxwingloft::wire::Assignment,  ::capnp::Kind::STRUCT>::Builder AssignmentSync::Builder::initAssignments(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::Assignment,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void AssignmentSync::Builder::adoptAssignments(
-    ::capnp::Orphan< ::capnp::List< ::waxwingloft::wire::Assignment,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::Assignment,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::waxwingloft::wire::Assignment,  ::capnp::Kind::STRUCT>> AssignmentSync::Builder::disownAssignments() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::waxwingloft::wire::Assignment,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline  ::waxwingloft::wire::Message::Which Message::Reader::which() const {
@@ -10386,6 +11601,114 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Message::Reader::isRelayTableCall() const {
+  return which() == Message::RELAY_TABLE_CALL;
+}
+inline bool Message::Builder::isRelayTableCall() {
+  return which() == Message::RELAY_TABLE_CALL;
+}
+inline bool Message::Reader::hasRelayTableCall() const {
+  if (which() != Message::RELAY_TABLE_CALL) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Message::Builder::hasRelayTableCall() {
+  if (which() != Message::RELAY_TABLE_CALL) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::waxwingloft::wire::RelayTableCall::Reader Message::Reader::getRelayTableCall() const {
+  KJ_IREQUIRE((which() == Message::RELAY_TABLE_CALL),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::RelayTableCall>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::waxwingloft::wire::RelayTableCall::Builder Message::Builder::getRelayTableCall() {
+  KJ_IREQUIRE((which() == Message::RELAY_TABLE_CALL),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::RelayTableCall>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setRelayTableCall( ::waxwingloft::wire::RelayTableCall::Reader value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::RELAY_TABLE_CALL);
+  ::capnp::_::PointerHelpers< ::waxwingloft::wire::RelayTableCall>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::waxwingloft::wire::RelayTableCall::Builder Message::Builder::initRelayTableCall() {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::RELAY_TABLE_CALL);
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::RelayTableCall>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::adoptRelayTableCall(
+    ::capnp::Orphan< ::waxwingloft::wire::RelayTableCall>&& value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::RELAY_TABLE_CALL);
+  ::capnp::_::PointerHelpers< ::waxwingloft::wire::RelayTableCall>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::waxwingloft::wire::RelayTableCall> Message::Builder::disownRelayTableCall() {
+  KJ_IREQUIRE((which() == Message::RELAY_TABLE_CALL),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::RelayTableCall>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Message::Reader::isRelayTableAnswer() const {
+  return which() == Message::RELAY_TABLE_ANSWER;
+}
+inline bool Message::Builder::isRelayTableAnswer() {
+  return which() == Message::RELAY_TABLE_ANSWER;
+}
+inline bool Message::Reader::hasRelayTableAnswer() const {
+  if (which() != Message::RELAY_TABLE_ANSWER) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Message::Builder::hasRelayTableAnswer() {
+  if (which() != Message::RELAY_TABLE_ANSWER) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::waxwingloft::wire::RelayTableAnswer::Reader Message::Reader::getRelayTableAnswer() const {
+  KJ_IREQUIRE((which() == Message::RELAY_TABLE_ANSWER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::RelayTableAnswer>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::waxwingloft::wire::RelayTableAnswer::Builder Message::Builder::getRelayTableAnswer() {
+  KJ_IREQUIRE((which() == Message::RELAY_TABLE_ANSWER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::RelayTableAnswer>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setRelayTableAnswer( ::waxwingloft::wire::RelayTableAnswer::Reader value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::RELAY_TABLE_ANSWER);
+  ::capnp::_::PointerHelpers< ::waxwingloft::wire::RelayTableAnswer>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::waxwingloft::wire::RelayTableAnswer::Builder Message::Builder::initRelayTableAnswer() {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::RELAY_TABLE_ANSWER);
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::RelayTableAnswer>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::adoptRelayTableAnswer(
+    ::capnp::Orphan< ::waxwingloft::wire::RelayTableAnswer>&& value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::RELAY_TABLE_ANSWER);
+  ::capnp::_::PointerHelpers< ::waxwingloft::wire::RelayTableAnswer>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::waxwingloft::wire::RelayTableAnswer> Message::Builder::disownRelayTableAnswer() {
+  KJ_IREQUIRE((which() == Message::RELAY_TABLE_ANSWER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::RelayTableAnswer>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 #if !CAPNP_LITE
 inline Node::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/src/connection/private/recordcodec.h
+++ b/src/connection/private/recordcodec.h
@@ -9,6 +9,12 @@
 /** Returns a copy of a text on the wire. */
 std::string textOf(capnp::Text::Reader text);
 
+/** Returns a view of @p bytes for the wire. */
+capnp::Data::Reader bytesOf(const std::string &bytes);
+
+/** Returns a copy of bytes on the wire. */
+std::string stringOf(capnp::Data::Reader data);
+
 // One pair for each record: encode() writes its Cap'n Proto form, decode() reads it.
 
 void encode(const HybridTime &time, wire::HybridTime::Builder builder);
--- a/src/connection/recordcodec.cpp
+++ b/src/connection/recordcodec.cpp
@@ -4,16 +4,6 @@
 
 namespace {
 
-capnp::Data::Reader bytesOf(const std::string &bytes)
-{
-    return {reinterpret_cast<const capnp::byte *>(bytes.data()), bytes.size()};
-}
-
-std::string stringOf(capnp::Data::Reader data)
-{
-    return {reinterpret_cast<const char *>(data.begin()), data.size()};
-}
-
 /** Reads an enumerator; a number of a newer version becomes @p fallback. */
 template<typename Enum>
 Enum enumOf(std::uint8_t number, Enum fallback, std::size_t count)
@@ -29,6 +19,16 @@
 
 } // namespace
 
+capnp::Data::Reader bytesOf(const std::string &bytes)
+{
+    return {reinterpret_cast<const capnp::byte *>(bytes.data()), bytes.size()};
+}
+
+std::string stringOf(capnp::Data::Reader data)
+{
+    return {reinterpret_cast<const char *>(data.begin()), data.size()};
+}
+
 std::string textOf(capnp::Text::Reader text)
 {
     return {text.begin(), text.size()};
--- /dev/null
+++ b/src/connection/relaytable.cpp
@@ -0,0 +1,210 @@
+#include "waxwingloft/connection/relaytable.h"
+
+#include <array>
+
+namespace waxwingloft {
+
+namespace {
+
+const std::string ProbedKey = "office/placer"; ///< any row will do
+
+bool isFailure(const Error &error)
+{
+    return error.kind == ErrorKind::PlatformDown || error.kind == ErrorKind::Ambiguous;
+}
+
+RelayTableAnswer answerOf(const std::optional<Row> &row)
+{
+    RelayTableAnswer answer;
+    if (row) {
+        answer.rows.push_back({*row, false});
+    }
+    return answer;
+}
+
+RelayTableAnswer answerOf(const RowList &list)
+{
+    RelayTableAnswer answer{{}, list.revision};
+    for (const auto &row : list.rows) {
+        answer.rows.push_back({row, false});
+    }
+    return answer;
+}
+
+RelayTableAnswer answerOf(const Commit &commit)
+{
+    return {{}, commit.revision};
+}
+
+RelayTableAnswer answerOf(const ChangeBatch &batch)
+{
+    return {batch.changes, batch.revision};
+}
+
+template<typename T>
+Message messageOf(const Result<T> &result)
+{
+    return succeeded(result) ? Message(answerOf(valueOf(result))) : replyWith(errorOf(result));
+}
+
+/** A call that no peer has answered may have had an effect only if it was a commit. */
+Error lost(const Error &error, TableCallKind kind)
+{
+    const bool mayHaveHadEffect = kind == TableCallKind::Commit && error.kind == ErrorKind::Ambiguous;
+    return makeError(mayHaveHadEffect ? ErrorKind::Ambiguous : ErrorKind::PlatformDown, error.message);
+}
+
+} // namespace
+
+RelayTable::RelayTable(TableStore &direct, TableFeed &directFeed, NodePort &nodes, Clock &clock, PeerSource peers, RelayTerms terms)
+    : direct(direct)
+    , directFeed(directFeed)
+    , nodes(nodes)
+    , clock(clock)
+    , peers(std::move(peers))
+    , terms(terms)
+    , log(LogPart::Table)
+{
+}
+
+template<typename T>
+Result<T> RelayTable::noted(Result<T> result)
+{
+    const bool isFailing = !succeeded(result) && isFailure(errorOf(result));
+    if (this->isDirectFailing.exchange(isFailing, std::memory_order_acq_rel) != isFailing) {
+        if (isFailing) {
+            this->log.warn("The table is not reached directly; peers are asked first: " + errorOf(result).message);
+        } else {
+            this->log.info("The table is reached directly again.");
+        }
+    }
+    return result;
+}
+
+template<typename T, typename Direct, typename Relayed>
+Result<T> RelayTable::through(Direct direct, Relayed relayed)
+{
+    if (this->isFailing()) {
+        Result<T> answer = relayed();
+        if (succeeded(answer) || errorOf(answer).kind != ErrorKind::PlatformDown) {
+            return answer;
+        }
+        return this->noted<T>(direct());
+    }
+    auto answer = this->noted<T>(direct());
+    const bool hadNoEffect = !succeeded(answer) && errorOf(answer).kind == ErrorKind::PlatformDown;
+    return hadNoEffect ? Result<T>(relayed()) : answer;
+}
+
+Result<RelayTableAnswer> RelayTable::relay(const RelayTableCall &call)
+{
+    const auto addresses = this->peers();
+    Error last = makeError(ErrorKind::PlatformDown, "no peer is known that could reach the table");
+    const auto tries = std::min(this->terms.peers, addresses.size());
+    for (std::size_t tryNumber = 0; tryNumber < tries; ++tryNumber) {
+        const auto &address = addresses[this->nextPeer.load(std::memory_order_relaxed) % addresses.size()];
+        auto answer = expectReply<RelayTableAnswer>(this->nodes.call(address, call, this->terms.timeout));
+        if (succeeded(answer)) {
+            return answer;
+        }
+        const auto kind = errorOf(answer).kind;
+        if (kind == ErrorKind::Conflict || kind == ErrorKind::Stale) {
+            return errorOf(answer);
+        }
+        this->nextPeer.fetch_add(1, std::memory_order_relaxed);
+        last = lost(errorOf(answer), call.kind);
+        if (last.kind == ErrorKind::Ambiguous) {
+            return last;
+        }
+    }
+    return last;
+}
+
+Result<std::optional<Row>> RelayTable::get(const std::string &key)
+{
+    return this->through<std::optional<Row>>([&] { return this->direct.get(key); },
+                                             [&]() -> Result<std::optional<Row>> {
+                                                 const auto answer = this->relay({TableCallKind::Get, key, 0, {}});
+                                                 if (!succeeded(answer)) {
+                                                     return errorOf(answer);
+                                                 }
+                                                 const auto &rows = valueOf(answer).rows;
+                                                 return rows.empty() ? std::optional<Row>() : std::optional<Row>(rows.front().row);
+                                             });
+}
+
+Result<RowList> RelayTable::list(const std::string &prefix, std::uint64_t since)
+{
+    return this->through<RowList>([&] { return this->direct.list(prefix, since); },
+                                  [&]() -> Result<RowList> {
+                                      const auto answer = this->relay({TableCallKind::List, prefix, since, {}});
+                                      if (!succeeded(answer)) {
+                                          return errorOf(answer);
+                                      }
+                                      RowList list{{}, valueOf(answer).revision};
+                                      for (const auto &change : valueOf(answer).rows) {
+                                          list.rows.push_back(change.row);
+                                      }
+                                      return list;
+                                  });
+}
+
+Result<Commit> RelayTable::commit(const Transaction &transaction)
+{
+    return this->through<Commit>([&] { return this->direct.commit(transaction); },
+                                 [&]() -> Result<Commit> {
+                                     const auto answer = this->relay({TableCallKind::Commit, {}, 0, transaction});
+                                     return succeeded(answer) ? Result<Commit>(Commit{valueOf(answer).revision}) : errorOf(answer);
+                                 });
+}
+
+Result<ChangeBatch> RelayTable::changes(const std::string &table, std::uint64_t after, Millis wait)
+{
+    bool isRelayed = false;
+    auto batch = this->through<ChangeBatch>([&] { return this->directFeed.changes(table, after, this->isFailing() ? Millis(0) : wait); },
+                                            [&]() -> Result<ChangeBatch> {
+                                                const auto answer = this->relay({TableCallKind::Changes, table, after, {}});
+                                                if (!succeeded(answer)) {
+                                                    return errorOf(answer);
+                                                }
+                                                isRelayed = true;
+                                                return ChangeBatch{valueOf(answer).rows, valueOf(answer).revision};
+                                            });
+    // A peer answers at once, so that nobody's threads are held by the wait.
+    if (isRelayed && succeeded(batch) && valueOf(batch).changes.empty()) {
+        this->clock.sleepFor(std::min(wait, this->terms.pollInterval));
+    }
+    return batch;
+}
+
+void RelayTable::probe()
+{
+    if (this->isFailing()) {
+        this->noted<std::optional<Row>>(this->direct.get(ProbedKey));
+    }
+}
+
+bool RelayTable::isFailing() const
+{
+    return this->isDirectFailing.load(std::memory_order_acquire);
+}
+
+Message RelayTable::serve(const RelayTableCall &call)
+{
+    if (this->isFailing()) {
+        return replyWith(makeError(ErrorKind::PlatformDown, "this process does not reach the table either"));
+    }
+    switch (call.kind) {
+    case TableCallKind::Get:
+        return messageOf(this->noted<std::optional<Row>>(this->direct.get(call.key)));
+    case TableCallKind::List:
+        return messageOf(this->noted<RowList>(this->direct.list(call.key, call.since)));
+    case TableCallKind::Commit:
+        return messageOf(this->noted<Commit>(this->direct.commit(call.transaction)));
+    case TableCallKind::Changes:
+        return messageOf(this->noted<ChangeBatch>(this->directFeed.changes(call.key, call.since, Millis(0))));
+    }
+    return replyWith(makeError(ErrorKind::InvalidInput, "a call of an unknown kind on the table"));
+}
+
+} // namespace waxwingloft
--- a/src/process/daemon/jobagentrole.cpp
+++ b/src/process/daemon/jobagentrole.cpp
@@ -3,7 +3,6 @@
 #include "platformexecutor.h"
 
 #include "waxwingloft/request/executoragent.h"
-#include "waxwingloft/request/placeroffice.h"
 
 namespace waxwingloft {
 
@@ -21,13 +20,6 @@
     return terms;
 }
 
-FollowTerms officeFollowing()
-{
-    FollowTerms terms;
-    terms.wait = OfficeWait;
-    return terms;
-}
-
 /** The agent beside an executor of the users' platform. */
 class JobAgentRole : public Role
 {
@@ -51,8 +43,7 @@
     {
         this->node.rpc.serve(this->agent);
         this->agent.start();
-        this->officeFollower =
-            std::make_unique<TableFollower>(this->node.table, this->node.store, this->node.clock, std::string(OfficeTable), this->agent, officeFollowing());
+        this->node.startOffice(OfficeWait);
         this->heartbeats.start();
         this->node.http.run();
     }
@@ -61,10 +52,6 @@
     bool finish(Millis /*limit*/) override
     {
         this->node.isLeaving.store(true, std::memory_order_release);
-        this->heartbeats.stop();
-        this->agent.stop();
-        this->node.http.stop();
-        this->node.rpc.close();
         return true;
     }
 
@@ -73,7 +60,6 @@
     PlatformExecutor executor;
     ExecutorAgent agent;
     HeartbeatFront heartbeats;
-    std::unique_ptr<TableFollower> officeFollower;
 };
 
 } // namespace
--- a/src/process/daemon/jobentryrole.cpp
+++ b/src/process/daemon/jobentryrole.cpp
@@ -11,14 +11,14 @@
 namespace {
 
 constexpr auto RoutesWait = Millis(1000); ///< below the time in which a version must be in force, with a silent feed in between
-constexpr auto RoutesRelist = Millis(0);
+constexpr auto OfficeWait = Millis(5000); ///< the office changes hands rarely
+constexpr auto AnswerWriteTime = Millis(100); ///< for the last answers to leave
 constexpr double ClockDrift = 0.02; ///< an executor's clock may be this share slow; the platform's pages
 
 FollowTerms routesFollowing()
 {
     FollowTerms terms;
     terms.wait = RoutesWait;
-    terms.relist = RoutesRelist;
     return terms;
 }
 
@@ -63,6 +63,7 @@
                              this->office.nudge();
                          })
         , nudger(this->board, this->office)
+        , messages(this->office, this->node.relay)
         , front(config.jobs.frontAddress, frontTermsOf(config), this->gate)
         , ready(config.jobs.readyAddress, [this] { return this->isReady(); })
     {
@@ -70,30 +71,30 @@
 
     void start() override
     {
-        this->node.rpc.serve(this->office);
+        this->node.rpc.serve(this->messages);
+        this->node.startOffice(OfficeWait);
         this->office.start();
         this->routesFollower = std::make_unique<TableFollower>(
-            this->node.table, this->node.store, this->node.clock, std::string(OperatorTable), this->operatorRoutes, routesFollowing());
+            this->node.table, this->node.relay, this->node.clock, std::string(OperatorTable), this->operatorRoutes, routesFollowing());
         this->jobsFollower =
-            std::make_unique<TableFollower>(this->node.table, this->node.store, this->node.clock, std::string(JobTable), this->nudger, FollowTerms());
+            std::make_unique<TableFollower>(this->node.table, this->node.relay, this->node.clock, std::string(JobTable), this->nudger, FollowTerms());
         this->ready.start();
         this->front.start();
         this->node.http.run();
     }
 
+    /** Callers keep their connections open, so it serves until the balancer has turned away and then ends without them. */
     bool finish(Millis limit) override
     {
+        const auto deadline = this->node.clock.now() + limit;
         this->node.isLeaving.store(true, std::memory_order_release);
         this->front.drain();
-        this->office.stop();
+        std::thread handOver([this] { this->office.stop(); });
         this->node.clock.sleepFor(std::min(this->node.config.balancerWait, limit));
-        this->front.stop();
-        this->ready.stop();
-        this->node.http.stop();
-        this->routesFollower->stop();
-        this->jobsFollower->stop();
-        this->node.rpc.close();
-        return true;
+        const bool isIdle = this->front.waitUntilIdle(this->node.clock, std::max(Millis(0), deadline - this->node.clock.now()));
+        this->node.clock.sleepFor(AnswerWriteTime);
+        handOver.detach();
+        return isIdle;
     }
 
 private:
@@ -126,6 +127,27 @@
         PlacerOffice &office;
     };
 
+    /** Messages of peers: reports of agents, and calls on the store for peers that do not reach it. */
+    class MessageSwitch : public MessageHandler
+    {
+    public:
+        MessageSwitch(PlacerOffice &office, RelayTable &relay)
+            : office(office)
+            , relay(relay)
+        {
+        }
+
+        Message handle(const Header &header, const Message &message) override
+        {
+            const auto *const call = std::get_if<RelayTableCall>(&message);
+            return call == nullptr ? this->office.handle(header, message) : this->relay.serve(*call);
+        }
+
+    private:
+        PlacerOffice &office;
+        RelayTable &relay;
+    };
+
     bool isReady() const
     {
         const ReadSection section;
@@ -140,6 +162,7 @@
     PlacerOffice office;
     OperatorRoutes operatorRoutes;
     Nudger nudger;
+    MessageSwitch messages;
     JobFront front;
     ReadyFront ready;
     std::unique_ptr<TableFollower> routesFollower;
--- a/src/process/daemon/jobnode.cpp
+++ b/src/process/daemon/jobnode.cpp
@@ -4,11 +4,12 @@
 
 namespace {
 
-constexpr auto StoreTimeout = Millis(1200); ///< above the slowest answers that the platform announces, 60 times 4 ms and a queue
+constexpr auto StoreTimeout = Millis(800); ///< above the slowest answers that the platform announces, 60 times 4 ms and a queue
+constexpr auto ProbeInterval = Millis(1000);
 constexpr auto LongestBackoff = Millis(400); ///< after an outage of the store work goes on within half a second
 constexpr int FailuresToOpen = 4;
 constexpr int SettleTries = 5; ///< a lost answer is settled within about a second
-constexpr std::size_t RequestThreads = 1; ///< nothing on this path waits in a handler
+constexpr std::size_t RequestThreads = 2; ///< for calls on the store that are made for peers
 constexpr std::size_t ControlThreads = 2;
 constexpr std::size_t HealthThreads = 2;
 constexpr std::size_t EventsKept = 2000; ///< hosts have little memory; the log has all of them
@@ -21,11 +22,14 @@
     , events(this->clock, config.node, EventsKept)
     , ids(IdSource::entropySeed())
     , store(config.jobs.storeAddress, StoreTimeout, this->metrics)
-    , table(this->store,
+    , office(NodeId{config.node})
+    , rpc(config.rpcAddress, *this, this->metrics, RpcTerms{RequestThreads, ControlThreads, 1024, Millis(1000), Millis(800), Millis(800), Millis(60000)})
+    , relay(
+          this->store, this->store, this->rpc, this->clock, [this] { return this->office.peers(); }, RelayTerms())
+    , table(this->relay,
             this->clock,
             TableBudget{config.tableCallsPerSecond, config.tableCallsPerSecond * 2, SettleTries, Millis(50), LongestBackoff, FailuresToOpen},
             IdSource::entropySeed())
-    , rpc(config.rpcAddress, *this, this->metrics, RpcTerms{RequestThreads, ControlThreads, 1024, Millis(1000), Millis(800), Millis(800), Millis(60000)})
     , http(config.httpAddress, *this, HttpTerms{HealthThreads, LargestHealthBody, Millis(5000), Millis(5000), Millis(5000)})
 {
     this->events.record(EventKind::Started, config.node, {}, std::string(nameOf(config.role)));
@@ -43,6 +47,20 @@
     return this->metrics.text();
 }
 
+void JobNode::startOffice(Millis wait)
+{
+    FollowTerms terms;
+    terms.wait = wait;
+    this->officeFollower = std::make_unique<TableFollower>(this->table, this->relay, this->clock, std::string(OfficeTable), this->office, terms);
+    this->probing = std::make_unique<Ticker>(ProbeInterval, [this] { this->relay.probe(); });
+}
+
+void JobNode::stopOffice()
+{
+    this->officeFollower->stop();
+    this->probing->stop();
+}
+
 Header JobNode::outgoing()
 {
     return {NodeId{this->config.node}, this->config.rpcAddress, this->events.tick(), 0};
--- a/src/process/daemon/jobnode.h
+++ b/src/process/daemon/jobnode.h
@@ -4,9 +4,12 @@
 #include "platformstore.h"
 #include "role.h"
 #include "waxwingloft/connection/httpfront.h"
+#include "waxwingloft/connection/relaytable.h"
 #include "waxwingloft/connection/rpcnode.h"
 #include "waxwingloft/process/eventlog.h"
 #include "waxwingloft/process/tableclient.h"
+#include "waxwingloft/process/ticker.h"
+#include "waxwingloft/request/officewatch.h"
 
 #include <atomic>
 
@@ -19,6 +22,11 @@
 
     std::optional<std::string> whyNotReady() const override;
     std::string metricsText() const override;
+
+    /** Starts to follow the office and to look after the way to the store. */
+    void startOffice(Millis wait);
+    void stopOffice();
+
     Header outgoing() override;
     void incoming(const Header &header) override;
 
@@ -28,10 +36,14 @@
     EventLog events;
     IdSource ids;
     PlatformStore store;
-    TableClient table;
+    OfficeWatch office;
     RpcNode rpc;
+    RelayTable relay;
+    TableClient table;
     HttpFront http; ///< health and metrics
     std::atomic<bool> isLeaving = false;
+    std::unique_ptr<TableFollower> officeFollower;
+    std::unique_ptr<Ticker> probing;
 };
 
 } // namespace waxwingloft
--- a/src/process/daemon/main.cpp
+++ b/src/process/daemon/main.cpp
@@ -88,7 +88,7 @@
     }
 }
 
-int run(const NodeConfig &config)
+[[noreturn]] void run(const NodeConfig &config)
 {
     const auto signals = blockSignals();
     openLog(config.node, config.logLevel);
@@ -101,7 +101,8 @@
     watchForSecondSignal(signals);
     const bool isFinished = role->finish(config.shutdownLimit);
     log.info(isFinished ? "Stopped; nothing was cut off." : "Stopped at the deadline with work in hand.");
-    return isFinished ? ExitOk : ExitUnfinished;
+    // Threads that wait in reads of idle connections are not joined: callers may keep those open for long.
+    std::_Exit(isFinished ? ExitOk : ExitUnfinished);
 }
 
 } // namespace
@@ -130,7 +131,7 @@
         return waxwingloft::ExitOk;
     }
     try {
-        return waxwingloft::run(*config);
+        waxwingloft::run(*config);
     } catch (const std::runtime_error &error) {
         std::cerr << config->node << ": " << error.what() << "\n";
         return waxwingloft::ExitCannotStart;
--- a/src/request/executoragent.cpp
+++ b/src/request/executoragent.cpp
@@ -1,7 +1,5 @@
 #include "waxwingloft/request/executoragent.h"
 
-#include "waxwingloft/request/placeroffice.h"
-
 namespace waxwingloft {
 
 namespace {
@@ -10,12 +8,20 @@
 
 } // namespace
 
-ExecutorAgent::ExecutorAgent(
-    Clock &clock, TableStore &table, NodePort &nodes, ExecutorPort &executor, NodeId self, std::string address, KeeperTerms keeperTerms, AgentLoopTerms terms)
+ExecutorAgent::ExecutorAgent(Clock &clock,
+                             TableStore &table,
+                             NodePort &nodes,
+                             ExecutorPort &executor,
+                             OfficeWatch &office,
+                             NodeId self,
+                             std::string address,
+                             KeeperTerms keeperTerms,
+                             AgentLoopTerms terms)
     : clock(clock)
     , table(table)
     , nodes(nodes)
     , executor(executor)
+    , office(office)
     , self(self)
     , terms(terms)
     , log(LogPart::Gangs)
@@ -34,6 +40,7 @@
     this->orders = std::make_unique<ThreadPool>(this->terms.orderThreads, MaxQueuedOrders);
     this->reporting = std::make_unique<Ticker>(this->terms.reportInterval, [this] { this->report(); });
     this->ordering = std::make_unique<Ticker>(this->terms.orderInterval, [this] { this->sendOrders(); });
+    this->office.setListener([this] { this->reporting->nudge(); });
     this->keeper.setWakeUp([this] {
         this->ordering->nudge();
         this->reporting->nudge();
@@ -83,43 +90,6 @@
     this->keeper.deregister(executorId);
 }
 
-void ExecutorAgent::reset(const RowList &rows)
-{
-    for (const auto &row : rows.rows) {
-        this->takeOfficeRow(row);
-    }
-}
-
-void ExecutorAgent::apply(const ChangeBatch &batch)
-{
-    for (const auto &change : batch.changes) {
-        if (!change.isRemoved) {
-            this->takeOfficeRow(change.row);
-        }
-    }
-}
-
-void ExecutorAgent::takeOfficeRow(const Row &row)
-{
-    const auto record = row.key == OfficeKey ? parseOffice(row.value) : Result<OfficeRecord>(makeError(ErrorKind::NotFound, row.key));
-    if (!succeeded(record)) {
-        this->log.warn("Row " + row.key + " does not name the placer in office: " + toString(errorOf(record)));
-        return;
-    }
-    {
-        const std::lock_guard<std::mutex> guard(this->mutex);
-        if (row.revision <= this->officeRevision) {
-            return;
-        }
-        this->officeRevision = row.revision;
-        this->placerAddress = valueOf(record).address;
-    }
-    this->log.info("The placer in office is " + valueOf(record).holder.value + ", epoch " + std::to_string(row.revision) + ".");
-    if (this->reporting) {
-        this->reporting->nudge();
-    }
-}
-
 /**
  * Writes the agent's row. Its revision is the generation: it is higher than every epoch and generation before,
  * so orders that are still under way from before are fenced off.
@@ -154,11 +124,7 @@
         this->reporting->nudge();
         return;
     }
-    std::string address;
-    {
-        const std::lock_guard<std::mutex> guard(this->mutex);
-        address = this->placerAddress;
-    }
+    const auto address = this->office.placerAddress();
     const auto report = this->keeper.report();
     if (!report || address.empty()) {
         return;
@@ -187,7 +153,7 @@
     this->placerHeardAt = this->clock.now();
     const auto row = this->table.get(std::string(OfficeKey));
     if (succeeded(row) && valueOf(row)) {
-        this->takeOfficeRow(*valueOf(row));
+        this->office.take(*valueOf(row));
     }
 }
 
--- a/src/request/placeroffice.cpp
+++ b/src/request/placeroffice.cpp
@@ -2,8 +2,6 @@
 
 #include "waxwingloft/request/jobrows.h"
 
-#include <nlohmann/json.hpp>
-
 namespace waxwingloft {
 
 namespace {
@@ -12,20 +10,6 @@
 
 } // namespace
 
-std::string encodeOffice(const OfficeRecord &record)
-{
-    return nlohmann::json{{"holder", record.holder.value}, {"address", record.address}}.dump();
-}
-
-Result<OfficeRecord> parseOffice(const std::string &value)
-{
-    const auto json = nlohmann::json::parse(value, nullptr, false);
-    if (!json.is_object()) {
-        return makeError(ErrorKind::Damaged, "the row of the office is not a JSON object");
-    }
-    return OfficeRecord{NodeId{json.value("holder", "")}, json.value("address", "")};
-}
-
 PlacerOffice::PlacerOffice(Clock &clock,
                            EventLog &events,
                            IdSource &ids,
@@ -75,6 +59,10 @@
     this->writing->stop();
     this->placer.leaveOffice("this process is stopping");
     this->duty.release();
+    const auto removed = this->table.commit(Transaction{this->ids.next(), {}, {{entryKey(this->self), std::nullopt}}});
+    if (!succeeded(removed)) {
+        this->log.warn("The row of this entry stays: " + toString(errorOf(removed)));
+    }
     this->pushes->close();
     this->pursuing.reset();
 }
@@ -84,8 +72,18 @@
     this->planning->nudge();
 }
 
+/** Writes the row by which other processes find this entry. */
+void PlacerOffice::makeKnown()
+{
+    const auto value = encodeOffice({this->self, this->address});
+    this->isKnown = succeeded(this->table.commit(Transaction{this->ids.next(), {}, {{entryKey(this->self), value}}}));
+}
+
 void PlacerOffice::pursue()
 {
+    if (!this->isKnown) {
+        this->makeKnown();
+    }
     this->duty.pursue();
     const auto holder = this->duty.lastKnown();
     if (!this->duty.heldEpoch()) {
