--- a/src/process/daemon/jobagentrole.cpp
+++ b/src/process/daemon/jobagentrole.cpp
@@ -31,6 +31,7 @@
                 this->node.table,
                 this->node.rpc,
                 this->executor,
+                this->node.office,
                 NodeId{config.node},
                 config.rpcAddress,
                 keeperTermsOf(config),
