--- a/include/waxwingloft/connection/relaytable.h
+++ b/include/waxwingloft/connection/relaytable.h
@@ -9,6 +9,8 @@
 
 #include <atomic>
 #include <functional>
+#include <map>
+#include <mutex>
 #include <string>
 #include <vector>
 
@@ -18,6 +20,7 @@
 struct RelayTerms {
     Millis timeout = Millis(900); ///< of a relayed call; above the table's own timeout at the peer
     std::size_t peers = 2; ///< peers tried for one call
+    Millis peerPause = Millis(3000); ///< for which a peer that could not be reached is left out
     Millis pollInterval = Millis(200); ///< between looks for changes while they come through a peer
 };
 
@@ -55,6 +58,8 @@
     template<typename T>
     Result<T> noted(Result<T> result);
     Result<RelayTableAnswer> relay(const RelayTableCall &call);
+    std::vector<std::string> usablePeers();
+    void leaveOut(const std::string &peer);
 
     TableStore &direct;
     TableFeed &directFeed;
@@ -64,7 +69,8 @@
     const RelayTerms terms;
     const Logger log;
     std::atomic<bool> isDirectFailing = false;
-    std::atomic<std::size_t> nextPeer = 0;
+    std::mutex mutex;
+    std::map<std::string, Instant> leftOutUntil;
 };
 
 } // namespace waxwingloft
--- a/src/connection/relaytable.cpp
+++ b/src/connection/relaytable.cpp
@@ -98,11 +98,8 @@
 
 Result<RelayTableAnswer> RelayTable::relay(const RelayTableCall &call)
 {
-    const auto addresses = this->peers();
     Error last = makeError(ErrorKind::PlatformDown, "no peer is known that could reach the table");
-    const auto tries = std::min(this->terms.peers, addresses.size());
-    for (std::size_t tryNumber = 0; tryNumber < tries; ++tryNumber) {
-        const auto &address = addresses[this->nextPeer.load(std::memory_order_relaxed) % addresses.size()];
+    for (const auto &address : this->usablePeers()) {
         auto answer = expectReply<RelayTableAnswer>(this->nodes.call(address, call, this->terms.timeout));
         if (succeeded(answer)) {
             return answer;
@@ -111,7 +108,9 @@
         if (kind == ErrorKind::Conflict || kind == ErrorKind::Stale) {
             return errorOf(answer);
         }
-        this->nextPeer.fetch_add(1, std::memory_order_relaxed);
+        if (kind == ErrorKind::Unreachable || kind == ErrorKind::Ambiguous) {
+            this->leaveOut(address);
+        }
         last = lost(errorOf(answer), call.kind);
         if (last.kind == ErrorKind::Ambiguous) {
             return last;
@@ -120,6 +119,23 @@
     return last;
 }
 
+std::vector<std::string> RelayTable::usablePeers()
+{
+    auto usable = this->peers();
+    const auto now = this->clock.now();
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    std::erase_if(this->leftOutUntil, [now](const auto &item) { return item.second <= now; });
+    std::erase_if(usable, [this](const std::string &peer) { return this->leftOutUntil.contains(peer); });
+    usable.resize(std::min(usable.size(), this->terms.peers));
+    return usable;
+}
+
+void RelayTable::leaveOut(const std::string &peer)
+{
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    this->leftOutUntil[peer] = this->clock.now() + this->terms.peerPause;
+}
+
 Result<std::optional<Row>> RelayTable::get(const std::string &key)
 {
     return this->through<std::optional<Row>>([&] { return this->direct.get(key); },
