--- a/include/waxwingloft/process/logger.h
+++ b/include/waxwingloft/process/logger.h
@@ -3,7 +3,11 @@
 
 #include "waxwingloft/process/nametable.h"
 
+#include <atomic>
+#include <cstdint>
+#include <initializer_list>
 #include <string>
+#include <string_view>
 
 namespace waxwingloft {
 
@@ -25,18 +29,58 @@
     static constexpr std::array<std::string_view, 9> names = {"main", "http", "rpc", "table", "settings", "members", "requests", "gangs", "placer"};
 };
 
-/** Sends the process's log to standard error, each line with time, level, node and part. Call once, at start. */
+/** A named value of a log line. */
+struct LogField {
+    std::string_view name;
+    std::string value;
+};
+
+/** Values that a decision went by, in the order in which they are written. */
+using LogFields = std::initializer_list<LogField>;
+
+/**
+ * Sends the process's log to standard output, a line of key="value" pairs for each entry. Call once, at start.
+ *
+ * Lines are written by a thread of their own from a bounded queue: a reader that stalls makes lines be dropped
+ * and counted, and never blocks the caller.
+ */
 void openLog(const std::string &node, const std::string &level);
 
-/** Writes short sentences to the log under the prefix of one part. */
+/** Writes what is queued. Call before the process ends. */
+void closeLog();
+
+/**
+ * Bounds the informative lines of a process in each second. Warnings and errors always pass.
+ *
+ * Thread safe; takes the time from its caller.
+ */
+class LogBudget
+{
+public:
+    explicit LogBudget(std::uint32_t linesPerSecond);
+
+    /** Whether a line may be written in @p second. */
+    bool tryTake(std::int64_t second);
+
+    /** Returns how many lines were left out since the last call. */
+    std::uint64_t takeLeftOut();
+
+private:
+    const std::uint32_t linesPerSecond;
+    std::atomic<std::int64_t> second = 0;
+    std::atomic<std::uint32_t> taken = 0;
+    std::atomic<std::uint64_t> leftOut = 0;
+};
+
+/** Writes short sentences to the log under the name of one part. */
 class Logger
 {
 public:
     explicit Logger(LogPart part);
 
-    void info(const std::string &sentence) const;
-    void warn(const std::string &sentence) const;
-    void error(const std::string &sentence) const;
+    void info(const std::string &sentence, LogFields fields = {}) const;
+    void warn(const std::string &sentence, LogFields fields = {}) const;
+    void error(const std::string &sentence, LogFields fields = {}) const;
 
 private:
     const std::string name;
--- a/include/waxwingloft/request/jobgate.h
+++ b/include/waxwingloft/request/jobgate.h
@@ -53,6 +53,7 @@
 private:
     /** What a call may rely on after the checks that all calls share. */
     struct Admitted {
+        SettingsVersion routesVersion = 0;
         Route route;
         WorkspaceId workspace;
         JobId job; ///< empty for a call on the queue
--- a/src/process/daemon/main.cpp
+++ b/src/process/daemon/main.cpp
@@ -102,6 +102,7 @@
     const bool isFinished = role->finish(config.shutdownLimit);
     log.info(isFinished ? "Stopped; nothing was cut off." : "Stopped at the deadline with work in hand.");
     // Threads that wait in reads of idle connections are not joined: callers may keep those open for long.
+    closeLog();
     std::_Exit(isFinished ? ExitOk : ExitUnfinished);
 }
 
--- a/src/request/executorkeeper.cpp
+++ b/src/request/executorkeeper.cpp
@@ -159,7 +159,12 @@
             hasStops = true;
             entry.isStopWanted = true;
             entry.dueAt = this->clock.now();
-            this->log.info("Run " + std::to_string(run.run) + " of " + toString(run.task) + " is to stop, by epoch " + std::to_string(sync.epoch) + ".");
+            this->log.info("A run is to stop.",
+                           {{"job", run.task.job.value},
+                            {"task", toString(run.task)},
+                            {"run", std::to_string(run.run)},
+                            {"epoch", std::to_string(sync.epoch)},
+                            {"sequence", std::to_string(sync.sequence)}});
         }
     }
     return hasNews || hasStops;
@@ -227,8 +232,11 @@
         entry.dueAt = this->clock.now() + this->terms.resendAfter;
         if (!succeeded(answer)) {
             if (!entry.isRepeated) {
-                this->log.warn("Start of run " + std::to_string(order.start.run.run) + " of " + toString(order.start.run.task)
-                               + " has no answer and is repeated until it has: " + errorOf(answer).message);
+                this->log.warn("A start had no answer and is repeated until it has one.",
+                               {{"job", order.start.run.task.job.value},
+                                {"task", toString(order.start.run.task)},
+                                {"run", std::to_string(order.start.run.run)},
+                                {"reason", errorOf(answer).message}});
             }
             entry.isRepeated = true;
             return;
@@ -243,6 +251,12 @@
         } else {
             entry.phase = entry.isStopWanted ? RunPhase::Stopping : RunPhase::Running;
             entry.settledBy = this->holdSerial + 1;
+            this->log.info("A run started.",
+                           {{"job", order.start.run.task.job.value},
+                            {"task", toString(order.start.run.task)},
+                            {"run", std::to_string(order.start.run.run)},
+                            {"executor", order.life.id},
+                            {"checkpoint", order.start.checkpoint}});
         }
         ++this->changeCount;
     }
@@ -385,7 +399,8 @@
         }
     }
     for (const auto &run : vanished) {
-        this->log.info("Run " + std::to_string(run.run) + " of " + toString(run.task) + " is not at executor " + hold.life.id + " any more.");
+        this->log.info("A run is not at its executor any more.",
+                       {{"job", run.task.job.value}, {"task", toString(run.task)}, {"run", std::to_string(run.run)}, {"executor", hold.life.id}});
         this->end(run, RunEnd::Stopped);
         ++this->changeCount;
     }
@@ -398,7 +413,8 @@
     this->entries.erase(run);
     this->ends.push_back({0, run, how, checkpoint, refusal});
     if (how == RunEnd::Refused) {
-        this->log.warn("Run " + std::to_string(run.run) + " of " + toString(run.task) + " was refused: " + std::string(nameOf(refusal)) + ".");
+        this->log.warn("An executor refused a run.",
+                       {{"job", run.task.job.value}, {"task", toString(run.task)}, {"run", std::to_string(run.run)}, {"reason", std::string(nameOf(refusal))}});
     }
 }
 
--- a/src/request/jobgate.cpp
+++ b/src/request/jobgate.cpp
@@ -41,6 +41,7 @@
 
 JobAnswer JobGate::handle(const JobCall &call)
 {
+    const auto startedAt = this->clock.now();
     Admitted admitted;
     auto result = this->admit(call, admitted);
     if (result.outcome == JobCallOutcome::Done) {
@@ -48,8 +49,15 @@
     }
     const bool isRead = call.verb == JobVerb::Show || call.verb == JobVerb::CountWaiting;
     if (!isRead || result.outcome != JobCallOutcome::Done) {
-        this->log.info(std::string(nameOf(call.verb)) + " " + call.path + " of " + admitted.workspace.value + ": " + std::string(nameOf(result.outcome))
-                       + (result.message.empty() ? "." : ", " + result.message + "."));
+        this->log.info("A call was answered.",
+                       {{"job", admitted.job.value},
+                        {"verb", std::string(nameOf(call.verb))},
+                        {"outcome", std::string(nameOf(result.outcome))},
+                        {"reason", result.message},
+                        {"path", call.path},
+                        {"workspace", admitted.workspace.value},
+                        {"routes", std::to_string(admitted.routesVersion)},
+                        {"took_ms", std::to_string((this->clock.now() - startedAt).count())}});
     }
     this->metrics.add(result.outcome == JobCallOutcome::Done ? Count::RequestsAccepted : Count::RequestsRefused);
     return result;
@@ -61,6 +69,7 @@
     admitted.giveUpAt = this->clock.now() + Millis(static_cast<std::int64_t>(static_cast<double>(time.count()) * this->terms.tryShare));
     const ReadSection section;
     const auto &book = this->routes.read(section);
+    admitted.routesVersion = book.version;
     if (book.version == 0) {
         return this->refusal("no routes are known here yet");
     }
--- a/src/request/taskplacer.cpp
+++ b/src/request/taskplacer.cpp
@@ -96,8 +96,13 @@
     }
     StoredJob stored{submission, false, freshProgress(submission.graph), 0};
     this->addJob(std::move(stored));
-    this->log.info("Job " + submission.id.value + " of " + submission.workspace.value + " came in, priority " + std::to_string(submission.priority) + ", "
-                   + std::to_string(static_cast<std::int64_t>(this->rank.workOf(submission))) + " core seconds by its estimate.");
+    this->log.info("A job came in.",
+                   {{"job", submission.id.value},
+                    {"workspace", submission.workspace.value},
+                    {"route", submission.route},
+                    {"priority", std::to_string(submission.priority)},
+                    {"age_ms", std::to_string(this->clock.wallMillis() - submission.acceptedAt)},
+                    {"estimated_core_s", std::to_string(static_cast<std::int64_t>(this->rank.workOf(submission)))}});
 }
 
 void TaskPlacer::cancel(const JobId &job)
@@ -107,7 +112,7 @@
     if (this->epoch == 0 || found == this->jobs.end() || isFinal(found->second.progress.state)) {
         return;
     }
-    this->log.info("Job " + job.value + " is cancelled.");
+    this->log.info("A job is cancelled.", {{"job", job.value}, {"state", std::string(nameOf(found->second.progress.state))}});
     found->second.progress.state = JobPhase::Cancelled;
     this->change(found->second);
     this->stopRuns(job);
@@ -151,8 +156,11 @@
     if (job.progress.state == before) {
         return;
     }
-    this->log.info("Job " + job.submission.id.value + " is " + std::string(nameOf(job.progress.state)) + " "
-                   + std::to_string(this->clock.wallMillis() - job.submission.acceptedAt) + " ms after it was accepted.");
+    this->log.info("A job's state changed.",
+                   {{"job", job.submission.id.value},
+                    {"from", std::string(nameOf(before))},
+                    {"to", std::string(nameOf(job.progress.state))},
+                    {"after_ms", std::to_string(this->clock.wallMillis() - job.submission.acceptedAt)}});
     if (hasFailed) {
         this->stopRuns(job.submission.id);
     }
@@ -199,7 +207,13 @@
     if (task == nullptr || task->state != TaskPhase::Assigned || task->run != run.run) {
         return;
     }
-    this->log.info("Run " + std::to_string(run.run) + " of " + toString(run.task) + " ended as " + std::string(nameOf(how)) + " at " + task->life.id + ".");
+    this->log.info("A run ended.",
+                   {{"job", run.task.job.value},
+                    {"task", toString(run.task)},
+                    {"run", std::to_string(run.run)},
+                    {"end", std::string(nameOf(how))},
+                    {"executor", task->life.id},
+                    {"checkpoint", checkpoint}});
     this->applyEnd(job, run, *task, how, checkpoint);
     this->change(job);
     this->refreshState(job);
@@ -260,7 +274,8 @@
     ++counted.failures;
     if (counted.failures >= job.submission.maxAttempts) {
         task.state = TaskPhase::Failed;
-        this->log.warn("Task " + toString(key) + " failed " + std::to_string(counted.failures) + " times, which is all that its queue allows.");
+        this->log.warn("A task failed as often as its queue allows.",
+                       {{"job", key.job.value}, {"task", toString(key)}, {"failures", std::to_string(counted.failures)}});
     }
 }
 
@@ -287,7 +302,8 @@
         worker.pendingNotes.clear();
     }
     if (!worker.isKnown) {
-        this->log.info("Executor " + report.life.id + " of " + report.service + " at " + report.node.value + " joined with " + toString(report.capacity) + ".");
+        this->log.info("An executor joined.",
+                       {{"executor", report.life.id}, {"service", report.service}, {"agent", report.node.value}, {"capacity", toString(report.capacity)}});
     }
     worker.isKnown = true;
     worker.heardAt = now;
--- a/src/request/taskplanning.cpp
+++ b/src/request/taskplanning.cpp
@@ -52,7 +52,8 @@
     for (const auto index : plan.stops) {
         for (const auto &[worker, run] : running.runs[index]) {
             if (worker->runs.contains(run)) {
-                this->log.info("Run " + std::to_string(run.run) + " of " + toString(run.task) + " makes room for guaranteed work.");
+                this->log.info("A run makes room for guaranteed work.",
+                               {{"job", run.task.job.value}, {"task", toString(run.task)}, {"run", std::to_string(run.run)}});
                 this->stopRun(*worker, run);
             }
         }
@@ -266,8 +267,13 @@
         worker.runs[run] = LiveRun{job.change, now, false, false, 0, needs};
     }
     this->refreshState(job);
-    this->log.info("Step " + std::to_string(unit.step) + " of job " + job.submission.id.value + ": " + std::to_string(places.size()) + " of "
-                   + std::to_string(unit.indices.size()) + " tasks assigned, rank " + std::to_string(unit.rank) + (unit.isEntitled ? ", guaranteed." : "."));
+    this->log.info("Tasks of a step were assigned.",
+                   {{"job", job.submission.id.value},
+                    {"step", std::to_string(unit.step)},
+                    {"tasks", std::to_string(places.size())},
+                    {"waiting", std::to_string(unit.indices.size())},
+                    {"rank", std::to_string(unit.rank)},
+                    {"guaranteed", unit.isEntitled ? "yes" : "no"}});
 }
 
 } // namespace waxwingloft
--- a/tests/process/testlog.cpp
+++ b/tests/process/testlog.cpp
@@ -18,7 +18,7 @@
     }
 };
 
-const auto *const environment = testing::AddGlobalTestEnvironment(new TestLog);
+const auto *const LogEnvironment = testing::AddGlobalTestEnvironment(new TestLog);
 
 } // namespace
 
--- a/tests/request/jobsite.h
+++ b/tests/request/jobsite.h
@@ -105,7 +105,7 @@
 private:
     void step();
     void stepAgent(SiteAgent &agent);
-    void stepPlacer(SitePlacer &placer);
+    void stepPlacer(SitePlacer &site);
     void report(SiteAgent &agent);
     void drawGeneration(SiteAgent &agent);
     void startKeeper(SiteAgent &agent, std::size_t index);
