Go on numbering an agent's assignments when it comes back; stop less work for urgent jobs

The number now goes on from the report. Test: AnAgentThatWasGivenUpGetsWorkAgainAtOnce. Also an answer of another life of the executor is no longer taken for one of the known life.

--- a/include/waxwingloft/process/logger.h
+++ b/include/waxwingloft/process/logger.h
@@ -40,11 +40,12 @@
 
 /**
  * Sends the process's log to standard output, a line of key="value" pairs for each entry. Call once, at start.
+ * @p infoLinesPerSecond bounds informative lines; the default is ten times what a busy placer of the users' sites writes.
  *
  * Lines are written by a thread of their own from a bounded queue: a reader that stalls makes lines be dropped
  * and counted, and never blocks the caller.
  */
-void openLog(const std::string &node, const std::string &level);
+void openLog(const std::string &node, const std::string &level, std::uint32_t infoLinesPerSecond = 400);
 
 /** Writes what is queued. Call before the process ends. */
 void closeLog();
@@ -59,6 +60,8 @@
 public:
     explicit LogBudget(std::uint32_t linesPerSecond);
 
+    void setBound(std::uint32_t linesPerSecond);
+
     /** Whether a line may be written in @p second. */
     bool tryTake(std::int64_t second);
 
@@ -66,7 +69,7 @@
     std::uint64_t takeLeftOut();
 
 private:
-    const std::uint32_t linesPerSecond;
+    std::atomic<std::uint32_t> linesPerSecond;
     std::atomic<std::int64_t> second = 0;
     std::atomic<std::uint32_t> taken = 0;
     std::atomic<std::uint64_t> leftOut = 0;
--- a/include/waxwingloft/request/executorkeeper.h
+++ b/include/waxwingloft/request/executorkeeper.h
@@ -20,7 +20,7 @@
     double clockDrift = 0.02; ///< an executor's clock may be this share slow
     Millis holdWait = Millis(1000); ///< how long a question for the lists stays open; leaves several renewals in a lease
     Millis stopWait = Millis(200); ///< the same while a stop is open, whose run may never be listed
-    Millis resendAfter = Millis(100); ///< pause before an order without an answer is sent again
+    Millis resendAfter = Millis(50); ///< pause before an order without an answer is sent again
     int silencesToUnreachable = 2; ///< unanswered questions after which the executor gets no new work
 };
 
--- a/include/waxwingloft/request/jobrank.h
+++ b/include/waxwingloft/request/jobrank.h
@@ -39,6 +39,9 @@
     /** Returns the rank of a job at @p wallNow, higher first. @p fleet is the capacity of all executors. */
     double of(const JobSubmission &submission, const JobProgress &progress, const Capacity &fleet, std::int64_t wallNow) const;
 
+    /** Whether a job that is started now can be expected to meet its objective. */
+    bool isInTime(const JobSubmission &submission, const JobProgress &progress, std::int64_t wallNow) const;
+
     /** Returns the work of a job in core seconds, by its caller's estimate. */
     double workOf(const JobSubmission &submission) const;
 
--- a/include/waxwingloft/request/stepplanner.h
+++ b/include/waxwingloft/request/stepplanner.h
@@ -30,7 +30,8 @@
     std::string dataRack;
     bool isGang = false;
     bool prefersOneRack = false;
-    bool mayReclaim = false; ///< may have work stopped that is not entitled to its room
+    double mayLoseWork = 0.0; ///< core seconds of other work that may be thrown away to make room; zero for none
+    bool canWait = false; ///< room that comes free by itself in a moment is better than stopping work
     bool mayReserve = false; ///< keeps room that it could use soon clear of what comes after it
     std::uint32_t maxPerWorker = 0; ///< zero for no limit
     std::vector<std::uint32_t> present; ///< tasks of the step by worker; empty for none anywhere
@@ -45,7 +46,9 @@
 
     std::vector<Part> parts;
     Capacity needs; ///< of one task
-    double lostWork = 0.0; ///< accelerator seconds that would have to be done again
+    double lostWork = 0.0; ///< core seconds that would have to be done again
+    bool isEntitled = false; ///< may not be stopped
+    bool endsSoon = false; ///< is expected to be done in a moment
     bool isStopping = false; ///< is being stopped already; its room comes free soon
 };
 
--- a/include/waxwingloft/request/taskplacer.h
+++ b/include/waxwingloft/request/taskplacer.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -29,6 +30,9 @@
     Millis settleTime = Millis(400); ///< after taking office, for the agents to report
     Millis freshness = Millis(2000); ///< an agent that was silent for longer gets no new work
     Millis refusalPause = Millis(500); ///< a worker that refused a start for want of health or room gets no new work
+    double urgentMayLose = 150.0; ///< core seconds that an urgent job in time may throw away: a fifteenth of its worth at the users' price
+    Millis soon = Millis(700); ///< expected end of a run that is waited for rather than another one stopped
+    Millis waitForEnds = Millis(900); ///< after a job came in; leaves the time of a stop and a start in the shortest reclaim bound
     Millis reserveAfter = Millis(1500); ///< a gang that waited this long keeps room clear for itself
     std::size_t batchRows = 40; ///< rows in one transaction; each counts as a condition and a write, of which 100 are allowed
 };
@@ -124,6 +128,7 @@
         Instant assignedAt;
         bool isStopping = false;
         bool isSent = false; ///< its agent may have been told of it
+        std::optional<Instant> expectedEnd;
         std::uint64_t leftOutBy = 0; ///< first assignments without it; zero while it is to run
         Capacity needs;
     };
@@ -156,6 +161,8 @@
         std::vector<std::uint32_t> indices;
         double rank = 0.0;
         bool isEntitled = false;
+        bool isUrgent = false; ///< of the first priority, and still in time
+        bool isYoung = false;
         bool hasWaitedLong = false;
     };
 
--- a/src/process/logger.cpp
+++ b/src/process/logger.cpp
@@ -13,11 +13,11 @@
 namespace {
 
 constexpr int QueuedLines = 1024; ///< about 200 KB at most while the reader stalls
-constexpr std::uint32_t InfoLinesPerSecond = 400; ///< of one process; ten times a busy placer's on the users' sites
+constexpr std::uint32_t NoBound = 1'000'000'000; ///< before the log is opened
 
 LogBudget &budget()
 {
-    static LogBudget instance(InfoLinesPerSecond);
+    static LogBudget instance(NoBound);
     return instance;
 }
 
@@ -58,8 +58,9 @@
 
 } // namespace
 
-void openLog(const std::string &node, const std::string &level)
+void openLog(const std::string &node, const std::string &level, std::uint32_t infoLinesPerSecond)
 {
+    budget().setBound(infoLinesPerSecond);
     const auto layout = std::make_shared<log4cxx::PatternLayout>("time=%d{ISO8601} level=%p node=" + node + " part=%c %m%n");
     const auto console = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemOut());
     const auto queue = std::make_shared<log4cxx::AsyncAppender>();
@@ -80,13 +81,18 @@
 {
 }
 
+void LogBudget::setBound(std::uint32_t linesPerSecond)
+{
+    this->linesPerSecond.store(linesPerSecond, std::memory_order_relaxed);
+}
+
 bool LogBudget::tryTake(std::int64_t second)
 {
     auto last = this->second.load(std::memory_order_relaxed);
     if (last != second && this->second.compare_exchange_strong(last, second, std::memory_order_relaxed)) {
         this->taken.store(0, std::memory_order_relaxed);
     }
-    if (this->taken.fetch_add(1, std::memory_order_relaxed) < this->linesPerSecond) {
+    if (this->taken.fetch_add(1, std::memory_order_relaxed) < this->linesPerSecond.load(std::memory_order_relaxed)) {
         return true;
     }
     this->leftOut.fetch_add(1, std::memory_order_relaxed);
--- a/src/request/executorkeeper.cpp
+++ b/src/request/executorkeeper.cpp
@@ -327,6 +327,11 @@
             return;
         }
         const auto before = this->changeCount;
+        const auto startedAt = succeeded(answer) ? valueOf(answer).stamp.startedAt : std::nullopt;
+        if (startedAt && *startedAt != this->latest->life.startedAt) {
+            this->log.warn("Another life of the executor answers; its heartbeat is waited for.", {{"executor", this->latest->life.id}});
+            return;
+        }
         if (succeeded(answer)) {
             this->takeLists(hold, valueOf(answer));
         } else {
--- a/src/request/jobrank.cpp
+++ b/src/request/jobrank.cpp
@@ -51,6 +51,16 @@
     return remaining;
 }
 
+double objectiveOf(const JobSubmission &submission)
+{
+    return submission.stretch * secondsOf(longestChain(submission.graph)) + secondsOf(submission.latencySlack);
+}
+
+double secondsSince(std::int64_t wallMillis, std::int64_t wallNow)
+{
+    return static_cast<double>(wallNow - wallMillis) / 1000.0;
+}
+
 } // namespace
 
 JobRank::JobRank(RankTerms terms)
@@ -76,6 +86,12 @@
     return work;
 }
 
+bool JobRank::isInTime(const JobSubmission &submission, const JobProgress &progress, std::int64_t wallNow) const
+{
+    const auto remaining = remainingOf(submission, progress, Capacity());
+    return secondsSince(submission.acceptedAt, wallNow) + remaining.chainSeconds <= objectiveOf(submission);
+}
+
 double JobRank::of(const JobSubmission &submission, const JobProgress &progress, const Capacity &fleet, std::int64_t wallNow) const
 {
     const auto found = this->meanByRoute.find(submission.route);
@@ -85,11 +101,10 @@
     const double worth = this->terms.worthByPriority[priority] * (this->terms.baseShare + (1.0 - this->terms.baseShare) * size);
 
     const auto remaining = remainingOf(submission, progress, fleet);
-    const double objective = submission.stretch * secondsOf(longestChain(submission.graph)) + secondsOf(submission.latencySlack);
-    const double endsAfter = static_cast<double>(wallNow - submission.acceptedAt) / 1000.0 + remaining.chainSeconds;
-    const bool isInTime = endsAfter <= objective;
-    const bool isLate = !isInTime && endsAfter <= this->terms.lateFactor * objective;
-    const double left = isInTime ? 1.0 : (isLate ? this->terms.lateShare : this->terms.hopelessShare);
+    const double objective = objectiveOf(submission);
+    const double endsAfter = secondsSince(submission.acceptedAt, wallNow) + remaining.chainSeconds;
+    const bool isLate = endsAfter > objective && endsAfter <= this->terms.lateFactor * objective;
+    const double left = endsAfter <= objective ? 1.0 : (isLate ? this->terms.lateShare : this->terms.hopelessShare);
     return worth * left / std::max(LeastCost, remaining.fleetSeconds);
 }
 
--- a/src/request/stepplanner.cpp
+++ b/src/request/stepplanner.cpp
@@ -60,7 +60,7 @@
         if (isWhole) {
             return;
         }
-        if (tasks.mayReclaim) {
+        if (tasks.mayLoseWork > 0.0) {
             this->reclaim(tasks);
         } else if (tasks.mayReserve) {
             this->reserve(tasks);
@@ -230,7 +230,7 @@
         std::optional<Reclaim> best;
         for (const auto &group : this->groupsFor(tasks)) {
             const auto found = this->reclaimIn(group, tasks);
-            if (found && (!best || found->lostWork < best->lostWork)) {
+            if (found && found->lostWork <= tasks.mayLoseWork && (!best || found->lostWork < best->lostWork)) {
                 best = found;
             }
         }
@@ -239,7 +239,7 @@
         }
         for (const auto victim : best->victims) {
             this->isStopped[victim] = true;
-            if (!this->running[victim].isStopping) {
+            if (!this->comesFree(victim, tasks)) {
                 this->plan.stops.push_back(victim);
             }
         }
@@ -254,11 +254,13 @@
             const bool isHere = std::any_of(parts.begin(), parts.end(), [&group](const RunningTasks::Part &part) {
                 return std::find(group.begin(), group.end(), part.worker) != group.end();
             });
-            if (isHere && !this->isStopped[index]) {
+            if (isHere && !this->isStopped[index] && (!this->running[index].isEntitled || this->comesFree(index, tasks))) {
                 victims.push_back(index);
             }
         }
-        std::stable_sort(victims.begin(), victims.end(), [this](std::size_t left, std::size_t right) { return this->costOf(left) < this->costOf(right); });
+        std::stable_sort(victims.begin(), victims.end(), [this, &tasks](std::size_t left, std::size_t right) {
+            return this->costOf(left, tasks) < this->costOf(right, tasks);
+        });
         auto room = this->free;
         Reclaim found;
         for (const auto victim : victims) {
@@ -275,7 +277,7 @@
         }
         this->spareNeedless(group, tasks, room, found);
         for (const auto victim : found.victims) {
-            found.lostWork += this->costOf(victim);
+            found.lostWork += this->costOf(victim, tasks);
         }
         return found;
     }
@@ -296,9 +298,15 @@
         }
     }
 
-    double costOf(std::size_t victim) const
+    /** Whether the room of @p victim comes free without a stop. */
+    bool comesFree(std::size_t victim, const WaitingTasks &tasks) const
+    {
+        return this->running[victim].isStopping || (this->running[victim].endsSoon && tasks.canWait);
+    }
+
+    double costOf(std::size_t victim, const WaitingTasks &tasks) const
     {
-        return this->running[victim].isStopping ? 0.0 : this->running[victim].lostWork;
+        return this->comesFree(victim, tasks) ? 0.0 : this->running[victim].lostWork;
     }
 
     void giveBack(std::size_t victim, std::vector<Capacity> &room, std::int64_t sign) const
--- a/src/request/taskplacer.cpp
+++ b/src/request/taskplacer.cpp
@@ -6,6 +6,13 @@
 
 namespace waxwingloft {
 
+namespace {
+
+constexpr std::int64_t WholePercent = 100;
+constexpr std::uint32_t LeastTellingPercent = 20; ///< before, the speed of a run is not known
+
+} // namespace
+
 TaskPlacer::TaskPlacer(Clock &clock, OfficeTerms terms, RankTerms rankTerms)
     : clock(clock)
     , terms(terms)
@@ -49,7 +56,7 @@
                 auto &worker = this->workers[task.worker];
                 worker.last.life = task.life;
                 const TaskRun run{{id, occurrence, step, index}, task.run};
-                worker.runs[run] = LiveRun{0, this->clock.now(), false, true, 0, job.submission.graph.steps[step].needs};
+                worker.runs[run] = LiveRun{0, this->clock.now(), false, true, std::nullopt, 0, job.submission.graph.steps[step].needs};
             }
         }
     }
@@ -305,6 +312,8 @@
         this->log.info("An executor joined.",
                        {{"executor", report.life.id}, {"service", report.service}, {"agent", report.node.value}, {"capacity", toString(report.capacity)}});
     }
+    // An agent that was given up and comes back has taken assignments of this epoch with higher numbers.
+    worker.syncSequence = std::max(worker.syncSequence, report.epoch == this->epoch ? report.syncSequence : 0);
     worker.isKnown = true;
     worker.heardAt = now;
     worker.last = report;
@@ -338,8 +347,18 @@
 void TaskPlacer::takeRuns(Worker &worker, const AgentReport &report)
 {
     worker.hasOrphans = false;
+    const auto now = this->clock.now();
     for (const auto &reported : report.runs) {
-        worker.hasOrphans = worker.hasOrphans || !worker.runs.contains(reported.run);
+        const auto found = worker.runs.find(reported.run);
+        if (found == worker.runs.end()) {
+            worker.hasOrphans = true;
+            continue;
+        }
+        if (reported.percent >= LeastTellingPercent) {
+            const auto elapsed = now - found->second.assignedAt;
+            found->second.expectedEnd =
+                now + elapsed * (WholePercent - static_cast<std::int64_t>(reported.percent)) / static_cast<std::int64_t>(reported.percent);
+        }
     }
 }
 
--- a/src/request/taskplanning.cpp
+++ b/src/request/taskplanning.cpp
@@ -1,12 +1,14 @@
 #include "waxwingloft/request/taskplacer.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace waxwingloft {
 
 namespace {
 
 constexpr double CoresPerAccelerator = 8.0; ///< how the users count work
+constexpr double RestoreSeconds = 0.1; ///< of work that is lost when a run goes on from the checkpoint of its stop; the users' bounds
 constexpr std::string_view RackLabelPrefix = "r"; ///< labels such as "r1-3" name the rack of a machine
 
 std::string rackOf(const std::vector<std::string> &labels)
@@ -144,6 +146,8 @@
         base.isEntitled = entitled.contains(id);
         base.rank = this->rank.of(job.submission, job.progress, fleet.total, wallNow);
         base.hasWaitedLong = now - job.knownSince >= this->terms.reserveAfter;
+        base.isYoung = now - job.knownSince < this->terms.waitForEnds;
+        base.isUrgent = job.submission.priority == 0 && this->rank.isInTime(job.submission, job.progress, wallNow);
         for (std::uint32_t occurrence = 0; occurrence < job.progress.occurrences.size(); ++occurrence) {
             const auto &graph = job.submission.graph;
             const bool isDue = graph.firstRunAt + static_cast<std::int64_t>(occurrence) * graph.interval.count() <= wallNow;
@@ -195,7 +199,8 @@
     waiting.dataRack = step.dataRack;
     waiting.isGang = step.isGang;
     waiting.prefersOneRack = step.prefersOneRack;
-    waiting.mayReclaim = unit.isEntitled;
+    waiting.mayLoseWork = unit.isEntitled ? std::numeric_limits<double>::infinity() : (unit.isUrgent ? this->terms.urgentMayLose : 0.0);
+    waiting.canWait = unit.isYoung;
     waiting.mayReserve = unit.hasWaitedLong && step.isGang;
     waiting.maxPerWorker = step.maxPerExecutor;
     if (step.maxPerExecutor > 0) {
@@ -219,7 +224,7 @@
         auto &worker = *fleet.byIndex[index];
         for (const auto &[run, live] : worker.runs) {
             const auto job = this->jobs.find(run.task.job);
-            if (job == this->jobs.end() || entitled.contains(run.task.job)) {
+            if (job == this->jobs.end()) {
                 continue;
             }
             const auto &step = stepOf(job->second, run.task);
@@ -232,7 +237,9 @@
             auto &tasks = running.tasks[entry->second];
             const bool isEnding = live.isStopping || isFinal(job->second.progress.state);
             auto lost = std::chrono::duration<double>(now - live.assignedAt).count();
-            lost = step.isCheckpointing ? std::min(lost, 1.0) : lost;
+            lost = step.isCheckpointing ? std::min(lost, RestoreSeconds) : lost;
+            tasks.isEntitled = entitled.contains(run.task.job);
+            tasks.endsSoon = live.expectedEnd && *live.expectedEnd - now < this->terms.soon;
             tasks.isStopping = tasks.isStopping && isEnding;
             tasks.lostWork += lost * coresOf(live.needs);
             tasks.parts.push_back({index, 1});
@@ -264,13 +271,14 @@
         const TaskRun run{{job.submission.id, unit.occurrence, unit.step, index}, task.run};
         auto needs = shape.needs;
         needs.milliCores = shape.isFilling ? 0 : needs.milliCores;
-        worker.runs[run] = LiveRun{job.change, now, false, false, 0, needs};
+        worker.runs[run] = LiveRun{job.change, now, false, false, std::nullopt, 0, needs};
     }
     this->refreshState(job);
     this->log.info("Tasks of a step were assigned.",
                    {{"job", job.submission.id.value},
                     {"step", std::to_string(unit.step)},
                     {"tasks", std::to_string(places.size())},
+                    {"first_at", fleet.workers[places.front()].node.value},
                     {"waiting", std::to_string(unit.indices.size())},
                     {"rank", std::to_string(unit.rank)},
                     {"guaranteed", unit.isEntitled ? "yes" : "no"}});
--- a/tests/process/testlog.cpp
+++ b/tests/process/testlog.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+constexpr std::uint32_t AllLines = 1'000'000'000;
+
 /** Shows the log of the tests at the level that TEST_LOG names; without it only that of fatal errors. */
 class TestLog : public testing::Environment
 {
@@ -14,7 +16,12 @@
     void SetUp() override
     {
         const char *const level = std::getenv("TEST_LOG");
-        openLog("test", level == nullptr ? "OFF" : level);
+        openLog("test", level == nullptr ? "OFF" : level, AllLines);
+    }
+
+    void TearDown() override
+    {
+        closeLog();
     }
 };
 
--- a/tests/request/jobsitetest.cpp
+++ b/tests/request/jobsitetest.cpp
@@ -215,6 +215,18 @@
     EXPECT_EQ(site.stateOf(job), JobPhase::Running);
 }
 
+TEST(JobSite, AnAgentThatWasGivenUpGetsWorkAgainAtOnce)
+{
+    JobSite site(1);
+    site.advance(Millis(40'000));
+    site.agents[0].isCut = true;
+    site.advance(Millis(20'000));
+    site.agents[0].isCut = false;
+    const auto job = site.submit(oneStep(2, Half));
+    EXPECT_EQ(site.finish(job, Millis(6000)), JobPhase::Completed);
+    expectKept(site);
+}
+
 TEST(JobSite, RunningWorkOutlivesAShortOutageOfTheTable)
 {
     JobSite site(2);
