--- a/include/waxwingloft/request/stepplanner.h
+++ b/include/waxwingloft/request/stepplanner.h
@@ -19,6 +19,7 @@
     Capacity capacity;
     Capacity free; ///< held by nobody; what is being stopped is not free
     bool acceptsWork = false;
+    bool isSlow = false; ///< gets work only when no other worker holds it
 };
 
 /** Tasks that wait to be started: those of a gang together, or any of a step that is none. */
@@ -30,6 +31,9 @@
     std::string dataRack;
     bool isGang = false;
     bool prefersOneRack = false;
+    int priority = 0; ///< zero comes first
+    bool isEntitled = false; ///< inside its workspace's guarantee; may have any work stopped that is not
+    std::vector<bool> avoided; ///< workers that the task failed on; empty for none
     double mayLoseWork = 0.0; ///< core seconds of other work that may be thrown away to make room; zero for none
     bool canWait = false; ///< room that comes free by itself in a moment is better than stopping work
     bool mayReserve = false; ///< keeps room that it could use soon clear of what comes after it
@@ -47,6 +51,7 @@
     std::vector<Part> parts;
     Capacity needs; ///< of one task
     double lostWork = 0.0; ///< core seconds that would have to be done again
+    int priority = 0;
     bool isEntitled = false; ///< may not be stopped
     bool endsSoon = false; ///< is expected to be done in a moment
     bool isStopping = false; ///< is being stopped already; its room comes free soon
--- a/include/waxwingloft/request/taskplacer.h
+++ b/include/waxwingloft/request/taskplacer.h
@@ -5,6 +5,7 @@
 #include "waxwingloft/process/clock.h"
 #include "waxwingloft/process/error.h"
 #include "waxwingloft/process/logger.h"
+#include "waxwingloft/process/workerhealth.h"
 #include "waxwingloft/request/jobprogress.h"
 #include "waxwingloft/request/jobrank.h"
 #include "waxwingloft/request/stepplanner.h"
@@ -33,6 +34,11 @@
     double urgentMayLose = 150.0; ///< core seconds that an urgent job in time may throw away: a fifteenth of its worth at the users' price
     Millis soon = Millis(700); ///< expected end of a run that is waited for rather than another one stopped
     Millis waitForEnds = Millis(900); ///< after a job came in; leaves the time of a stop and a start in the shortest reclaim bound
+    Millis standstill = Millis(2500); ///< without progress, after which a run stands still; two looks at it by its agent and a report
+    std::uint32_t movePercent = 50; ///< a run that stands still is started elsewhere before it has done this much
+    double slowShare = 0.4; ///< of the median speed, below which a worker is slow; the users' slow-downs are 4 to 6.5 times
+    Millis tellingTime = Millis(1000); ///< age from which the progress of a run tells its speed
+    HealthTerms health = {2, 3, Millis(4000), Millis(60'000)}; ///< quarantine of workers that fail what they start; their failing spells last about 6 s
     Millis reserveAfter = Millis(1500); ///< a gang that waited this long keeps room clear for itself
     std::size_t batchRows = 40; ///< rows in one transaction; each counts as a condition and a write, of which 100 are allowed
 };
@@ -129,6 +135,9 @@
         bool isStopping = false;
         bool isSent = false; ///< its agent may have been told of it
         std::optional<Instant> expectedEnd;
+        std::uint32_t percent = 0;
+        Instant risenAt; ///< when the percentage was last seen to rise
+        Millis estimate = Millis(0);
         std::uint64_t leftOutBy = 0; ///< first assignments without it; zero while it is to run
         Capacity needs;
     };
@@ -184,6 +193,7 @@
     void change(LiveJob &job);
     void refreshState(LiveJob &job);
     void addJob(StoredJob stored);
+    static LiveRun liveRun(const LiveJob &job, std::uint32_t step, std::uint64_t change, Instant now);
     void stopRun(Worker &worker, const TaskRun &run);
     void stopRuns(const JobId &job);
     void endRun(Worker &worker, const TaskRun &run, RunEnd how, const std::string &checkpoint);
@@ -208,9 +218,14 @@
     bool takesWork(const Worker &worker, Instant now) const;
 
     bool isSettled(Instant now) const;
+    bool standsStill(const LiveRun &live, Instant now) const;
+    std::optional<double> speedOf(const Worker &worker, Instant now) const;
+    void markSlow(Fleet &fleet, Instant now) const;
+    void moveStanding(Instant now);
     Fleet collectFleet(Instant now);
     std::vector<Unit> collectUnits(const Fleet &fleet, const std::set<JobId> &entitled, Instant now);
     void addUnits(LiveJob &job, std::uint32_t occurrence, const Unit &base, std::vector<Unit> &units);
+    std::vector<bool> avoidedBy(const Unit &unit, const Fleet &fleet) const;
     WaitingTasks waitingOf(const Unit &unit, const Fleet &fleet) const;
     std::set<JobId> entitledJobs() const;
     RunningSet collectRunning(const Fleet &fleet, const std::set<JobId> &entitled, Instant now);
@@ -224,6 +239,7 @@
     Instant inOfficeSince;
     Instant mandateUntil;
     JobRank rank;
+    WorkerHealth health;
     RouteBook routes;
     std::map<JobId, LiveJob> jobs;
     std::map<NodeId, Worker> workers;
--- a/src/request/stepplanner.cpp
+++ b/src/request/stepplanner.cpp
@@ -74,7 +74,8 @@
     {
         const auto &candidate = this->workers[worker];
         const auto &labels = candidate.labels;
-        return candidate.acceptsWork && candidate.service == tasks.service
+        const bool isAvoided = !tasks.avoided.empty() && tasks.avoided[worker];
+        return candidate.acceptsWork && !isAvoided && candidate.service == tasks.service
             && (tasks.requiredLabel.empty() || std::find(labels.begin(), labels.end(), tasks.requiredLabel) != labels.end());
     }
 
@@ -96,8 +97,9 @@
     std::vector<std::size_t> fill(const Group &group, const WaitingTasks &tasks, const std::vector<Capacity> &room) const
     {
         auto order = group;
-        std::stable_sort(order.begin(), order.end(), [&room](std::size_t left, std::size_t right) {
-            return std::pair(room[left].accelerators, room[left].milliCores) < std::pair(room[right].accelerators, room[right].milliCores);
+        std::stable_sort(order.begin(), order.end(), [this, &room](std::size_t left, std::size_t right) {
+            return std::tuple(this->workers[left].isSlow, room[left].accelerators, room[left].milliCores)
+                < std::tuple(this->workers[right].isSlow, room[right].accelerators, room[right].milliCores);
         });
         // A worker that holds all that is left, with the least room over, keeps the gang together.
         std::vector<std::size_t> places;
@@ -202,7 +204,7 @@
                 continue;
             }
             const bool isFar = !one.dataRack.empty() && this->workers[worker].rack != one.dataRack;
-            const auto rank = std::tuple(isFar, this->free[worker].accelerators, this->free[worker].milliCores);
+            const auto rank = std::tuple(isFar || this->workers[worker].isSlow, this->free[worker].accelerators, this->free[worker].milliCores);
             if (!best || rank < bestRank) {
                 best = worker;
                 bestRank = rank;
@@ -254,7 +256,7 @@
             const bool isHere = std::any_of(parts.begin(), parts.end(), [&group](const RunningTasks::Part &part) {
                 return std::find(group.begin(), group.end(), part.worker) != group.end();
             });
-            if (isHere && !this->isStopped[index] && (!this->running[index].isEntitled || this->comesFree(index, tasks))) {
+            if (isHere && !this->isStopped[index] && this->mayTake(index, tasks)) {
                 victims.push_back(index);
             }
         }
@@ -304,6 +306,13 @@
         return this->running[victim].isStopping || (this->running[victim].endsSoon && tasks.canWait);
     }
 
+    /** Urgent work has only less urgent work stopped, guaranteed work any that is not guaranteed itself. */
+    bool mayTake(std::size_t victim, const WaitingTasks &tasks) const
+    {
+        const auto &candidate = this->running[victim];
+        return this->comesFree(victim, tasks) || (!candidate.isEntitled && (tasks.isEntitled || candidate.priority > tasks.priority));
+    }
+
     double costOf(std::size_t victim, const WaitingTasks &tasks) const
     {
         return this->comesFree(victim, tasks) ? 0.0 : this->running[victim].lostWork;
--- a/src/request/taskplacer.cpp
+++ b/src/request/taskplacer.cpp
@@ -18,6 +18,7 @@
     , terms(terms)
     , log(LogPart::Placer)
     , rank(rankTerms)
+    , health(clock, terms.health)
 {
 }
 
@@ -56,7 +57,8 @@
                 auto &worker = this->workers[task.worker];
                 worker.last.life = task.life;
                 const TaskRun run{{id, occurrence, step, index}, task.run};
-                worker.runs[run] = LiveRun{0, this->clock.now(), false, true, std::nullopt, 0, job.submission.graph.steps[step].needs};
+                worker.runs[run] = this->liveRun(job, step, 0, this->clock.now());
+                worker.runs[run].isSent = true;
             }
         }
     }
@@ -66,6 +68,20 @@
     }
 }
 
+TaskPlacer::LiveRun TaskPlacer::liveRun(const LiveJob &job, std::uint32_t step, std::uint64_t change, Instant now)
+{
+    const auto &shape = job.submission.graph.steps[step];
+    LiveRun live;
+    live.change = change;
+    live.assignedAt = now;
+    live.risenAt = now;
+    live.estimate = shape.estimate;
+    live.needs = shape.needs;
+    // Filling tasks take what others leave, so their processors are not accounted for.
+    live.needs.milliCores = shape.isFilling ? 0 : shape.needs.milliCores;
+    return live;
+}
+
 void TaskPlacer::leaveOffice(const std::string &reason)
 {
     const std::lock_guard<std::mutex> guard(this->mutex);
@@ -221,6 +237,11 @@
                     {"end", std::string(nameOf(how))},
                     {"executor", task->life.id},
                     {"checkpoint", checkpoint}});
+    if (how == RunEnd::Done) {
+        this->health.noteSuccess(task->worker, run.task.job.value);
+    } else if (how == RunEnd::Failed && this->health.noteFailure(task->worker, run.task.job.value) == HealthVerdict::QuarantineWorker) {
+        this->log.warn("A worker fails what others run; it gets no new work for a while.", {{"agent", task->worker.value}, {"executor", task->life.id}});
+    }
     this->applyEnd(job, run, *task, how, checkpoint);
     this->change(job);
     this->refreshState(job);
@@ -354,6 +375,10 @@
             worker.hasOrphans = true;
             continue;
         }
+        if (reported.percent > found->second.percent) {
+            found->second.percent = reported.percent;
+            found->second.risenAt = now;
+        }
         if (reported.percent >= LeastTellingPercent) {
             const auto elapsed = now - found->second.assignedAt;
             found->second.expectedEnd =
--- a/src/request/taskplanning.cpp
+++ b/src/request/taskplanning.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr double CoresPerAccelerator = 8.0; ///< how the users count work
+constexpr double WholePercent = 100.0;
+constexpr std::size_t LeastPeers = 3; ///< workers with a known speed, below which a median says nothing
 constexpr double RestoreSeconds = 0.1; ///< of work that is lost when a run goes on from the checkpoint of its stop; the users' bounds
 constexpr std::string_view RackLabelPrefix = "r"; ///< labels such as "r1-3" name the rack of a machine
 
@@ -39,8 +41,10 @@
     if (!this->isSettled(now)) {
         return;
     }
+    this->moveStanding(now);
     const auto entitled = this->entitledJobs();
-    const auto fleet = this->collectFleet(now);
+    auto fleet = this->collectFleet(now);
+    this->markSlow(fleet, now);
     const auto units = this->collectUnits(fleet, entitled, now);
     if (units.empty()) {
         return;
@@ -78,7 +82,70 @@
 bool TaskPlacer::takesWork(const Worker &worker, Instant now) const
 {
     return worker.isKnown && worker.last.isReachable && !worker.last.isDraining && !worker.hasOrphans && now >= worker.pausedUntil
-        && now - worker.heardAt < this->terms.freshness;
+        && now - worker.heardAt < this->terms.freshness && !this->health.isQuarantined(worker.last.node);
+}
+
+bool TaskPlacer::standsStill(const LiveRun &live, Instant now) const
+{
+    return now - live.risenAt >= this->terms.standstill;
+}
+
+/** Starts runs elsewhere that make no progress while their executor answers, before much of them is done. */
+void TaskPlacer::moveStanding(Instant now)
+{
+    for (auto &[node, worker] : this->workers) {
+        std::vector<TaskRun> standing;
+        for (const auto &[run, live] : worker.runs) {
+            const bool isMoved = worker.last.isReachable && !live.isStopping && live.isSent && live.percent < this->terms.movePercent;
+            const auto job = this->jobs.find(run.task.job);
+            if (isMoved && this->standsStill(live, now) && job != this->jobs.end() && !stepOf(job->second, run.task).isPerpetual) {
+                standing.push_back(run);
+            }
+        }
+        for (const auto &run : standing) {
+            this->log.warn("A run stands still and is started elsewhere.",
+                           {{"job", run.task.job.value}, {"task", toString(run.task)}, {"run", std::to_string(run.run)}, {"agent", node.value}});
+            this->stopRun(worker, run);
+        }
+        if (!standing.empty()) {
+            worker.pausedUntil = now + this->terms.standstill;
+        }
+    }
+}
+
+/** Returns how fast the runs of a worker progress against their estimates; nothing when none tells. */
+std::optional<double> TaskPlacer::speedOf(const Worker &worker, Instant now) const
+{
+    double total = 0.0;
+    int count = 0;
+    for (const auto &[run, live] : worker.runs) {
+        const auto age = now - live.assignedAt;
+        if (age >= this->terms.tellingTime && live.estimate.count() > 0) {
+            total += static_cast<double>(live.percent) / WholePercent * static_cast<double>(live.estimate.count()) / static_cast<double>(age.count());
+            ++count;
+        }
+    }
+    return count == 0 ? std::nullopt : std::optional<double>(total / count);
+}
+
+void TaskPlacer::markSlow(Fleet &fleet, Instant now) const
+{
+    std::vector<std::optional<double>> speeds;
+    std::vector<double> known;
+    for (const auto *const worker : fleet.byIndex) {
+        speeds.push_back(this->speedOf(*worker, now));
+        if (speeds.back()) {
+            known.push_back(*speeds.back());
+        }
+    }
+    if (known.size() < LeastPeers) {
+        return;
+    }
+    const auto middle = known.begin() + static_cast<std::ptrdiff_t>(known.size() / 2);
+    std::nth_element(known.begin(), middle, known.end());
+    for (std::size_t index = 0; index < speeds.size(); ++index) {
+        fleet.workers[index].isSlow = speeds[index] && *speeds[index] < this->terms.slowShare * *middle;
+    }
 }
 
 TaskPlacer::Fleet TaskPlacer::collectFleet(Instant now)
@@ -187,6 +254,23 @@
     }
 }
 
+/** The workers that a job has failed on, as long as they are few: a job that fails everywhere is itself to blame. */
+std::vector<bool> TaskPlacer::avoidedBy(const Unit &unit, const Fleet &fleet) const
+{
+    const auto evidence = this->health.evidenceAgainst(unit.job->submission.id.value);
+    if (evidence.empty() || evidence.size() * 2 >= fleet.workers.size()) {
+        return {};
+    }
+    std::vector<bool> avoided(fleet.workers.size(), false);
+    for (const auto &node : evidence) {
+        const auto worker = fleet.indexOf.find(node);
+        if (worker != fleet.indexOf.end()) {
+            avoided[worker->second] = true;
+        }
+    }
+    return avoided;
+}
+
 WaitingTasks TaskPlacer::waitingOf(const Unit &unit, const Fleet &fleet) const
 {
     const auto &step = unit.job->submission.graph.steps[unit.step];
@@ -199,6 +283,9 @@
     waiting.dataRack = step.dataRack;
     waiting.isGang = step.isGang;
     waiting.prefersOneRack = step.prefersOneRack;
+    waiting.priority = unit.job->submission.priority;
+    waiting.isEntitled = unit.isEntitled;
+    waiting.avoided = this->avoidedBy(unit, fleet);
     waiting.mayLoseWork = unit.isEntitled ? std::numeric_limits<double>::infinity() : (unit.isUrgent ? this->terms.urgentMayLose : 0.0);
     waiting.canWait = unit.isYoung;
     waiting.mayReserve = unit.hasWaitedLong && step.isGang;
@@ -238,6 +325,7 @@
             const bool isEnding = live.isStopping || isFinal(job->second.progress.state);
             auto lost = std::chrono::duration<double>(now - live.assignedAt).count();
             lost = step.isCheckpointing ? std::min(lost, RestoreSeconds) : lost;
+            tasks.priority = job->second.submission.priority;
             tasks.isEntitled = entitled.contains(run.task.job);
             tasks.endsSoon = live.expectedEnd && *live.expectedEnd - now < this->terms.soon;
             tasks.isStopping = tasks.isStopping && isEnding;
@@ -269,9 +357,7 @@
         task.worker = worker.last.node;
         task.life = worker.last.life;
         const TaskRun run{{job.submission.id, unit.occurrence, unit.step, index}, task.run};
-        auto needs = shape.needs;
-        needs.milliCores = shape.isFilling ? 0 : needs.milliCores;
-        worker.runs[run] = LiveRun{job.change, now, false, false, std::nullopt, 0, needs};
+        worker.runs[run] = liveRun(job, unit.step, job.change, now);
     }
     this->refreshState(job);
     this->log.info("Tasks of a step were assigned.",
--- a/tests/connection/fakeexecutor.h
+++ b/tests/connection/fakeexecutor.h
@@ -4,6 +4,7 @@
 #include "waxwingloft/connection/executorport.h"
 #include "waxwingloft/process/clock.h"
 
+#include <algorithm>
 #include <deque>
 #include <functional>
 #include <map>
@@ -25,6 +26,7 @@
 struct FakeRun {
     std::string spec;
     std::string checkpoint;
+    Millis startedAt = Millis(0); ///< on the executor's clock
     Millis endsAt = Millis(0); ///< on the executor's clock
     Millis stopsAt = Millis(0); ///< zero: is not being stopped
     RunEnd endsAs = RunEnd::Done;
@@ -108,7 +110,7 @@
                 over.emplace_back(run, RunEnd::Lapsed);
             } else if (state.stopsAt != Millis(0) && now >= state.stopsAt) {
                 over.emplace_back(run, RunEnd::Stopped);
-            } else if (now >= state.endsAt) {
+            } else if (now >= state.endsAt && !this->isStandingStill) {
                 over.emplace_back(run, state.endsAs);
             }
         }
@@ -149,7 +151,7 @@
             std::erase_if(this->ends, [&question](const EndReport &end) { return end.number <= question.notedEnds; });
         }
         for (const auto &[run, state] : this->running) {
-            answer.running.push_back({run, state.checkpoint, 50});
+            answer.running.push_back({run, state.checkpoint, this->percentOf(state)});
         }
         answer.ended = this->ends;
         return answer;
@@ -158,6 +160,7 @@
     Capacity capacity = {128'000, 262'144, 8};
     std::string rack = "r1-1";
     bool isDraining = false;
+    bool isStandingStill = false; ///< what runs makes no progress and does not end
     bool isDark = false; ///< answers nothing
     OrderFate fate = OrderFate::Answered;
     Millis lateBy = Millis(3000);
@@ -179,6 +182,12 @@
         return {this->now(), this->startedAt};
     }
 
+    std::uint32_t percentOf(const FakeRun &run) const
+    {
+        const auto whole = std::max<std::int64_t>(1, (run.endsAt - run.startedAt).count());
+        return this->isStandingStill ? 0 : static_cast<std::uint32_t>(std::clamp<std::int64_t>((this->now() - run.startedAt).count() * 100 / whole, 0, 99));
+    }
+
     void extend(const std::optional<Millis> &until)
     {
         constexpr auto LongestLease = Millis(6000);
@@ -220,6 +229,7 @@
             this->extend(order.leaseEnd);
             auto run = this->runOf(order);
             run.spec = order.spec;
+            run.startedAt = this->now();
             run.endsAt += this->now();
             this->running[order.run] = run;
             this->observer.started(this->id, order.run, order.spec);
--- a/tests/request/jobsitetest.cpp
+++ b/tests/request/jobsitetest.cpp
@@ -249,6 +249,35 @@
     expectKept(site);
 }
 
+TEST(JobSite, ARunThatStandsStillIsStartedElsewhere)
+{
+    JobSite site(4);
+    site.agents[0].executor->isStandingStill = true;
+    const auto job = site.submit(oneStep(8, Half));
+    EXPECT_EQ(site.finish(job, Millis(9000)), JobPhase::Completed);
+    expectKept(site);
+}
+
+TEST(JobSite, AWorkerThatFailsEverythingEndsNoJob)
+{
+    JobSite site(4);
+    site.agents[0].executor->runOf = [](const StartOrder &) {
+        FakeRun run;
+        run.endsAt = Millis(50);
+        run.endsAs = RunEnd::Failed;
+        return run;
+    };
+    std::vector<JobId> jobs;
+    for (int round = 0; round < 10; ++round) {
+        jobs.push_back(site.submit(oneStep(4, Half)));
+        site.advance(Millis(600));
+    }
+    for (const auto &job : jobs) {
+        EXPECT_EQ(site.finish(job, Millis(20'000)), JobPhase::Completed) << job.value;
+    }
+    expectKept(site);
+}
+
 /** Jobs, cancellations and faults at random times; the promises hold throughout, and all jobs end. */
 class JobSiteFaults : public testing::TestWithParam<std::uint64_t>
 {
--- /dev/null
+++ b/tests/request/stepplannertest.cpp
@@ -0,0 +1,158 @@
+#include "waxwingloft/request/stepplanner.h"
+
+#include <gtest/gtest.h>
+
+#include <limits>
+
+namespace waxwingloft::tests {
+
+namespace {
+
+const Capacity Whole{128'000, 262'144, 8};
+const Capacity One{16'000, 32'768, 1};
+constexpr double Unbounded = std::numeric_limits<double>::infinity();
+
+PlannerWorker worker(const std::string &name, const std::string &rack, std::int64_t freeAccelerators = 8)
+{
+    const Capacity free{freeAccelerators * 16'000, freeAccelerators * 32'768, freeAccelerators};
+    return {NodeId{name}, "tune", rack, {"a", rack}, Whole, free, true, false};
+}
+
+WaitingTasks tasks(std::uint32_t count, Capacity needs, bool isGang = false)
+{
+    WaitingTasks waiting;
+    waiting.count = count;
+    waiting.needs = needs;
+    waiting.service = "tune";
+    waiting.isGang = isGang;
+    return waiting;
+}
+
+RunningTasks runs(std::size_t where, std::uint32_t count, Capacity needs, double lostWork, int priority)
+{
+    RunningTasks running;
+    running.parts = {{where, count}};
+    running.needs = needs;
+    running.lostWork = lostWork;
+    running.priority = priority;
+    return running;
+}
+
+WaitingTasks urgent(Capacity needs, double mayLoseWork)
+{
+    auto waiting = tasks(1, needs, true);
+    waiting.mayLoseWork = mayLoseWork;
+    return waiting;
+}
+
+} // namespace
+
+TEST(PlanSteps, PacksSmallTasksOntoTheFullestWorker)
+{
+    const auto plan = planSteps({worker("w0", "r1"), worker("w1", "r1", 2)}, {tasks(2, One)}, {});
+    ASSERT_EQ(plan.starts.size(), 1U);
+    EXPECT_EQ(plan.starts[0].workers, (std::vector<std::size_t>{1, 1}));
+}
+
+TEST(PlanSteps, StartsAGangWholeOrNotAtAll)
+{
+    EXPECT_TRUE(planSteps({worker("w0", "r1"), worker("w1", "r1", 4)}, {tasks(2, Whole, true)}, {}).starts.empty());
+    EXPECT_EQ(planSteps({worker("w0", "r1"), worker("w1", "r1")}, {tasks(2, Whole, true)}, {}).starts.size(), 1U);
+}
+
+TEST(PlanSteps, AGangThatPrefersOneRackWaitsForARackThatCouldHoldIt)
+{
+    auto gang = tasks(2, Whole, true);
+    gang.prefersOneRack = true;
+    const std::vector<PlannerWorker> workers = {worker("w0", "r1"), worker("w1", "r1", 4), worker("w2", "r2"), worker("w3", "r2", 4)};
+    EXPECT_TRUE(planSteps(workers, {gang}, {}).starts.empty());
+    EXPECT_EQ(planSteps({worker("w0", "r1"), worker("w1", "r2")}, {gang}, {}).starts.size(), 1U) << "no rack could ever hold it";
+}
+
+TEST(PlanSteps, KeepsLabelsAndTheLimitForOneWorker)
+{
+    auto limited = tasks(3, One);
+    limited.maxPerWorker = 1;
+    limited.present = {1, 0};
+    EXPECT_EQ(planSteps({worker("w0", "r1"), worker("w1", "r1")}, {limited}, {}).starts[0].workers, (std::vector<std::size_t>{1}));
+    auto labelled = tasks(1, One);
+    labelled.requiredLabel = "b";
+    EXPECT_TRUE(planSteps({worker("w0", "r1")}, {labelled}, {}).starts.empty());
+}
+
+TEST(PlanSteps, AvoidsWorkersThatAreSlowOrFailedTheTask)
+{
+    auto slow = worker("w0", "r1", 2);
+    slow.isSlow = true;
+    EXPECT_EQ(planSteps({slow, worker("w1", "r1")}, {tasks(1, One)}, {}).starts[0].workers[0], 1U);
+    EXPECT_EQ(planSteps({slow}, {tasks(1, One)}, {}).starts[0].workers[0], 0U);
+    auto burnt = tasks(1, One);
+    burnt.avoided = {true, false};
+    EXPECT_EQ(planSteps({worker("w0", "r1", 2), worker("w1", "r1")}, {burnt}, {}).starts[0].workers[0], 1U);
+}
+
+TEST(PlanSteps, StopsTheCheapestLessUrgentWork)
+{
+    const std::vector<PlannerWorker> workers = {worker("w0", "r1", 0), worker("w1", "r1", 0)};
+    const auto plan = planSteps(workers, {urgent(Whole, 500.0)}, {runs(0, 1, Whole, 400.0, 1), runs(1, 1, Whole, 20.0, 2)});
+    EXPECT_EQ(plan.stops, std::vector<std::size_t>{1});
+    EXPECT_TRUE(plan.starts.empty()) << "the room is not free yet";
+}
+
+TEST(PlanSteps, UrgentWorkDoesNotStopItsEqualsNorThrowAwayMoreThanItMay)
+{
+    const std::vector<PlannerWorker> workers = {worker("w0", "r1", 0)};
+    EXPECT_TRUE(planSteps(workers, {urgent(Whole, 500.0)}, {runs(0, 1, Whole, 10.0, 0)}).stops.empty());
+    EXPECT_TRUE(planSteps(workers, {urgent(Whole, 500.0)}, {runs(0, 1, Whole, 600.0, 1)}).stops.empty());
+}
+
+TEST(PlanSteps, GuaranteedWorkStopsWhateverIsNotGuaranteed)
+{
+    const std::vector<PlannerWorker> workers = {worker("w0", "r1", 0)};
+    auto owner = urgent(Whole, Unbounded);
+    owner.isEntitled = true;
+    EXPECT_EQ(planSteps(workers, {owner}, {runs(0, 1, Whole, 9000.0, 0)}).stops.size(), 1U);
+    auto other = runs(0, 1, Whole, 10.0, 0);
+    other.isEntitled = true;
+    EXPECT_TRUE(planSteps(workers, {owner}, {other}).stops.empty());
+}
+
+TEST(PlanSteps, WaitsForWorkThatEndsSoonAndStopsNothingTwice)
+{
+    const std::vector<PlannerWorker> workers = {worker("w0", "r1", 0), worker("w1", "r1", 0)};
+    auto ending = runs(0, 1, Whole, 400.0, 1);
+    ending.endsSoon = true;
+    auto patient = urgent(Whole, Unbounded);
+    patient.canWait = true;
+    EXPECT_TRUE(planSteps(workers, {patient}, {ending, runs(1, 1, Whole, 1.0, 2)}).stops.empty());
+    auto stopping = runs(1, 1, Whole, 1.0, 2);
+    stopping.isStopping = true;
+    EXPECT_TRUE(planSteps(workers, {urgent(Whole, Unbounded)}, {runs(0, 1, Whole, 400.0, 1), stopping}).stops.empty());
+}
+
+TEST(PlanSteps, RoomThatIsBeingReclaimedIsNotGivenToOthers)
+{
+    const std::vector<PlannerWorker> workers = {worker("w0", "r1", 4)};
+    const auto plan = planSteps(workers, {urgent(Whole, Unbounded), tasks(4, One)}, {runs(0, 4, One, 1.0, 2)});
+    EXPECT_EQ(plan.stops.size(), 1U);
+    EXPECT_TRUE(plan.starts.empty());
+}
+
+TEST(PlanSteps, AGangThatWaitedLongKeepsRoomClear)
+{
+    auto gang = tasks(1, Whole, true);
+    gang.mayReserve = true;
+    const std::vector<PlannerWorker> workers = {worker("w0", "r1", 4)};
+    EXPECT_TRUE(planSteps(workers, {gang, tasks(4, One)}, {}).starts.empty());
+    gang.mayReserve = false;
+    EXPECT_EQ(planSteps(workers, {gang, tasks(4, One)}, {}).starts.size(), 1U);
+}
+
+TEST(CouldEverRun, LooksAtEmptyWorkers)
+{
+    EXPECT_TRUE(couldEverRun({worker("w0", "r1", 0)}, tasks(5, Whole)));
+    EXPECT_FALSE(couldEverRun({worker("w0", "r1", 0)}, tasks(2, Whole, true)));
+    EXPECT_FALSE(couldEverRun({worker("w0", "r1", 0)}, tasks(1, Capacity{0, 0, 9})));
+}
+
+} // namespace waxwingloft::tests
