Test the gate, the rows and the relayed table; bound jobs so that their progress fits a row

Cause (JobRows.TheProgressOfTheLargestJobFitsARow): 2000 tasks gave a row of 60 kB, 80 kB in base64, over the store's 64 KiB.

--- a/include/waxwingloft/request/jobgraph.h
+++ b/include/waxwingloft/request/jobgraph.h
@@ -45,7 +45,7 @@
 struct JobBounds {
     std::size_t specBytes = 4000;
     std::uint32_t steps = 64;
-    std::uint32_t tasks = 2000; ///< of all steps and occurrences; keeps the progress of a job inside one row
+    std::uint32_t tasks = 1500; ///< of all steps and occurrences; keeps the progress of a job inside a row of 64 KiB in base64
 };
 
 /** Checks counts, sizes and that steps depend on earlier steps only. InvalidInput names the first mistake. */
--- /dev/null
+++ b/tests/request/jobgatetest.cpp
@@ -0,0 +1,243 @@
+#include "waxwingloft/request/jobgate.h"
+#include "process/faketable.h"
+#include "process/manualclock.h"
+#include "waxwingloft/request/jobrows.h"
+
+#include <gtest/gtest.h>
+
+namespace waxwingloft::tests {
+
+namespace {
+
+const std::string Id = "5c0e7a21d94b36f8";
+
+/** A table that treats commits as told and counts them. */
+class MoodyTable : public TableStore
+{
+public:
+    explicit MoodyTable(FakeRows &rows)
+        : rows(rows)
+    {
+    }
+
+    Result<std::optional<Row>> get(const std::string &key) override
+    {
+        return this->rows.get(key);
+    }
+
+    Result<RowList> list(const std::string &prefix, std::uint64_t since) override
+    {
+        return this->rows.list(prefix, since);
+    }
+
+    Result<Commit> commit(const Transaction &transaction) override
+    {
+        ++this->commits;
+        if (this->isAmbiguous) {
+            return makeError(ErrorKind::Ambiguous, "no answer");
+        }
+        return this->rows.commit(transaction);
+    }
+
+    FakeRows &rows;
+    bool isAmbiguous = false;
+    int commits = 0;
+};
+
+class JobGateTest : public testing::Test
+{
+protected:
+    JobGateTest()
+    {
+        RouteBook book;
+        book.version = 7;
+        Route route;
+        route.name = "r";
+        route.host = "h";
+        route.pathPrefix = "/a/";
+        route.service = "tune";
+        route.maxAttempts = 4;
+        book.routes.push_back(route);
+        route.name = "open";
+        route.pathPrefix = "/open/";
+        route.isPublic = true;
+        book.routes.push_back(route);
+        book.tenantsByKey["k1"] = {WorkspaceId{"plant"}, 8};
+        this->routes.replaceIf(book, [](const RouteBook &) { return true; });
+        this->board.reset({});
+    }
+
+    static Result<JobGraph> parse(const std::string &body)
+    {
+        if (body != "job") {
+            return makeError(ErrorKind::InvalidInput, "no job");
+        }
+        JobGraph graph;
+        graph.spec = "s";
+        graph.steps.resize(1);
+        return graph;
+    }
+
+    JobAnswer call(JobVerb verb, const std::string &path, const std::string &key = "k1", const std::string &body = "job")
+    {
+        return this->gate.handle({verb, "h", path, key, Millis(2000), body});
+    }
+
+    ManualClock clock;
+    IdSource ids{1};
+    Metrics metrics;
+    FakeRows rows;
+    MoodyTable table{this->rows};
+    TaskPlacer placer{this->clock, OfficeTerms(), RankTerms()};
+    JobBoard board{this->placer};
+    Published<RouteBook> routes{RouteBook()};
+    JobGate gate{this->clock, this->ids, this->metrics, this->table, this->board, this->routes, &JobGateTest::parse, GateTerms()};
+};
+
+} // namespace
+
+TEST_F(JobGateTest, AcceptsAJobOnceItsRowIsWritten)
+{
+    EXPECT_EQ(this->call(JobVerb::Submit, "/a/" + Id).outcome, JobCallOutcome::Done);
+    const auto row = this->rows.rows.at(submissionKey(JobId{Id}));
+    const auto stored = parseSubmission(row.value);
+    ASSERT_TRUE(succeeded(stored));
+    EXPECT_EQ(valueOf(stored).workspace, WorkspaceId{"plant"});
+    EXPECT_EQ(valueOf(stored).maxAttempts, 4U);
+    const auto shown = this->call(JobVerb::Show, "/a/" + Id);
+    EXPECT_EQ(shown.outcome, JobCallOutcome::Done);
+    EXPECT_EQ(shown.state, "pending");
+    EXPECT_EQ(this->call(JobVerb::CountWaiting, "/a/").waiting, 1U);
+}
+
+TEST_F(JobGateTest, TheSameIdAgainJoinsTheJob)
+{
+    this->call(JobVerb::Submit, "/a/" + Id);
+    EXPECT_EQ(this->call(JobVerb::Submit, "/a/" + Id).outcome, JobCallOutcome::Done);
+    JobBoard otherBoard(this->placer);
+    JobGate other(this->clock, this->ids, this->metrics, this->table, otherBoard, this->routes, &JobGateTest::parse, GateTerms());
+    EXPECT_EQ(other.handle({JobVerb::Submit, "h", "/a/" + Id, "k1", Millis(2000), "job"}).outcome, JobCallOutcome::Done);
+    EXPECT_EQ(this->rows.rows.size(), 1U);
+}
+
+TEST_F(JobGateTest, RefusesOnlyWhatHadNoEffect)
+{
+    this->rows.isDown = true;
+    const auto refused = this->call(JobVerb::Submit, "/a/" + Id);
+    EXPECT_EQ(refused.outcome, JobCallOutcome::NotNow);
+    EXPECT_GT(refused.retryAfter.count(), 0);
+    this->rows.isDown = false;
+    this->table.isAmbiguous = true;
+    EXPECT_EQ(this->call(JobVerb::Submit, "/a/" + Id).outcome, JobCallOutcome::Undecided);
+}
+
+TEST_F(JobGateTest, WaitsOutAShortOutageForAShareOfTheCallersTime)
+{
+    this->rows.isDown = true;
+    const auto before = this->clock.now();
+    this->clock.onSleep = [this, before](Millis duration) {
+        this->clock.advance(duration);
+        this->rows.isDown = this->clock.now() - before < Millis(300);
+    };
+    EXPECT_EQ(this->call(JobVerb::Submit, "/a/" + Id).outcome, JobCallOutcome::Done);
+    EXPECT_LE((this->clock.now() - before).count(), 500);
+}
+
+TEST_F(JobGateTest, KeysRoutesAndIdsAreChecked)
+{
+    EXPECT_EQ(this->call(JobVerb::Submit, "/a/" + Id, "wrong").outcome, JobCallOutcome::UnknownKey);
+    EXPECT_EQ(this->call(JobVerb::Submit, "/open/" + Id, "").outcome, JobCallOutcome::Done);
+    EXPECT_EQ(this->call(JobVerb::Submit, "/b/" + Id).outcome, JobCallOutcome::UnknownRoute);
+    for (const auto *id : {"", "5c0e7a21d94b36f", "5c0e7a21d94b36f81", "5c0e7a21d94b36fz", "../../../../../.."}) {
+        EXPECT_EQ(this->call(JobVerb::Submit, std::string("/a/") + id).outcome, JobCallOutcome::BadRequest) << id;
+    }
+    const std::string otherId = "0123456789abcdef";
+    EXPECT_EQ(this->call(JobVerb::Submit, "/a/" + otherId, "k1", "rubbish").outcome, JobCallOutcome::BadRequest);
+    EXPECT_EQ(this->call(JobVerb::Submit, "/a/" + otherId, "k1", std::string(300'000, 'x')).outcome, JobCallOutcome::TooLarge);
+    EXPECT_EQ(this->rows.rows.size(), 1U);
+}
+
+TEST_F(JobGateTest, BeforeTheFirstRoutesNothingIsAccepted)
+{
+    const Published<RouteBook> none{RouteBook()};
+    JobGate early(this->clock, this->ids, this->metrics, this->table, this->board, none, &JobGateTest::parse, GateTerms());
+    EXPECT_EQ(early.handle({JobVerb::Submit, "h", "/a/" + Id, "k1", Millis(2000), "job"}).outcome, JobCallOutcome::NotNow);
+}
+
+TEST_F(JobGateTest, AnUnknownJobIsSaidToBeUnknownOnlyByTheTable)
+{
+    EXPECT_EQ(this->call(JobVerb::Show, "/a/" + Id).outcome, JobCallOutcome::UnknownJob);
+    EXPECT_EQ(this->call(JobVerb::Cancel, "/a/" + Id).outcome, JobCallOutcome::UnknownJob);
+    this->rows.isDown = true;
+    EXPECT_EQ(this->call(JobVerb::Show, "/a/" + Id).outcome, JobCallOutcome::NotNow);
+    EXPECT_EQ(this->call(JobVerb::Cancel, "/a/" + Id).outcome, JobCallOutcome::NotNow);
+}
+
+TEST_F(JobGateTest, AJobOfAnotherEntryIsFoundInTheTable)
+{
+    JobBoard otherBoard(this->placer);
+    JobGate other(this->clock, this->ids, this->metrics, this->table, otherBoard, this->routes, &JobGateTest::parse, GateTerms());
+    other.handle({JobVerb::Submit, "h", "/a/" + Id, "k1", Millis(2000), "job"});
+    EXPECT_EQ(this->call(JobVerb::Show, "/a/" + Id).state, "pending");
+}
+
+TEST_F(JobGateTest, ACancelledJobIsShownAsCancelled)
+{
+    this->call(JobVerb::Submit, "/a/" + Id);
+    EXPECT_EQ(this->call(JobVerb::Cancel, "/a/" + Id).outcome, JobCallOutcome::Done);
+    EXPECT_EQ(this->call(JobVerb::Cancel, "/a/" + Id).outcome, JobCallOutcome::Done);
+    EXPECT_EQ(this->call(JobVerb::Show, "/a/" + Id).state, "cancelled");
+    EXPECT_EQ(this->call(JobVerb::CountWaiting, "/a/").waiting, 0U);
+}
+
+TEST(VisibleState, AnEndIsNotTakenBackByACancellation)
+{
+    JobProgress progress;
+    progress.state = JobPhase::Completed;
+    EXPECT_EQ(visibleState(progress, true), JobPhase::Completed);
+    progress.state = JobPhase::Running;
+    EXPECT_EQ(visibleState(progress, true), JobPhase::Cancelled);
+}
+
+TEST(JobRows, ReadBackWhatWasWritten)
+{
+    JobSubmission job;
+    job.id.value = Id;
+    job.workspace.value = "plant";
+    job.acceptedAt = 17;
+    job.graph.spec = "quotes \" and \n lines";
+    job.graph.occurrences = 3;
+    job.graph.steps.resize(2);
+    job.graph.steps[1].after = {0};
+    job.graph.steps[1].isGang = true;
+    job.graph.steps[1].count = 3;
+    job.graph.steps[1].needs = {15'000, 39'000, 4};
+    const auto read = parseSubmission(encodeSubmission(job));
+    ASSERT_TRUE(succeeded(read));
+    EXPECT_EQ(valueOf(read).graph.spec, job.graph.spec);
+    EXPECT_EQ(valueOf(read).graph.steps[1].needs, job.graph.steps[1].needs);
+    EXPECT_TRUE(valueOf(read).graph.steps[1].isGang);
+
+    auto progress = freshProgress(job.graph);
+    progress.state = JobPhase::Running;
+    progress.occurrences[2][1][0] = {TaskPhase::Assigned, 4, 1, "c", NodeId{"agent"}, {"i-1", 77}};
+    progress.occurrences[0][0][0].state = TaskPhase::Done;
+    EXPECT_EQ(valueOf(parseProgress(encodeProgress(progress))), progress);
+    EXPECT_FALSE(succeeded(parseProgress("rubbish")));
+    EXPECT_FALSE(succeeded(parseSubmission("{}")));
+}
+
+TEST(JobRows, TheProgressOfTheLargestJobFitsARow)
+{
+    constexpr std::size_t LargestRow = 65'536 * 3 / 4;
+    JobGraph graph;
+    graph.steps.resize(1);
+    graph.steps[0].count = JobBounds().tasks;
+    auto progress = freshProgress(graph);
+    for (auto &task : progress.occurrences[0][0]) {
+        task = {TaskPhase::Assigned, 12, 3, "00000bb87a21d94b", NodeId{"side-ahmedabad-a-10"}, {"i-bee5ed781d", 1777817382535}};
+    }
+    EXPECT_LE(encodeProgress(progress).size(), LargestRow);
+}
+
+} // namespace waxwingloft::tests
