--- a/src/request/taskplanning.cpp
+++ b/src/request/taskplanning.cpp
@@ -318,7 +318,10 @@
             const TaskKey unit{run.task.job, run.task.occurrence, run.task.step, step.isGang ? 0 : run.task.index};
             const auto [entry, isNew] = gangs.emplace(unit, running.tasks.size());
             if (isNew) {
-                running.tasks.push_back({{}, live.needs, 0.0, true});
+                RunningTasks fresh;
+                fresh.needs = live.needs;
+                fresh.isStopping = true;
+                running.tasks.push_back(std::move(fresh));
                 running.runs.emplace_back();
             }
             auto &tasks = running.tasks[entry->second];
--- a/tests/request/jobsitetest.cpp
+++ b/tests/request/jobsitetest.cpp
@@ -122,6 +122,27 @@
     expectKept(site);
 }
 
+TEST(JobSite, StopsNoMoreThanGuaranteedWorkNeeds)
+{
+    JobSite site(3);
+    site.routes.tenants[WorkspaceId{"owner"}] = {WorkspaceId{"owner"}, 8};
+    site.placers[0].placer->setRoutes(site.routes);
+    for (auto &agent : site.agents) {
+        agent.executor->stopTime = Millis(900);
+        agent.executor->runOf = [](const StartOrder &) {
+            FakeRun run;
+            run.endsAt = Millis(20'000);
+            return run;
+        };
+    }
+    site.submit(oneStep(6, Half));
+    site.advance(Millis(1000));
+    site.submit(oneStep(1, Whole, true), 0, "owner");
+    site.advance(Millis(3000));
+    EXPECT_EQ(runningIn(site), 5U) << "two halves make room for one whole";
+    expectKept(site);
+}
+
 TEST(JobSite, ASuccessorGoesOnWhereTheLastPlacerEnded)
 {
     JobSite site(3);
