Let urgent work stop only what ranks clearly lower

Ruled out: the guarantee (no entitled step waited). Tests: UrgentWorkDoesNotStopWhatRanksHigher, MakesRoomOnlyForTasksThatHaveNoneYet.

--- a/include/waxwingloft/request/stepplanner.h
+++ b/include/waxwingloft/request/stepplanner.h
@@ -32,6 +32,7 @@
     bool isGang = false;
     bool prefersOneRack = false;
     int priority = 0; ///< zero comes first
+    double rank = 0.0; ///< worth for the room it takes
     bool isEntitled = false; ///< inside its workspace's guarantee; may have any work stopped that is not
     std::vector<bool> avoided; ///< workers that the task failed on; empty for none
     double mayLoseWork = 0.0; ///< core seconds of other work that may be thrown away to make room; zero for none
@@ -52,6 +53,7 @@
     Capacity needs; ///< of one task
     double lostWork = 0.0; ///< core seconds that would have to be done again
     int priority = 0;
+    double rank = 0.0; ///< worth for the room it takes
     bool isEntitled = false; ///< may not be stopped
     bool endsSoon = false; ///< is expected to be done in a moment
     bool isStopping = false; ///< is being stopped already; its room comes free soon
--- a/src/request/stepplanner.cpp
+++ b/src/request/stepplanner.cpp
@@ -10,6 +10,8 @@
 
 namespace {
 
+constexpr double ClearlyLower = 1.5; ///< ratio of ranks; keeps work from being stopped over a small difference
+
 /** A set of workers that a gang may be spread over. */
 using Group = std::vector<std::size_t>;
 
@@ -53,7 +55,8 @@
     void place(std::size_t index, const WaitingTasks &tasks)
     {
         auto places = tasks.isGang ? this->gangPlaces(tasks, this->free) : this->looseTasks(tasks);
-        const bool isWhole = places.size() == tasks.count;
+        const auto placed = places.size();
+        const bool isWhole = placed == tasks.count;
         if (!places.empty() && (isWhole || !tasks.isGang)) {
             this->plan.starts.push_back({index, std::move(places)});
         }
@@ -61,7 +64,9 @@
             return;
         }
         if (tasks.mayLoseWork > 0.0) {
-            this->reclaim(tasks);
+            auto rest = tasks;
+            rest.count -= tasks.isGang ? 0 : static_cast<std::uint32_t>(placed);
+            this->reclaim(rest);
         } else if (tasks.mayReserve) {
             this->reserve(tasks);
         }
@@ -306,11 +311,15 @@
         return this->running[victim].isStopping || (this->running[victim].endsSoon && tasks.canWait);
     }
 
-    /** Urgent work has only less urgent work stopped, guaranteed work any that is not guaranteed itself. */
+    /**
+     * Guaranteed work has any work stopped that is not guaranteed itself; urgent work only what is less urgent and ranks
+     * clearly lower, as what ranks higher would be placed before it again.
+     */
     bool mayTake(std::size_t victim, const WaitingTasks &tasks) const
     {
         const auto &candidate = this->running[victim];
-        return this->comesFree(victim, tasks) || (!candidate.isEntitled && (tasks.isEntitled || candidate.priority > tasks.priority));
+        const bool isLesser = candidate.priority > tasks.priority && candidate.rank * ClearlyLower < tasks.rank;
+        return this->comesFree(victim, tasks) || (!candidate.isEntitled && (tasks.isEntitled || isLesser));
     }
 
     double costOf(std::size_t victim, const WaitingTasks &tasks) const
--- a/src/request/taskplanning.cpp
+++ b/src/request/taskplanning.cpp
@@ -284,6 +284,7 @@
     waiting.isGang = step.isGang;
     waiting.prefersOneRack = step.prefersOneRack;
     waiting.priority = unit.job->submission.priority;
+    waiting.rank = unit.rank;
     waiting.isEntitled = unit.isEntitled;
     waiting.avoided = this->avoidedBy(unit, fleet);
     waiting.mayLoseWork = unit.isEntitled ? std::numeric_limits<double>::infinity() : (unit.isUrgent ? this->terms.urgentMayLose : 0.0);
@@ -307,6 +308,12 @@
 {
     RunningSet running;
     std::map<TaskKey, std::size_t> gangs;
+    std::map<JobId, double> ranks;
+    for (const auto &[id, job] : this->jobs) {
+        if (!isFinal(job.progress.state)) {
+            ranks[id] = this->rank.of(job.submission, job.progress, fleet.total, this->clock.wallMillis());
+        }
+    }
     for (std::size_t index = 0; index < fleet.byIndex.size(); ++index) {
         auto &worker = *fleet.byIndex[index];
         for (const auto &[run, live] : worker.runs) {
@@ -329,6 +336,7 @@
             auto lost = std::chrono::duration<double>(now - live.assignedAt).count();
             lost = step.isCheckpointing ? std::min(lost, RestoreSeconds) : lost;
             tasks.priority = job->second.submission.priority;
+            tasks.rank = ranks[run.task.job];
             tasks.isEntitled = entitled.contains(run.task.job);
             tasks.endsSoon = live.expectedEnd && *live.expectedEnd - now < this->terms.soon;
             tasks.isStopping = tasks.isStopping && isEnding;
--- a/tests/request/stepplannertest.cpp
+++ b/tests/request/stepplannertest.cpp
@@ -42,6 +42,7 @@
 {
     auto waiting = tasks(1, needs, true);
     waiting.mayLoseWork = mayLoseWork;
+    waiting.rank = 10.0;
     return waiting;
 }
 
@@ -106,6 +107,27 @@
     EXPECT_TRUE(planSteps(workers, {urgent(Whole, 500.0)}, {runs(0, 1, Whole, 600.0, 1)}).stops.empty());
 }
 
+TEST(PlanSteps, UrgentWorkDoesNotStopWhatRanksHigher)
+{
+    const std::vector<PlannerWorker> workers = {worker("w0", "r1", 0)};
+    auto higher = runs(0, 1, Whole, 1.0, 2);
+    higher.rank = 8.0;
+    EXPECT_TRUE(planSteps(workers, {urgent(Whole, 500.0)}, {higher}).stops.empty());
+    higher.rank = 2.0;
+    EXPECT_EQ(planSteps(workers, {urgent(Whole, 500.0)}, {higher}).stops.size(), 1U);
+}
+
+TEST(PlanSteps, MakesRoomOnlyForTasksThatHaveNoneYet)
+{
+    const std::vector<PlannerWorker> workers = {worker("w0", "r1"), worker("w1", "r1", 0), worker("w2", "r1", 0)};
+    auto two = tasks(2, Whole);
+    two.mayLoseWork = Unbounded;
+    two.rank = 10.0;
+    const auto plan = planSteps(workers, {two}, {runs(1, 1, Whole, 5.0, 2), runs(2, 1, Whole, 5.0, 2)});
+    EXPECT_EQ(plan.starts.size(), 1U);
+    EXPECT_EQ(plan.stops.size(), 1U);
+}
+
 TEST(PlanSteps, GuaranteedWorkStopsWhateverIsNotGuaranteed)
 {
     const std::vector<PlannerWorker> workers = {worker("w0", "r1", 0)};
