Split the plan, the jobs and the workers from the placer in office

OfficePlanner decides over a view of the state and changes nothing; LiveJob and LiveWorker keep their own rules.

--- /dev/null
+++ b/include/waxwingloft/request/officeplanner.h
@@ -0,0 +1,108 @@
+#ifndef WAXWINGLOFT_REQUEST_OFFICEPLANNER_H
+#define WAXWINGLOFT_REQUEST_OFFICEPLANNER_H
+
+#include "waxwingloft/process/workerhealth.h"
+#include "waxwingloft/request/jobrank.h"
+#include "waxwingloft/request/liveworker.h"
+#include "waxwingloft/request/officeterms.h"
+#include "waxwingloft/request/stepplanner.h"
+#include "waxwingloft/version/routebook.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace waxwingloft {
+
+/** What a plan looks at. */
+struct OfficeState {
+    const std::map<JobId, LiveJob> &jobs;
+    const std::map<NodeId, LiveWorker> &workers;
+    const RouteBook &routes;
+    const WorkerHealth &health;
+    const JobRank &rank;
+    const OfficeTerms &terms;
+};
+
+/** A run and the agent that has it. */
+using PlacedRun = std::pair<NodeId, TaskRun>;
+
+/** Tasks of a step to be started, each at the agent of the same place in the list. */
+struct StepStart {
+    JobId job;
+    std::uint32_t occurrence = 0;
+    std::uint32_t step = 0;
+    std::vector<std::uint32_t> indices;
+    std::vector<NodeId> agents;
+    std::size_t waiting = 0; ///< tasks of the step that waited
+    double rank = 0.0;
+    bool isEntitled = false;
+};
+
+/** What to stop and what to start. */
+struct OfficePlan {
+    std::vector<PlacedRun> stops;
+    std::vector<StepStart> starts;
+};
+
+/** Decides over all jobs and executors at one moment. Changes nothing; lives for one plan. */
+class OfficePlanner
+{
+public:
+    OfficePlanner(const OfficeState &state, Instant now, std::int64_t wallNow);
+
+    /** Returns runs that make no progress while their executor answers, before much of them is done. */
+    std::vector<PlacedRun> standingRuns() const;
+
+    OfficePlan plan() const;
+
+private:
+    /** Waiting tasks with where they come from. */
+    struct Unit {
+        const LiveJob *job = nullptr;
+        std::uint32_t occurrence = 0;
+        std::uint32_t step = 0;
+        std::vector<std::uint32_t> indices;
+        double rank = 0.0;
+        bool isEntitled = false;
+        bool isUrgent = false; ///< of the first priority, and still in time
+        bool isYoung = false;
+        bool hasWaitedLong = false;
+    };
+
+    /** The workers of the plan; indices are those of the step planner. */
+    struct Fleet {
+        std::vector<PlannerWorker> workers;
+        std::vector<const LiveWorker *> byIndex;
+        std::map<NodeId, std::size_t> indexOf;
+        Capacity total;
+    };
+
+    /** What runs; indices are those of the step planner. */
+    struct RunningSet {
+        std::vector<RunningTasks> tasks;
+        std::vector<std::vector<PlacedRun>> runs;
+    };
+
+    Fleet collectFleet() const;
+    bool takesWork(const LiveWorker &worker) const;
+    void markSlow(Fleet &fleet) const;
+    std::vector<Unit> collectUnits(const Fleet &fleet, const std::set<JobId> &entitled) const;
+    void addUnits(const LiveJob &job, std::uint32_t occurrence, const Unit &base, std::vector<Unit> &units) const;
+    bool isOrphaned(const TaskKey &task) const;
+    WaitingTasks waitingOf(const Unit &unit, const Fleet &fleet) const;
+    std::vector<bool> avoidedBy(const Unit &unit, const Fleet &fleet) const;
+    std::set<JobId> entitledJobs() const;
+    RunningSet collectRunning(const Fleet &fleet, const std::set<JobId> &entitled) const;
+    double rankOf(const LiveJob &job, const Fleet &fleet) const;
+
+    const OfficeState &state;
+    const Instant now;
+    const std::int64_t wallNow;
+};
+
+} // namespace waxwingloft
+
+#endif
--- /dev/null
+++ b/src/request/livejob.cpp
@@ -0,0 +1,57 @@
+#include "waxwingloft/request/livejob.h"
+
+namespace waxwingloft {
+
+void LiveJob::noteChange()
+{
+    ++this->change;
+}
+
+const JobStep &LiveJob::stepOf(const TaskKey &key) const
+{
+    return this->submission.graph.steps[key.step];
+}
+
+bool LiveJob::refreshState()
+{
+    if (isFinal(this->progress.state)) {
+        return false;
+    }
+    bool isAllDone = true;
+    bool hasBegun = false;
+    bool hasFailed = false;
+    for (const auto &occurrence : this->progress.occurrences) {
+        for (const auto &step : occurrence) {
+            for (const auto &task : step) {
+                isAllDone = isAllDone && task.state == TaskPhase::Done;
+                hasBegun = hasBegun || task.run > 0;
+                hasFailed = hasFailed || task.state == TaskPhase::Failed;
+            }
+        }
+    }
+    const auto before = this->progress.state;
+    this->progress.state = hasFailed ? JobPhase::Failed : isAllDone ? JobPhase::Completed : hasBegun ? JobPhase::Running : JobPhase::Pending;
+    return this->progress.state != before;
+}
+
+void LiveJob::finishGang(const TaskRun &run)
+{
+    for (auto &member : this->progress.occurrences[run.task.occurrence][run.task.step]) {
+        if (member.run == run.run) {
+            member.state = TaskPhase::Done;
+        }
+    }
+}
+
+bool LiveJob::countFailure(const TaskKey &key, TaskProgress &task)
+{
+    auto &counted = this->stepOf(key).isGang ? this->progress.occurrences[key.occurrence][key.step].front() : task;
+    ++counted.failures;
+    if (counted.failures < this->submission.maxAttempts) {
+        return false;
+    }
+    task.state = TaskPhase::Failed;
+    return true;
+}
+
+} // namespace waxwingloft
--- /dev/null
+++ b/src/request/liveworker.cpp
@@ -0,0 +1,62 @@
+#include "waxwingloft/request/liveworker.h"
+
+namespace waxwingloft {
+
+namespace {
+
+constexpr std::int64_t WholePercent = 100;
+constexpr std::uint32_t LeastTellingPercent = 20; ///< before, the speed of a run is not known
+
+} // namespace
+
+LiveRun liveRunOf(const LiveJob &job, std::uint32_t step, Instant now)
+{
+    const auto &shape = job.submission.graph.steps[step];
+    LiveRun live;
+    live.change = job.change;
+    live.assignedAt = now;
+    live.risenAt = now;
+    live.estimate = shape.estimate;
+    live.needs = shape.needs;
+    // Filling tasks take what others leave, so their processors are not accounted for.
+    live.needs.milliCores = shape.isFilling ? 0 : shape.needs.milliCores;
+    return live;
+}
+
+void LiveWorker::takeProgress(const AgentReport &report, Instant now)
+{
+    this->hasOrphans = false;
+    for (const auto &reported : report.runs) {
+        const auto found = this->runs.find(reported.run);
+        if (found == this->runs.end()) {
+            this->hasOrphans = true;
+            continue;
+        }
+        auto &live = found->second;
+        if (reported.percent > live.percent) {
+            live.percent = reported.percent;
+            live.risenAt = now;
+        }
+        if (reported.percent >= LeastTellingPercent) {
+            const auto left = WholePercent - static_cast<std::int64_t>(reported.percent);
+            live.expectedEnd = now + (now - live.assignedAt) * left / static_cast<std::int64_t>(reported.percent);
+        }
+    }
+}
+
+std::optional<double> LiveWorker::speed(Instant now, Millis tellingTime) const
+{
+    double total = 0.0;
+    int count = 0;
+    for (const auto &[run, live] : this->runs) {
+        const auto age = now - live.assignedAt;
+        if (age >= tellingTime && live.estimate.count() > 0) {
+            total += static_cast<double>(live.percent) / static_cast<double>(WholePercent) * static_cast<double>(live.estimate.count())
+                / static_cast<double>(age.count());
+            ++count;
+        }
+    }
+    return count == 0 ? std::nullopt : std::optional<double>(total / count);
+}
+
+} // namespace waxwingloft
--- a/src/request/taskplanning.cpp
+++ b/src/request/officeplanner.cpp
@@ -1,4 +1,4 @@
-#include "waxwingloft/request/taskplacer.h"
+#include "waxwingloft/request/officeplanner.h"
 
 #include <algorithm>
 #include <limits>
@@ -8,7 +8,6 @@
 namespace {
 
 constexpr double CoresPerAccelerator = 8.0; ///< how the users count work
-constexpr double WholePercent = 100.0;
 constexpr std::size_t LeastPeers = 3; ///< workers with a known speed, below which a median says nothing
 constexpr double RestoreSeconds = 0.1; ///< of work that is lost when a run goes on from the checkpoint of its stop; the users' bounds
 constexpr std::string_view RackLabelPrefix = "r"; ///< labels such as "r1-3" name the rack of a machine
@@ -30,110 +29,72 @@
 
 } // namespace
 
-void TaskPlacer::plan()
+OfficePlanner::OfficePlanner(const OfficeState &state, Instant now, std::int64_t wallNow)
+    : state(state)
+    , now(now)
+    , wallNow(wallNow)
 {
-    const std::lock_guard<std::mutex> guard(this->mutex);
-    const auto now = this->clock.now();
-    if (this->epoch == 0) {
-        return;
-    }
-    this->sweepSilent(now);
-    if (!this->isSettled(now)) {
-        return;
-    }
-    this->moveStanding(now);
+}
+
+OfficePlan OfficePlanner::plan() const
+{
+    OfficePlan decided;
     const auto entitled = this->entitledJobs();
-    auto fleet = this->collectFleet(now);
-    this->markSlow(fleet, now);
-    const auto units = this->collectUnits(fleet, entitled, now);
+    auto fleet = this->collectFleet();
+    this->markSlow(fleet);
+    const auto units = this->collectUnits(fleet, entitled);
     if (units.empty()) {
-        return;
+        return decided;
     }
     std::vector<WaitingTasks> waiting;
     for (const auto &unit : units) {
         waiting.push_back(this->waitingOf(unit, fleet));
     }
-    const auto running = this->collectRunning(fleet, entitled, now);
-    const auto plan = planSteps(fleet.workers, waiting, running.tasks);
-    for (const auto index : plan.stops) {
-        for (const auto &[worker, run] : running.runs[index]) {
-            if (worker->runs.contains(run)) {
-                this->log.info("A run makes room for guaranteed work.",
-                               {{"job", run.task.job.value}, {"task", toString(run.task)}, {"run", std::to_string(run.run)}});
-                this->stopRun(*worker, run);
-            }
-        }
+    const auto running = this->collectRunning(fleet, entitled);
+    const auto steps = planSteps(fleet.workers, waiting, running.tasks);
+    for (const auto index : steps.stops) {
+        decided.stops.insert(decided.stops.end(), running.runs[index].begin(), running.runs[index].end());
     }
-    for (const auto &start : plan.starts) {
-        this->assign(units[start.waiting], start.workers, fleet, now);
-    }
-}
-
-/** Whether the agents have had time to report, or all that may run something have. */
-bool TaskPlacer::isSettled(Instant now) const
-{
-    if (now - this->inOfficeSince >= this->terms.settleTime) {
-        return true;
+    for (const auto &start : steps.starts) {
+        const auto &unit = units[start.waiting];
+        StepStart begun{unit.job->submission.id, unit.occurrence, unit.step, unit.indices, {}, unit.indices.size(), unit.rank, unit.isEntitled};
+        begun.indices.resize(start.workers.size());
+        for (const auto worker : start.workers) {
+            begun.agents.push_back(fleet.workers[worker].node);
+        }
+        decided.starts.push_back(std::move(begun));
     }
-    return !this->workers.empty() && std::all_of(this->workers.begin(), this->workers.end(), [](const auto &item) { return item.second.isKnown; })
-        && now - this->inOfficeSince >= this->terms.settleTime / 2;
+    return decided;
 }
 
-bool TaskPlacer::takesWork(const Worker &worker, Instant now) const
+bool OfficePlanner::takesWork(const LiveWorker &worker) const
 {
-    return worker.isKnown && worker.last.isReachable && !worker.last.isDraining && !worker.hasOrphans && now >= worker.pausedUntil
-        && now - worker.heardAt < this->terms.freshness && !this->health.isQuarantined(worker.last.node);
+    return worker.isKnown && worker.last.isReachable && !worker.last.isDraining && !worker.hasOrphans && this->now >= worker.pausedUntil
+        && this->now - worker.heardAt < this->state.terms.freshness && !this->state.health.isQuarantined(worker.last.node);
 }
 
-bool TaskPlacer::standsStill(const LiveRun &live, Instant now) const
+std::vector<PlacedRun> OfficePlanner::standingRuns() const
 {
-    return now - live.risenAt >= this->terms.standstill;
-}
-
-/** Starts runs elsewhere that make no progress while their executor answers, before much of them is done. */
-void TaskPlacer::moveStanding(Instant now)
-{
-    for (auto &[node, worker] : this->workers) {
-        std::vector<TaskRun> standing;
+    std::vector<PlacedRun> standing;
+    for (const auto &[node, worker] : this->state.workers) {
         for (const auto &[run, live] : worker.runs) {
-            const bool isMoved = worker.last.isReachable && !live.isStopping && live.isSent && live.percent < this->terms.movePercent;
-            const auto job = this->jobs.find(run.task.job);
-            if (isMoved && this->standsStill(live, now) && job != this->jobs.end() && !stepOf(job->second, run.task).isPerpetual) {
-                standing.push_back(run);
+            const bool isMovable = worker.last.isReachable && !live.isStopping && live.isSent && live.percent < this->state.terms.movePercent;
+            const auto job = this->state.jobs.find(run.task.job);
+            const bool isLasting = job == this->state.jobs.end() || job->second.stepOf(run.task).isPerpetual;
+            if (isMovable && !isLasting && this->now - live.risenAt >= this->state.terms.standstill) {
+                standing.emplace_back(node, run);
             }
         }
-        for (const auto &run : standing) {
-            this->log.warn("A run stands still and is started elsewhere.",
-                           {{"job", run.task.job.value}, {"task", toString(run.task)}, {"run", std::to_string(run.run)}, {"agent", node.value}});
-            this->stopRun(worker, run);
-        }
-        if (!standing.empty()) {
-            worker.pausedUntil = now + this->terms.standstill;
-        }
     }
+    return standing;
 }
 
-/** Returns how fast the runs of a worker progress against their estimates; nothing when none tells. */
-std::optional<double> TaskPlacer::speedOf(const Worker &worker, Instant now) const
-{
-    double total = 0.0;
-    int count = 0;
-    for (const auto &[run, live] : worker.runs) {
-        const auto age = now - live.assignedAt;
-        if (age >= this->terms.tellingTime && live.estimate.count() > 0) {
-            total += static_cast<double>(live.percent) / WholePercent * static_cast<double>(live.estimate.count()) / static_cast<double>(age.count());
-            ++count;
-        }
-    }
-    return count == 0 ? std::nullopt : std::optional<double>(total / count);
-}
-
-void TaskPlacer::markSlow(Fleet &fleet, Instant now) const
+void OfficePlanner::markSlow(Fleet &fleet) const
 {
     std::vector<std::optional<double>> speeds;
     std::vector<double> known;
     for (const auto *const worker : fleet.byIndex) {
-        speeds.push_back(this->speedOf(*worker, now));
+        speeds.push_back(worker->speed(this->now, this->state.terms.tellingTime));
         if (speeds.back()) {
             known.push_back(*speeds.back());
         }
@@ -144,14 +105,14 @@
     const auto middle = known.begin() + static_cast<std::ptrdiff_t>(known.size() / 2);
     std::nth_element(known.begin(), middle, known.end());
     for (std::size_t index = 0; index < speeds.size(); ++index) {
-        fleet.workers[index].isSlow = speeds[index] && *speeds[index] < this->terms.slowShare * *middle;
+        fleet.workers[index].isSlow = speeds[index] && *speeds[index] < this->state.terms.slowShare * *middle;
     }
 }
 
-TaskPlacer::Fleet TaskPlacer::collectFleet(Instant now)
+OfficePlanner::Fleet OfficePlanner::collectFleet() const
 {
     Fleet fleet;
-    for (auto &[node, worker] : this->workers) {
+    for (const auto &[node, worker] : this->state.workers) {
         if (!worker.isKnown) {
             continue;
         }
@@ -159,7 +120,7 @@
         for (const auto &[run, live] : worker.runs) {
             view.free -= live.needs;
         }
-        view.acceptsWork = this->takesWork(worker, now);
+        view.acceptsWork = this->takesWork(worker);
         if (view.acceptsWork) {
             fleet.total += view.capacity;
         }
@@ -171,10 +132,10 @@
 }
 
 /** Jobs of priority zero that fit into their workspace's guarantee, earliest first. */
-std::set<JobId> TaskPlacer::entitledJobs() const
+std::set<JobId> OfficePlanner::entitledJobs() const
 {
     std::vector<const LiveJob *> urgent;
-    for (const auto &[id, job] : this->jobs) {
+    for (const auto &[id, job] : this->state.jobs) {
         if (job.submission.priority == 0 && !isFinal(job.progress.state)) {
             urgent.push_back(&job);
         }
@@ -189,8 +150,8 @@
         for (const auto &step : job->submission.graph.steps) {
             peak = std::max(peak, step.needs.accelerators * static_cast<std::int64_t>(step.count));
         }
-        const auto tenant = this->routes.tenants.find(job->submission.workspace);
-        const auto guaranteed = tenant == this->routes.tenants.end() ? 0 : tenant->second.guaranteedAccelerators;
+        const auto tenant = this->state.routes.tenants.find(job->submission.workspace);
+        const auto guaranteed = tenant == this->state.routes.tenants.end() ? 0 : tenant->second.guaranteedAccelerators;
         auto &total = used[job->submission.workspace];
         if (total + peak <= guaranteed) {
             total += peak;
@@ -200,24 +161,23 @@
     return entitled;
 }
 
-std::vector<TaskPlacer::Unit> TaskPlacer::collectUnits(const Fleet &fleet, const std::set<JobId> &entitled, Instant now)
+std::vector<OfficePlanner::Unit> OfficePlanner::collectUnits(const Fleet &fleet, const std::set<JobId> &entitled) const
 {
     std::vector<Unit> units;
-    const auto wallNow = this->clock.wallMillis();
-    for (auto &[id, job] : this->jobs) {
+    for (const auto &[id, job] : this->state.jobs) {
         if (isFinal(job.progress.state)) {
             continue;
         }
         Unit base;
         base.job = &job;
         base.isEntitled = entitled.contains(id);
-        base.rank = this->rank.of(job.submission, job.progress, fleet.total, wallNow);
-        base.hasWaitedLong = now - job.knownSince >= this->terms.reserveAfter;
-        base.isYoung = now - job.knownSince < this->terms.waitForEnds;
-        base.isUrgent = job.submission.priority == 0 && this->rank.isInTime(job.submission, job.progress, wallNow);
+        base.rank = this->rankOf(job, fleet);
+        base.hasWaitedLong = this->now - job.knownSince >= this->state.terms.reserveAfter;
+        base.isYoung = this->now - job.knownSince < this->state.terms.waitForEnds;
+        base.isUrgent = job.submission.priority == 0 && this->state.rank.isInTime(job.submission, job.progress, this->wallNow);
         for (std::uint32_t occurrence = 0; occurrence < job.progress.occurrences.size(); ++occurrence) {
             const auto &graph = job.submission.graph;
-            const bool isDue = graph.firstRunAt + static_cast<std::int64_t>(occurrence) * graph.interval.count() <= wallNow;
+            const bool isDue = graph.firstRunAt + static_cast<std::int64_t>(occurrence) * graph.interval.count() <= this->wallNow;
             if (isDue) {
                 this->addUnits(job, occurrence, base, units);
             }
@@ -229,10 +189,10 @@
     return units;
 }
 
-void TaskPlacer::addUnits(LiveJob &job, std::uint32_t occurrence, const Unit &base, std::vector<Unit> &units)
+void OfficePlanner::addUnits(const LiveJob &job, std::uint32_t occurrence, const Unit &base, std::vector<Unit> &units) const
 {
     const auto &graph = job.submission.graph;
-    auto &steps = job.progress.occurrences[occurrence];
+    const auto &steps = job.progress.occurrences[occurrence];
     for (std::uint32_t step = 0; step < steps.size(); ++step) {
         if (!isReady(graph, steps, step)) {
             continue;
@@ -255,9 +215,9 @@
 }
 
 /** The workers that a job has failed on, as long as they are few: a job that fails everywhere is itself to blame. */
-std::vector<bool> TaskPlacer::avoidedBy(const Unit &unit, const Fleet &fleet) const
+std::vector<bool> OfficePlanner::avoidedBy(const Unit &unit, const Fleet &fleet) const
 {
-    const auto evidence = this->health.evidenceAgainst(unit.job->submission.id.value);
+    const auto evidence = this->state.health.evidenceAgainst(unit.job->submission.id.value);
     if (evidence.empty() || evidence.size() * 2 >= fleet.workers.size()) {
         return {};
     }
@@ -271,7 +231,16 @@
     return avoided;
 }
 
-WaitingTasks TaskPlacer::waitingOf(const Unit &unit, const Fleet &fleet) const
+/** Whether a run of the task is listed by an executor that is not known to be assigned it. */
+bool OfficePlanner::isOrphaned(const TaskKey &task) const
+{
+    return std::any_of(this->state.workers.begin(), this->state.workers.end(), [&task](const auto &item) {
+        const auto &runs = item.second.last.runs;
+        return item.second.hasOrphans && std::any_of(runs.begin(), runs.end(), [&task](const RunReport &run) { return run.run.task == task; });
+    });
+}
+
+WaitingTasks OfficePlanner::waitingOf(const Unit &unit, const Fleet &fleet) const
 {
     const auto &step = unit.job->submission.graph.steps[unit.step];
     WaitingTasks waiting;
@@ -287,7 +256,7 @@
     waiting.rank = unit.rank;
     waiting.isEntitled = unit.isEntitled;
     waiting.avoided = this->avoidedBy(unit, fleet);
-    waiting.mayLoseWork = unit.isEntitled ? std::numeric_limits<double>::infinity() : (unit.isUrgent ? this->terms.urgentMayLose : 0.0);
+    waiting.mayLoseWork = unit.isEntitled ? std::numeric_limits<double>::infinity() : (unit.isUrgent ? this->state.terms.urgentMayLose : 0.0);
     waiting.canWait = unit.isYoung;
     waiting.mayReserve = unit.hasWaitedLong && step.isGang;
     waiting.maxPerWorker = step.maxPerExecutor;
@@ -304,24 +273,24 @@
 }
 
 /** What may be stopped for entitled jobs: the members of a gang together, other tasks each on its own. */
-TaskPlacer::RunningSet TaskPlacer::collectRunning(const Fleet &fleet, const std::set<JobId> &entitled, Instant now)
+OfficePlanner::RunningSet OfficePlanner::collectRunning(const Fleet &fleet, const std::set<JobId> &entitled) const
 {
     RunningSet running;
     std::map<TaskKey, std::size_t> gangs;
     std::map<JobId, double> ranks;
-    for (const auto &[id, job] : this->jobs) {
+    for (const auto &[id, job] : this->state.jobs) {
         if (!isFinal(job.progress.state)) {
-            ranks[id] = this->rank.of(job.submission, job.progress, fleet.total, this->clock.wallMillis());
+            ranks[id] = this->rankOf(job, fleet);
         }
     }
     for (std::size_t index = 0; index < fleet.byIndex.size(); ++index) {
-        auto &worker = *fleet.byIndex[index];
+        const auto &worker = *fleet.byIndex[index];
         for (const auto &[run, live] : worker.runs) {
-            const auto job = this->jobs.find(run.task.job);
-            if (job == this->jobs.end()) {
+            const auto job = this->state.jobs.find(run.task.job);
+            if (job == this->state.jobs.end()) {
                 continue;
             }
-            const auto &step = stepOf(job->second, run.task);
+            const auto &step = job->second.stepOf(run.task);
             const TaskKey unit{run.task.job, run.task.occurrence, run.task.step, step.isGang ? 0 : run.task.index};
             const auto [entry, isNew] = gangs.emplace(unit, running.tasks.size());
             if (isNew) {
@@ -333,52 +302,24 @@
             }
             auto &tasks = running.tasks[entry->second];
             const bool isEnding = live.isStopping || isFinal(job->second.progress.state);
-            auto lost = std::chrono::duration<double>(now - live.assignedAt).count();
+            auto lost = std::chrono::duration<double>(this->now - live.assignedAt).count();
             lost = step.isCheckpointing ? std::min(lost, RestoreSeconds) : lost;
             tasks.priority = job->second.submission.priority;
             tasks.rank = ranks[run.task.job];
             tasks.isEntitled = entitled.contains(run.task.job);
-            tasks.endsSoon = live.expectedEnd && *live.expectedEnd - now < this->terms.soon;
+            tasks.endsSoon = live.expectedEnd && *live.expectedEnd - this->now < this->state.terms.soon;
             tasks.isStopping = tasks.isStopping && isEnding;
             tasks.lostWork += lost * coresOf(live.needs);
             tasks.parts.push_back({index, 1});
-            running.runs[entry->second].emplace_back(&worker, run);
+            running.runs[entry->second].emplace_back(fleet.workers[index].node, run);
         }
     }
     return running;
 }
 
-void TaskPlacer::assign(const Unit &unit, const std::vector<std::size_t> &places, const Fleet &fleet, Instant now)
+double OfficePlanner::rankOf(const LiveJob &job, const Fleet &fleet) const
 {
-    auto &job = *unit.job;
-    auto &step = job.progress.occurrences[unit.occurrence][unit.step];
-    const auto &shape = job.submission.graph.steps[unit.step];
-    const bool isGang = shape.isGang;
-    std::uint32_t gangRun = 0;
-    for (const auto &task : step) {
-        gangRun = std::max(gangRun, task.run);
-    }
-    this->change(job);
-    for (std::size_t place = 0; place < places.size(); ++place) {
-        const auto index = unit.indices[place];
-        auto &worker = *fleet.byIndex[places[place]];
-        auto &task = step[index];
-        task.state = TaskPhase::Assigned;
-        task.run = (isGang ? gangRun : task.run) + 1;
-        task.worker = worker.last.node;
-        task.life = worker.last.life;
-        const TaskRun run{{job.submission.id, unit.occurrence, unit.step, index}, task.run};
-        worker.runs[run] = liveRun(job, unit.step, job.change, now);
-    }
-    this->refreshState(job);
-    this->log.info("Tasks of a step were assigned.",
-                   {{"job", job.submission.id.value},
-                    {"step", std::to_string(unit.step)},
-                    {"tasks", std::to_string(places.size())},
-                    {"first_at", fleet.workers[places.front()].node.value},
-                    {"waiting", std::to_string(unit.indices.size())},
-                    {"rank", std::to_string(unit.rank)},
-                    {"guaranteed", unit.isEntitled ? "yes" : "no"}});
+    return this->state.rank.of(job.submission, job.progress, fleet.total, this->wallNow);
 }
 
 } // namespace waxwingloft
--- a/src/request/taskplacer.cpp
+++ b/src/request/taskplacer.cpp
@@ -3,16 +3,10 @@
 #include "waxwingloft/request/jobrows.h"
 
 #include <algorithm>
+#include <set>
 
 namespace waxwingloft {
 
-namespace {
-
-constexpr std::int64_t WholePercent = 100;
-constexpr std::uint32_t LeastTellingPercent = 20; ///< before, the speed of a run is not known
-
-} // namespace
-
 TaskPlacer::TaskPlacer(Clock &clock, OfficeTerms terms, RankTerms rankTerms)
     : clock(clock)
     , terms(terms)
@@ -57,31 +51,18 @@
                 auto &worker = this->workers[task.worker];
                 worker.last.life = task.life;
                 const TaskRun run{{id, occurrence, step, index}, task.run};
-                worker.runs[run] = this->liveRun(job, step, 0, this->clock.now());
-                worker.runs[run].isSent = true;
+                auto live = liveRunOf(job, step, this->clock.now());
+                live.isSent = true;
+                worker.runs[run] = std::move(live);
             }
         }
     }
     if (stored.isCancelled && !isFinal(job.progress.state)) {
         job.progress.state = JobPhase::Cancelled;
-        this->change(job);
+        job.noteChange();
     }
 }
 
-TaskPlacer::LiveRun TaskPlacer::liveRun(const LiveJob &job, std::uint32_t step, std::uint64_t change, Instant now)
-{
-    const auto &shape = job.submission.graph.steps[step];
-    LiveRun live;
-    live.change = change;
-    live.assignedAt = now;
-    live.risenAt = now;
-    live.estimate = shape.estimate;
-    live.needs = shape.needs;
-    // Filling tasks take what others leave, so their processors are not accounted for.
-    live.needs.milliCores = shape.isFilling ? 0 : shape.needs.milliCores;
-    return live;
-}
-
 void TaskPlacer::leaveOffice(const std::string &reason)
 {
     const std::lock_guard<std::mutex> guard(this->mutex);
@@ -137,7 +118,7 @@
     }
     this->log.info("A job is cancelled.", {{"job", job.value}, {"state", std::string(nameOf(found->second.progress.state))}});
     found->second.progress.state = JobPhase::Cancelled;
-    this->change(found->second);
+    found->second.noteChange();
     this->stopRuns(job);
 }
 
@@ -147,36 +128,10 @@
     this->routes = routes;
 }
 
-void TaskPlacer::change(LiveJob &job)
-{
-    ++job.change;
-}
-
-const JobStep &TaskPlacer::stepOf(const LiveJob &job, const TaskKey &key)
-{
-    return job.submission.graph.steps[key.step];
-}
-
 void TaskPlacer::refreshState(LiveJob &job)
 {
-    if (isFinal(job.progress.state)) {
-        return;
-    }
-    bool isAllDone = true;
-    bool hasBegun = false;
-    bool hasFailed = false;
-    for (const auto &occurrence : job.progress.occurrences) {
-        for (const auto &step : occurrence) {
-            for (const auto &task : step) {
-                isAllDone = isAllDone && task.state == TaskPhase::Done;
-                hasBegun = hasBegun || task.run > 0;
-                hasFailed = hasFailed || task.state == TaskPhase::Failed;
-            }
-        }
-    }
     const auto before = job.progress.state;
-    job.progress.state = hasFailed ? JobPhase::Failed : isAllDone ? JobPhase::Completed : hasBegun ? JobPhase::Running : JobPhase::Pending;
-    if (job.progress.state == before) {
+    if (!job.refreshState()) {
         return;
     }
     this->log.info("A job's state changed.",
@@ -184,13 +139,13 @@
                     {"from", std::string(nameOf(before))},
                     {"to", std::string(nameOf(job.progress.state))},
                     {"after_ms", std::to_string(this->clock.wallMillis() - job.submission.acceptedAt)}});
-    if (hasFailed) {
+    if (job.progress.state == JobPhase::Failed) {
         this->stopRuns(job.submission.id);
     }
 }
 
 /** Stops a run. One that no agent can have been told of is over at once. */
-void TaskPlacer::stopRun(Worker &worker, const TaskRun &run)
+void TaskPlacer::stopRun(LiveWorker &worker, const TaskRun &run)
 {
     auto &live = worker.runs.at(run);
     if (!live.isSent) {
@@ -216,7 +171,7 @@
     }
 }
 
-void TaskPlacer::endRun(Worker &worker, const TaskRun &run, RunEnd how, const std::string &checkpoint)
+void TaskPlacer::endRun(LiveWorker &worker, const TaskRun &run, RunEnd how, const std::string &checkpoint)
 {
     if (worker.runs.erase(run) == 0) {
         return;
@@ -243,16 +198,16 @@
         this->log.warn("A worker fails what others run; it gets no new work for a while.", {{"agent", task->worker.value}, {"executor", task->life.id}});
     }
     this->applyEnd(job, run, *task, how, checkpoint);
-    this->change(job);
+    job.noteChange();
     this->refreshState(job);
 }
 
 void TaskPlacer::applyEnd(LiveJob &job, const TaskRun &run, TaskProgress &task, RunEnd how, const std::string &checkpoint)
 {
-    const auto &step = stepOf(job, run.task);
+    const auto &step = job.stepOf(run.task);
     if (how == RunEnd::Done && !step.isPerpetual) {
         if (step.isGang) {
-            this->finishGang(job, run);
+            job.finishGang(run);
         } else {
             task.state = TaskPhase::Done;
         }
@@ -261,23 +216,15 @@
     task.state = TaskPhase::Waiting;
     task.checkpoint = checkpoint.empty() ? task.checkpoint : checkpoint;
     if (how == RunEnd::Failed && !step.isPerpetual) {
-        this->countFailure(job, run.task, task);
+        if (job.countFailure(run.task, task)) {
+            this->log.warn("A task failed as often as its queue allows.", {{"job", run.task.job.value}, {"task", toString(run.task)}});
+        }
     }
     if (step.isGang) {
         this->breakGang(job, run, task.checkpoint);
     }
 }
 
-/** The members of a gang are done together; the end of one speaks for all. */
-void TaskPlacer::finishGang(LiveJob &job, const TaskRun &run)
-{
-    for (auto &member : job.progress.occurrences[run.task.occurrence][run.task.step]) {
-        if (member.run == run.run) {
-            member.state = TaskPhase::Done;
-        }
-    }
-}
-
 /** Stops the other members of a run and lets all go on from one checkpoint. */
 void TaskPlacer::breakGang(LiveJob &job, const TaskRun &run, const std::string &checkpoint)
 {
@@ -296,17 +243,6 @@
     }
 }
 
-void TaskPlacer::countFailure(LiveJob &job, const TaskKey &key, TaskProgress &task)
-{
-    auto &counted = stepOf(job, key).isGang ? job.progress.occurrences[key.occurrence][key.step].front() : task;
-    ++counted.failures;
-    if (counted.failures >= job.submission.maxAttempts) {
-        task.state = TaskPhase::Failed;
-        this->log.warn("A task failed as often as its queue allows.",
-                       {{"job", key.job.value}, {"task", toString(key)}, {"failures", std::to_string(counted.failures)}});
-    }
-}
-
 Result<AssignmentSync> TaskPlacer::report(const AgentReport &report)
 {
     const std::lock_guard<std::mutex> guard(this->mutex);
@@ -339,14 +275,14 @@
     worker.heardAt = now;
     worker.last = report;
     this->takeEnds(worker, report);
-    this->takeRuns(worker, report);
+    worker.takeProgress(report, now);
     this->dropUnknown(worker, report);
     auto sync = this->makeSync(worker);
     sync.licence = now < this->mandateUntil ? this->terms.licence : Millis(0);
     return sync;
 }
 
-void TaskPlacer::takeEnds(Worker &worker, const AgentReport &report)
+void TaskPlacer::takeEnds(LiveWorker &worker, const AgentReport &report)
 {
     for (const auto &end : report.ends) {
         const bool isNew = end.number == 0 || end.number > worker.seenEnds;
@@ -365,30 +301,8 @@
     }
 }
 
-void TaskPlacer::takeRuns(Worker &worker, const AgentReport &report)
-{
-    worker.hasOrphans = false;
-    const auto now = this->clock.now();
-    for (const auto &reported : report.runs) {
-        const auto found = worker.runs.find(reported.run);
-        if (found == worker.runs.end()) {
-            worker.hasOrphans = true;
-            continue;
-        }
-        if (reported.percent > found->second.percent) {
-            found->second.percent = reported.percent;
-            found->second.risenAt = now;
-        }
-        if (reported.percent >= LeastTellingPercent) {
-            const auto elapsed = now - found->second.assignedAt;
-            found->second.expectedEnd =
-                now + elapsed * (WholePercent - static_cast<std::int64_t>(reported.percent)) / static_cast<std::int64_t>(reported.percent);
-        }
-    }
-}
-
 /** Ends runs that were left out of assignments which the agent has taken over, and that it does not have. */
-void TaskPlacer::dropUnknown(Worker &worker, const AgentReport &report)
+void TaskPlacer::dropUnknown(LiveWorker &worker, const AgentReport &report)
 {
     if (report.epoch != this->epoch || !report.isReachable) {
         return;
@@ -409,7 +323,7 @@
 }
 
 /** A late order to the last life may have started its run in the new one, when both have one id. */
-void TaskPlacer::rebindRuns(Worker &worker, const AgentReport &report)
+void TaskPlacer::rebindRuns(LiveWorker &worker, const AgentReport &report)
 {
     std::vector<TaskRun> listed;
     for (const auto &run : report.runs) {
@@ -423,22 +337,13 @@
         auto *const task = job == this->jobs.end() || !worker.runs.contains(run) ? nullptr : findTask(job->second.progress, run.task);
         if (task != nullptr && task->state == TaskPhase::Assigned && task->run == run.run) {
             task->life = report.life;
-            this->change(job->second);
+            job->second.noteChange();
         }
     }
 }
 
-/** Whether a run of the task is listed by an executor that is not known to be assigned it. */
-bool TaskPlacer::isOrphaned(const TaskKey &task) const
-{
-    return std::any_of(this->workers.begin(), this->workers.end(), [&task](const auto &item) {
-        const auto &runs = item.second.last.runs;
-        return item.second.hasOrphans && std::any_of(runs.begin(), runs.end(), [&task](const RunReport &run) { return run.run.task == task; });
-    });
-}
-
 /** Ends all that is assigned to a life of an executor that is surely over. */
-void TaskPlacer::loseRuns(Worker &worker, const std::string &reason)
+void TaskPlacer::loseRuns(LiveWorker &worker, const std::string &reason)
 {
     std::map<TaskRun, std::string> checkpoints;
     for (const auto &run : worker.last.runs) {
@@ -482,7 +387,7 @@
     }
 }
 
-void TaskPlacer::advanceNotes(Worker &worker)
+void TaskPlacer::advanceNotes(LiveWorker &worker)
 {
     while (!worker.pendingNotes.empty()) {
         const auto &note = worker.pendingNotes.front();
@@ -501,7 +406,7 @@
     return job == this->jobs.end() || job->second.stored >= live.change;
 }
 
-bool TaskPlacer::isWanted(const Worker &worker, const TaskRun &run, const LiveRun &live)
+bool TaskPlacer::isWanted(const LiveWorker &worker, const TaskRun &run, const LiveRun &live)
 {
     const auto job = this->jobs.find(run.task.job);
     if (live.isStopping || job == this->jobs.end() || isFinal(job->second.progress.state)) {
@@ -511,7 +416,7 @@
     return task != nullptr && task->state == TaskPhase::Assigned && task->run == run.run && task->life == worker.last.life;
 }
 
-Assignment TaskPlacer::assignmentOf(const Worker &worker, const TaskRun &run, const LiveRun &live, const LiveJob &job) const
+Assignment TaskPlacer::assignmentOf(const LiveWorker &worker, const TaskRun &run, const LiveRun &live, const LiveJob &job) const
 {
     const auto &reported = worker.last.runs;
     const bool isKnown = std::any_of(reported.begin(), reported.end(), [&run](const RunReport &report) { return report.run == run; });
@@ -524,7 +429,7 @@
     return assignment;
 }
 
-AssignmentSync TaskPlacer::makeSync(Worker &worker)
+AssignmentSync TaskPlacer::makeSync(LiveWorker &worker)
 {
     this->advanceNotes(worker);
     AssignmentSync sync;
@@ -546,6 +451,90 @@
     return sync;
 }
 
+void TaskPlacer::plan()
+{
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    const auto now = this->clock.now();
+    if (this->epoch == 0) {
+        return;
+    }
+    this->sweepSilent(now);
+    if (!this->isSettled(now)) {
+        return;
+    }
+    const OfficeState state{this->jobs, this->workers, this->routes, this->health, this->rank, this->terms};
+    const OfficePlanner planner(state, now, this->clock.wallMillis());
+    this->moveStanding(planner.standingRuns(), now);
+    const auto plan = planner.plan();
+    for (const auto &[node, run] : plan.stops) {
+        auto &worker = this->workers.at(node);
+        // Stopping one member of a gang may have ended the others.
+        if (worker.runs.contains(run)) {
+            this->log.info("A run makes room for more urgent work.",
+                           {{"job", run.task.job.value}, {"task", toString(run.task)}, {"run", std::to_string(run.run)}});
+            this->stopRun(worker, run);
+        }
+    }
+    for (const auto &start : plan.starts) {
+        this->assign(start, now);
+    }
+}
+
+/** Whether the agents have had time to report, or all that may run something have. */
+bool TaskPlacer::isSettled(Instant now) const
+{
+    if (now - this->inOfficeSince >= this->terms.settleTime) {
+        return true;
+    }
+    return !this->workers.empty() && std::all_of(this->workers.begin(), this->workers.end(), [](const auto &item) { return item.second.isKnown; })
+        && now - this->inOfficeSince >= this->terms.settleTime / 2;
+}
+
+/** Starts elsewhere what makes no progress, and gives its workers nothing new for a while. */
+void TaskPlacer::moveStanding(const std::vector<PlacedRun> &standing, Instant now)
+{
+    for (const auto &[node, run] : standing) {
+        auto &worker = this->workers.at(node);
+        worker.pausedUntil = now + this->terms.standstill;
+        if (worker.runs.contains(run)) {
+            this->log.warn("A run stands still and is started elsewhere.",
+                           {{"job", run.task.job.value}, {"task", toString(run.task)}, {"run", std::to_string(run.run)}, {"agent", node.value}});
+            this->stopRun(worker, run);
+        }
+    }
+}
+
+void TaskPlacer::assign(const StepStart &start, Instant now)
+{
+    auto &job = this->jobs.at(start.job);
+    auto &step = job.progress.occurrences[start.occurrence][start.step];
+    const bool isGang = job.submission.graph.steps[start.step].isGang;
+    std::uint32_t gangRun = 0;
+    for (const auto &task : step) {
+        gangRun = std::max(gangRun, task.run);
+    }
+    job.noteChange();
+    for (std::size_t place = 0; place < start.indices.size(); ++place) {
+        const auto index = start.indices[place];
+        auto &worker = this->workers.at(start.agents[place]);
+        auto &task = step[index];
+        task.state = TaskPhase::Assigned;
+        task.run = (isGang ? gangRun : task.run) + 1;
+        task.worker = worker.last.node;
+        task.life = worker.last.life;
+        worker.runs[{{start.job, start.occurrence, start.step, index}, task.run}] = liveRunOf(job, start.step, now);
+    }
+    this->refreshState(job);
+    this->log.info("Tasks of a step were assigned.",
+                   {{"job", start.job.value},
+                    {"step", std::to_string(start.step)},
+                    {"tasks", std::to_string(start.indices.size())},
+                    {"first_at", start.agents.front().value},
+                    {"waiting", std::to_string(start.waiting)},
+                    {"rank", std::to_string(start.rank)},
+                    {"guaranteed", start.isEntitled ? "yes" : "no"}});
+}
+
 std::vector<ProgressWrite> TaskPlacer::takeWrites()
 {
     const std::lock_guard<std::mutex> guard(this->mutex);
