--- a/include/waxwingloft/request/jobprogress.h
+++ b/include/waxwingloft/request/jobprogress.h
@@ -78,6 +78,7 @@
 
 /** Returns the task that @p key names, or null when the job has none such. */
 TaskProgress *findTask(JobProgress &progress, const TaskKey &key);
+const TaskProgress *findTask(const JobProgress &progress, const TaskKey &key);
 
 } // namespace waxwingloft
 
--- a/include/waxwingloft/request/taskplacer.h
+++ b/include/waxwingloft/request/taskplacer.h
@@ -109,12 +109,6 @@
     void rebindRuns(LiveWorker &worker, const AgentReport &report);
     void loseRuns(LiveWorker &worker, const std::string &reason);
     void sweepSilent(Instant now);
-    void advanceNotes(LiveWorker &worker);
-
-    AssignmentSync makeSync(LiveWorker &worker);
-    Assignment assignmentOf(const LiveWorker &worker, const TaskRun &run, const LiveRun &live, const LiveJob &job) const;
-    bool isWanted(const LiveWorker &worker, const TaskRun &run, const LiveRun &live);
-    bool isStored(const TaskRun &run, const LiveRun &live) const;
 
     bool isSettled(Instant now) const;
     void moveStanding(const std::vector<PlacedRun> &standing, Instant now);
--- a/src/request/jobprogress.cpp
+++ b/src/request/jobprogress.cpp
@@ -1,6 +1,7 @@
 #include "waxwingloft/request/jobprogress.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace waxwingloft {
 
@@ -26,16 +27,21 @@
     return std::all_of(after.begin(), after.end(), [&occurrence](std::uint32_t earlier) { return isDone(occurrence[earlier]); });
 }
 
-TaskProgress *findTask(JobProgress &progress, const TaskKey &key)
+const TaskProgress *findTask(const JobProgress &progress, const TaskKey &key)
 {
     if (key.occurrence >= progress.occurrences.size()) {
         return nullptr;
     }
-    auto &steps = progress.occurrences[key.occurrence];
+    const auto &steps = progress.occurrences[key.occurrence];
     if (key.step >= steps.size() || key.index >= steps[key.step].size()) {
         return nullptr;
     }
     return &steps[key.step][key.index];
 }
 
+TaskProgress *findTask(JobProgress &progress, const TaskKey &key)
+{
+    return const_cast<TaskProgress *>(findTask(std::as_const(progress), key));
+}
+
 } // namespace waxwingloft
--- a/src/request/taskplacer.cpp
+++ b/src/request/taskplacer.cpp
@@ -1,5 +1,6 @@
 #include "waxwingloft/request/taskplacer.h"
 
+#include "waxwingloft/request/assignmentbook.h"
 #include "waxwingloft/request/jobrows.h"
 
 #include <algorithm>
@@ -53,7 +54,7 @@
                 const TaskRun run{{id, occurrence, step, index}, task.run};
                 auto live = liveRunOf(job, step, this->clock.now());
                 live.isSent = true;
-                worker.runs[run] = std::move(live);
+                worker.runs[run] = live;
             }
         }
     }
@@ -277,7 +278,7 @@
     this->takeEnds(worker, report);
     worker.takeProgress(report, now);
     this->dropUnknown(worker, report);
-    auto sync = this->makeSync(worker);
+    auto sync = AssignmentBook(this->jobs, this->epoch).makeSync(worker);
     sync.licence = now < this->mandateUntil ? this->terms.licence : Millis(0);
     return sync;
 }
@@ -387,70 +388,6 @@
     }
 }
 
-void TaskPlacer::advanceNotes(LiveWorker &worker)
-{
-    while (!worker.pendingNotes.empty()) {
-        const auto &note = worker.pendingNotes.front();
-        const auto job = this->jobs.find(note.job);
-        if (job != this->jobs.end() && job->second.stored < note.change) {
-            return;
-        }
-        worker.notedEnds = note.number;
-        worker.pendingNotes.pop_front();
-    }
-}
-
-bool TaskPlacer::isStored(const TaskRun &run, const LiveRun &live) const
-{
-    const auto job = this->jobs.find(run.task.job);
-    return job == this->jobs.end() || job->second.stored >= live.change;
-}
-
-bool TaskPlacer::isWanted(const LiveWorker &worker, const TaskRun &run, const LiveRun &live)
-{
-    const auto job = this->jobs.find(run.task.job);
-    if (live.isStopping || job == this->jobs.end() || isFinal(job->second.progress.state)) {
-        return false;
-    }
-    const auto *const task = findTask(job->second.progress, run.task);
-    return task != nullptr && task->state == TaskPhase::Assigned && task->run == run.run && task->life == worker.last.life;
-}
-
-Assignment TaskPlacer::assignmentOf(const LiveWorker &worker, const TaskRun &run, const LiveRun &live, const LiveJob &job) const
-{
-    const auto &reported = worker.last.runs;
-    const bool isKnown = std::any_of(reported.begin(), reported.end(), [&run](const RunReport &report) { return report.run == run; });
-    Assignment assignment{run, live.needs, !isKnown, {}, {}};
-    if (!isKnown) {
-        const auto &step = job.progress.occurrences[run.task.occurrence][run.task.step];
-        assignment.spec = job.submission.graph.spec;
-        assignment.checkpoint = step[run.task.index].checkpoint;
-    }
-    return assignment;
-}
-
-AssignmentSync TaskPlacer::makeSync(LiveWorker &worker)
-{
-    this->advanceNotes(worker);
-    AssignmentSync sync;
-    sync.epoch = this->epoch;
-    sync.sequence = ++worker.syncSequence;
-    sync.life = worker.last.life;
-    sync.notedEnds = worker.notedEnds;
-    for (auto &[run, live] : worker.runs) {
-        if (this->isWanted(worker, run, live)) {
-            if (this->isStored(run, live)) {
-                live.isSent = true;
-                sync.assignments.push_back(this->assignmentOf(worker, run, live, this->jobs.at(run.task.job)));
-            }
-        } else if (live.leftOutBy == 0) {
-            live.leftOutBy = sync.sequence;
-        }
-    }
-    worker.needsSync = false;
-    return sync;
-}
-
 void TaskPlacer::plan()
 {
     const std::lock_guard<std::mutex> guard(this->mutex);
@@ -572,7 +509,7 @@
     std::vector<OutgoingSync> syncs;
     for (auto &[node, worker] : this->workers) {
         if (worker.needsSync && worker.isKnown) {
-            syncs.push_back({worker.last.address, this->makeSync(worker)});
+            syncs.push_back({worker.last.address, AssignmentBook(this->jobs, this->epoch).makeSync(worker)});
         }
     }
     return syncs;
