--- /dev/null
+++ b/tests/process/tablefollowertest.cpp
@@ -0,0 +1,118 @@
+#include "waxwingloft/process/tablefollower.h"
+
+#include <gtest/gtest.h>
+
+#include <condition_variable>
+#include <mutex>
+
+namespace waxwingloft::tests {
+
+namespace {
+
+/** A table whose answers are written down beforehand, one after the other; then it stays silent. */
+class ScriptedTable : public TableStore, public TableFeed
+{
+public:
+    Result<std::optional<Row>> get(const std::string & /*key*/) override
+    {
+        return std::optional<Row>();
+    }
+
+    Result<RowList> list(const std::string & /*prefix*/, std::uint64_t /*since*/) override
+    {
+        const std::lock_guard<std::mutex> guard(this->mutex);
+        ++this->lists;
+        if (this->listFailures > 0) {
+            --this->listFailures;
+            return makeError(ErrorKind::PlatformDown, "down");
+        }
+        return RowList{{{"t/a", "listed", 5, ""}}, 5};
+    }
+
+    Result<Commit> commit(const Transaction & /*transaction*/) override
+    {
+        return Commit{};
+    }
+
+    Result<ChangeBatch> changes(const std::string & /*table*/, std::uint64_t after, Millis /*wait*/) override
+    {
+        std::unique_lock<std::mutex> lock(this->mutex);
+        if (this->script.empty()) {
+            lock.unlock();
+            std::this_thread::sleep_for(Millis(5));
+            return ChangeBatch{{}, after};
+        }
+        this->askedAfter.push_back(after);
+        auto next = this->script.front();
+        this->script.erase(this->script.begin());
+        return next;
+    }
+
+    std::mutex mutex;
+    int lists = 0;
+    int listFailures = 0;
+    std::vector<std::uint64_t> askedAfter; ///< of the answers that were written down
+    std::vector<Result<ChangeBatch>> script;
+};
+
+/** Keeps what it is told, and lets a test wait for it. */
+class RecordingObserver : public TableObserver
+{
+public:
+    void reset(const RowList &rows) override
+    {
+        this->note("reset " + rows.rows.front().value);
+    }
+
+    void apply(const ChangeBatch &batch) override
+    {
+        for (const auto &change : batch.changes) {
+            this->note(change.row.value);
+        }
+    }
+
+    std::vector<std::string> waitFor(std::size_t count)
+    {
+        constexpr auto Patience = std::chrono::seconds(30);
+        std::unique_lock<std::mutex> lock(this->mutex);
+        this->wakeUp.wait_for(lock, Patience, [this, count] { return this->notes.size() >= count; });
+        return this->notes;
+    }
+
+private:
+    void note(const std::string &text)
+    {
+        const std::lock_guard<std::mutex> guard(this->mutex);
+        this->notes.push_back(text);
+        this->wakeUp.notify_all();
+    }
+
+    std::mutex mutex;
+    std::condition_variable wakeUp;
+    std::vector<std::string> notes;
+};
+
+ChangeBatch changeTo(const std::string &value, std::uint64_t revision)
+{
+    return {{{{"t/a", value, revision, ""}, false}}, revision};
+}
+
+} // namespace
+
+TEST(TableFollower, ListsThenFollowsAndListsAgainWhenHistoryIsLost)
+{
+    ScriptedTable table;
+    table.listFailures = 1;
+    table.script = {
+        changeTo("one", 6), makeError(ErrorKind::PlatformDown, "cut"), changeTo("two", 7), makeError(ErrorKind::Stale, "gone"), changeTo("three", 8)};
+    RecordingObserver observer;
+    SystemClock clock;
+    TableFollower follower(table, table, clock, "t", observer, FollowTerms{Millis(10), Millis(1), Millis(5), Millis(0)});
+    const std::vector<std::string> expected = {"reset listed", "one", "two", "reset listed", "three"};
+    EXPECT_EQ(observer.waitFor(expected.size()), expected);
+    follower.stop();
+    EXPECT_EQ(table.lists, 3);
+    EXPECT_EQ(table.askedAfter, (std::vector<std::uint64_t>{5, 6, 6, 7, 5}));
+}
+
+} // namespace waxwingloft::tests
