--- a/include/waxwingloft/request/officeterms.h
+++ b/include/waxwingloft/request/officeterms.h
@@ -21,6 +21,7 @@
     double urgentMayLose = 150.0; ///< core seconds that an urgent job in time may throw away: a fifteenth of its worth at the users' price
     Millis soon = Millis(700); ///< expected end of a run that is waited for rather than another one stopped
     Millis waitForEnds = Millis(900); ///< after a job came in; leaves the time of a stop and a start in the shortest reclaim bound
+    Millis dueMargin = Millis(100); ///< after a due time by our clock, as clocks of hosts differ; below what callers notice
     Millis standstill = Millis(2500); ///< without progress, after which a run stands still; two looks at it by its agent and a report
     std::uint32_t movePercent = 50; ///< a run that stands still is started elsewhere before it has done this much
     double slowShare = 0.4; ///< of the median speed, below which a worker is slow; the users' slow-downs are 4 to 6.5 times
--- a/src/request/officeplanner.cpp
+++ b/src/request/officeplanner.cpp
@@ -177,7 +177,8 @@
         base.isUrgent = job.submission.priority == 0 && this->state.rank.isInTime(job.submission, job.progress, this->wallNow);
         for (std::uint32_t occurrence = 0; occurrence < job.progress.occurrences.size(); ++occurrence) {
             const auto &graph = job.submission.graph;
-            const bool isDue = graph.firstRunAt + static_cast<std::int64_t>(occurrence) * graph.interval.count() <= this->wallNow;
+            const auto dueAt = graph.firstRunAt + static_cast<std::int64_t>(occurrence) * graph.interval.count();
+            const bool isDue = graph.firstRunAt == 0 || dueAt + this->state.terms.dueMargin.count() <= this->wallNow;
             if (isDue) {
                 this->addUnits(job, occurrence, base, units);
             }
@@ -306,7 +307,8 @@
             lost = step.isCheckpointing ? std::min(lost, RestoreSeconds) : lost;
             tasks.priority = job->second.submission.priority;
             tasks.rank = ranks[run.task.job];
-            tasks.isEntitled = entitled.contains(run.task.job);
+            // A lasting task serves its own users all the time, so it makes room for nobody.
+            tasks.isEntitled = entitled.contains(run.task.job) || step.isPerpetual;
             tasks.endsSoon = live.expectedEnd && *live.expectedEnd - this->now < this->state.terms.soon;
             tasks.isStopping = tasks.isStopping && isEnding;
             tasks.lostWork += lost * coresOf(live.needs);
--- a/tests/request/jobsitetest.cpp
+++ b/tests/request/jobsitetest.cpp
@@ -270,6 +270,46 @@
     expectKept(site);
 }
 
+TEST(JobSite, AnOccurrenceStartsAtItsTimeAndNotBefore)
+{
+    JobSite site(2);
+    auto graph = oneStep(2, Half);
+    graph.occurrences = 3;
+    graph.firstRunAt = site.clock.wallMillis() + 3000;
+    graph.interval = Millis(1000);
+    const auto job = site.submit(graph);
+    site.advance(Millis(3000));
+    EXPECT_EQ(runningIn(site), 0U);
+    EXPECT_EQ(site.stateOf(job), JobPhase::Pending);
+    site.advance(Millis(700));
+    EXPECT_EQ(runningIn(site), 2U);
+    site.advance(Millis(1000));
+    EXPECT_EQ(runningIn(site), 4U) << "occurrences may overlap";
+    EXPECT_EQ(site.finish(job, Millis(8000)), JobPhase::Completed);
+    expectKept(site);
+}
+
+TEST(JobSite, ALastingTaskRunsAgainHoweverItEndsAndMakesRoomForNobody)
+{
+    JobSite site(1);
+    site.routes.tenants[WorkspaceId{"owner"}] = {WorkspaceId{"owner"}, 8};
+    site.placers[0].placer->setRoutes(site.routes);
+    auto graph = oneStep(1, Whole);
+    graph.steps[0].isPerpetual = true;
+    const auto lasting = site.submit(graph);
+    site.advance(Millis(9000));
+    const TaskKey task{lasting, 0, 0, 0};
+    EXPECT_GE(site.checker.starts[task], 3U);
+    EXPECT_EQ(site.stateOf(lasting), JobPhase::Running);
+    site.submit(oneStep(1, Whole, true), 0, "owner");
+    site.advance(Millis(300));
+    EXPECT_EQ(runningIn(site), 1U);
+    site.cancel(lasting);
+    site.advance(Millis(1500));
+    EXPECT_EQ(site.stateOf(lasting), JobPhase::Cancelled);
+    expectKept(site);
+}
+
 TEST(JobSite, ARunThatStandsStillIsStartedElsewhere)
 {
     JobSite site(4);
