Remove what is not used, and let the office observe the table of jobs itself

Found by reading the change and by the list of duplicates: an observer written twice, a reader of enumerators written twice, relisting, couldEverRun, isReady, leavesIn, and amounts that agents kept without use. Behaviour as before.

--- a/include/waxwingloft/connection/executorport.h
+++ b/include/waxwingloft/connection/executorport.h
@@ -80,7 +80,6 @@
     bool isDraining = false;
     Capacity capacity;
     std::vector<std::string> labels;
-    std::optional<Millis> leavesIn; ///< shortest time left to an executor that drains
 };
 
 /** Takes what an executor says of itself. */
--- a/include/waxwingloft/process/tablefollower.h
+++ b/include/waxwingloft/process/tablefollower.h
@@ -30,7 +30,6 @@
     Millis wait = Millis(2000); ///< how long one question to the feed stays open
     Millis retryBase = Millis(50); ///< first pause after a failure
     Millis retryLimit = Millis(400); ///< longest pause after failures; bounds how long a change goes unseen after an outage
-    Millis relist = Millis(0); ///< reads the whole table again this often, for feeds that go silent; zero for never
 };
 
 /**
@@ -68,7 +67,6 @@
     bool isListed = false;
     bool isReachable = true;
     int failures = 0;
-    Instant listedAt;
     std::atomic<bool> isStopping = false;
     std::thread thread;
 };
--- a/include/waxwingloft/request/executoragent.h
+++ b/include/waxwingloft/request/executoragent.h
@@ -48,8 +48,6 @@
     void start();
     void stop();
 
-    bool isReady() const;
-
     Message handle(const Header &header, const Message &message) override;
     void heartbeat(const ExecutorHeartbeat &heartbeat) override;
     void deregister(const std::string &executorId) override;
--- a/include/waxwingloft/request/executorkeeper.h
+++ b/include/waxwingloft/request/executorkeeper.h
@@ -83,12 +83,8 @@
     /** Returns a number that rises with every change worth a report. */
     std::uint64_t changes() const;
 
-    /** Whether the executor can be given work. */
-    bool isReady() const;
-
 private:
     struct Entry {
-        Capacity needs;
         std::string spec;
         std::string checkpoint;
         std::uint32_t percent = 0;
--- a/include/waxwingloft/request/placeroffice.h
+++ b/include/waxwingloft/request/placeroffice.h
@@ -4,7 +4,6 @@
 #include "waxwingloft/connection/nodeport.h"
 #include "waxwingloft/process/duty.h"
 #include "waxwingloft/process/fanout.h"
-#include "waxwingloft/process/metrics.h"
 #include "waxwingloft/process/threadpool.h"
 #include "waxwingloft/process/ticker.h"
 #include "waxwingloft/request/jobboard.h"
@@ -13,7 +12,6 @@
 
 #include <atomic>
 #include <memory>
-#include <mutex>
 #include <string>
 
 namespace waxwingloft {
@@ -34,13 +32,12 @@
  * Any entry may hold the duty. Office is taken by writing its row; every later write is conditional on that
  * row, so a placer that has been replaced can write nothing more.
  */
-class PlacerOffice : public MessageHandler
+class PlacerOffice : public MessageHandler, public TableObserver
 {
 public:
     PlacerOffice(Clock &clock,
                  EventLog &events,
                  IdSource &ids,
-                 Metrics &metrics,
                  TableStore &table,
                  NodePort &nodes,
                  NodeId self,
@@ -60,18 +57,20 @@
 
     Message handle(const Header &header, const Message &message) override;
 
+    /** Takes in the table of jobs: keeps the board up to date and plans anew. */
+    void reset(const RowList &rows) override;
+    void apply(const ChangeBatch &batch) override;
+
 private:
     void pursue();
     void makeKnown();
     bool takeOffice();
     void plan();
     void write();
-    void commitWrites();
     void push();
 
     Clock &clock;
     IdSource &ids;
-    Metrics &metrics;
     TableStore &table;
     NodePort &nodes;
     const NodeId self;
--- a/include/waxwingloft/request/stepplanner.h
+++ b/include/waxwingloft/request/stepplanner.h
@@ -79,9 +79,6 @@
  */
 StepPlan planSteps(const std::vector<PlannerWorker> &workers, const std::vector<WaitingTasks> &waiting, const std::vector<RunningTasks> &running);
 
-/** Whether the fleet could hold the tasks if nothing else ran; a gang needs all of its tasks at once. */
-bool couldEverRun(const std::vector<PlannerWorker> &workers, const WaitingTasks &tasks);
-
 } // namespace waxwingloft
 
 #endif
--- a/src/connection/private/recordcodec.h
+++ b/src/connection/private/recordcodec.h
@@ -15,6 +15,19 @@
 /** Returns a copy of bytes on the wire. */
 std::string stringOf(capnp::Data::Reader data);
 
+/** Reads an enumerator; a number of a newer version becomes @p fallback. */
+template<typename Enum>
+Enum enumOf(std::uint8_t number, Enum fallback, std::size_t count)
+{
+    return number < count ? static_cast<Enum>(number) : fallback;
+}
+
+template<typename Enum>
+Enum enumOf(std::uint8_t number, Enum fallback)
+{
+    return enumOf(number, fallback, NameTable<Enum>::names.size());
+}
+
 // One pair for each record: encode() writes its Cap'n Proto form, decode() reads it.
 
 void encode(const HybridTime &time, wire::HybridTime::Builder builder);
--- a/src/connection/recordcodec.cpp
+++ b/src/connection/recordcodec.cpp
@@ -2,23 +2,6 @@
 
 namespace waxwingloft::codec {
 
-namespace {
-
-/** Reads an enumerator; a number of a newer version becomes @p fallback. */
-template<typename Enum>
-Enum enumOf(std::uint8_t number, Enum fallback, std::size_t count)
-{
-    return number < count ? static_cast<Enum>(number) : fallback;
-}
-
-template<typename Enum>
-Enum enumOf(std::uint8_t number, Enum fallback)
-{
-    return enumOf(number, fallback, NameTable<Enum>::names.size());
-}
-
-} // namespace
-
 capnp::Data::Reader bytesOf(const std::string &bytes)
 {
     return {reinterpret_cast<const capnp::byte *>(bytes.data()), bytes.size()};
--- a/src/connection/taskcodec.cpp
+++ b/src/connection/taskcodec.cpp
@@ -6,13 +6,6 @@
 
 namespace {
 
-/** Reads an enumerator; a number of a newer version becomes @p fallback. */
-template<typename Enum>
-Enum enumOf(std::uint8_t number, Enum fallback)
-{
-    return number < NameTable<Enum>::names.size() ? static_cast<Enum>(number) : fallback;
-}
-
 void encode(const TaskRun &run, wire::TaskRun::Builder builder)
 {
     builder.setTask(toString(run.task));
--- a/src/process/daemon/jobentryrole.cpp
+++ b/src/process/daemon/jobentryrole.cpp
@@ -48,7 +48,6 @@
         , office(this->node.clock,
                  this->node.events,
                  this->node.ids,
-                 this->node.metrics,
                  this->node.table,
                  this->node.rpc,
                  NodeId{config.node},
@@ -62,7 +61,6 @@
                              this->placer.setRoutes(book);
                              this->office.nudge();
                          })
-        , nudger(this->board, this->office)
         , messages(this->office, this->node.relay)
         , front(config.jobs.frontAddress, frontTermsOf(config), this->gate)
         , ready(config.jobs.readyAddress, [this] { return this->isReady(); })
@@ -77,7 +75,7 @@
         this->routesFollower = std::make_unique<TableFollower>(
             this->node.table, this->node.relay, this->node.clock, std::string(OperatorTable), this->operatorRoutes, routesFollowing());
         this->jobsFollower =
-            std::make_unique<TableFollower>(this->node.table, this->node.relay, this->node.clock, std::string(JobTable), this->nudger, FollowTerms());
+            std::make_unique<TableFollower>(this->node.table, this->node.relay, this->node.clock, std::string(JobTable), this->office, FollowTerms());
         this->ready.start();
         this->front.start();
         this->node.http.run();
@@ -98,35 +96,6 @@
     }
 
 private:
-    /** Passes changes of jobs to the board and wakes the placer. */
-    class Nudger : public TableObserver
-    {
-    public:
-        Nudger(JobBoard &board, PlacerOffice &office)
-            : board(board)
-            , office(office)
-        {
-        }
-
-        void reset(const RowList &rows) override
-        {
-            this->board.reset(rows);
-            this->office.nudge();
-        }
-
-        void apply(const ChangeBatch &batch) override
-        {
-            this->board.apply(batch);
-            if (!batch.changes.empty()) {
-                this->office.nudge();
-            }
-        }
-
-    private:
-        JobBoard &board;
-        PlacerOffice &office;
-    };
-
     /** Messages of peers: reports of agents, and calls on the store for peers that do not reach it. */
     class MessageSwitch : public MessageHandler
     {
@@ -161,7 +130,6 @@
     JobGate gate;
     PlacerOffice office;
     OperatorRoutes operatorRoutes;
-    Nudger nudger;
     MessageSwitch messages;
     JobFront front;
     ReadyFront ready;
--- a/src/process/tablefollower.cpp
+++ b/src/process/tablefollower.cpp
@@ -41,8 +41,7 @@
 void TableFollower::run()
 {
     while (!this->isStopping.load(std::memory_order_acquire)) {
-        const bool isRelistDue = this->terms.relist.count() > 0 && this->clock.now() - this->listedAt >= this->terms.relist;
-        const bool succeeded = this->isListed && !isRelistDue ? this->follow() : this->list();
+        const bool succeeded = this->isListed ? this->follow() : this->list();
         this->failures = succeeded ? 0 : this->failures + 1;
         if (!succeeded) {
             this->pause();
@@ -60,7 +59,6 @@
     this->noteReachable(true, {});
     this->revision = valueOf(rows).revision;
     this->isListed = true;
-    this->listedAt = this->clock.now();
     this->observer.reset(valueOf(rows));
     return true;
 }
--- a/src/request/executoragent.cpp
+++ b/src/request/executoragent.cpp
@@ -65,11 +65,6 @@
     this->orders->close();
 }
 
-bool ExecutorAgent::isReady() const
-{
-    return this->keeper.isReady();
-}
-
 Message ExecutorAgent::handle(const Header & /*header*/, const Message &message)
 {
     const auto *const sync = std::get_if<AssignmentSync>(&message);
--- a/src/request/executorkeeper.cpp
+++ b/src/request/executorkeeper.cpp
@@ -180,7 +180,6 @@
         return;
     }
     Entry entry;
-    entry.needs = assignment.needs;
     entry.spec = assignment.spec;
     entry.checkpoint = assignment.checkpoint;
     entry.dueAt = this->clock.now();
@@ -471,12 +470,6 @@
     return this->changeCount;
 }
 
-bool ExecutorKeeper::isReady() const
-{
-    const std::lock_guard<std::mutex> guard(this->mutex);
-    return this->isSurveyed && !this->hasLeft && !this->latest->isDraining;
-}
-
 /** Rises with every new placer and every start of the agent, as both numbers come from one counter of the table. */
 std::uint64_t ExecutorKeeper::fencingToken() const
 {
--- a/src/request/placeroffice.cpp
+++ b/src/request/placeroffice.cpp
@@ -13,7 +13,6 @@
 PlacerOffice::PlacerOffice(Clock &clock,
                            EventLog &events,
                            IdSource &ids,
-                           Metrics &metrics,
                            TableStore &table,
                            NodePort &nodes,
                            NodeId self,
@@ -23,7 +22,6 @@
                            OfficeLoopTerms terms)
     : clock(clock)
     , ids(ids)
-    , metrics(metrics)
     , table(table)
     , nodes(nodes)
     , self(std::move(self))
@@ -134,13 +132,8 @@
     this->writing->nudge();
 }
 
-void PlacerOffice::write()
-{
-    this->commitWrites();
-}
-
 /** Writes all progress that is due, transaction by transaction. */
-void PlacerOffice::commitWrites()
+void PlacerOffice::write()
 {
     auto writes = this->placer.takeWrites();
     while (!writes.empty()) {
@@ -182,6 +175,20 @@
     }
 }
 
+void PlacerOffice::reset(const RowList &rows)
+{
+    this->board.reset(rows);
+    this->nudge();
+}
+
+void PlacerOffice::apply(const ChangeBatch &batch)
+{
+    this->board.apply(batch);
+    if (!batch.changes.empty()) {
+        this->nudge();
+    }
+}
+
 Message PlacerOffice::handle(const Header & /*header*/, const Message &message)
 {
     const auto *const report = std::get_if<AgentReport>(&message);
--- a/src/request/stepplanner.cpp
+++ b/src/request/stepplanner.cpp
@@ -376,17 +376,4 @@
     return std::move(planning.plan);
 }
 
-bool couldEverRun(const std::vector<PlannerWorker> &workers, const WaitingTasks &tasks)
-{
-    auto empty = workers;
-    for (auto &worker : empty) {
-        worker.free = worker.capacity;
-    }
-    auto alone = tasks;
-    alone.count = tasks.isGang ? tasks.count : 1;
-    alone.present.clear();
-    const auto plan = planSteps(empty, {alone}, {});
-    return !plan.starts.empty();
-}
-
 } // namespace waxwingloft
--- a/tests/platform/jobpathtest.cpp
+++ b/tests/platform/jobpathtest.cpp
@@ -135,33 +135,6 @@
     return terms;
 }
 
-/** Keeps the placer awake, as an entry does. */
-class Waker : public TableObserver
-{
-public:
-    Waker(JobBoard &board, PlacerOffice &office)
-        : board(board)
-        , office(office)
-    {
-    }
-
-    void reset(const RowList &rows) override
-    {
-        this->board.reset(rows);
-        this->office.nudge();
-    }
-
-    void apply(const ChangeBatch &batch) override
-    {
-        this->board.apply(batch);
-        this->office.nudge();
-    }
-
-private:
-    JobBoard &board;
-    PlacerOffice &office;
-};
-
 struct Entry {
     Entry(const FakeStore &fake, const std::string &name)
         : process(fake, name)
@@ -170,7 +143,6 @@
         , office(this->process.clock,
                  this->process.events,
                  this->process.ids,
-                 this->process.metrics,
                  this->process.table,
                  this->process.rpc,
                  NodeId{name},
@@ -178,12 +150,11 @@
                  this->placer,
                  this->board,
                  terms())
-        , waker(this->board, this->office)
     {
         this->process.rpc.serve(this->office);
         this->office.start();
         this->follower = std::make_unique<TableFollower>(
-            this->process.table, this->process.store, this->process.clock, std::string(JobTable), this->waker, quickFollowing());
+            this->process.table, this->process.store, this->process.clock, std::string(JobTable), this->office, quickFollowing());
     }
 
     ~Entry()
@@ -207,7 +178,6 @@
     TaskPlacer placer;
     JobBoard board;
     PlacerOffice office;
-    Waker waker;
     std::unique_ptr<TableFollower> follower;
 };
 
--- a/tests/request/executorkeepertest.cpp
+++ b/tests/request/executorkeepertest.cpp
@@ -223,7 +223,7 @@
     EXPECT_EQ(this->keeper.report()->runs.size(), 1U);
     this->keeper.deregister(Life.id);
     EXPECT_EQ(this->keeper.report()->ends.size(), 1U);
-    EXPECT_FALSE(this->keeper.isReady());
+    EXPECT_TRUE(this->keeper.report()->isDraining);
 }
 
 } // namespace waxwingloft::tests
--- a/tests/request/stepplannertest.cpp
+++ b/tests/request/stepplannertest.cpp
@@ -170,11 +170,4 @@
     EXPECT_EQ(planSteps(workers, {gang, tasks(4, One)}, {}).starts.size(), 1U);
 }
 
-TEST(CouldEverRun, LooksAtEmptyWorkers)
-{
-    EXPECT_TRUE(couldEverRun({worker("w0", "r1", 0)}, tasks(5, Whole)));
-    EXPECT_FALSE(couldEverRun({worker("w0", "r1", 0)}, tasks(2, Whole, true)));
-    EXPECT_FALSE(couldEverRun({worker("w0", "r1", 0)}, tasks(1, Capacity{0, 0, 9})));
-}
-
 } // namespace waxwingloft::tests
