Count cores and end runs in one place each

Found by reading the change once more: the worth of an accelerator in cores stood in JobRank and again in OfficePlanner, and the loop that ends every run of an executor stood twice in ExecutorKeeper.

--- a/include/waxwingloft/request/executorkeeper.h
+++ b/include/waxwingloft/request/executorkeeper.h
@@ -104,6 +104,7 @@
     void takeLists(const DueHold &hold, const HoldAnswer &answer);
     void dropVanished(const DueHold &hold, const HoldAnswer &answer);
     void end(const TaskRun &run, RunEnd how, RefusalReason refusal = RefusalReason::None);
+    void endAll();
     void noteStamp(const ExecutorStamp &stamp);
     void noteSilence();
     std::optional<Millis> grantableLeaseEnd(Instant now);
--- a/include/waxwingloft/request/jobrank.h
+++ b/include/waxwingloft/request/jobrank.h
@@ -42,6 +42,9 @@
     /** Whether a job that is started now can be expected to meet its objective. */
     bool isInTime(const JobSubmission &submission, const JobProgress &progress, std::int64_t wallNow) const;
 
+    /** Returns @p capacity in cores, with an accelerator as so many as the terms say. */
+    double coresOf(const Capacity &capacity) const;
+
     /** Returns the work of a job in core seconds, by its caller's estimate. */
     double workOf(const JobSubmission &submission) const;
 
--- a/src/request/executorkeeper.cpp
+++ b/src/request/executorkeeper.cpp
@@ -92,10 +92,7 @@
         }
         this->log.info("Executor " + executorId + " has left with " + std::to_string(this->entries.size()) + " runs.");
         this->hasLeft = true;
-        while (!this->entries.empty()) {
-            const auto run = this->entries.begin()->first;
-            this->end(run, RunEnd::Lapsed);
-        }
+        this->endAll();
         ++this->changeCount;
     }
     this->wake();
@@ -354,10 +351,7 @@
         return;
     }
     this->log.warn("The lease of executor " + this->latest->life.id + " is over; " + std::to_string(this->entries.size()) + " runs count as ended.");
-    while (!this->entries.empty()) {
-        const auto run = this->entries.begin()->first;
-        this->end(run, RunEnd::Lapsed);
-    }
+    this->endAll();
     ++this->changeCount;
 }
 
@@ -410,6 +404,14 @@
     }
 }
 
+void ExecutorKeeper::endAll()
+{
+    while (!this->entries.empty()) {
+        const auto run = this->entries.begin()->first;
+        this->end(run, RunEnd::Lapsed);
+    }
+}
+
 void ExecutorKeeper::end(const TaskRun &run, RunEnd how, RefusalReason refusal)
 {
     const auto found = this->entries.find(run);
--- a/src/request/jobrank.cpp
+++ b/src/request/jobrank.cpp
@@ -75,13 +75,16 @@
     ++mean.count;
 }
 
+double JobRank::coresOf(const Capacity &capacity) const
+{
+    return static_cast<double>(capacity.milliCores) / 1000.0 + this->terms.coresPerAccelerator * static_cast<double>(capacity.accelerators);
+}
+
 double JobRank::workOf(const JobSubmission &submission) const
 {
     double work = 0.0;
     for (const auto &step : submission.graph.steps) {
-        const double cores =
-            static_cast<double>(step.needs.milliCores) / 1000.0 + this->terms.coresPerAccelerator * static_cast<double>(step.needs.accelerators);
-        work += cores * secondsOf(step.estimate) * step.count;
+        work += this->coresOf(step.needs) * secondsOf(step.estimate) * step.count;
     }
     return work;
 }
--- a/src/request/officeplanner.cpp
+++ b/src/request/officeplanner.cpp
@@ -7,7 +7,6 @@
 
 namespace {
 
-constexpr double CoresPerAccelerator = 8.0; ///< how the users count work
 constexpr std::size_t LeastPeers = 3; ///< workers with a known speed, below which a median says nothing
 constexpr double RestoreSeconds = 0.1; ///< of work that is lost when a run goes on from the checkpoint of its stop; the users' bounds
 constexpr std::string_view RackLabelPrefix = "r"; ///< labels such as "r1-3" name the rack of a machine
@@ -22,11 +21,6 @@
     return {};
 }
 
-double coresOf(const Capacity &capacity)
-{
-    return static_cast<double>(capacity.milliCores) / 1000.0 + CoresPerAccelerator * static_cast<double>(capacity.accelerators);
-}
-
 } // namespace
 
 OfficePlanner::OfficePlanner(const OfficeState &state, Instant now, std::int64_t wallNow)
@@ -311,7 +305,7 @@
             tasks.isEntitled = entitled.contains(run.task.job) || step.isPerpetual;
             tasks.endsSoon = live.expectedEnd && *live.expectedEnd - this->now < this->state.terms.soon;
             tasks.isStopping = tasks.isStopping && isEnding;
-            tasks.lostWork += lost * coresOf(live.needs);
+            tasks.lostWork += lost * this->state.rank.coresOf(live.needs);
             tasks.parts.push_back({index, 1});
             running.runs[entry->second].emplace_back(fleet.workers[index].node, run);
         }
