--- a/bench/decisionbench.cpp
+++ b/bench/decisionbench.cpp
@@ -1,8 +1,10 @@
 #include "waxwingloft/process/servertable.h"
 #include "waxwingloft/request/admission.h"
 #include "waxwingloft/request/gangscheduler.h"
+#include "waxwingloft/request/stepplanner.h"
 #include "waxwingloft/version/settingspublisher.h"
 
+#include <algorithm>
 #include <benchmark/benchmark.h>
 #include <random>
 
@@ -153,8 +155,61 @@
     }
 }
 
+/** A full fleet of the users' executors with a queue that is as long as a third of what runs. */
+struct StepWorld {
+    explicit StepWorld(int workerCount)
+    {
+        const Capacity whole{128'000, 524'288, 8};
+        std::mt19937_64 random(1);
+        for (int index = 0; index < workerCount; ++index) {
+            const auto rack = "r1-" + std::to_string(index / 5);
+            auto free = whole;
+            for (int task = 0; task < 4; ++task) {
+                RunningTasks entry{
+                    {{static_cast<std::size_t>(index), 1}}, {11'000, 46'000, 1}, static_cast<double>(random() % 100), 2, 1.0, false, false, false};
+                free -= entry.needs;
+                this->running.push_back(std::move(entry));
+            }
+            RunningTasks gang{{{static_cast<std::size_t>(index), 1}}, {52'000, 150'000, 4}, static_cast<double>(random() % 1000), 1, 2.0, false, false, false};
+            free -= gang.needs;
+            this->running.push_back(std::move(gang));
+            this->workers.push_back({NodeId{"w" + std::to_string(index)}, "tune", rack, {"a", rack}, whole, free, true, false});
+        }
+        for (int index = 0; index < workerCount / 2; ++index) {
+            WaitingTasks tasks;
+            const bool isUrgent = index % 2 == 0;
+            tasks.count = 1 + static_cast<std::uint32_t>(random() % 10);
+            tasks.needs = isUrgent ? Capacity{15'000, 79'000, std::int64_t{1} << (random() % 4)} : Capacity{11'000, 46'000, 1};
+            tasks.service = "tune";
+            tasks.isGang = isUrgent;
+            tasks.prefersOneRack = isUrgent;
+            tasks.priority = isUrgent ? 0 : 2;
+            tasks.rank = isUrgent ? 10.0 : 1.0;
+            tasks.mayLoseWork = isUrgent ? 150.0 : 0.0;
+            tasks.mayReserve = isUrgent;
+            this->waiting.push_back(std::move(tasks));
+        }
+        std::stable_sort(
+            this->waiting.begin(), this->waiting.end(), [](const WaitingTasks &left, const WaitingTasks &right) { return left.rank > right.rank; });
+    }
+
+    std::vector<PlannerWorker> workers;
+    std::vector<WaitingTasks> waiting;
+    std::vector<RunningTasks> running;
+};
+
+void planFullFleet(benchmark::State &state)
+{
+    const StepWorld world(static_cast<int>(state.range(0)));
+    for (auto _ : state) {
+        auto plan = planSteps(world.workers, world.waiting, world.running);
+        benchmark::DoNotOptimize(plan);
+    }
+}
+
 } // namespace
 
+BENCHMARK(planFullFleet)->Arg(11)->Arg(64)->Arg(300)->Unit(benchmark::kMicrosecond);
 BENCHMARK(routeAndAdmit)->ThreadRange(1, 8)->UseRealTime();
 BENCHMARK(placeOneJob)->Unit(benchmark::kMicrosecond);
 BENCHMARK(placeGangOf512)->Unit(benchmark::kMicrosecond);
--- a/src/request/stepplanner.cpp
+++ b/src/request/stepplanner.cpp
@@ -34,6 +34,108 @@
     return {needs.milliCores * times, needs.memoryMb * times, needs.accelerators * times};
 }
 
+bool mayRunOn(const PlannerWorker &worker, const WaitingTasks &tasks)
+{
+    const auto &labels = worker.labels;
+    return worker.acceptsWork && worker.service == tasks.service
+        && (tasks.requiredLabel.empty() || std::find(labels.begin(), labels.end(), tasks.requiredLabel) != labels.end());
+}
+
+std::uint32_t limitOn(std::size_t worker, const WaitingTasks &tasks)
+{
+    if (tasks.maxPerWorker == 0) {
+        return tasks.count;
+    }
+    const auto present = tasks.present.empty() ? 0 : tasks.present[worker];
+    return std::min(tasks.count, tasks.maxPerWorker - std::min(tasks.maxPerWorker, present));
+}
+
+/** What is still to be placed of one waiting entry. */
+struct Demand {
+    Demand(const WaitingTasks &tasks, const std::vector<PlannerWorker> &workers)
+        : tasks(tasks)
+        , left(tasks.count)
+        , limits(workers.size(), 0)
+    {
+        for (std::size_t worker = 0; worker < workers.size(); ++worker) {
+            const bool isAvoided = !tasks.avoided.empty() && tasks.avoided[worker];
+            this->limits[worker] = !isAvoided && mayRunOn(workers[worker], tasks) ? limitOn(worker, tasks) : 0;
+        }
+    }
+
+    std::uint32_t fits(std::size_t worker, const Capacity &room) const
+    {
+        const auto limit = std::min(this->left, this->limits[worker]);
+        return limit == 0 ? 0 : timesIn(room, this->tasks.needs, limit);
+    }
+
+    /** Whether @p group has room for all; it has when its workers have so one by one. */
+    bool fitsInto(const Group &group, const std::vector<Capacity> &room) const
+    {
+        std::uint64_t total = 0;
+        for (const auto worker : group) {
+            total += this->fits(worker, room[worker]);
+            if (total >= this->left) {
+                return true;
+            }
+        }
+        return total >= this->left;
+    }
+
+    const WaitingTasks &tasks;
+    std::uint32_t left = 0; ///< tasks without a place
+    std::vector<std::uint32_t> limits; ///< tasks that a worker may still get, were its room endless
+};
+
+/** Room on trial: keeps count of the tasks that fit while runs are taken out and put back. */
+class TrialRoom
+{
+public:
+    TrialRoom(const Demand &demand, const Group &group, std::vector<Capacity> room)
+        : demand(demand)
+        , room(std::move(room))
+        , isMember(this->room.size(), false)
+    {
+        for (const auto worker : group) {
+            this->isMember[worker] = true;
+            this->total += demand.fits(worker, this->room[worker]);
+        }
+    }
+
+    bool touches(const RunningTasks &running) const
+    {
+        return std::any_of(running.parts.begin(), running.parts.end(), [this](const RunningTasks::Part &part) { return this->isMember[part.worker]; });
+    }
+
+    bool holdsAll() const
+    {
+        return this->total >= this->demand.left;
+    }
+
+    /** Gives the room of @p running back (@p sign 1) or takes it again (-1). */
+    void change(const RunningTasks &running, std::int64_t sign)
+    {
+        for (const auto &part : running.parts) {
+            auto &room = this->room[part.worker];
+            const std::uint64_t before = this->isMember[part.worker] ? this->demand.fits(part.worker, room) : 0;
+            room += multiplied(running.needs, sign * static_cast<std::int64_t>(part.count));
+            const std::uint64_t after = this->isMember[part.worker] ? this->demand.fits(part.worker, room) : 0;
+            this->total = this->total - before + after;
+        }
+    }
+
+    const std::vector<Capacity> &byWorker() const
+    {
+        return this->room;
+    }
+
+private:
+    const Demand &demand;
+    std::vector<Capacity> room;
+    std::vector<bool> isMember;
+    std::uint64_t total = 0;
+};
+
 /** Works out one plan; free room shrinks as tasks are given places. */
 class Planning
 {
@@ -54,52 +156,27 @@
 
     void place(std::size_t index, const WaitingTasks &tasks)
     {
-        auto places = tasks.isGang ? this->gangPlaces(tasks, this->free) : this->looseTasks(tasks);
-        const auto placed = places.size();
-        const bool isWhole = placed == tasks.count;
-        if (!places.empty() && (isWhole || !tasks.isGang)) {
+        Demand demand(tasks, this->workers);
+        auto places = tasks.isGang ? this->gangPlaces(demand) : this->looseTasks(demand);
+        const bool isWhole = places.size() == tasks.count;
+        if (!places.empty()) {
             this->plan.starts.push_back({index, std::move(places)});
         }
         if (isWhole) {
             return;
         }
         if (tasks.mayLoseWork > 0.0) {
-            auto rest = tasks;
-            rest.count -= tasks.isGang ? 0 : static_cast<std::uint32_t>(placed);
-            this->reclaim(rest);
+            this->reclaim(demand);
         } else if (tasks.mayReserve) {
-            this->reserve(tasks);
+            this->reserve(demand);
         }
     }
 
     StepPlan plan;
 
 private:
-    bool isUsable(std::size_t worker, const WaitingTasks &tasks) const
-    {
-        const auto &candidate = this->workers[worker];
-        const auto &labels = candidate.labels;
-        const bool isAvoided = !tasks.avoided.empty() && tasks.avoided[worker];
-        return candidate.acceptsWork && !isAvoided && candidate.service == tasks.service
-            && (tasks.requiredLabel.empty() || std::find(labels.begin(), labels.end(), tasks.requiredLabel) != labels.end());
-    }
-
-    std::uint32_t limitOn(std::size_t worker, const WaitingTasks &tasks) const
-    {
-        if (tasks.maxPerWorker == 0) {
-            return tasks.count;
-        }
-        const auto present = tasks.present.empty() ? 0 : tasks.present[worker];
-        return std::min(tasks.count, tasks.maxPerWorker - std::min(tasks.maxPerWorker, present));
-    }
-
-    std::uint32_t fits(std::size_t worker, const WaitingTasks &tasks, const std::vector<Capacity> &room) const
-    {
-        return this->isUsable(worker, tasks) ? timesIn(room[worker], tasks.needs, this->limitOn(worker, tasks)) : 0;
-    }
-
     /** Fills @p group, fullest workers first; returns one worker a task, or fewer when it does not hold all. */
-    std::vector<std::size_t> fill(const Group &group, const WaitingTasks &tasks, const std::vector<Capacity> &room) const
+    std::vector<std::size_t> fill(const Group &group, const Demand &demand, const std::vector<Capacity> &room) const
     {
         auto order = group;
         std::stable_sort(order.begin(), order.end(), [this, &room](std::size_t left, std::size_t right) {
@@ -108,25 +185,25 @@
         });
         // A worker that holds all that is left, with the least room over, keeps the gang together.
         std::vector<std::size_t> places;
-        while (places.size() < tasks.count) {
-            const auto left = tasks.count - static_cast<std::uint32_t>(places.size());
-            const auto best = this->bestForRest(order, tasks, room, left);
+        while (places.size() < demand.left) {
+            const auto left = demand.left - static_cast<std::uint32_t>(places.size());
+            const auto best = bestForRest(order, demand, room, left);
             if (!best) {
                 break;
             }
-            const auto taken = std::min(left, this->fits(*best, tasks, room));
+            const auto taken = std::min(left, demand.fits(*best, room[*best]));
             places.insert(places.end(), taken, *best);
             std::erase(order, *best);
         }
         return places;
     }
 
-    std::optional<std::size_t> bestForRest(const Group &order, const WaitingTasks &tasks, const std::vector<Capacity> &room, std::uint32_t left) const
+    static std::optional<std::size_t> bestForRest(const Group &order, const Demand &demand, const std::vector<Capacity> &room, std::uint32_t left)
     {
         std::optional<std::size_t> most;
         std::uint32_t mostFits = 0;
         for (const auto worker : order) {
-            const auto count = this->fits(worker, tasks, room);
+            const auto count = demand.fits(worker, room[worker]);
             if (count >= left) {
                 return worker;
             }
@@ -139,19 +216,19 @@
     }
 
     /** The racks that could hold a gang, that of its data first; the whole fleet when none could. */
-    std::vector<Group> groupsFor(const WaitingTasks &tasks) const
+    std::vector<Group> groupsFor(const Demand &demand) const
     {
         std::vector<Group> groups;
         for (const auto &[rack, members] : this->racks) {
-            std::uint32_t total = 0;
+            std::uint64_t total = 0;
             for (const auto worker : members) {
-                total += this->isUsable(worker, tasks) ? timesIn(this->workers[worker].capacity, tasks.needs, this->limitOn(worker, tasks)) : 0;
+                total += demand.fits(worker, this->workers[worker].capacity);
             }
-            if (total >= tasks.count) {
-                groups.insert(rack == tasks.dataRack ? groups.begin() : groups.end(), members);
+            if (total >= demand.left) {
+                groups.insert(rack == demand.tasks.dataRack ? groups.begin() : groups.end(), members);
             }
         }
-        if (groups.empty() || !tasks.prefersOneRack) {
+        if (groups.empty() || !demand.tasks.prefersOneRack) {
             groups.push_back(this->everyone);
         }
         return groups;
@@ -166,49 +243,53 @@
         return total;
     }
 
-    std::vector<std::size_t> gangPlaces(const WaitingTasks &tasks, std::vector<Capacity> &room)
+    std::vector<std::size_t> gangPlaces(Demand &demand)
     {
-        std::vector<std::size_t> best;
+        const Group *best = nullptr;
         auto leastRoom = std::numeric_limits<std::int64_t>::max();
-        for (const auto &group : this->groupsFor(tasks)) {
-            auto places = this->fill(group, tasks, room);
-            const auto left = this->roomIn(group, room);
-            if (places.size() == tasks.count && left < leastRoom) {
-                best = std::move(places);
+        const auto groups = this->groupsFor(demand);
+        for (const auto &group : groups) {
+            const auto left = this->roomIn(group, this->free);
+            if (left < leastRoom && demand.fitsInto(group, this->free)) {
+                best = &group;
                 leastRoom = left;
             }
         }
-        this->take(best, tasks, room);
-        return best;
+        if (best == nullptr) {
+            return {};
+        }
+        auto places = this->fill(*best, demand, this->free);
+        this->take(places, demand.tasks);
+        return places;
     }
 
-    std::vector<std::size_t> looseTasks(const WaitingTasks &tasks)
+    std::vector<std::size_t> looseTasks(Demand &demand)
     {
         std::vector<std::size_t> places;
-        WaitingTasks one = tasks;
-        one.present.resize(this->workers.size(), 0);
-        for (std::uint32_t task = 0; task < tasks.count; ++task) {
-            const auto worker = this->tightest(one);
+        while (demand.left > 0) {
+            const auto worker = this->tightest(demand);
             if (!worker) {
                 break;
             }
-            this->free[*worker] -= tasks.needs;
-            ++one.present[*worker];
+            this->free[*worker] -= demand.tasks.needs;
+            --demand.limits[*worker];
+            --demand.left;
             places.push_back(*worker);
         }
         return places;
     }
 
     /** The worker with the least accelerators left that holds one task, one near its data first. */
-    std::optional<std::size_t> tightest(const WaitingTasks &one) const
+    std::optional<std::size_t> tightest(const Demand &demand) const
     {
+        const auto &dataRack = demand.tasks.dataRack;
         std::optional<std::size_t> best;
         auto bestRank = std::tuple(true, std::numeric_limits<std::int64_t>::max(), std::numeric_limits<std::int64_t>::max());
         for (std::size_t worker = 0; worker < this->workers.size(); ++worker) {
-            if (this->fits(worker, one, this->free) == 0) {
+            if (demand.fits(worker, this->free[worker]) == 0) {
                 continue;
             }
-            const bool isFar = !one.dataRack.empty() && this->workers[worker].rack != one.dataRack;
+            const bool isFar = !dataRack.empty() && this->workers[worker].rack != dataRack;
             const auto rank = std::tuple(isFar || this->workers[worker].isSlow, this->free[worker].accelerators, this->free[worker].milliCores);
             if (!best || rank < bestRank) {
                 best = worker;
@@ -218,10 +299,10 @@
         return best;
     }
 
-    void take(const std::vector<std::size_t> &places, const WaitingTasks &tasks, std::vector<Capacity> &room)
+    void take(const std::vector<std::size_t> &places, const WaitingTasks &tasks)
     {
         for (const auto worker : places) {
-            room[worker] -= tasks.needs;
+            this->free[worker] -= tasks.needs;
         }
     }
 
@@ -231,14 +312,15 @@
         double lostWork = 0.0;
     };
 
-    /** Stops the cheapest set of work that makes room, and keeps that room for @p tasks. */
-    void reclaim(const WaitingTasks &tasks)
+    /** Stops the cheapest set of work that makes room, and keeps that room for @p demand. */
+    void reclaim(const Demand &demand)
     {
+        const auto victims = this->victimsFor(demand.tasks);
         std::optional<Reclaim> best;
-        for (const auto &group : this->groupsFor(tasks)) {
-            const auto found = this->reclaimIn(group, tasks);
-            if (found && found->lostWork <= tasks.mayLoseWork && (!best || found->lostWork < best->lostWork)) {
-                best = found;
+        for (const auto &group : this->groupsFor(demand)) {
+            auto found = this->reclaimIn(group, demand, victims);
+            if (found && found->lostWork <= demand.tasks.mayLoseWork && (!best || found->lostWork < best->lostWork)) {
+                best = std::move(found);
             }
         }
         if (!best) {
@@ -246,61 +328,62 @@
         }
         for (const auto victim : best->victims) {
             this->isStopped[victim] = true;
-            if (!this->comesFree(victim, tasks)) {
+            if (!this->comesFree(victim, demand.tasks)) {
                 this->plan.stops.push_back(victim);
             }
         }
-        this->take(best->places, tasks, this->free);
+        this->take(best->places, demand.tasks);
     }
 
-    std::optional<Reclaim> reclaimIn(const Group &group, const WaitingTasks &tasks) const
+    /** All work that may be taken for @p tasks, cheapest first. */
+    std::vector<std::size_t> victimsFor(const WaitingTasks &tasks) const
     {
         std::vector<std::size_t> victims;
         for (std::size_t index = 0; index < this->running.size(); ++index) {
-            const auto &parts = this->running[index].parts;
-            const bool isHere = std::any_of(parts.begin(), parts.end(), [&group](const RunningTasks::Part &part) {
-                return std::find(group.begin(), group.end(), part.worker) != group.end();
-            });
-            if (isHere && !this->isStopped[index] && this->mayTake(index, tasks)) {
+            if (!this->isStopped[index] && this->mayTake(index, tasks)) {
                 victims.push_back(index);
             }
         }
         std::stable_sort(victims.begin(), victims.end(), [this, &tasks](std::size_t left, std::size_t right) {
             return this->costOf(left, tasks) < this->costOf(right, tasks);
         });
-        auto room = this->free;
+        return victims;
+    }
+
+    std::optional<Reclaim> reclaimIn(const Group &group, const Demand &demand, const std::vector<std::size_t> &victims) const
+    {
+        TrialRoom trial(demand, group, this->free);
         Reclaim found;
         for (const auto victim : victims) {
-            found.places = this->fill(group, tasks, room);
-            if (found.places.size() == tasks.count) {
+            if (trial.holdsAll()) {
                 break;
             }
-            this->giveBack(victim, room, 1);
-            found.victims.push_back(victim);
+            if (trial.touches(this->running[victim])) {
+                trial.change(this->running[victim], 1);
+                found.victims.push_back(victim);
+            }
         }
-        found.places = this->fill(group, tasks, room);
-        if (found.places.size() < tasks.count) {
+        if (!trial.holdsAll()) {
             return std::nullopt;
         }
-        this->spareNeedless(group, tasks, room, found);
+        this->spareNeedless(trial, found);
         for (const auto victim : found.victims) {
-            found.lostWork += this->costOf(victim, tasks);
+            found.lostWork += this->costOf(victim, demand.tasks);
         }
+        found.places = this->fill(group, demand, trial.byWorker());
         return found;
     }
 
     /** Takes victims out again, dearest first, that the tasks fit without. */
-    void spareNeedless(const Group &group, const WaitingTasks &tasks, std::vector<Capacity> &room, Reclaim &found) const
+    void spareNeedless(TrialRoom &trial, Reclaim &found) const
     {
         for (std::size_t index = found.victims.size(); index-- > 0;) {
-            const auto victim = found.victims[index];
-            this->giveBack(victim, room, -1);
-            auto places = this->fill(group, tasks, room);
-            if (places.size() == tasks.count) {
-                found.places = std::move(places);
+            const auto &victim = this->running[found.victims[index]];
+            trial.change(victim, -1);
+            if (trial.holdsAll()) {
                 found.victims.erase(found.victims.begin() + static_cast<std::ptrdiff_t>(index));
             } else {
-                this->giveBack(victim, room, 1);
+                trial.change(victim, 1);
             }
         }
     }
@@ -327,19 +410,12 @@
         return this->comesFree(victim, tasks) ? 0.0 : this->running[victim].lostWork;
     }
 
-    void giveBack(std::size_t victim, std::vector<Capacity> &room, std::int64_t sign) const
-    {
-        for (const auto &part : this->running[victim].parts) {
-            room[part.worker] += multiplied(this->running[victim].needs, sign * static_cast<std::int64_t>(part.count));
-        }
-    }
-
     /** Keeps the group with the most room for a gang that has waited long, so that it is not overtaken for ever. */
-    void reserve(const WaitingTasks &tasks)
+    void reserve(const Demand &demand)
     {
         const Group *best = nullptr;
         std::int64_t most = -1;
-        const auto groups = this->groupsFor(tasks);
+        const auto groups = this->groupsFor(demand);
         for (const auto &group : groups) {
             const auto room = this->roomIn(group, this->free);
             if (room > most) {
@@ -354,7 +430,7 @@
         for (const auto &worker : this->workers) {
             whole.push_back(worker.capacity);
         }
-        this->take(this->fill(*best, tasks, whole), tasks, this->free);
+        this->take(this->fill(*best, demand, whole), demand.tasks);
     }
 
     const std::vector<PlannerWorker> &workers;
--- a/tests/request/stepplannertest.cpp
+++ b/tests/request/stepplannertest.cpp
@@ -170,4 +170,16 @@
     EXPECT_EQ(planSteps(workers, {gang, tasks(4, One)}, {}).starts.size(), 1U);
 }
 
+TEST(PlanSteps, TheLimitForOneWorkerCountsWhatWasJustPlaced)
+{
+    auto limited = tasks(2, One);
+    limited.maxPerWorker = 1;
+    limited.mayLoseWork = Unbounded;
+    limited.isEntitled = true;
+    const auto plan = planSteps({worker("w0", "r1"), worker("w1", "r1", 0)}, {limited}, {runs(1, 8, One, 10.0, 2)});
+    ASSERT_EQ(plan.starts.size(), 1U);
+    EXPECT_EQ(plan.starts[0].workers, (std::vector<std::size_t>{0}));
+    EXPECT_EQ(plan.stops, (std::vector<std::size_t>{0})) << "the second task needs the other worker";
+}
+
 } // namespace waxwingloft::tests
