--- a/include/waxwingloft/request/taskplacer.h
+++ b/include/waxwingloft/request/taskplacer.h
@@ -12,6 +12,7 @@
 #include "waxwingloft/request/officeterms.h"
 #include "waxwingloft/version/routebook.h"
 
+#include <atomic>
 #include <map>
 #include <mutex>
 #include <string>
@@ -80,6 +81,9 @@
     /** Takes in a report and returns the answer. Stale when this placer is not in office, or has been replaced. */
     Result<AssignmentSync> report(const AgentReport &report);
 
+    /** Whether something has changed since the last plan that could change the next one; time alone is not counted. */
+    bool isPlanDue() const;
+
     /** Decides what to start and stop now. */
     void plan();
 
@@ -126,6 +130,7 @@
     RouteBook routes;
     std::map<JobId, LiveJob> jobs;
     std::map<NodeId, LiveWorker> workers;
+    std::atomic<bool> hasNews{false}; ///< since the last plan
 };
 
 } // namespace waxwingloft
--- a/src/request/placeroffice.cpp
+++ b/src/request/placeroffice.cpp
@@ -199,7 +199,9 @@
     if (!succeeded(sync)) {
         return replyWith(errorOf(sync));
     }
-    this->planning->nudge();
+    if (this->placer.isPlanDue()) {
+        this->planning->nudge();
+    }
     return std::move(valueOf(sync));
 }
 
--- a/src/request/taskplacer.cpp
+++ b/src/request/taskplacer.cpp
@@ -5,9 +5,21 @@
 
 #include <algorithm>
 #include <set>
+#include <tuple>
 
 namespace waxwingloft {
 
+namespace {
+
+/** What a plan depends on of a worker besides its runs. */
+auto standingOf(const LiveWorker &worker)
+{
+    const auto &last = worker.last;
+    return std::tuple(worker.isKnown, worker.hasOrphans, last.life, last.isReachable, last.isDraining, last.capacity, last.labels);
+}
+
+} // namespace
+
 TaskPlacer::TaskPlacer(Clock &clock, OfficeTerms terms, RankTerms rankTerms)
     : clock(clock)
     , terms(terms)
@@ -177,6 +189,7 @@
     if (worker.runs.erase(run) == 0) {
         return;
     }
+    this->hasNews.store(true, std::memory_order_release);
     const auto found = this->jobs.find(run.task.job);
     if (found == this->jobs.end()) {
         return;
@@ -255,6 +268,7 @@
     }
     const auto now = this->clock.now();
     auto &worker = this->workers[report.node];
+    const auto standing = standingOf(worker);
     const bool isOlder = worker.isKnown && std::pair(report.generation, report.sequence) < std::pair(worker.last.generation, worker.last.sequence);
     if (isOlder) {
         return makeError(ErrorKind::Stale, "a newer report of this agent has been taken in", "send a new report");
@@ -278,6 +292,9 @@
     this->takeEnds(worker, report);
     worker.takeProgress(report, now);
     this->dropUnknown(worker, report);
+    if (standingOf(worker) != standing) {
+        this->hasNews.store(true, std::memory_order_release);
+    }
     auto sync = AssignmentBook(this->jobs, this->epoch).makeSync(worker);
     sync.licence = now < this->mandateUntil ? this->terms.licence : Millis(0);
     return sync;
@@ -388,9 +405,15 @@
     }
 }
 
+bool TaskPlacer::isPlanDue() const
+{
+    return this->hasNews.load(std::memory_order_acquire);
+}
+
 void TaskPlacer::plan()
 {
     const std::lock_guard<std::mutex> guard(this->mutex);
+    this->hasNews.store(false, std::memory_order_release);
     const auto now = this->clock.now();
     if (this->epoch == 0) {
         return;
--- a/tests/request/jobsitetest.cpp
+++ b/tests/request/jobsitetest.cpp
@@ -38,6 +38,30 @@
     expectKept(site);
 }
 
+TEST(JobSite, OnlyReportsWithNewsCallForAPlan)
+{
+    JobSite site(1);
+    site.submit(oneStep(1, Half));
+    site.advance(Millis(1000));
+    ASSERT_EQ(runningIn(site), 1U);
+    auto &placer = *site.placers[*site.inOffice].placer;
+    placer.plan();
+    auto report = *site.agents[0].keeper->report();
+    report.runs.front().percent += 1;
+    ASSERT_TRUE(succeeded(placer.report(report)));
+    EXPECT_FALSE(placer.isPlanDue()) << "progress only";
+    ++report.sequence;
+    report.isDraining = true;
+    ASSERT_TRUE(succeeded(placer.report(report)));
+    EXPECT_TRUE(placer.isPlanDue()) << "drains";
+    placer.plan();
+    ++report.sequence;
+    report.ends.push_back({1, report.runs.front().run, RunEnd::Done, "", {}});
+    report.runs.clear();
+    ASSERT_TRUE(succeeded(placer.report(report)));
+    EXPECT_TRUE(placer.isPlanDue()) << "an end";
+}
+
 TEST(JobSite, StartsAStepOnlyAfterThoseItComesAfter)
 {
     JobSite site(3);
