Count a run as standing still only from when it runs

The 2.5 s were counted from the assignment, so the way to the executor, a look once a second and a report every 0.8 s used them up before progress could be seen; each false alarm also kept its worker from new work. Change: counted from the first report of the run at work, and 3 s, two looks and a report. TaskPlacer.TheTimeUntilAStartDoesNotCountAsStandingStill failed first.

--- a/include/waxwingloft/request/liveworker.h
+++ b/include/waxwingloft/request/liveworker.h
@@ -20,7 +20,8 @@
     bool isSent = false; ///< its agent may have been told of it
     std::optional<Instant> expectedEnd;
     std::uint32_t percent = 0;
-    Instant risenAt; ///< when the percentage was last seen to rise
+    bool isRunning = false; ///< its executor was seen to run it
+    Instant risenAt; ///< when it was first seen to run or the percentage last seen to rise
     Millis estimate = Millis(0);
     std::uint64_t leftOutBy = 0; ///< first assignments without it; zero while it is to run
     Capacity needs;
--- a/include/waxwingloft/request/officeterms.h
+++ b/include/waxwingloft/request/officeterms.h
@@ -22,7 +22,7 @@
     Millis soon = Millis(700); ///< expected end of a run that is waited for rather than another one stopped
     Millis waitForEnds = Millis(900); ///< after a job came in; leaves the time of a stop and a start in the shortest reclaim bound
     Millis dueMargin = Millis(100); ///< after a due time by our clock, as clocks of hosts differ; below what callers notice
-    Millis standstill = Millis(2500); ///< without progress, after which a run stands still; two looks at it by its agent and a report
+    Millis standstill = Millis(3000); ///< without progress, after which a run stands still; two looks of 1 s by its agent, a report's 0.8 s and its way
     std::uint32_t movePercent = 50; ///< a run that stands still is started elsewhere before it has done this much
     double slowShare = 0.4; ///< of the median speed, below which a worker is slow; the users' slow-downs are 4 to 6.5 times
     Millis tellingTime = Millis(1000); ///< age from which the progress of a run tells its speed
--- a/src/request/liveworker.cpp
+++ b/src/request/liveworker.cpp
@@ -1,5 +1,7 @@
 #include "waxwingloft/request/liveworker.h"
 
+#include <algorithm>
+
 namespace waxwingloft {
 
 namespace {
@@ -33,8 +35,10 @@
             continue;
         }
         auto &live = found->second;
-        if (reported.percent > live.percent) {
-            live.percent = reported.percent;
+        const bool hasBegun = !live.isRunning && reported.phase != RunPhase::Ordered;
+        live.isRunning = live.isRunning || hasBegun;
+        if (hasBegun || reported.percent > live.percent) {
+            live.percent = std::max(live.percent, reported.percent);
             live.risenAt = now;
         }
         if (reported.percent >= LeastTellingPercent) {
--- /dev/null
+++ b/tests/request/taskplacertest.cpp
@@ -0,0 +1,112 @@
+#include "jobsite.h"
+
+#include <gtest/gtest.h>
+
+namespace waxwingloft::tests {
+
+namespace {
+
+const Capacity Half{64'000, 131'072, 4};
+const Capacity Whole{128'000, 262'144, 8};
+constexpr auto FirstReport = Millis(1000);
+
+/** A placer in office with one agent, whose reports the test writes itself. */
+class OnePlacer
+{
+public:
+    OnePlacer()
+        : placer(this->clock, OfficeTerms(), RankTerms())
+    {
+        this->report.node = NodeId{"a0"};
+        this->report.generation = 1;
+        this->report.epoch = 1;
+        this->report.life = {"e0", 1};
+        this->report.service = "tune";
+        this->report.capacity = Whole;
+        this->placer.takeOffice(1, {});
+        this->placer.renewMandate(this->clock.now());
+        this->send();
+        this->clock.advance(FirstReport);
+    }
+
+    void send()
+    {
+        ++this->report.sequence;
+        this->placer.renewMandate(this->clock.now());
+        ASSERT_TRUE(succeeded(this->placer.report(this->report)));
+    }
+
+    /** Hands a task in that is placed and stored at once, and returns its run. */
+    TaskRun startTask()
+    {
+        JobSubmission submission;
+        submission.id = JobId{"0000000000000001"};
+        submission.service = "tune";
+        submission.acceptedAt = this->clock.wallMillis();
+        submission.maxAttempts = 3;
+        submission.graph = oneStep(1, Half);
+        this->send();
+        this->placer.submit(submission);
+        this->placer.plan();
+        this->placer.written(this->placer.takeWrites(), 2);
+        this->placer.takeSyncs();
+        return {{submission.id, 0, 0, 0}, 1};
+    }
+
+    /** Lets time pass with a report of @p phase and @p percent in each step of a report's length. */
+    void pass(Millis duration, const TaskRun &run, RunPhase phase, std::uint32_t percent)
+    {
+        for (auto left = duration; left > Millis(0); left -= ReportStep) {
+            this->clock.advance(ReportStep);
+            this->report.runs = {{run, phase, "", percent}};
+            this->send();
+            this->placer.plan();
+        }
+    }
+
+    bool isStopped(const TaskRun &run)
+    {
+        ++this->report.sequence;
+        const auto sync = this->placer.report(this->report);
+        const auto &assignments = valueOf(sync).assignments;
+        return std::none_of(assignments.begin(), assignments.end(), [&run](const Assignment &assignment) { return assignment.run == run; });
+    }
+
+    static constexpr auto ReportStep = Millis(100);
+    ManualClock clock;
+    TaskPlacer placer;
+    AgentReport report;
+};
+
+} // namespace
+
+TEST(TaskPlacer, TheTimeUntilAStartDoesNotCountAsStandingStill)
+{
+    OnePlacer site;
+    const auto run = site.startTask();
+    site.pass(Millis(900), run, RunPhase::Ordered, 0);
+    // The agent looks once a second, so a run may be two seconds old before its progress is seen.
+    site.pass(Millis(2000), run, RunPhase::Running, 0);
+    EXPECT_FALSE(site.isStopped(run));
+    site.pass(Millis(2500), run, RunPhase::Running, 20);
+    EXPECT_FALSE(site.isStopped(run));
+}
+
+TEST(TaskPlacer, ARunWithoutProgressIsStopped)
+{
+    OnePlacer site;
+    const auto run = site.startTask();
+    site.pass(Millis(200), run, RunPhase::Ordered, 0);
+    site.pass(Millis(3500), run, RunPhase::Running, 0);
+    EXPECT_TRUE(site.isStopped(run));
+}
+
+TEST(TaskPlacer, ARunThatIsNeverReportedAsRunningIsStopped)
+{
+    OnePlacer site;
+    const auto run = site.startTask();
+    site.pass(Millis(3500), run, RunPhase::Ordered, 0);
+    EXPECT_TRUE(site.isStopped(run));
+}
+
+} // namespace waxwingloft::tests
