Hold leases of six seconds where executors grant longer ones

Ruled out: taking a refused connection for the end of the executor, which resets of connections would imitate. Change: the lease is the shorter of what executors grant and lease_ms (6 s).

--- a/include/waxwingloft/process/nodeconfig.h
+++ b/include/waxwingloft/process/nodeconfig.h
@@ -5,6 +5,7 @@
 #include "waxwingloft/process/nametable.h"
 #include "waxwingloft/process/resources.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -38,6 +39,13 @@
     std::string heartbeatAddress; ///< of an agent: IP:PORT for its executor's heartbeats
     std::string executorAddress; ///< of an agent: IP:PORT of its executor
     Millis longestLease = Millis(6000); ///< that executors grant
+    Millis wantedLease = Millis(6000); ///< bridges 4 s without the agent and its start; what dies with its executor counts as running so long
+
+    /** Returns the lease to hold. */
+    Millis lease() const
+    {
+        return std::min(this->wantedLease, this->longestLease);
+    }
 };
 
 /** The settings file of one process. */
--- a/src/process/daemon/jobagentrole.cpp
+++ b/src/process/daemon/jobagentrole.cpp
@@ -16,7 +16,7 @@
 KeeperTerms keeperTermsOf(const NodeConfig &config)
 {
     KeeperTerms terms;
-    terms.lease = config.jobs.longestLease - LeaseReserve;
+    terms.lease = config.jobs.lease() - LeaseReserve;
     return terms;
 }
 
--- a/src/process/daemon/jobentryrole.cpp
+++ b/src/process/daemon/jobentryrole.cpp
@@ -25,7 +25,7 @@
 OfficeTerms officeTermsOf(const NodeConfig &config)
 {
     OfficeTerms terms;
-    terms.longestLease = Millis(static_cast<std::int64_t>(static_cast<double>(config.jobs.longestLease.count()) / (1.0 - ClockDrift)));
+    terms.longestLease = Millis(static_cast<std::int64_t>(static_cast<double>(config.jobs.lease().count()) / (1.0 - ClockDrift)));
     return terms;
 }
 
--- a/src/process/nodeconfig.cpp
+++ b/src/process/nodeconfig.cpp
@@ -187,6 +187,7 @@
     jobs.address("heartbeats", config.jobs.heartbeatAddress, !isEntry);
     jobs.address("executor", config.jobs.executorAddress, !isEntry);
     config.jobs.longestLease = Millis(jobs.whole("longest_lease_ms", config.jobs.longestLease.count(), 1000, 600'000));
+    config.jobs.wantedLease = Millis(jobs.whole("lease_ms", config.jobs.wantedLease.count(), 1000, 600'000));
     jobs.finish();
 }
 
--- a/tests/process/shardbooktest.cpp
+++ b/tests/process/shardbooktest.cpp
@@ -112,6 +112,16 @@
     }
 }
 
+TEST(NodeConfigTest, holdsNoLongerLeaseThanWantedOrGranted)
+{
+    JobNodeConfig jobs;
+    jobs.wantedLease = Millis(6000);
+    jobs.longestLease = Millis(10'000);
+    EXPECT_EQ(jobs.lease(), Millis(6000));
+    jobs.longestLease = Millis(4000);
+    EXPECT_EQ(jobs.lease(), Millis(4000));
+}
+
 TEST(NodeConfigTest, survivesArbitraryText)
 {
     EXPECT_TRUE(rc::check("parsing any text ends", [](const std::string &text) { RC_ASSERT(!parseNodeConfig(text).mistakes.empty()); }));
