End a whole gang that is cancelled before its agents hear of it

Change: stopping a run that is gone does nothing. TaskPlacer.AGangThatIsCancelledBeforeItsAgentHearsOfItIsOverWhole failed first.

--- a/src/request/taskplacer.cpp
+++ b/src/request/taskplacer.cpp
@@ -157,15 +157,18 @@
     }
 }
 
-/** Stops a run. One that no agent can have been told of is over at once. */
+/** Stops a run. One that no agent can have been told of is over at once, and may end the rest of its gang, so the run may be gone. */
 void TaskPlacer::stopRun(LiveWorker &worker, const TaskRun &run)
 {
-    auto &live = worker.runs.at(run);
-    if (!live.isSent) {
+    const auto live = worker.runs.find(run);
+    if (live == worker.runs.end()) {
+        return;
+    }
+    if (!live->second.isSent) {
         this->endRun(worker, run, RunEnd::Stopped, {});
         return;
     }
-    live.isStopping = true;
+    live->second.isStopping = true;
     worker.needsSync = true;
 }
 
--- a/tests/request/taskplacertest.cpp
+++ b/tests/request/taskplacertest.cpp
@@ -36,21 +36,28 @@
         ASSERT_TRUE(succeeded(this->placer.report(this->report)));
     }
 
-    /** Hands a task in that is placed and stored at once, and returns its run. */
-    TaskRun startTask()
+    /** Hands a job in that is placed but not stored. */
+    JobId place(const JobGraph &graph)
     {
         JobSubmission submission;
         submission.id = JobId{"0000000000000001"};
         submission.service = "tune";
         submission.acceptedAt = this->clock.wallMillis();
         submission.maxAttempts = 3;
-        submission.graph = oneStep(1, Half);
+        submission.graph = graph;
         this->send();
         this->placer.submit(submission);
         this->placer.plan();
+        return submission.id;
+    }
+
+    /** Hands a task in that is placed and stored at once, and returns its run. */
+    TaskRun startTask()
+    {
+        const auto job = this->place(oneStep(1, Half));
         this->placer.written(this->placer.takeWrites(), 2);
         this->placer.takeSyncs();
-        return {{submission.id, 0, 0, 0}, 1};
+        return {{job, 0, 0, 0}, 1};
     }
 
     /** Lets time pass with a report of @p phase and @p percent in each step of a report's length. */
@@ -109,4 +116,13 @@
     EXPECT_TRUE(site.isStopped(run));
 }
 
+TEST(TaskPlacer, AGangThatIsCancelledBeforeItsAgentHearsOfItIsOverWhole)
+{
+    OnePlacer site;
+    const auto job = site.place(oneStep(2, Half, true));
+    ASSERT_EQ(site.placer.view().assigned, 2U);
+    site.placer.cancel(job);
+    EXPECT_EQ(site.placer.view().assigned, 0U);
+}
+
 } // namespace waxwingloft::tests
