Give an entry calls on the store by the store's rate

Each change of placer also makes agents that are gone count as under way for longer. Ruled out: processor time (0.034 of 0.12 cores), the link, the store (no refusals). Change: the template hands on the store's rate of writes, an entry may make 0.4 of it in calls.

--- a/include/waxwingloft/process/nodeconfig.h
+++ b/include/waxwingloft/process/nodeconfig.h
@@ -41,6 +41,15 @@
     Millis longestLease = Millis(6000); ///< that executors grant
     Millis wantedLease = Millis(6000); ///< bridges 4 s without the agent and its start; what dies with its executor counts as running so long
 
+    double storeWritesPerSecond = 100.0; ///< that the store takes from all processes together
+
+    /** Returns the calls on the store that an entry may make a second; only the placer in office comes near it. */
+    double entryCallsPerSecond() const
+    {
+        constexpr double EntryShare = 0.4; ///< leaves the greater part to submissions at the other entries
+        return EntryShare * this->storeWritesPerSecond;
+    }
+
     /** Returns the lease to hold. */
     Millis lease() const
     {
--- a/src/process/daemon/jobnode.cpp
+++ b/src/process/daemon/jobnode.cpp
@@ -15,6 +15,11 @@
 constexpr std::size_t EventsKept = 2000; ///< hosts have little memory; the log has all of them
 constexpr std::size_t LargestHealthBody = 4096;
 
+double callsPerSecond(const NodeConfig &config)
+{
+    return config.role == NodeRole::JobEntry ? config.jobs.entryCallsPerSecond() : config.tableCallsPerSecond;
+}
+
 } // namespace
 
 JobNode::JobNode(const NodeConfig &config)
@@ -28,7 +33,7 @@
           this->store, this->store, this->rpc, this->clock, [this] { return this->office.peers(); }, RelayTerms())
     , table(this->relay,
             this->clock,
-            TableBudget{config.tableCallsPerSecond, config.tableCallsPerSecond * 2, SettleTries, Millis(50), LongestBackoff, FailuresToOpen},
+            TableBudget{callsPerSecond(config), callsPerSecond(config) * 2, SettleTries, Millis(50), LongestBackoff, FailuresToOpen},
             IdSource::entropySeed())
     , http(config.httpAddress, *this, HttpTerms{HealthThreads, LargestHealthBody, Millis(5000), Millis(5000), Millis(5000)})
 {
--- a/src/process/nodeconfig.cpp
+++ b/src/process/nodeconfig.cpp
@@ -70,6 +70,20 @@
         return *value;
     }
 
+    double rate(std::string_view key, double fallback, double lowest, double highest)
+    {
+        const auto *const node = this->find(key, false);
+        if (node == nullptr) {
+            return fallback;
+        }
+        const auto value = node->value<double>();
+        if (!value || !(*value >= lowest && *value <= highest)) {
+            this->fail(node->source(), key, "expected a number from " + std::to_string(lowest) + " to " + std::to_string(highest));
+            return fallback;
+        }
+        return *value;
+    }
+
     void address(std::string_view key, std::string &field, bool isRequired)
     {
         this->text(key, field, isRequired);
@@ -187,6 +201,7 @@
     jobs.address("heartbeats", config.jobs.heartbeatAddress, !isEntry);
     jobs.address("executor", config.jobs.executorAddress, !isEntry);
     config.jobs.longestLease = Millis(jobs.whole("longest_lease_ms", config.jobs.longestLease.count(), 1000, 600'000));
+    config.jobs.storeWritesPerSecond = jobs.rate("store_writes_per_s", config.jobs.storeWritesPerSecond, 1.0, 1e6);
     config.jobs.wantedLease = Millis(jobs.whole("lease_ms", config.jobs.wantedLease.count(), 1000, 600'000));
     jobs.finish();
 }
--- a/tests/process/shardbooktest.cpp
+++ b/tests/process/shardbooktest.cpp
@@ -112,6 +112,18 @@
     }
 }
 
+TEST(NodeConfigTest, anEntrysCallsOnTheStoreFollowTheRateOfTheStore)
+{
+    const std::string head = "role = \"job-entry\"\nnode = \"n\"\nrpc_address = \"127.0.0.1:1\"\nhttp_address = \"127.0.0.1:2\"\n[place]\nregion = \"r\"\n"
+                             "data_centre = \"d\"\n[jobs]\nstore = \"127.0.0.1:3\"\nfront = \"127.0.0.1:4\"\nready = \"127.0.0.1:5\"\n";
+    for (const auto *const rate : {"800", "800.0"}) {
+        const auto parsed = parseNodeConfig(head + "store_writes_per_s = " + rate + "\n");
+        EXPECT_TRUE(parsed.mistakes.empty());
+        EXPECT_DOUBLE_EQ(parsed.config.jobs.entryCallsPerSecond(), 320.0);
+    }
+    EXPECT_EQ(parseNodeConfig(head + "store_writes_per_s = 0\n").mistakes.size(), 1U);
+}
+
 TEST(NodeConfigTest, holdsNoLongerLeaseThanWantedOrGranted)
 {
     JobNodeConfig jobs;
