Let an agent wait for the end of a lost executor's lease before it stops

The agent was stopped at 15.0 s, 1.5 s before the lease of its silent executor was over (10.4 s and 6.1 s), and nobody else could tell the placer: after three changes of placer the run counted as under way until 53.2 s. Ruled out: a deregistration that was overlooked (none was sent). A healthy executor's agent stops at once as before.

--- a/include/waxwingloft/request/executoragent.h
+++ b/include/waxwingloft/request/executoragent.h
@@ -25,6 +25,7 @@
     Millis officeReadAfter = Millis(500); ///< silence of the placer after which the row of the office is read again
     Millis orderInterval = Millis(200); ///< between looks for orders to repeat
     Millis holdRetry = Millis(100); ///< after a question that was not answered
+    Millis finishLook = Millis(50); ///< between looks for ends before this process stops
     std::size_t orderThreads = 3; ///< orders under way at once; starts of one gang overlap
 };
 
@@ -48,6 +49,12 @@
     void start();
     void stop();
 
+    /**
+     * Waits, at most @p limit, until the placer knows that all is over at an executor that left or is silent.
+     * Nobody else can tell it so, and it would have to wait for the longest lease. Returns whether all is known.
+     */
+    bool finish(Millis limit);
+
     Message handle(const Header &header, const Message &message) override;
     void heartbeat(const ExecutorHeartbeat &heartbeat) override;
     void deregister(const std::string &executorId) override;
--- a/include/waxwingloft/request/executorkeeper.h
+++ b/include/waxwingloft/request/executorkeeper.h
@@ -50,6 +50,9 @@
 public:
     ExecutorKeeper(Clock &clock, NodeId node, std::string address, KeeperTerms terms);
 
+    /** Whether an executor that left or does not answer has runs whose end the placer does not know yet. */
+    bool awaitsEnds() const;
+
     /** Whether a new number is to be drawn: at the start, and when the executor has begun another life under its id. */
     bool needsGeneration() const;
 
--- a/src/process/daemon/jobagentrole.cpp
+++ b/src/process/daemon/jobagentrole.cpp
@@ -50,10 +50,10 @@
     }
 
     /** What runs goes on under its lease until the next start of this agent takes it over. */
-    bool finish(Millis /*limit*/) override
+    bool finish(Millis limit) override
     {
         this->node.isLeaving.store(true, std::memory_order_release);
-        return true;
+        return this->agent.finish(limit);
     }
 
 private:
--- a/src/request/executoragent.cpp
+++ b/src/request/executoragent.cpp
@@ -65,6 +65,19 @@
     this->orders->close();
 }
 
+bool ExecutorAgent::finish(Millis limit)
+{
+    const auto deadline = this->clock.now() + limit;
+    while (this->keeper.awaitsEnds()) {
+        if (this->clock.now() >= deadline) {
+            this->log.warn("Stopping before the placer knows that all runs of the executor are over; it waits for their lease.");
+            return false;
+        }
+        this->clock.sleepFor(this->terms.finishLook);
+    }
+    return true;
+}
+
 Message ExecutorAgent::handle(const Header & /*header*/, const Message &message)
 {
     const auto *const sync = std::get_if<AssignmentSync>(&message);
--- a/src/request/executorkeeper.cpp
+++ b/src/request/executorkeeper.cpp
@@ -460,6 +460,13 @@
     return report;
 }
 
+bool ExecutorKeeper::awaitsEnds() const
+{
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    const bool isGone = this->hasLeft || this->silences >= this->terms.silencesToUnreachable;
+    return this->latest && isGone && !(this->entries.empty() && this->ends.empty());
+}
+
 bool ExecutorKeeper::needsGeneration() const
 {
     const std::lock_guard<std::mutex> guard(this->mutex);
--- a/tests/request/executorkeepertest.cpp
+++ b/tests/request/executorkeepertest.cpp
@@ -226,4 +226,20 @@
     EXPECT_TRUE(this->keeper.report()->isDraining);
 }
 
+TEST_F(ExecutorKeeperTest, AwaitsTheEndsOfAnExecutorThatIsGoneUntilThePlacerKnows)
+{
+    this->keeper.applyAnswer(sync(1, {First}), this->clock.now());
+    this->answerHold({First});
+    EXPECT_FALSE(this->keeper.awaitsEnds()) << "what runs goes on without this agent";
+    this->failHold();
+    this->failHold();
+    EXPECT_TRUE(this->keeper.awaitsEnds()) << "the lease is not over";
+    this->clock.advance(this->terms.lease * 2);
+    this->failHold();
+    ASSERT_EQ(this->keeper.report()->ends.size(), 1U);
+    EXPECT_TRUE(this->keeper.awaitsEnds()) << "the placer does not know";
+    this->keeper.applyAnswer(sync(2, {}), this->clock.now());
+    EXPECT_FALSE(this->keeper.awaitsEnds());
+}
+
 } // namespace waxwingloft::tests
