Halve the mandate of a placer without the store

A successor waits for mandate, licence and lease of agents that it never heard from: 17.4 s with 8 s of mandate, 13.4 s with 4 s. Work still outlasts an outage of the store of 12 s; the users' outages are up to 9 s.

--- a/include/waxwingloft/request/officeterms.h
+++ b/include/waxwingloft/request/officeterms.h
@@ -14,7 +14,8 @@
     Millis licence = Millis(3000); ///< an agent may prolong its executor's lease this long after a report
     Millis longestLease = Millis(6020); ///< of an executor, on our clock: the lease by a clock that is 2% slow
     Millis margin = Millis(300); ///< for rounding and for the time of an answer
-    Millis mandate = Millis(8000); ///< a placer that has lost the table grants licences this long after its last renewal
+    Millis mandate = Millis(
+        4000); ///< a placer that has lost the table grants licences so long after its last renewal; with licence and lease, work outlasts an outage of 12 s
     Millis settleTime = Millis(400); ///< after taking office, for the agents to report
     Millis freshness = Millis(2000); ///< an agent that was silent for longer gets no new work
     Millis refusalPause = Millis(500); ///< a worker that refused a start for want of health or room gets no new work
