Report the lapse of a run that was to stop, and drop runs that a silent executor's agent lacks

Change: an end that the executor does not list is kept until a report with it was answered, and an agent's list of runs counts also while its executor is silent, as the agent keeps runs until their lease is over. Both tests failed first.

--- a/include/waxwingloft/request/executorkeeper.h
+++ b/include/waxwingloft/request/executorkeeper.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -139,6 +140,8 @@
     std::optional<Millis> clockAhead; ///< of the executor before ours
     std::map<TaskRun, Entry> entries;
     std::vector<EndReport> ends;
+    std::set<TaskRun> reportedEnds; ///< in the last report
+    std::set<TaskRun> answeredEnds; ///< in the last report that was answered
 };
 
 } // namespace waxwingloft
--- a/src/request/executorkeeper.cpp
+++ b/src/request/executorkeeper.cpp
@@ -117,6 +117,7 @@
         const std::lock_guard<std::mutex> guard(this->mutex);
         if (sync.epoch >= this->highestEpoch) {
             this->licenceUntil = std::max(this->licenceUntil, sentAt + sync.licence);
+            this->answeredEnds = this->reportedEnds;
         }
         hasNews = this->adopt(sync);
     }
@@ -150,7 +151,10 @@
         this->takeAssignment(assignment);
     }
     const bool hasNews = this->entries.size() != entriesBefore || this->ends.size() != endsBefore;
-    std::erase_if(this->ends, [this, &wanted](const EndReport &end) { return end.number > 0 ? end.number <= this->notedEnds : !wanted.contains(end.run); });
+    // An end that the executor does not list is kept until a report with it was answered.
+    std::erase_if(this->ends, [this, &wanted](const EndReport &end) {
+        return end.number > 0 ? end.number <= this->notedEnds : !wanted.contains(end.run) && this->answeredEnds.contains(end.run);
+    });
     for (auto &[run, entry] : this->entries) {
         if (!wanted.contains(run) && !entry.isStopWanted) {
             hasStops = true;
@@ -457,6 +461,10 @@
         report.runs.push_back({run, entry.phase, entry.checkpoint, entry.percent});
     }
     report.ends = this->ends;
+    this->reportedEnds.clear();
+    for (const auto &end : this->ends) {
+        this->reportedEnds.insert(end.run);
+    }
     return report;
 }
 
--- a/src/request/taskplacer.cpp
+++ b/src/request/taskplacer.cpp
@@ -325,7 +325,7 @@
 /** Ends runs that were left out of assignments which the agent has taken over, and that it does not have. */
 void TaskPlacer::dropUnknown(LiveWorker &worker, const AgentReport &report)
 {
-    if (report.epoch != this->epoch || !report.isReachable) {
+    if (report.epoch != this->epoch) {
         return;
     }
     std::set<TaskRun> reported;
--- a/tests/request/executorkeepertest.cpp
+++ b/tests/request/executorkeepertest.cpp
@@ -242,4 +242,20 @@
     EXPECT_FALSE(this->keeper.awaitsEnds());
 }
 
+TEST_F(ExecutorKeeperTest, TheLapseOfARunThatWasToStopIsReportedBeforeItIsForgotten)
+{
+    this->keeper.applyAnswer(sync(1, {First}), this->clock.now());
+    this->answerHold({First});
+    this->keeper.applyAnswer(sync(2, {}), this->clock.now());
+    this->failHold();
+    this->failHold();
+    this->clock.advance(this->terms.lease * 2);
+    this->failHold();
+    this->keeper.apply(sync(3, {}));
+    ASSERT_EQ(this->keeper.report()->ends.size(), 1U) << "these assignments were sent before the placer heard of the end";
+    EXPECT_EQ(this->keeper.report()->ends[0].end, RunEnd::Lapsed);
+    this->keeper.applyAnswer(sync(4, {}), this->clock.now());
+    EXPECT_TRUE(this->keeper.report()->ends.empty());
+}
+
 } // namespace waxwingloft::tests
--- a/tests/request/taskplacertest.cpp
+++ b/tests/request/taskplacertest.cpp
@@ -125,4 +125,19 @@
     EXPECT_EQ(site.placer.view().assigned, 0U);
 }
 
+TEST(TaskPlacer, ARunThatItsAgentDoesNotHaveIsOverAlsoWhileTheExecutorIsSilent)
+{
+    OnePlacer site;
+    const auto run = site.startTask();
+    site.pass(Millis(500), run, RunPhase::Running, 10);
+    site.placer.cancel(run.task.job);
+    site.report.isReachable = false;
+    site.send();
+    ASSERT_EQ(site.placer.view().assigned, 1U) << "it is still reported";
+    site.report.syncSequence = 1000;
+    site.report.runs.clear();
+    site.send();
+    EXPECT_EQ(site.placer.view().assigned, 0U);
+}
+
 } // namespace waxwingloft::tests
