Let a gang without room keep some clear at once

Room is not kept clear for what can never fit, nor while most of the fleet is idle, so that no small job waits beside idle workers; an urgent gang that may not stop enough keeps room clear as well.

--- a/bench/decisionbench.cpp
+++ b/bench/decisionbench.cpp
@@ -186,7 +186,6 @@
             tasks.priority = isUrgent ? 0 : 2;
             tasks.rank = isUrgent ? 10.0 : 1.0;
             tasks.mayLoseWork = isUrgent ? 150.0 : 0.0;
-            tasks.mayReserve = isUrgent;
             this->waiting.push_back(std::move(tasks));
         }
         std::stable_sort(
--- a/include/waxwingloft/request/officeplanner.h
+++ b/include/waxwingloft/request/officeplanner.h
@@ -69,7 +69,6 @@
         bool isEntitled = false;
         bool isUrgent = false; ///< of the first priority, and still in time
         bool isYoung = false;
-        bool hasWaitedLong = false;
     };
 
     /** The workers of the plan; indices are those of the step planner. */
--- a/include/waxwingloft/request/officeterms.h
+++ b/include/waxwingloft/request/officeterms.h
@@ -28,7 +28,6 @@
     double slowShare = 0.4; ///< of the median speed, below which a worker is slow; the users' slow-downs are 4 to 6.5 times
     Millis tellingTime = Millis(1000); ///< age from which the progress of a run tells its speed
     HealthTerms health = {2, 3, Millis(4000), Millis(60'000)}; ///< quarantine of workers that fail what they start; their failing spells last about 6 s
-    Millis reserveAfter = Millis(1500); ///< a gang that waited this long keeps room clear for itself
     std::size_t batchRows = 40; ///< rows in one transaction; each counts as a condition and a write, of which 100 are allowed
 };
 
--- a/include/waxwingloft/request/stepplanner.h
+++ b/include/waxwingloft/request/stepplanner.h
@@ -37,7 +37,6 @@
     std::vector<bool> avoided; ///< workers that the task failed on; empty for none
     double mayLoseWork = 0.0; ///< core seconds of other work that may be thrown away to make room; zero for none
     bool canWait = false; ///< room that comes free by itself in a moment is better than stopping work
-    bool mayReserve = false; ///< keeps room that it could use soon clear of what comes after it
     std::uint32_t maxPerWorker = 0; ///< zero for no limit
     std::vector<std::uint32_t> present; ///< tasks of the step by worker; empty for none anywhere
 };
@@ -75,7 +74,8 @@
  * Decides which waiting tasks start where, and what is stopped for those that may reclaim.
  *
  * @p waiting is in order of precedence. Small tasks are packed tightly, so that whole workers and racks
- * stay free for large gangs. A gang goes to one rack where one could hold it.
+ * stay free for large gangs. A gang goes to one rack where one could hold it. While at least half of the
+ * fleet is at work, a gang that finds no room keeps some clear of what comes after it.
  */
 StepPlan planSteps(const std::vector<PlannerWorker> &workers, const std::vector<WaitingTasks> &waiting, const std::vector<RunningTasks> &running);
 
--- a/src/request/officeplanner.cpp
+++ b/src/request/officeplanner.cpp
@@ -166,7 +166,6 @@
         base.job = &job;
         base.isEntitled = entitled.contains(id);
         base.rank = this->rankOf(job, fleet);
-        base.hasWaitedLong = this->now - job.knownSince >= this->state.terms.reserveAfter;
         base.isYoung = this->now - job.knownSince < this->state.terms.waitForEnds;
         base.isUrgent = job.submission.priority == 0 && this->state.rank.isInTime(job.submission, job.progress, this->wallNow);
         for (std::uint32_t occurrence = 0; occurrence < job.progress.occurrences.size(); ++occurrence) {
@@ -253,7 +252,6 @@
     waiting.avoided = this->avoidedBy(unit, fleet);
     waiting.mayLoseWork = unit.isEntitled ? std::numeric_limits<double>::infinity() : (unit.isUrgent ? this->state.terms.urgentMayLose : 0.0);
     waiting.canWait = unit.isYoung;
-    waiting.mayReserve = unit.hasWaitedLong && step.isGang;
     waiting.maxPerWorker = step.maxPerExecutor;
     if (step.maxPerExecutor > 0) {
         waiting.present.assign(fleet.workers.size(), 0);
--- a/src/request/stepplanner.cpp
+++ b/src/request/stepplanner.cpp
@@ -165,9 +165,8 @@
         if (isWhole) {
             return;
         }
-        if (tasks.mayLoseWork > 0.0) {
-            this->reclaim(demand);
-        } else if (tasks.mayReserve) {
+        const bool isMakingRoom = tasks.mayLoseWork > 0.0 && this->reclaim(demand);
+        if (!isMakingRoom && tasks.isGang && this->isBusy()) {
             this->reserve(demand);
         }
     }
@@ -312,8 +311,8 @@
         double lostWork = 0.0;
     };
 
-    /** Stops the cheapest set of work that makes room, and keeps that room for @p demand. */
-    void reclaim(const Demand &demand)
+    /** Stops the cheapest set of work that makes room, and keeps that room for @p demand. Returns whether there is one. */
+    bool reclaim(const Demand &demand)
     {
         const auto victims = this->victimsFor(demand.tasks);
         std::optional<Reclaim> best;
@@ -324,7 +323,7 @@
             }
         }
         if (!best) {
-            return;
+            return false;
         }
         for (const auto victim : best->victims) {
             this->isStopped[victim] = true;
@@ -333,6 +332,7 @@
             }
         }
         this->take(best->places, demand.tasks);
+        return true;
     }
 
     /** All work that may be taken for @p tasks, cheapest first. */
@@ -410,27 +410,39 @@
         return this->comesFree(victim, tasks) ? 0.0 : this->running[victim].lostWork;
     }
 
-    /** Keeps the group with the most room for a gang that has waited long, so that it is not overtaken for ever. */
+    /** Keeps the group with the most room clear for a gang, so that it is not overtaken for ever by what fits into less. */
     void reserve(const Demand &demand)
     {
+        std::vector<Capacity> whole;
+        for (const auto &worker : this->workers) {
+            whole.push_back(worker.capacity);
+        }
         const Group *best = nullptr;
         std::int64_t most = -1;
         const auto groups = this->groupsFor(demand);
         for (const auto &group : groups) {
             const auto room = this->roomIn(group, this->free);
-            if (room > most) {
+            if (room > most && demand.fitsInto(group, whole)) {
                 best = &group;
                 most = room;
             }
         }
-        if (best == nullptr) {
-            return;
+        if (best != nullptr) {
+            this->take(this->fill(*best, demand, whole), demand.tasks);
         }
-        std::vector<Capacity> whole;
+    }
+
+    /** Whether so much of the fleet is at work that room kept clear is not kept from work for nothing. */
+    bool isBusy() const
+    {
+        Capacity total;
+        Capacity free;
         for (const auto &worker : this->workers) {
-            whole.push_back(worker.capacity);
+            total += worker.acceptsWork ? worker.capacity : Capacity();
+            free += worker.acceptsWork ? worker.free : Capacity();
         }
-        this->take(this->fill(*best, demand, whole), demand.tasks);
+        const auto isHalfUsed = [](std::int64_t whole, std::int64_t left) { return whole > 0 && left * 2 <= whole; };
+        return isHalfUsed(total.milliCores, free.milliCores) || isHalfUsed(total.memoryMb, free.memoryMb) || isHalfUsed(total.accelerators, free.accelerators);
     }
 
     const std::vector<PlannerWorker> &workers;
--- a/tests/request/stepplannertest.cpp
+++ b/tests/request/stepplannertest.cpp
@@ -160,14 +160,31 @@
     EXPECT_TRUE(plan.starts.empty());
 }
 
-TEST(PlanSteps, AGangThatWaitedLongKeepsRoomClear)
+TEST(PlanSteps, AGangWithoutRoomKeepsSomeClear)
 {
-    auto gang = tasks(1, Whole, true);
-    gang.mayReserve = true;
+    const auto gang = tasks(1, Whole, true);
     const std::vector<PlannerWorker> workers = {worker("w0", "r1", 4)};
     EXPECT_TRUE(planSteps(workers, {gang, tasks(4, One)}, {}).starts.empty());
-    gang.mayReserve = false;
-    EXPECT_EQ(planSteps(workers, {gang, tasks(4, One)}, {}).starts.size(), 1U);
+    EXPECT_EQ(planSteps(workers, {tasks(4, One)}, {}).starts.size(), 1U);
+}
+
+TEST(PlanSteps, AnUrgentGangThatMayNotStopEnoughKeepsRoomClear)
+{
+    const auto plan = planSteps({worker("w0", "r1", 4)}, {urgent(Whole, 50.0), tasks(4, One)}, {runs(0, 4, One, 100.0, 2)});
+    EXPECT_TRUE(plan.stops.empty());
+    EXPECT_TRUE(plan.starts.empty()) << "the room of the small tasks is needed soon";
+}
+
+TEST(PlanSteps, RoomIsNotKeptClearForWhatCanNeverFit)
+{
+    const std::vector<PlannerWorker> workers = {worker("w0", "r1", 4)};
+    EXPECT_EQ(planSteps(workers, {tasks(2, Whole, true), tasks(4, One)}, {}).starts.size(), 1U);
+}
+
+TEST(PlanSteps, RoomIsNotKeptClearWhileMostOfTheFleetIsIdle)
+{
+    const std::vector<PlannerWorker> workers = {worker("w0", "r1", 7), worker("w1", "r1", 7)};
+    EXPECT_EQ(planSteps(workers, {tasks(2, Whole, true), tasks(4, One)}, {}).starts.size(), 1U);
 }
 
 TEST(PlanSteps, TheLimitForOneWorkerCountsWhatWasJustPlaced)
