Keep room clear on the emptiest workers, for each gang its own

Change: a gang keeps the workers with the most room left clear, which earlier gangs' room is not part of. PlanSteps.RoomIsKeptClearWhereItComesFreeSoonestAndNotTwice failed first.

--- a/src/request/stepplanner.cpp
+++ b/src/request/stepplanner.cpp
@@ -428,10 +428,26 @@
             }
         }
         if (best != nullptr) {
-            this->take(this->fill(*best, demand, whole), demand.tasks);
+            this->take(this->emptiest(*best, demand), demand.tasks);
         }
     }
 
+    /** One worker a task, those with the most room first, as they can be empty soonest. */
+    std::vector<std::size_t> emptiest(const Group &group, const Demand &demand) const
+    {
+        auto order = group;
+        std::stable_sort(order.begin(), order.end(), [this](std::size_t left, std::size_t right) {
+            return std::tuple(this->free[left].accelerators, this->free[left].milliCores)
+                > std::tuple(this->free[right].accelerators, this->free[right].milliCores);
+        });
+        std::vector<std::size_t> places;
+        for (const auto worker : order) {
+            const auto left = demand.left - static_cast<std::uint32_t>(places.size());
+            places.insert(places.end(), std::min(left, demand.fits(worker, this->workers[worker].capacity)), worker);
+        }
+        return places;
+    }
+
     /** Whether so much of the fleet is at work that room kept clear is not kept from work for nothing. */
     bool isBusy() const
     {
--- a/tests/request/stepplannertest.cpp
+++ b/tests/request/stepplannertest.cpp
@@ -175,6 +175,15 @@
     EXPECT_TRUE(plan.starts.empty()) << "the room of the small tasks is needed soon";
 }
 
+TEST(PlanSteps, RoomIsKeptClearWhereItComesFreeSoonestAndNotTwice)
+{
+    const std::vector<PlannerWorker> workers = {worker("w0", "r1", 0), worker("w1", "r1", 6), worker("w2", "r1", 4)};
+    const auto one = planSteps(workers, {tasks(1, Whole, true), tasks(10, One)}, {});
+    ASSERT_EQ(one.starts.size(), 1U);
+    EXPECT_EQ(one.starts[0].workers, (std::vector<std::size_t>(4, 2))) << "the emptiest worker is kept clear";
+    EXPECT_TRUE(planSteps(workers, {tasks(1, Whole, true), tasks(1, Whole, true), tasks(10, One)}, {}).starts.empty()) << "each gang has its own";
+}
+
 TEST(PlanSteps, RoomIsNotKeptClearForWhatCanNeverFit)
 {
     const std::vector<PlannerWorker> workers = {worker("w0", "r1", 4)};
