Explain a job from the logs of all processes

waxwingloft explain ID LOGFILE puts the lines of one job in order, adds the warnings about executors that ran it, and says how long each phase took and which was not reached.

--- a/cli/commands.cpp
+++ b/cli/commands.cpp
@@ -1,5 +1,6 @@
 #include "commands.h"
 
+#include "jobstory.h"
 #include "settingsfile.h"
 #include "waxwingloft/process/nearestname.h"
 #include "waxwingloft/process/outcome.h"
@@ -8,6 +9,7 @@
 #include <array>
 #include <chrono>
 #include <fstream>
+#include <iostream>
 #include <sstream>
 #include <thread>
 
@@ -71,6 +73,7 @@
     {"status", 0, "status", "show members, guarantees, queues and what is degraded", &Commands::status},
     {"drain", 1, "drain NODE", "let a backend server or worker finish and take no new work", &Commands::drain},
     {"timeline", 0, "timeline [--filter=TEXT] [--since_ms=MS] [--trace=FILE]", "merge the events of all processes", &Commands::timeline},
+    {"explain", 2, "explain ID LOGFILE", "tell the story of one job from the logs of all processes, - for standard input", &Commands::explain},
 };
 
 Commands::Commands(const Options &options, std::ostream &out, std::ostream &err)
@@ -265,6 +268,32 @@
     return this->printAnswer(this->operatorClient().post("/v1/nodes/" + arguments[0] + "/drain", "{}"));
 }
 
+ExitCode Commands::explain(const Words &arguments)
+{
+    std::ifstream file;
+    const bool isStandardInput = arguments[1] == "-";
+    if (!isStandardInput) {
+        file.open(arguments[1]);
+        if (!file) {
+            this->err << "cannot read " << arguments[1] << "; name a file with the log lines of all processes, or - for standard input\n";
+            return ExitCode::Usage;
+        }
+    }
+    auto &input = isStandardInput ? std::cin : static_cast<std::istream &>(file);
+    JobStory story(arguments[0]);
+    for (std::string text; std::getline(input, text);) {
+        auto line = parseLogLine(text);
+        if (line) {
+            story.add(std::move(*line));
+        }
+    }
+    if (!story.print(this->out)) {
+        this->err << "no line names job " << arguments[0] << "; give the logs of all entries and agents of that time\n";
+        return ExitCode::Failed;
+    }
+    return ExitCode::Ok;
+}
+
 ExitCode Commands::timeline(const Words & /*arguments*/)
 {
     const auto answer = this->operatorClient().get("/v1/timeline?since_ms=" + std::to_string(this->options.sinceMs));
--- a/cli/commands.h
+++ b/cli/commands.h
@@ -84,6 +84,7 @@
     ExitCode status(const Words &arguments);
     ExitCode drain(const Words &arguments);
     ExitCode timeline(const Words &arguments);
+    ExitCode explain(const Words &arguments);
 
     ExitCode changeSettings(const std::string &action, const std::string &path, const nlohmann::json &value);
     ExitCode printAnswer(const Result<EntryAnswer> &answer);
