--- a/src/request/stepplanner.cpp
+++ b/src/request/stepplanner.cpp
@@ -1,10 +1,11 @@
 #include "waxwingloft/request/stepplanner.h"
 
+#include "trialroom.h"
+
 #include <algorithm>
 #include <limits>
 #include <map>
 #include <optional>
-#include <set>
 
 namespace waxwingloft {
 
@@ -12,130 +13,6 @@
 
 constexpr double ClearlyLower = 1.5; ///< ratio of ranks; keeps work from being stopped over a small difference
 
-/** A set of workers that a gang may be spread over. */
-using Group = std::vector<std::size_t>;
-
-std::uint32_t timesIn(const Capacity &room, const Capacity &needs, std::uint32_t limit)
-{
-    auto times = static_cast<std::int64_t>(limit);
-    const auto bound = [&times](std::int64_t have, std::int64_t need) {
-        if (need > 0) {
-            times = std::min(times, std::max<std::int64_t>(have, 0) / need);
-        }
-    };
-    bound(room.milliCores, needs.milliCores);
-    bound(room.memoryMb, needs.memoryMb);
-    bound(room.accelerators, needs.accelerators);
-    return static_cast<std::uint32_t>(times);
-}
-
-Capacity multiplied(const Capacity &needs, std::int64_t times)
-{
-    return {needs.milliCores * times, needs.memoryMb * times, needs.accelerators * times};
-}
-
-bool mayRunOn(const PlannerWorker &worker, const WaitingTasks &tasks)
-{
-    const auto &labels = worker.labels;
-    return worker.acceptsWork && worker.service == tasks.service
-        && (tasks.requiredLabel.empty() || std::find(labels.begin(), labels.end(), tasks.requiredLabel) != labels.end());
-}
-
-std::uint32_t limitOn(std::size_t worker, const WaitingTasks &tasks)
-{
-    if (tasks.maxPerWorker == 0) {
-        return tasks.count;
-    }
-    const auto present = tasks.present.empty() ? 0 : tasks.present[worker];
-    return std::min(tasks.count, tasks.maxPerWorker - std::min(tasks.maxPerWorker, present));
-}
-
-/** What is still to be placed of one waiting entry. */
-struct Demand {
-    Demand(const WaitingTasks &tasks, const std::vector<PlannerWorker> &workers)
-        : tasks(tasks)
-        , left(tasks.count)
-        , limits(workers.size(), 0)
-    {
-        for (std::size_t worker = 0; worker < workers.size(); ++worker) {
-            const bool isAvoided = !tasks.avoided.empty() && tasks.avoided[worker];
-            this->limits[worker] = !isAvoided && mayRunOn(workers[worker], tasks) ? limitOn(worker, tasks) : 0;
-        }
-    }
-
-    std::uint32_t fits(std::size_t worker, const Capacity &room) const
-    {
-        const auto limit = std::min(this->left, this->limits[worker]);
-        return limit == 0 ? 0 : timesIn(room, this->tasks.needs, limit);
-    }
-
-    /** Whether @p group has room for all; it has when its workers have so one by one. */
-    bool fitsInto(const Group &group, const std::vector<Capacity> &room) const
-    {
-        std::uint64_t total = 0;
-        for (const auto worker : group) {
-            total += this->fits(worker, room[worker]);
-            if (total >= this->left) {
-                return true;
-            }
-        }
-        return total >= this->left;
-    }
-
-    const WaitingTasks &tasks;
-    std::uint32_t left = 0; ///< tasks without a place
-    std::vector<std::uint32_t> limits; ///< tasks that a worker may still get, were its room endless
-};
-
-/** Room on trial: keeps count of the tasks that fit while runs are taken out and put back. */
-class TrialRoom
-{
-public:
-    TrialRoom(const Demand &demand, const Group &group, std::vector<Capacity> room)
-        : demand(demand)
-        , room(std::move(room))
-        , isMember(this->room.size(), false)
-    {
-        for (const auto worker : group) {
-            this->isMember[worker] = true;
-            this->total += demand.fits(worker, this->room[worker]);
-        }
-    }
-
-    bool touches(const RunningTasks &running) const
-    {
-        return std::any_of(running.parts.begin(), running.parts.end(), [this](const RunningTasks::Part &part) { return this->isMember[part.worker]; });
-    }
-
-    bool holdsAll() const
-    {
-        return this->total >= this->demand.left;
-    }
-
-    /** Gives the room of @p running back (@p sign 1) or takes it again (-1). */
-    void change(const RunningTasks &running, std::int64_t sign)
-    {
-        for (const auto &part : running.parts) {
-            auto &room = this->room[part.worker];
-            const std::uint64_t before = this->isMember[part.worker] ? this->demand.fits(part.worker, room) : 0;
-            room += multiplied(running.needs, sign * static_cast<std::int64_t>(part.count));
-            const std::uint64_t after = this->isMember[part.worker] ? this->demand.fits(part.worker, room) : 0;
-            this->total = this->total - before + after;
-        }
-    }
-
-    const std::vector<Capacity> &byWorker() const
-    {
-        return this->room;
-    }
-
-private:
-    const Demand &demand;
-    std::vector<Capacity> room;
-    std::vector<bool> isMember;
-    std::uint64_t total = 0;
-};
-
 /** Works out one plan; free room shrinks as tasks are given places. */
 class Planning
 {
