--- a/tests/request/taskplacertest.cpp
+++ b/tests/request/taskplacertest.cpp
@@ -140,4 +140,42 @@
     EXPECT_EQ(site.placer.view().assigned, 0U);
 }
 
+TEST(TaskPlacer, GrantsNoLicenceOnceItsMandateIsOver)
+{
+    OnePlacer site;
+    site.placer.renewMandate(site.clock.now());
+    ++site.report.sequence;
+    EXPECT_EQ(valueOf(site.placer.report(site.report)).licence, OfficeTerms().licence);
+    site.clock.advance(OfficeTerms().mandate);
+    ++site.report.sequence;
+    EXPECT_EQ(valueOf(site.placer.report(site.report)).licence, Millis(0));
+}
+
+TEST(TaskPlacer, AnEndIsNotedOnlyOnceItsRowIsStored)
+{
+    OnePlacer site;
+    const auto run = site.startTask();
+    site.pass(Millis(500), run, RunPhase::Running, 10);
+    site.report.runs.clear();
+    site.report.ends.push_back({1, run, RunEnd::Done, "", {}});
+    ++site.report.sequence;
+    EXPECT_EQ(valueOf(site.placer.report(site.report)).notedEnds, 0U);
+    site.placer.written(site.placer.takeWrites(), 3);
+    ++site.report.sequence;
+    EXPECT_EQ(valueOf(site.placer.report(site.report)).notedEnds, 1U);
+}
+
+TEST(TaskPlacer, AgentsHearOfAStartOnlyOnceItsRowIsStored)
+{
+    OnePlacer site;
+    site.place(oneStep(1, Half));
+    ++site.report.sequence;
+    EXPECT_TRUE(valueOf(site.placer.report(site.report)).assignments.empty());
+    EXPECT_TRUE(site.placer.takeSyncs().empty());
+    site.placer.written(site.placer.takeWrites(), 2);
+    const auto syncs = site.placer.takeSyncs();
+    ASSERT_EQ(syncs.size(), 1U);
+    EXPECT_EQ(syncs[0].sync.assignments.size(), 1U);
+}
+
 } // namespace waxwingloft::tests
