--- a/tests/request/executorkeepertest.cpp
+++ b/tests/request/executorkeepertest.cpp
@@ -258,4 +258,14 @@
     EXPECT_TRUE(this->keeper.report()->ends.empty());
 }
 
+TEST_F(ExecutorKeeperTest, AssignmentsForAnotherLifeAreNotTakenOver)
+{
+    auto other = sync(1, {First});
+    other.life.startedAt += 1;
+    this->keeper.applyAnswer(other, this->clock.now());
+    EXPECT_TRUE(this->keeper.takeDueOrders().empty());
+    this->keeper.applyAnswer(sync(2, {First}), this->clock.now());
+    EXPECT_EQ(this->keeper.takeDueOrders().size(), 1U);
+}
+
 } // namespace waxwingloft::tests
--- a/tests/request/taskplacertest.cpp
+++ b/tests/request/taskplacertest.cpp
@@ -178,4 +178,17 @@
     EXPECT_EQ(syncs[0].sync.assignments.size(), 1U);
 }
 
+TEST(TaskPlacer, AWorkerWithARunThatNobodyAssignedGetsNothing)
+{
+    OnePlacer site;
+    const TaskRun orphan{{JobId{"0000000000000009"}, 0, 0, 0}, 1};
+    site.report.runs = {{orphan, RunPhase::Running, "", 10}};
+    site.place(oneStep(1, Half));
+    EXPECT_EQ(site.placer.view().assigned, 0U);
+    site.report.runs.clear();
+    site.send();
+    site.placer.plan();
+    EXPECT_EQ(site.placer.view().assigned, 1U);
+}
+
 } // namespace waxwingloft::tests
