agent: Log what proves the end of a run

The placer's log says that a run ended, not why its agent took it to be over, so a refusal, an expired lease and a replaced incarnation look alike. Each end is now logged with its proof, a refusal says whether an earlier start of the run had no answer, and a run that is listed although it counted as over is a warning. No decision changes.

--- /dev/null
+++ b/include/waxwingloft/request/endproof.h
@@ -0,0 +1,25 @@
+#ifndef WAXWINGLOFT_REQUEST_ENDPROOF_H
+#define WAXWINGLOFT_REQUEST_ENDPROOF_H
+
+#include "waxwingloft/process/nametable.h"
+
+namespace waxwingloft {
+
+/** Why an agent takes a run to be over. */
+enum class EndProof {
+    Listed, ///< its executor lists its end
+    Refused, ///< its executor refused to start it
+    Unlisted, ///< its executor no longer lists it
+    LeaseExpired, ///< the executor does not answer, and every lease that it can hold has expired
+    ExecutorLeft, ///< the executor said that it ends
+    NeverOrdered, ///< no start was sent, as the executor drains
+};
+
+template<>
+struct NameTable<EndProof> {
+    static constexpr std::array<std::string_view, 6> names = {"listed", "refused", "unlisted", "lease-expired", "executor-left", "never-ordered"};
+};
+
+} // namespace waxwingloft
+
+#endif
--- a/include/waxwingloft/request/executorcontroller.h
+++ b/include/waxwingloft/request/executorcontroller.h
@@ -4,6 +4,7 @@
 #include "waxwingloft/connection/executorport.h"
 #include "waxwingloft/process/clock.h"
 #include "waxwingloft/process/logger.h"
+#include "waxwingloft/request/endproof.h"
 
 #include <functional>
 #include <map>
@@ -107,8 +108,8 @@
     bool hasEnded(const TaskRun &run) const;
     void applyRunLists(const DueRunListQuery &poll, const RunListAnswer &answer);
     void endUnlistedRuns(const DueRunListQuery &poll, const RunListAnswer &answer);
-    void end(const TaskRun &run, RunEnd how, RefusalReason refusal = RefusalReason::None);
-    void endAll();
+    void end(const EndReport &end, EndProof proof);
+    void endAll(EndProof proof);
     void updateClockOffset(const ExecutorStamp &stamp);
     bool isUnresponsive() const;
     void recordUnansweredPoll();
--- a/src/request/executorcontroller.cpp
+++ b/src/request/executorcontroller.cpp
@@ -94,7 +94,7 @@
         }
         this->log.info("Executor " + executorId + " has left with " + std::to_string(this->entries.size()) + " runs.");
         this->hasLeft = true;
-        this->endAll();
+        this->endAll(EndProof::ExecutorLeft);
         ++this->changeCount;
     }
     this->wake();
@@ -180,7 +180,7 @@
         return;
     }
     if (this->latest->isDraining || this->hasLeft) {
-        this->end(assignment.run, RunEnd::Refused, RefusalReason::Unhealthy);
+        this->end({0, assignment.run, RunEnd::Refused, {}, RefusalReason::Unhealthy}, EndProof::NeverOrdered);
         return;
     }
     Entry entry;
@@ -249,7 +249,13 @@
             return;
         }
         if (refusal != RefusalReason::None) {
-            this->end(order.start.run, RunEnd::Refused, refusal);
+            this->log.warn("An executor refused a run.",
+                           {{"job", order.start.run.task.job.value},
+                            {"task", toString(order.start.run.task)},
+                            {"run", std::to_string(order.start.run.run)},
+                            {"reason", std::string(nameOf(refusal))},
+                            {"earlier_unanswered", entry.isRepeated ? "yes" : "no"}});
+            this->end({0, order.start.run, RunEnd::Refused, entry.checkpoint, refusal}, EndProof::Refused);
         } else {
             entry.phase = entry.isStopWanted ? RunPhase::Stopping : RunPhase::Running;
             entry.conclusiveFrom = this->pollSerial + 1;
@@ -361,7 +367,7 @@
         return;
     }
     this->log.warn("The lease of executor " + this->latest->incarnation.id + " has expired; " + std::to_string(this->entries.size()) + " runs count as ended.");
-    this->endAll();
+    this->endAll(EndProof::LeaseExpired);
     ++this->changeCount;
 }
 
@@ -372,9 +378,19 @@
         ++this->changeCount;
     }
     this->unansweredPolls = 0;
+    const bool isFirstRead = !this->hasRunLists;
     this->hasRunLists = true;
     for (const auto &listed : answer.running) {
-        auto &entry = this->entries[listed.run];
+        const auto [found, isNew] = this->entries.try_emplace(listed.run);
+        auto &entry = found->second;
+        if (isNew && !isFirstRead) {
+            this->log.warn("An executor lists a run that was not ordered or that counted as over.",
+                           {{"job", listed.run.task.job.value},
+                            {"task", toString(listed.run.task)},
+                            {"run", std::to_string(listed.run.run)},
+                            {"executor", poll.incarnation.id},
+                            {"counted_as_over", this->hasEnded(listed.run) ? "yes" : "no"}});
+        }
         const bool hasStarted = entry.phase == RunPhase::Ordered && !entry.isStopWanted;
         entry.phase = entry.isStopWanted ? RunPhase::Stopping : RunPhase::Running;
         entry.conclusiveFrom = entry.conclusiveFrom == 0 ? poll.serial : entry.conclusiveFrom;
@@ -386,8 +402,7 @@
         if (ended.number <= this->acknowledgedEnds || this->hasEnded(ended.run)) {
             continue;
         }
-        this->entries.erase(ended.run);
-        this->ends.push_back(ended);
+        this->end(ended, EndProof::Listed);
         ++this->changeCount;
     }
     this->endUnlistedRuns(poll, answer);
@@ -407,31 +422,30 @@
         }
     }
     for (const auto &run : unlisted) {
-        this->log.info("A run is no longer listed by its executor.",
-                       {{"job", run.task.job.value}, {"task", toString(run.task)}, {"run", std::to_string(run.run)}, {"executor", poll.incarnation.id}});
-        this->end(run, RunEnd::Stopped);
+        this->end({0, run, RunEnd::Stopped, this->entries.at(run).checkpoint, RefusalReason::None}, EndProof::Unlisted);
         ++this->changeCount;
     }
 }
 
-void ExecutorController::endAll()
+void ExecutorController::endAll(EndProof proof)
 {
     while (!this->entries.empty()) {
-        const auto run = this->entries.begin()->first;
-        this->end(run, RunEnd::Lapsed);
+        const auto &[run, entry] = *this->entries.begin();
+        this->end({0, run, RunEnd::Lapsed, entry.checkpoint, RefusalReason::None}, proof);
     }
 }
 
-void ExecutorController::end(const TaskRun &run, RunEnd how, RefusalReason refusal)
+void ExecutorController::end(const EndReport &end, EndProof proof)
 {
-    const auto found = this->entries.find(run);
-    const auto checkpoint = found == this->entries.end() ? std::string() : found->second.checkpoint;
-    this->entries.erase(run);
-    this->ends.push_back({0, run, how, checkpoint, refusal});
-    if (how == RunEnd::Refused) {
-        this->log.warn("An executor refused a run.",
-                       {{"job", run.task.job.value}, {"task", toString(run.task)}, {"run", std::to_string(run.run)}, {"reason", std::string(nameOf(refusal))}});
-    }
+    this->ends.push_back(end);
+    this->entries.erase(this->ends.back().run);
+    this->log.info("A run is over.",
+                   {{"job", end.run.task.job.value},
+                    {"task", toString(end.run.task)},
+                    {"run", std::to_string(end.run.run)},
+                    {"end", std::string(nameOf(end.end))},
+                    {"proof", std::string(nameOf(proof))},
+                    {"executor", this->latest->incarnation.id}});
 }
 
 void ExecutorController::updateClockOffset(const ExecutorStamp &stamp)
