tests: Reproduce two runs of one task after a refused start

The fake executor could give one fate to all orders for a while, never a refusal after an unanswered start, so JobSiteFaults missed this. The checker also missed a task that is started after an end which is acknowledged only later; it now counts that as the platform does.

--- a/tests/connection/fakeexecutor.h
+++ b/tests/connection/fakeexecutor.h
@@ -20,6 +20,7 @@
     Lost, ///< never arrives
     Delayed, ///< no answer; takes effect after a while
     AnswerLost, ///< takes effect at once; no answer
+    Unhealthy, ///< refused without effect, as the executor takes nothing at the moment
 };
 
 /** A run at the fake executor. */
@@ -121,12 +122,14 @@
 
     Result<StartAnswer> start(const ExecutorIncarnation &incarnation, const StartOrder &order) override
     {
-        return this->order<StartAnswer>([this, incarnation, order] { return this->doStart(incarnation, order); });
+        return this->order<StartAnswer>([this, incarnation, order] { return this->doStart(incarnation, order); },
+                                        StartAnswer{this->stamp(), RefusalReason::Unhealthy});
     }
 
     Result<ExecutorStamp> stop(const ExecutorIncarnation &incarnation, const TaskRun &run, std::uint64_t fencingToken) override
     {
-        return this->order<ExecutorStamp>([this, incarnation, run, fencingToken] { return this->doStop(incarnation, run, fencingToken); });
+        return this->order<ExecutorStamp>([this, incarnation, run, fencingToken] { return this->doStop(incarnation, run, fencingToken); },
+                                          makeError(ErrorKind::Unreachable, "unhealthy"));
     }
 
     Result<RunListAnswer> pollRuns(const ExecutorIncarnation &incarnation, const RunListQuery &question) override
@@ -163,6 +166,7 @@
     bool isStalled = false; ///< what runs makes no progress and does not end
     bool isUnreachable = false; ///< answers nothing
     OrderFate fate = OrderFate::Answered;
+    std::function<OrderFate()> drawFate; ///< when set, gives the fate of each order in place of @c fate
     Millis lateBy = Millis(3000);
     Millis stopTime = Millis(400);
     double clockRate = 1.0; ///< of its own clock against ours
@@ -197,17 +201,21 @@
     }
 
     template<typename Answer, typename Action>
-    Result<Answer> order(Action action)
+    Result<Answer> order(Action action, const Result<Answer> &unhealthy)
     {
-        if (this->isUnreachable || this->fate == OrderFate::Lost) {
+        const auto fate = this->drawFate ? this->drawFate() : this->fate;
+        if (this->isUnreachable || fate == OrderFate::Lost) {
             return makeError(ErrorKind::Ambiguous, "no answer");
         }
-        if (this->fate == OrderFate::Delayed) {
+        if (fate == OrderFate::Unhealthy) {
+            return unhealthy;
+        }
+        if (fate == OrderFate::Delayed) {
             this->late.emplace_back(this->clock.now() + this->lateBy, [action] { action(); });
             return makeError(ErrorKind::Ambiguous, "no answer");
         }
         auto answer = action();
-        return this->fate == OrderFate::AnswerLost ? Result<Answer>(makeError(ErrorKind::Ambiguous, "answer lost")) : answer;
+        return fate == OrderFate::AnswerLost ? Result<Answer>(makeError(ErrorKind::Ambiguous, "answer lost")) : answer;
     }
 
     Result<StartAnswer> doStart(const ExecutorIncarnation &incarnation, const StartOrder &order)
--- a/tests/request/jobsite.cpp
+++ b/tests/request/jobsite.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <iterator>
 
 namespace waxwingloft::tests {
 
@@ -98,6 +99,11 @@
     if (this->notedDone.contains(run.task) && !isPerpetualTask) {
         this->violations.push_back("started after it was done: " + describe(run));
     }
+    if (!isPerpetualTask) {
+        std::copy_if(this->doneRuns.begin(), this->doneRuns.end(), std::inserter(this->overtaken, this->overtaken.end()), [&run](const TaskRun &earlier) {
+            return earlier.task == run.task;
+        });
+    }
     Logger(LogPart::Main).info("STARTED " + describe(run) + " at " + executor);
     this->checkOrder(run);
     this->running[executor].insert(run);
@@ -114,13 +120,18 @@
     this->running[executor].erase(run);
     if (how == RunEnd::Done) {
         this->done.insert(run.task);
+        this->doneRuns.insert(run);
     }
 }
 
 void InvariantChecker::noted(const std::string & /*executor*/, const TaskRun &run, RunEnd how)
 {
-    if (how == RunEnd::Done) {
-        this->notedDone.insert(run.task);
+    if (how != RunEnd::Done) {
+        return;
+    }
+    this->notedDone.insert(run.task);
+    if (this->overtaken.contains(run)) {
+        this->violations.push_back("started after it was done, which was noted later: " + describe(run));
     }
 }
 
--- a/tests/request/jobsite.h
+++ b/tests/request/jobsite.h
@@ -45,6 +45,8 @@
     std::set<JobId> forbidden;
     std::set<TaskKey> done;
     std::set<TaskKey> notedDone;
+    std::set<TaskRun> doneRuns;
+    std::set<TaskRun> overtaken; ///< done runs whose task was started again; a violation once such an end is noted
 };
 
 /** An agent with its executor and the times of its next actions. */
--- a/tests/request/jobsitetest.cpp
+++ b/tests/request/jobsitetest.cpp
@@ -2,6 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <array>
+#include <deque>
+#include <functional>
 #include <random>
 
 namespace waxwingloft::tests {
@@ -36,6 +39,19 @@
     return count;
 }
 
+/** Returns fates for successive orders; all later orders are answered. */
+std::function<OrderFate()> fatesInTurn(std::deque<OrderFate> fates)
+{
+    return [fates]() mutable {
+        if (fates.empty()) {
+            return OrderFate::Answered;
+        }
+        const auto next = fates.front();
+        fates.pop_front();
+        return next;
+    };
+}
+
 } // namespace
 
 TEST(JobSite, RunsAJobToItsEnd)
@@ -243,6 +259,37 @@
     expectNoViolations(site);
 }
 
+// A refusal of a repeated start was taken as proof that the earlier, unanswered start had no effect.
+TEST(JobSite, ARunStartedLateAfterItsRepeatWasRefusedRunsNothingTwice)
+{
+    JobSite site(2);
+    site.agents[0].executor->drawFate = fatesInTurn({OrderFate::Delayed, OrderFate::Unhealthy});
+    const auto job = site.submit(oneStep(1, Whole));
+    EXPECT_EQ(site.finish(job, Millis(30'000)), JobPhase::Completed);
+    site.advance(Millis(5000));
+    expectStartedOnce(site);
+    expectNoViolations(site);
+}
+
+// The refusal of a run that had already ended was reported in place of its end.
+TEST(JobSite, ATaskThatIsDoneBeforeItsStartIsAnsweredIsNotStartedAgain)
+{
+    JobSite site(2);
+    for (auto &agent : site.agents) {
+        agent.executor->drawFate = fatesInTurn({OrderFate::AnswerLost});
+        agent.executor->runOf = [](const StartOrder &) {
+            FakeRun run;
+            run.endsAt = Millis(20);
+            return run;
+        };
+    }
+    const auto job = site.submit(oneStep(1, Whole));
+    EXPECT_EQ(site.finish(job, Millis(30'000)), JobPhase::Completed);
+    site.advance(Millis(5000));
+    expectStartedOnce(site);
+    expectNoViolations(site);
+}
+
 TEST(JobSite, AnAgentThatIsCutOffLosesItsRunsOnlyAfterItsLease)
 {
     JobSite site(2);
@@ -437,4 +484,63 @@
 
 INSTANTIATE_TEST_SUITE_P(Seeds, JobSiteFaults, testing::Range<std::uint64_t>(1, 41));
 
+/** Each order meets a fate of its own, so that a late, an unanswered and a refused order for one run follow each other. */
+class JobSiteOrderFates : public testing::TestWithParam<std::uint64_t>
+{
+};
+
+TEST_P(JobSiteOrderFates, AllGuaranteesHold)
+{
+    std::mt19937_64 random(GetParam());
+    const auto draw = [&random](std::uint64_t below) { return random() % below; };
+    JobSite site(5);
+    for (auto &agent : site.agents) {
+        agent.executor->drawFate = [&draw] {
+            constexpr std::array Fates = {OrderFate::Answered,
+                                          OrderFate::Answered,
+                                          OrderFate::Lost,
+                                          OrderFate::Delayed,
+                                          OrderFate::AnswerLost,
+                                          OrderFate::Unhealthy,
+                                          OrderFate::Unhealthy};
+            return Fates.at(draw(Fates.size()));
+        };
+        agent.executor->lateBy = Millis(2000 + static_cast<std::int64_t>(draw(10'000)));
+    }
+    std::vector<JobId> jobs;
+    for (int round = 0; round < 30; ++round) {
+        auto &agent = site.agents[draw(site.agents.size())];
+        switch (draw(10)) {
+        case 0:
+            agent.executor->restart();
+            break;
+        case 1:
+            site.restartAgent(draw(site.agents.size()));
+            break;
+        case 2:
+            site.elect(draw(site.placers.size()));
+            break;
+        case 3:
+            if (!jobs.empty()) {
+                site.cancel(jobs[draw(jobs.size())]);
+            }
+            break;
+        default:
+            jobs.push_back(site.submit(oneStep(1 + static_cast<std::uint32_t>(draw(6)), draw(2) == 0 ? Half : Small, draw(3) == 0), static_cast<int>(draw(3))));
+            break;
+        }
+        site.advance(Millis(draw(1500)));
+    }
+    for (auto &agent : site.agents) {
+        agent.executor->drawFate = nullptr;
+    }
+    site.advance(Millis(90'000));
+    for (const auto &job : jobs) {
+        EXPECT_TRUE(isFinal(site.stateOf(job))) << job.value << " is " << nameOf(site.stateOf(job));
+    }
+    expectNoViolations(site);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, JobSiteOrderFates, testing::Range<std::uint64_t>(1, 41));
+
 } // namespace waxwingloft::tests
