agent: Take a refused run to be over only when none of its starts is open

Callers saw one task run twice at a time, and hosts got more than they have room for. An agent took any refusal of a start as the end of the run. A refusal only says that this one order has no effect: an earlier start without an answer may have been carried out already, or may be carried out seconds later.

What proves that a run is over now stands in one class, AgentRun: its executor lists the end, or a start is refused while no other one is open, or the run is closed (its executor begins it no more) and a later list omits it. A refused run that is not over is stopped: an answered stop closes it, and a refusal as old closes it at once. Until then it keeps its capacity and its task.

--- /dev/null
+++ b/include/waxwingloft/request/agentrun.h
@@ -0,0 +1,92 @@
+#ifndef WAXWINGLOFT_REQUEST_AGENTRUN_H
+#define WAXWINGLOFT_REQUEST_AGENTRUN_H
+
+#include "waxwingloft/connection/taskmessages.h"
+#include "waxwingloft/process/clock.h"
+#include "waxwingloft/process/error.h"
+
+#include <cstdint>
+#include <string>
+
+namespace waxwingloft {
+
+/**
+ * A run at an executor as its agent knows it, and what proves that it is over.
+ *
+ * A run is over only when it is not live now and cannot become live later. An unanswered start may have been carried
+ * out, or may be carried out seconds later, after newer calls; until then it is open, and the refusal of another start
+ * says nothing about it. So a run is over when
+ * - its executor lists its end, or
+ * - a start of it is refused while none is open, or
+ * - it is closed, which means that its executor begins it no more, and a list poll sent after that does not list it.
+ * An executor begins a run no more when it has begun it, has listed it, refuses it as an old one or has answered a stop of it.
+ *
+ * The end of the executor's incarnation and the expiry of its lease end all runs at once; ExecutorController decides on those.
+ */
+class AgentRun
+{
+public:
+    AgentRun() = default;
+    AgentRun(const Assignment &assignment, Instant now);
+
+    bool isStartDue(Instant now) const;
+    bool isStopDue(Instant now) const;
+
+    /** Whether a stop is wanted, also when it has been answered. */
+    bool isStopWanted() const;
+
+    /** Wants the run stopped, from @p now on. */
+    void stop(Instant now);
+
+    /** Records that the start or stop that is due was sent. */
+    void orderSent(bool isStop);
+
+    /** Records that an order failed with @p error; it is due again at @p dueAt. Returns whether this is the first start of the run without an answer. */
+    bool orderFailed(bool isStop, const Error &error, Instant dueAt);
+
+    /** Records an accepted start. Polls with @p nextPoll and later serials are conclusive. */
+    void startAccepted(std::uint64_t nextPoll);
+
+    /** Records that a start had no effect because its lease was over; it is due again at @p dueAt. */
+    void startWasTooLate(Instant dueAt);
+
+    /** Records a refused start. Returns whether the run is over; otherwise it is to be stopped from @p now on. */
+    bool startRefused(RefusalReason reason, std::uint64_t nextPoll, Instant now);
+
+    void stopAnswered(std::uint64_t nextPoll);
+
+    /** Applies its row in the lists that poll @p serial returned. Returns whether that shows that it started. */
+    bool listed(const std::string &checkpoint, std::uint32_t percent, std::uint64_t serial);
+
+    /** Whether its absence from the lists that poll @p serial returned proves that it is over. */
+    bool isOverIfUnlisted(std::uint64_t serial) const;
+
+    /** Returns the end of @p run, which is this run, as its agent infers it: the executor gave it no number. */
+    EndReport inferredEnd(const TaskRun &run, RunEnd end) const;
+
+    /** Returns its end when the lists omit it: refused if a start was refused, otherwise stopped. */
+    EndReport unlistedEnd(const TaskRun &run) const;
+    RunReport report(const TaskRun &run) const;
+
+    const std::string &startSpec() const;
+    const std::string &latestCheckpoint() const;
+
+private:
+    void close(std::uint64_t nextPoll);
+
+    std::string spec;
+    std::string checkpoint;
+    std::uint32_t percent = 0;
+    RunPhase phase = RunPhase::Ordered;
+    bool stopWanted = false;
+    bool stopWasAnswered = false;
+    bool isInFlight = false; ///< an order was sent and its answer is pending
+    bool openStart = false;
+    RefusalReason refusal = RefusalReason::None; ///< of a start that was refused while another one was open
+    std::uint64_t closedFrom = 0; ///< serial of the first poll that was sent after the run was closed; zero while it is not
+    Instant dueAt;
+};
+
+} // namespace waxwingloft
+
+#endif
--- a/include/waxwingloft/request/executorcontroller.h
+++ b/include/waxwingloft/request/executorcontroller.h
@@ -4,6 +4,7 @@
 #include "waxwingloft/connection/executorport.h"
 #include "waxwingloft/process/clock.h"
 #include "waxwingloft/process/logger.h"
+#include "waxwingloft/request/agentrun.h"
 #include "waxwingloft/request/endproof.h"
 
 #include <functional>
@@ -89,23 +90,11 @@
     std::uint64_t changes() const;
 
 private:
-    struct Entry {
-        std::string spec;
-        std::string checkpoint;
-        std::uint32_t percent = 0;
-        RunPhase phase = RunPhase::Ordered;
-        bool isStopWanted = false;
-        bool isInFlight = false; ///< an order was sent and its answer is pending
-        bool isStopAnswered = false;
-        bool isRepeated = false; ///< a start remained unanswered
-        std::uint64_t conclusiveFrom = 0; ///< a poll with this serial or a later one that omits the run proves its end; zero while a start may be in flight
-        Instant dueAt;
-    };
-
     void beginIncarnation(const ExecutorHeartbeat &heartbeat);
     bool applyAssignments(const AssignmentSync &sync);
     void addAssignment(const Assignment &assignment);
     bool hasEnded(const TaskRun &run) const;
+    void applyRefusal(AgentRun &entry, const DueOrder &order, RefusalReason refusal);
     void applyRunLists(const DueRunListQuery &poll, const RunListAnswer &answer);
     void endUnlistedRuns(const DueRunListQuery &poll, const RunListAnswer &answer);
     void end(const EndReport &end, EndProof proof);
@@ -140,7 +129,7 @@
     Instant agentLeaseUntil;
     Instant latestLeaseEnd; ///< every lease that this agent or its earlier processes can have granted is known to have expired by then
     std::optional<Millis> clockOffset; ///< executor's clock minus the agent's
-    std::map<TaskRun, Entry> entries;
+    std::map<TaskRun, AgentRun> runs;
     std::vector<EndReport> ends;
     std::set<TaskRun> reportedEnds; ///< in the last report
     std::set<TaskRun> answeredEnds; ///< in the last report that the placer answered
--- /dev/null
+++ b/src/request/agentrun.cpp
@@ -0,0 +1,141 @@
+#include "waxwingloft/request/agentrun.h"
+
+namespace waxwingloft {
+
+namespace {
+
+/** Whether a call that failed with @p kind may have had an effect, or may have one later. */
+bool mayTakeEffect(ErrorKind kind)
+{
+    return kind != ErrorKind::Unreachable && kind != ErrorKind::LimitExceeded;
+}
+
+} // namespace
+
+AgentRun::AgentRun(const Assignment &assignment, Instant now)
+    : spec(assignment.spec)
+    , checkpoint(assignment.checkpoint)
+    , dueAt(now)
+{
+}
+
+bool AgentRun::isStartDue(Instant now) const
+{
+    return this->phase == RunPhase::Ordered && this->closedFrom == 0 && !this->stopWanted && !this->isInFlight && now >= this->dueAt;
+}
+
+bool AgentRun::isStopDue(Instant now) const
+{
+    return this->stopWanted && !this->stopWasAnswered && !this->isInFlight && now >= this->dueAt;
+}
+
+bool AgentRun::isStopWanted() const
+{
+    return this->stopWanted;
+}
+
+void AgentRun::stop(Instant now)
+{
+    this->stopWanted = true;
+    this->dueAt = now;
+}
+
+void AgentRun::orderSent(bool isStop)
+{
+    this->isInFlight = true;
+    this->phase = isStop ? RunPhase::Stopping : this->phase;
+}
+
+bool AgentRun::orderFailed(bool isStop, const Error &error, Instant dueAt)
+{
+    this->isInFlight = false;
+    this->dueAt = dueAt;
+    const bool opensStart = !isStop && !this->openStart && mayTakeEffect(error.kind);
+    this->openStart = this->openStart || opensStart;
+    return opensStart;
+}
+
+void AgentRun::startAccepted(std::uint64_t nextPoll)
+{
+    this->isInFlight = false;
+    this->phase = this->stopWanted ? RunPhase::Stopping : RunPhase::Running;
+    this->close(nextPoll);
+}
+
+void AgentRun::startWasTooLate(Instant dueAt)
+{
+    this->isInFlight = false;
+    this->dueAt = dueAt;
+}
+
+bool AgentRun::startRefused(RefusalReason reason, std::uint64_t nextPoll, Instant now)
+{
+    this->isInFlight = false;
+    const bool isKnownToExecutor = reason == RefusalReason::OldRun;
+    if (!this->openStart && !isKnownToExecutor) {
+        return true;
+    }
+    if (isKnownToExecutor) {
+        this->close(nextPoll);
+    }
+    this->refusal = reason;
+    this->stop(now);
+    return false;
+}
+
+void AgentRun::stopAnswered(std::uint64_t nextPoll)
+{
+    this->isInFlight = false;
+    this->stopWasAnswered = true;
+    this->close(nextPoll);
+}
+
+void AgentRun::close(std::uint64_t nextPoll)
+{
+    this->openStart = false;
+    this->closedFrom = nextPoll;
+}
+
+bool AgentRun::listed(const std::string &checkpoint, std::uint32_t percent, std::uint64_t serial)
+{
+    const bool hasStarted = this->phase == RunPhase::Ordered && !this->stopWanted;
+    this->phase = this->stopWanted ? RunPhase::Stopping : RunPhase::Running;
+    if (this->closedFrom == 0) {
+        this->close(serial);
+    }
+    this->checkpoint = checkpoint.empty() ? this->checkpoint : checkpoint;
+    this->percent = percent;
+    return hasStarted;
+}
+
+bool AgentRun::isOverIfUnlisted(std::uint64_t serial) const
+{
+    return this->closedFrom != 0 && serial >= this->closedFrom && !this->isInFlight;
+}
+
+EndReport AgentRun::inferredEnd(const TaskRun &run, RunEnd end) const
+{
+    return {0, run, end, this->checkpoint, this->refusal};
+}
+
+EndReport AgentRun::unlistedEnd(const TaskRun &run) const
+{
+    return this->inferredEnd(run, this->refusal == RefusalReason::None ? RunEnd::Stopped : RunEnd::Refused);
+}
+
+RunReport AgentRun::report(const TaskRun &run) const
+{
+    return {run, this->phase, this->checkpoint, this->percent};
+}
+
+const std::string &AgentRun::startSpec() const
+{
+    return this->spec;
+}
+
+const std::string &AgentRun::latestCheckpoint() const
+{
+    return this->checkpoint;
+}
+
+} // namespace waxwingloft
--- a/src/request/executorcontroller.cpp
+++ b/src/request/executorcontroller.cpp
@@ -70,11 +70,11 @@
 {
     this->log.info("Executor " + heartbeat.incarnation.id + " started at " + std::to_string(heartbeat.incarnation.startedAt) + " with "
                    + toString(heartbeat.capacity)
-                   + (this->entries.empty() ? "." : "; " + std::to_string(this->entries.size()) + " runs of its previous incarnation are over."));
+                   + (this->runs.empty() ? "." : "; " + std::to_string(this->runs.size()) + " runs of its previous incarnation are over."));
     // Orders to the previous incarnation that are still in flight could reach the new one under the same id; a new generation fences them off.
     const bool isSameId = this->latest && this->latest->incarnation.id == heartbeat.incarnation.id;
     this->generation = isSameId ? 0 : this->generation;
-    this->entries.clear();
+    this->runs.clear();
     this->ends.clear();
     this->hasRunLists = false;
     this->hasLeft = false;
@@ -92,7 +92,7 @@
         if (!this->latest || this->latest->incarnation.id != executorId) {
             return;
         }
-        this->log.info("Executor " + executorId + " has left with " + std::to_string(this->entries.size()) + " runs.");
+        this->log.info("Executor " + executorId + " has left with " + std::to_string(this->runs.size()) + " runs.");
         this->hasLeft = true;
         this->endAll(EndProof::ExecutorLeft);
         ++this->changeCount;
@@ -145,7 +145,7 @@
     }
     this->syncSequence = sync.sequence;
     this->acknowledgedEnds = std::max(this->acknowledgedEnds, sync.acknowledgedEnds);
-    const auto entriesBefore = this->entries.size();
+    const auto runsBefore = this->runs.size();
     const auto endsBefore = this->ends.size();
     bool hasStops = false;
     std::set<TaskRun> wanted;
@@ -153,16 +153,15 @@
         wanted.insert(assignment.run);
         this->addAssignment(assignment);
     }
-    const bool hasChanges = this->entries.size() != entriesBefore || this->ends.size() != endsBefore;
+    const bool hasChanges = this->runs.size() != runsBefore || this->ends.size() != endsBefore;
     // The executor does not list an end without a number, so it is kept until the placer has answered a report with it.
     std::erase_if(this->ends, [this, &wanted](const EndReport &end) {
         return end.number > 0 ? end.number <= this->acknowledgedEnds : !wanted.contains(end.run) && this->answeredEnds.contains(end.run);
     });
-    for (auto &[run, entry] : this->entries) {
-        if (!wanted.contains(run) && !entry.isStopWanted) {
+    for (auto &[run, entry] : this->runs) {
+        if (!wanted.contains(run) && !entry.isStopWanted()) {
             hasStops = true;
-            entry.isStopWanted = true;
-            entry.dueAt = this->clock.now();
+            entry.stop(this->clock.now());
             this->log.info("A run is to stop.",
                            {{"job", run.task.job.value},
                             {"task", toString(run.task)},
@@ -176,18 +175,14 @@
 
 void ExecutorController::addAssignment(const Assignment &assignment)
 {
-    if (this->entries.contains(assignment.run) || this->hasEnded(assignment.run) || !assignment.hasOrder) {
+    if (this->runs.contains(assignment.run) || this->hasEnded(assignment.run) || !assignment.hasOrder) {
         return;
     }
     if (this->latest->isDraining || this->hasLeft) {
         this->end({0, assignment.run, RunEnd::Refused, {}, RefusalReason::Unhealthy}, EndProof::NeverOrdered);
         return;
     }
-    Entry entry;
-    entry.spec = assignment.spec;
-    entry.checkpoint = assignment.checkpoint;
-    entry.dueAt = this->clock.now();
-    this->entries.emplace(assignment.run, std::move(entry));
+    this->runs.emplace(assignment.run, AgentRun(assignment, this->clock.now()));
 }
 
 bool ExecutorController::hasEnded(const TaskRun &run) const
@@ -203,10 +198,10 @@
     if (!this->latest || this->generation == 0 || this->hasLeft) {
         return orders;
     }
-    for (auto &[run, entry] : this->entries) {
-        const bool isStart = entry.phase == RunPhase::Ordered && entry.conclusiveFrom == 0 && !entry.isStopWanted;
-        const bool isStop = entry.isStopWanted && !entry.isStopAnswered;
-        if (entry.isInFlight || now < entry.dueAt || !(isStart || isStop)) {
+    for (auto &[run, entry] : this->runs) {
+        const bool isStart = entry.isStartDue(now);
+        const bool isStop = entry.isStopDue(now);
+        if (!isStart && !isStop) {
             continue;
         }
         // Without a lease a run would have no bounded end, so a start waits for an agent lease and for a responsive executor.
@@ -214,9 +209,9 @@
         if (isStart && !leaseEnd) {
             continue;
         }
-        entry.isInFlight = true;
-        entry.phase = isStop ? RunPhase::Stopping : entry.phase;
-        orders.push_back({isStop, this->latest->incarnation, {run, entry.spec, entry.checkpoint, leaseEnd.value_or(Millis(0)), this->fencingToken()}});
+        entry.orderSent(isStop);
+        orders.push_back(
+            {isStop, this->latest->incarnation, {run, entry.startSpec(), entry.latestCheckpoint(), leaseEnd.value_or(Millis(0)), this->fencingToken()}});
     }
     return orders;
 }
@@ -225,44 +220,34 @@
 {
     {
         const std::lock_guard<std::mutex> guard(this->mutex);
-        const auto found = this->entries.find(order.start.run);
-        if (found == this->entries.end() || !this->latest || this->latest->incarnation != order.incarnation) {
+        const auto found = this->runs.find(order.start.run);
+        if (found == this->runs.end() || !this->latest || this->latest->incarnation != order.incarnation) {
             return;
         }
-        auto &entry = found->second;
-        entry.isInFlight = false;
-        entry.dueAt = this->clock.now() + this->options.resendAfter;
+        const auto &run = order.start.run;
+        const auto retryAt = this->clock.now() + this->options.resendAfter;
         if (!succeeded(answer)) {
-            if (!entry.isRepeated) {
-                this->log.warn("A start was not answered; it is repeated until an answer arrives.",
-                               {{"job", order.start.run.task.job.value},
-                                {"task", toString(order.start.run.task)},
-                                {"run", std::to_string(order.start.run.run)},
-                                {"reason", errorOf(answer).message}});
+            if (found->second.orderFailed(false, errorOf(answer), retryAt)) {
+                this->log.warn(
+                    "A start was not answered; it is repeated until an answer arrives.",
+                    {{"job", run.task.job.value}, {"task", toString(run.task)}, {"run", std::to_string(run.run)}, {"reason", errorOf(answer).message}});
             }
-            entry.isRepeated = true;
             return;
         }
         this->updateClockOffset(valueOf(answer).stamp);
         const auto refusal = valueOf(answer).refusal;
         if (refusal == RefusalReason::TooLate) {
+            found->second.startWasTooLate(retryAt);
             return;
         }
         if (refusal != RefusalReason::None) {
-            this->log.warn("An executor refused a run.",
-                           {{"job", order.start.run.task.job.value},
-                            {"task", toString(order.start.run.task)},
-                            {"run", std::to_string(order.start.run.run)},
-                            {"reason", std::string(nameOf(refusal))},
-                            {"earlier_unanswered", entry.isRepeated ? "yes" : "no"}});
-            this->end({0, order.start.run, RunEnd::Refused, entry.checkpoint, refusal}, EndProof::Refused);
+            this->applyRefusal(found->second, order, refusal);
         } else {
-            entry.phase = entry.isStopWanted ? RunPhase::Stopping : RunPhase::Running;
-            entry.conclusiveFrom = this->pollSerial + 1;
+            found->second.startAccepted(this->pollSerial + 1);
             this->log.info("A run started.",
-                           {{"job", order.start.run.task.job.value},
-                            {"task", toString(order.start.run.task)},
-                            {"run", std::to_string(order.start.run.run)},
+                           {{"job", run.task.job.value},
+                            {"task", toString(run.task)},
+                            {"run", std::to_string(run.run)},
                             {"executor", order.incarnation.id},
                             {"checkpoint", order.start.checkpoint}});
         }
@@ -271,22 +256,34 @@
     this->wake();
 }
 
+void ExecutorController::applyRefusal(AgentRun &entry, const DueOrder &order, RefusalReason refusal)
+{
+    const auto &run = order.start.run;
+    const bool isOver = entry.startRefused(refusal, this->pollSerial + 1, this->clock.now());
+    this->log.warn("An executor refused a run.",
+                   {{"job", run.task.job.value},
+                    {"task", toString(run.task)},
+                    {"run", std::to_string(run.run)},
+                    {"reason", std::string(nameOf(refusal))},
+                    {"over", isOver ? "yes" : "no"}});
+    if (isOver) {
+        this->end({0, run, RunEnd::Refused, order.start.checkpoint, refusal}, EndProof::Refused);
+    }
+}
+
 void ExecutorController::stopAnswered(const DueOrder &order, const Result<ExecutorStamp> &answer)
 {
     {
         const std::lock_guard<std::mutex> guard(this->mutex);
-        const auto found = this->entries.find(order.start.run);
-        if (found == this->entries.end() || !this->latest || this->latest->incarnation != order.incarnation) {
+        const auto found = this->runs.find(order.start.run);
+        if (found == this->runs.end() || !this->latest || this->latest->incarnation != order.incarnation) {
             return;
         }
-        auto &entry = found->second;
-        entry.isInFlight = false;
-        entry.dueAt = this->clock.now() + this->options.resendAfter;
         if (succeeded(answer)) {
             this->updateClockOffset(valueOf(answer));
-            // The executor refuses starts of this run from now on, so a later list without it proves that it is over.
-            entry.isStopAnswered = true;
-            entry.conclusiveFrom = this->pollSerial + 1;
+            found->second.stopAnswered(this->pollSerial + 1);
+        } else {
+            found->second.orderFailed(true, errorOf(answer), this->clock.now() + this->options.resendAfter);
         }
     }
     this->wake();
@@ -305,7 +302,7 @@
     poll.question.acknowledgedEnds = this->acknowledgedEnds;
     // An unanswered renewal may still take effect, so an unresponsive executor is polled without renewal, so that its lease expires.
     poll.question.leaseEnd = this->isUnresponsive() ? std::nullopt : this->grantableLeaseEnd(this->clock.now());
-    const bool isStopOpen = std::any_of(this->entries.begin(), this->entries.end(), [](const auto &item) { return item.second.isStopWanted; });
+    const bool isStopOpen = std::any_of(this->runs.begin(), this->runs.end(), [](const auto &item) { return item.second.isStopWanted(); });
     poll.question.wait = !this->hasRunLists ? Millis(0) : (isStopOpen ? this->options.stopWait : this->options.pollWait);
     return poll;
 }
@@ -363,10 +360,10 @@
         this->log.warn("Executor " + this->latest->incarnation.id + " does not answer; it gets no new work.");
         ++this->changeCount;
     }
-    if (this->clock.now() < this->latestLeaseEnd || this->entries.empty()) {
+    if (this->clock.now() < this->latestLeaseEnd || this->runs.empty()) {
         return;
     }
-    this->log.warn("The lease of executor " + this->latest->incarnation.id + " has expired; " + std::to_string(this->entries.size()) + " runs count as ended.");
+    this->log.warn("The lease of executor " + this->latest->incarnation.id + " has expired; " + std::to_string(this->runs.size()) + " runs count as ended.");
     this->endAll(EndProof::LeaseExpired);
     ++this->changeCount;
 }
@@ -381,8 +378,7 @@
     const bool isFirstRead = !this->hasRunLists;
     this->hasRunLists = true;
     for (const auto &listed : answer.running) {
-        const auto [found, isNew] = this->entries.try_emplace(listed.run);
-        auto &entry = found->second;
+        const auto [found, isNew] = this->runs.try_emplace(listed.run);
         if (isNew && !isFirstRead) {
             this->log.warn("An executor lists a run that was not ordered or that counted as over.",
                            {{"job", listed.run.task.job.value},
@@ -391,12 +387,7 @@
                             {"executor", poll.incarnation.id},
                             {"counted_as_over", this->hasEnded(listed.run) ? "yes" : "no"}});
         }
-        const bool hasStarted = entry.phase == RunPhase::Ordered && !entry.isStopWanted;
-        entry.phase = entry.isStopWanted ? RunPhase::Stopping : RunPhase::Running;
-        entry.conclusiveFrom = entry.conclusiveFrom == 0 ? poll.serial : entry.conclusiveFrom;
-        entry.checkpoint = listed.checkpoint.empty() ? entry.checkpoint : listed.checkpoint;
-        entry.percent = listed.percent;
-        this->changeCount += hasStarted ? 1 : 0;
+        this->changeCount += found->second.listed(listed.checkpoint, listed.percent, poll.serial) ? 1 : 0;
     }
     for (const auto &ended : answer.ended) {
         if (ended.number <= this->acknowledgedEnds || this->hasEnded(ended.run)) {
@@ -416,29 +407,29 @@
         listed.insert(run.run);
     }
     std::vector<TaskRun> unlisted;
-    for (const auto &[run, entry] : this->entries) {
-        if (entry.conclusiveFrom != 0 && poll.serial >= entry.conclusiveFrom && !entry.isInFlight && !listed.contains(run)) {
+    for (const auto &[run, entry] : this->runs) {
+        if (!listed.contains(run) && entry.isOverIfUnlisted(poll.serial)) {
             unlisted.push_back(run);
         }
     }
     for (const auto &run : unlisted) {
-        this->end({0, run, RunEnd::Stopped, this->entries.at(run).checkpoint, RefusalReason::None}, EndProof::Unlisted);
+        this->end(this->runs.at(run).unlistedEnd(run), EndProof::Unlisted);
         ++this->changeCount;
     }
 }
 
 void ExecutorController::endAll(EndProof proof)
 {
-    while (!this->entries.empty()) {
-        const auto &[run, entry] = *this->entries.begin();
-        this->end({0, run, RunEnd::Lapsed, entry.checkpoint, RefusalReason::None}, proof);
+    while (!this->runs.empty()) {
+        const auto &[run, entry] = *this->runs.begin();
+        this->end(entry.inferredEnd(run, RunEnd::Lapsed), proof);
     }
 }
 
 void ExecutorController::end(const EndReport &end, EndProof proof)
 {
     this->ends.push_back(end);
-    this->entries.erase(this->ends.back().run);
+    this->runs.erase(this->ends.back().run);
     this->log.info("A run is over.",
                    {{"job", end.run.task.job.value},
                     {"task", toString(end.run.task)},
@@ -477,8 +468,8 @@
     report.capacity = this->latest->capacity;
     report.labels = this->latest->labels;
     report.syncSequence = this->syncSequence;
-    for (const auto &[run, entry] : this->entries) {
-        report.runs.push_back({run, entry.phase, entry.checkpoint, entry.percent});
+    for (const auto &[run, entry] : this->runs) {
+        report.runs.push_back(entry.report(run));
     }
     report.ends = this->ends;
     this->reportedEnds.clear();
@@ -492,7 +483,7 @@
 {
     const std::lock_guard<std::mutex> guard(this->mutex);
     const bool isGone = this->hasLeft || this->isUnresponsive();
-    return this->latest && isGone && !(this->entries.empty() && this->ends.empty());
+    return this->latest && isGone && !(this->runs.empty() && this->ends.empty());
 }
 
 bool ExecutorController::needsGeneration() const
