placer: Write the progress of a term only on condition of that term

Callers could see a task started twice (TWICE) after a placer lost the leadership and won it again while a write of its progress had no answer.

Cause: the writer took the progress under one term and read the revision of the placer row, its condition, before each try. A try after the next becomeLeader() therefore met the condition of the new term with decisions of the old one. Its success was then noted in the new term, whose changes counted as stored though no row held them: starts were sent, and ends acknowledged, before their row.

TaskPlacer.AWriteFromAnEarlierTermStoresNothingOfThisOne failed before: the assignment was sent, and nothing was left to write.

Each write now carries the epoch that decided it. The epoch is the revision of the placer row, so it is the condition of the transaction, and a term takes note only of its own writes. A rejected write makes the placer step down only from the term it belongs to.

--- a/include/waxwingloft/request/placerservice.h
+++ b/include/waxwingloft/request/placerservice.h
@@ -10,7 +10,6 @@
 #include "waxwingloft/request/placerdirectory.h"
 #include "waxwingloft/request/taskplacer.h"
 
-#include <atomic>
 #include <memory>
 #include <string>
 
@@ -81,7 +80,6 @@
     const Logger log;
     Duty election;
     bool isAnnounced = false; ///< the row of this entry has been written to the placer table
-    std::atomic<std::uint64_t> placerRevision = 0;
     std::unique_ptr<ThreadPool> pushPool;
     std::unique_ptr<Ticker> electionTicker;
     std::unique_ptr<Ticker> planTicker;
--- a/include/waxwingloft/request/taskplacer.h
+++ b/include/waxwingloft/request/taskplacer.h
@@ -30,6 +30,7 @@
 
 /** A conditional write of the progress of one job. */
 struct ProgressWrite {
+    Epoch epoch = 0; ///< of the term that decided it; the write must fail once another one has begun
     JobId job;
     std::uint64_t revision = 0; ///< that the row must still have; otherwise the write fails
     std::uint64_t change = 0; ///< LiveJob::change that the value contains
@@ -94,9 +95,15 @@
     /** Returns the progress to write in one transaction, at most batchRows rows; empty when nothing is pending. */
     std::vector<ProgressWrite> takeWrites();
 
-    /** Records that @p writes were committed together at @p revision. */
+    /** Records that @p writes were committed together at @p revision. Writes of an earlier term say nothing about this one and are ignored. */
     void written(const std::vector<ProgressWrite> &writes, std::uint64_t revision);
 
+    /** Steps down because @p writes may not have been committed. Does nothing when they belong to an earlier term. */
+    void notWritten(const std::vector<ProgressWrite> &writes, const std::string &reason);
+
+    /** Whether @p writes belong to the current term. */
+    bool isCurrent(const std::vector<ProgressWrite> &writes) const;
+
     /** Returns the assignments that have changed since they were last sent. */
     std::vector<OutgoingSync> takeSyncs();
 
@@ -104,6 +111,7 @@
 
 private:
     void clearLeadership(const std::string &reason);
+    bool areOfThisTerm(const std::vector<ProgressWrite> &writes) const;
     void addJob(StoredJob stored);
     void refreshState(LiveJob &job);
     void stopRun(LiveWorker &worker, const TaskRun &run);
--- a/src/request/placerservice.cpp
+++ b/src/request/placerservice.cpp
@@ -117,7 +117,6 @@
         this->log.warn("The jobs cannot be read: " + toString(errorOf(rows)));
         return false;
     }
-    this->placerRevision.store(valueOf(written).revision, std::memory_order_release);
     this->placer.becomeLeader(valueOf(written).revision, storedJobsOf(valueOf(rows), this->log));
     return true;
 }
@@ -132,13 +131,12 @@
     this->writeTicker->nudge();
 }
 
-/** Writes all pending progress, one transaction at a time; steps down when a write is rejected. */
+/** Writes all pending progress, one transaction at a time, each on condition that its term lasts; steps down when a write is rejected. */
 void PlacerService::writeProgress()
 {
     auto writes = this->placer.takeWrites();
     while (!writes.empty()) {
-        const auto epoch = this->placerRevision.load(std::memory_order_acquire);
-        Transaction transaction{this->ids.next(), {{std::string(PlacerKey), epoch}}, {}};
+        Transaction transaction{this->ids.next(), {{std::string(PlacerKey), writes.front().epoch}}, {}};
         for (const auto &write : writes) {
             transaction.conditions.push_back({progressKey(write.job), write.revision});
             transaction.writes.push_back({progressKey(write.job), write.value});
@@ -150,11 +148,11 @@
             writes = this->placer.takeWrites();
         } else if (errorOf(committed).kind == ErrorKind::PlatformDown) {
             this->clock.sleepFor(this->options.writeRetry);
-            if (!this->placer.isLeader()) {
+            if (!this->placer.isCurrent(writes)) {
                 return;
             }
         } else {
-            this->placer.stepDown("progress could not be written: " + toString(errorOf(committed)));
+            this->placer.notWritten(writes, "progress could not be written: " + toString(errorOf(committed)));
             return;
         }
     }
--- a/src/request/taskplacer.cpp
+++ b/src/request/taskplacer.cpp
@@ -511,15 +511,37 @@
     for (auto &[id, job] : this->jobs) {
         if (job.change > job.stored && !job.isBeingWritten && writes.size() < this->options.batchRows) {
             job.isBeingWritten = true;
-            writes.push_back({id, job.revision, job.change, encodeProgress(job.progress)});
+            writes.push_back({this->epoch, id, job.revision, job.change, encodeProgress(job.progress)});
         }
     }
     return writes;
 }
 
+bool TaskPlacer::areOfThisTerm(const std::vector<ProgressWrite> &writes) const
+{
+    return this->epoch != 0 && std::all_of(writes.begin(), writes.end(), [this](const ProgressWrite &write) { return write.epoch == this->epoch; });
+}
+
+bool TaskPlacer::isCurrent(const std::vector<ProgressWrite> &writes) const
+{
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    return this->areOfThisTerm(writes);
+}
+
+void TaskPlacer::notWritten(const std::vector<ProgressWrite> &writes, const std::string &reason)
+{
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    if (this->areOfThisTerm(writes)) {
+        this->clearLeadership(reason);
+    }
+}
+
 void TaskPlacer::written(const std::vector<ProgressWrite> &writes, std::uint64_t revision)
 {
     const std::lock_guard<std::mutex> guard(this->mutex);
+    if (!this->areOfThisTerm(writes)) {
+        return;
+    }
     for (const auto &write : writes) {
         const auto found = this->jobs.find(write.job);
         if (found == this->jobs.end()) {
--- a/tests/request/jobsite.cpp
+++ b/tests/request/jobsite.cpp
@@ -215,8 +215,7 @@
     const auto written = this->rows.commit({"op", {{key, known == this->rows.rows.end() ? 0 : known->second.revision}}, {{key, "{}"}}});
     const auto rows = this->rows.list("jobs/", 0);
     auto &placer = this->placers[index];
-    placer.placerRevision = valueOf(written).revision;
-    placer.placer->becomeLeader(placer.placerRevision, storedJobsOf(valueOf(rows), Logger(LogPart::Placer)));
+    placer.placer->becomeLeader(valueOf(written).revision, storedJobsOf(valueOf(rows), Logger(LogPart::Placer)));
     placer.placer->setRoutes(this->routes);
     placer.cache->reset(valueOf(rows));
     placer.cache->forwardAll();
@@ -329,7 +328,7 @@
         site.writing = site.placer->takeWrites();
     }
     if (!site.writing.empty() && site.reachesTable) {
-        Transaction transaction{"op", {{"office/placer", site.placerRevision}}, {}};
+        Transaction transaction{"op", {{"office/placer", site.writing.front().epoch}}, {}};
         for (const auto &write : site.writing) {
             transaction.conditions.push_back({progressKey(write.job), write.revision});
             transaction.writes.push_back({progressKey(write.job), write.value});
@@ -339,7 +338,7 @@
             site.placer->written(site.writing, valueOf(committed).revision);
             site.writing.clear();
         } else if (errorOf(committed).kind == ErrorKind::Conflict) {
-            site.placer->stepDown("fenced");
+            site.placer->notWritten(site.writing, "fenced");
             site.writing.clear();
         }
     }
--- a/tests/request/jobsite.h
+++ b/tests/request/jobsite.h
@@ -66,7 +66,6 @@
 struct SitePlacer {
     std::unique_ptr<TaskPlacer> placer;
     std::unique_ptr<JobCache> cache;
-    std::uint64_t placerRevision = 0;
     bool isAlive = true;
     bool reachesTable = true;
     std::vector<ProgressWrite> writing;
--- a/tests/request/taskplacertest.cpp
+++ b/tests/request/taskplacertest.cpp
@@ -178,6 +178,26 @@
     EXPECT_EQ(syncs[0].sync.assignments.size(), 1U);
 }
 
+// A commit of an earlier term's progress was taken as proof that the rows hold the assignments of the current one.
+TEST(TaskPlacer, AWriteFromAnEarlierTermStoresNothingOfThisOne)
+{
+    OnePlacer site;
+    const auto job = site.place(oneStep(1, Half));
+    const auto earlier = site.placer.takeWrites();
+    ASSERT_EQ(earlier.size(), 1U);
+    site.placer.stepDown("another placer leads");
+    site.report.epoch = 2;
+    site.placer.becomeLeader(2, {});
+    ASSERT_EQ(site.place(oneStep(1, Half)), job);
+    site.clock.advance(FirstReport);
+    site.send();
+    site.placer.plan();
+    ASSERT_EQ(site.placer.view().assigned, 1U);
+    site.placer.written(earlier, 2);
+    EXPECT_TRUE(site.placer.takeSyncs().empty()) << "the row does not hold this assignment";
+    EXPECT_EQ(site.placer.takeWrites().size(), 1U);
+}
+
 TEST(TaskPlacer, AWorkerWithAnUnassignedRunGetsNoNewWork)
 {
     OnePlacer site;
