agent: Count the ends of runs by their proof

waxwingloft_run_ends_total{proof}, waxwingloft_starts_unanswered_total and waxwingloft_runs_listed_unexpectedly_total show runs that are taken to be over without the logs. CountersBy makes a counter for each name of an enum's table, so that Metrics, which lives for the process, need not know the enum.

--- a/include/waxwingloft/process/metrics.h
+++ b/include/waxwingloft/process/metrics.h
@@ -9,7 +9,9 @@
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
 #include <prometheus/registry.h>
+#include <span>
 #include <string>
+#include <vector>
 
 namespace waxwingloft {
 
@@ -28,11 +30,13 @@
     JobsSubmitted,
     GangsStarted,
     GangsStopped,
+    StartsUnanswered, ///< runs with a start that may have taken effect though no answer came
+    RunsListedUnexpectedly, ///< runs that an executor listed though they were not ordered or counted as over
 };
 
 template<>
 struct NameTable<Count> {
-    static constexpr std::array<std::string_view, 13> names = {"waxwingloft_requests_accepted_total",
+    static constexpr std::array<std::string_view, 15> names = {"waxwingloft_requests_accepted_total",
                                                                "waxwingloft_requests_refused_total",
                                                                "waxwingloft_retries_total",
                                                                "waxwingloft_late_answers_total",
@@ -44,7 +48,9 @@
                                                                "waxwingloft_table_failures_total",
                                                                "waxwingloft_jobs_submitted_total",
                                                                "waxwingloft_gangs_started_total",
-                                                               "waxwingloft_gangs_stopped_total"};
+                                                               "waxwingloft_gangs_stopped_total",
+                                                               "waxwingloft_starts_unanswered_total",
+                                                               "waxwingloft_runs_listed_unexpectedly_total"};
 };
 
 /** What a process shows the present value of. */
@@ -77,6 +83,10 @@
     void set(Level level, double value);
     void addOutcome(Outcome outcome);
 
+    /** Returns a counter called @p name for each of @p values of @p label. They live as long as this object; the same name and values give the same ones. */
+    std::vector<prometheus::Counter *>
+    addCounters(const std::string &name, const std::string &help, const std::string &label, std::span<const std::string_view> values);
+
     /** Returns all metrics in the Prometheus text format. */
     std::string text() const;
 
@@ -84,7 +94,27 @@
     std::shared_ptr<prometheus::Registry> registry;
     std::array<prometheus::Counter *, NameTable<Count>::names.size()> counters{};
     std::array<prometheus::Gauge *, NameTable<Level>::names.size()> gauges{};
-    std::array<prometheus::Counter *, NameTable<Outcome>::names.size()> outcomes{};
+    std::vector<prometheus::Counter *> outcomes;
+};
+
+/** A counter for each enumerator of @p Enum, by the names of its table. Thread safe; updates are atomic additions. */
+template<typename Enum>
+class CountersBy
+{
+public:
+    /** The counters belong to @p metrics, which must outlive this object. */
+    CountersBy(Metrics &metrics, const std::string &name, const std::string &help, const std::string &label)
+        : counters(metrics.addCounters(name, help, label, NameTable<Enum>::names))
+    {
+    }
+
+    void add(Enum value) const
+    {
+        this->counters[static_cast<std::size_t>(value)]->Increment();
+    }
+
+private:
+    const std::vector<prometheus::Counter *> counters;
 };
 
 } // namespace waxwingloft
--- a/include/waxwingloft/request/executoragent.h
+++ b/include/waxwingloft/request/executoragent.h
@@ -36,6 +36,7 @@
 {
 public:
     ExecutorAgent(Clock &clock,
+                  Metrics &metrics,
                   TableStore &table,
                   NodePort &nodes,
                   ExecutorPort &executor,
--- a/include/waxwingloft/request/executorcontroller.h
+++ b/include/waxwingloft/request/executorcontroller.h
@@ -4,6 +4,7 @@
 #include "waxwingloft/connection/executorport.h"
 #include "waxwingloft/process/clock.h"
 #include "waxwingloft/process/logger.h"
+#include "waxwingloft/process/metrics.h"
 #include "waxwingloft/request/agentrun.h"
 #include "waxwingloft/request/endproof.h"
 
@@ -51,7 +52,7 @@
 class ExecutorController
 {
 public:
-    ExecutorController(Clock &clock, NodeId node, std::string address, ExecutorControllerOptions options);
+    ExecutorController(Clock &clock, Metrics &metrics, NodeId node, std::string address, ExecutorControllerOptions options);
 
     /** Whether an executor that left or is unresponsive has runs whose end the placer has not confirmed. */
     bool hasUnconfirmedEnds() const;
@@ -108,6 +109,8 @@
     void wake();
 
     Clock &clock;
+    Metrics &metrics;
+    const CountersBy<EndProof> endCounters;
     const NodeId node;
     const std::string address;
     const ExecutorControllerOptions options;
--- a/src/process/daemon/jobagentrole.cpp
+++ b/src/process/daemon/jobagentrole.cpp
@@ -28,6 +28,7 @@
         : node(config)
         , executor(config.jobs.executorAddress, ExecutorTimeout)
         , agent(this->node.clock,
+                this->node.metrics,
                 this->node.table,
                 this->node.rpc,
                 this->executor,
--- a/src/process/metrics.cpp
+++ b/src/process/metrics.cpp
@@ -13,10 +13,7 @@
     for (std::size_t index = 0; index < this->gauges.size(); ++index) {
         this->gauges[index] = &prometheus::BuildGauge().Name(std::string(NameTable<Level>::names[index])).Register(*this->registry).Add({});
     }
-    auto &family = prometheus::BuildCounter().Name("waxwingloft_outcomes_total").Help("Requests by their true outcome").Register(*this->registry);
-    for (std::size_t index = 0; index < this->outcomes.size(); ++index) {
-        this->outcomes[index] = &family.Add({{"outcome", std::string(NameTable<Outcome>::names[index])}});
-    }
+    this->outcomes = this->addCounters("waxwingloft_outcomes_total", "Requests by their true outcome", "outcome", NameTable<Outcome>::names);
 }
 
 void Metrics::add(Count count, double amount)
@@ -34,6 +31,17 @@
     this->outcomes[static_cast<std::size_t>(outcome)]->Increment();
 }
 
+std::vector<prometheus::Counter *>
+Metrics::addCounters(const std::string &name, const std::string &help, const std::string &label, std::span<const std::string_view> values)
+{
+    auto &family = prometheus::BuildCounter().Name(name).Help(help).Register(*this->registry);
+    std::vector<prometheus::Counter *> counters;
+    for (const auto value : values) {
+        counters.push_back(&family.Add({{label, std::string(value)}}));
+    }
+    return counters;
+}
+
 std::string Metrics::text() const
 {
     return prometheus::TextSerializer().Serialize(this->registry->Collect());
--- a/src/request/executoragent.cpp
+++ b/src/request/executoragent.cpp
@@ -9,6 +9,7 @@
 } // namespace
 
 ExecutorAgent::ExecutorAgent(Clock &clock,
+                             Metrics &metrics,
                              TableStore &table,
                              NodePort &nodes,
                              ExecutorPort &executor,
@@ -25,7 +26,7 @@
     , self(self)
     , options(options)
     , log(LogPart::Gangs)
-    , controller(clock, std::move(self), std::move(address), controllerOptions)
+    , controller(clock, metrics, std::move(self), std::move(address), controllerOptions)
     , lastPlacerAnswerAt(clock.now())
 {
 }
--- a/src/request/executorcontroller.cpp
+++ b/src/request/executorcontroller.cpp
@@ -5,8 +5,10 @@
 
 namespace waxwingloft {
 
-ExecutorController::ExecutorController(Clock &clock, NodeId node, std::string address, ExecutorControllerOptions options)
+ExecutorController::ExecutorController(Clock &clock, Metrics &metrics, NodeId node, std::string address, ExecutorControllerOptions options)
     : clock(clock)
+    , metrics(metrics)
+    , endCounters(metrics, "waxwingloft_run_ends_total", "Ends of runs by what proves them", "proof")
     , node(std::move(node))
     , address(std::move(address))
     , options(options)
@@ -228,6 +230,7 @@
         const auto retryAt = this->clock.now() + this->options.resendAfter;
         if (!succeeded(answer)) {
             if (found->second.orderFailed(false, errorOf(answer), retryAt)) {
+                this->metrics.add(Count::StartsUnanswered);
                 this->log.warn(
                     "A start was not answered; it is repeated until an answer arrives.",
                     {{"job", run.task.job.value}, {"task", toString(run.task)}, {"run", std::to_string(run.run)}, {"reason", errorOf(answer).message}});
@@ -380,6 +383,7 @@
     for (const auto &listed : answer.running) {
         const auto [found, isNew] = this->runs.try_emplace(listed.run);
         if (isNew && !isFirstRead) {
+            this->metrics.add(Count::RunsListedUnexpectedly);
             this->log.warn("An executor lists a run that was not ordered or that counted as over.",
                            {{"job", listed.run.task.job.value},
                             {"task", toString(listed.run.task)},
@@ -428,6 +432,7 @@
 
 void ExecutorController::end(const EndReport &end, EndProof proof)
 {
+    this->endCounters.add(proof);
     this->ends.push_back(end);
     this->runs.erase(this->ends.back().run);
     this->log.info("A run is over.",
--- a/tests/platform/jobpathtest.cpp
+++ b/tests/platform/jobpathtest.cpp
@@ -187,6 +187,7 @@
         , executor(this->process.clock, "executor-of-" + name)
         , watch(NodeId{name})
         , agent(this->process.clock,
+                this->process.metrics,
                 this->process.table,
                 this->process.rpc,
                 this->executor,
--- a/tests/request/executorcontrollertest.cpp
+++ b/tests/request/executorcontrollertest.cpp
@@ -72,9 +72,18 @@
         return Millis(50'000) + std::chrono::duration_cast<Millis>(this->clock.now().time_since_epoch());
     }
 
+    /** The present value of a counter, by its name with its labels; -1 if there is none. */
+    int countOf(const std::string &counter) const
+    {
+        const auto text = this->metrics.text();
+        const auto found = text.find("\n" + counter + " ");
+        return found == std::string::npos ? -1 : std::stoi(text.substr(found + counter.size() + 2));
+    }
+
     ManualClock clock;
     ExecutorControllerOptions options;
-    ExecutorController controller{this->clock, NodeId{"agent"}, "a:1", this->options};
+    Metrics metrics;
+    ExecutorController controller{this->clock, this->metrics, NodeId{"agent"}, "a:1", this->options};
 };
 
 } // namespace
@@ -268,4 +277,59 @@
     EXPECT_EQ(this->controller.takeDueOrders().size(), 1U);
 }
 
+// The counters name what proves each end, so that ends by refusal or by a lapse are seen without the logs.
+TEST_F(ExecutorControllerTest, EndsAreCountedByTheirProof)
+{
+    const TaskRun second{{JobId{"0000000000000002"}, 0, 0, 0}, 1};
+    this->controller.applyAnswer(sync(1, {First, second}), this->clock.now());
+    const auto orders = this->controller.takeDueOrders();
+    ASSERT_EQ(orders.size(), 2U);
+    const ExecutorStamp stamp{this->executorTime(), SomeIncarnation.startedAt};
+    this->controller.startAnswered(orders[0], StartAnswer{stamp, RefusalReason::Unhealthy});
+    EXPECT_EQ(this->countOf("waxwingloft_run_ends_total{proof=\"refused\"}"), 1);
+    this->controller.startAnswered(orders[1], StartAnswer{stamp, RefusalReason::None});
+    this->controller.runListAnswered(*this->controller.nextRunListQuery(), RunListAnswer{stamp, {}, {{1, second, RunEnd::Done, "", RefusalReason::None}}});
+    EXPECT_EQ(this->countOf("waxwingloft_run_ends_total{proof=\"listed\"}"), 1);
+    this->answerPoll({First});
+    this->controller.deregister(SomeIncarnation.id);
+    EXPECT_EQ(this->countOf("waxwingloft_run_ends_total{proof=\"executor-left\"}"), 1);
+    EXPECT_EQ(this->countOf("waxwingloft_run_ends_total{proof=\"unlisted\"}"), 0);
+}
+
+// A start that is repeated without an answer is one open start; a call that cannot have arrived is none.
+TEST_F(ExecutorControllerTest, ARunWithAnUnansweredStartIsCountedOnce)
+{
+    this->controller.applyAnswer(sync(1, {First}), this->clock.now());
+    const std::string counter = "waxwingloft_starts_unanswered_total";
+    for (const auto &[kind, expected] : {std::pair(ErrorKind::Unreachable, 0), std::pair(ErrorKind::Ambiguous, 1), std::pair(ErrorKind::Ambiguous, 1)}) {
+        const auto orders = this->controller.takeDueOrders();
+        ASSERT_EQ(orders.size(), 1U);
+        this->controller.startAnswered(orders[0], makeError(kind, "no answer"));
+        EXPECT_EQ(this->countOf(counter), expected);
+        this->clock.advance(this->options.resendAfter);
+    }
+}
+
+// A run that is listed though it was over is the sign of two runs of one task; what the first lists hold is adopted.
+TEST_F(ExecutorControllerTest, ARunThatIsListedAfterItsEndIsCounted)
+{
+    const std::string counter = "waxwingloft_runs_listed_unexpectedly_total";
+    this->controller.applyAnswer(sync(1, {First}), this->clock.now());
+    const ExecutorStamp stamp{this->executorTime(), SomeIncarnation.startedAt};
+    this->controller.startAnswered(this->controller.takeDueOrders()[0], StartAnswer{stamp, RefusalReason::Unhealthy});
+    EXPECT_EQ(this->countOf(counter), 0);
+    this->answerPoll({First});
+    this->answerPoll({First});
+    EXPECT_EQ(this->countOf(counter), 1);
+    auto again = this->makeHeartbeat(1);
+    again.incarnation = {"i-2", SomeIncarnation.startedAt + 5000};
+    this->controller.heartbeat(again);
+    const auto poll = this->controller.nextRunListQuery();
+    RunListAnswer answer;
+    answer.stamp = {this->executorTime(), again.incarnation.startedAt};
+    answer.running.push_back({First, "", 0});
+    this->controller.runListAnswered(*poll, answer);
+    EXPECT_EQ(this->countOf(counter), 1);
+}
+
 } // namespace waxwingloft::tests
--- a/tests/request/jobsite.cpp
+++ b/tests/request/jobsite.cpp
@@ -164,7 +164,7 @@
 void JobSite::startController(SiteAgent &agent, std::size_t index)
 {
     agent.name = agentName(index);
-    agent.controller = std::make_unique<ExecutorController>(this->clock, NodeId{agent.name}, agent.name, ExecutorControllerOptions());
+    agent.controller = std::make_unique<ExecutorController>(this->clock, *agent.metrics, NodeId{agent.name}, agent.name, ExecutorControllerOptions());
     agent.nextReport = agent.nextRunListQuery = agent.nextHeartbeat = this->clock.now();
 }
 
--- a/tests/request/jobsite.h
+++ b/tests/request/jobsite.h
@@ -53,6 +53,7 @@
 struct SiteAgent {
     std::string name;
     std::unique_ptr<FakeExecutor> executor;
+    std::unique_ptr<Metrics> metrics = std::make_unique<Metrics>();
     std::unique_ptr<ExecutorController> controller;
     bool isAlive = true;
     bool isCut = false; ///< cut off from all placers
