--- a/cli/jobstory.cpp
+++ b/cli/jobstory.cpp
@@ -26,6 +26,14 @@
                                           {"A run started.", "until it started"},
                                           {"A job's state changed.", "until its last change of state"}}};
 
+/** A line of an agent with one of these texts ends runs without naming their jobs. */
+constexpr std::array<std::string_view, 3> EndsOfRuns = {"runs of its previous incarnation are over", " has left with ", " runs count as ended"};
+
+bool endsRuns(const LogLine &line)
+{
+    return std::any_of(EndsOfRuns.begin(), EndsOfRuns.end(), [&line](std::string_view text) { return line.what.find(text) != std::string::npos; });
+}
+
 std::optional<std::int64_t> parseTime(const std::string &text)
 {
     std::tm parts{};
@@ -99,8 +107,8 @@
     if (named != line.inputs.end() && named->second == this->job) {
         line.inputs.erase(named);
         this->ownLines.push_back(std::move(line));
-    } else if (named == line.inputs.end() && line.level != "INFO") {
-        this->warnings.push_back(std::move(line));
+    } else if (named == line.inputs.end() && (line.level != "INFO" || endsRuns(line))) {
+        this->hostLines.push_back(std::move(line));
     }
 }
 
@@ -111,23 +119,26 @@
         return steps;
     }
     std::set<std::string> executors;
+    std::set<std::string> agents;
     auto first = steps.front().atMs;
     auto last = first;
     for (const auto &line : steps) {
         const auto executor = line.inputs.find("executor");
         if (executor != line.inputs.end() && !executor->second.empty()) {
             executors.insert(executor->second);
+            agents.insert(line.node);
         }
         first = std::min(first, line.atMs);
         last = std::max(last, line.atMs);
     }
-    for (const auto &line : this->warnings) {
+    for (const auto &line : this->hostLines) {
         const bool isNear = line.atMs >= first && line.atMs <= last;
         const bool isNamed = std::any_of(executors.begin(), executors.end(), [&line](const std::string &executor) {
             const auto input = line.inputs.find("executor");
             return line.what.find(executor) != std::string::npos || (input != line.inputs.end() && input->second == executor);
         });
-        if (isNear && isNamed) {
+        // An executor may start again under another id.
+        if (isNear && (isNamed || (endsRuns(line) && agents.contains(line.node)))) {
             steps.push_back(line);
         }
     }
--- a/cli/jobstory.h
+++ b/cli/jobstory.h
@@ -26,7 +26,7 @@
 /**
  * The story of one job, put together from the logs of all processes.
  *
- * Besides the lines that name the job it holds the warnings about executors that ran it, as these often are the cause.
+ * Besides the lines that name the job it holds those about executors that ran it: warnings, as these often are the cause, and what ended all runs of one.
  */
 class JobStory
 {
@@ -45,7 +45,7 @@
 
     std::string job;
     std::vector<LogLine> ownLines;
-    std::vector<LogLine> warnings; ///< that name no job
+    std::vector<LogLine> hostLines; ///< that name no job
 };
 
 } // namespace waxwingloft::cli
