agent: Let the lists tell the end of a run that was listed before its repeat was refused

A start without an answer that was carried out while its repeat was under way was closed by the list, so that the refusal of the repeat counted as the end of a run that went on. Found while testing AgentRun; both tests failed before.

--- a/include/waxwingloft/request/agentrun.h
+++ b/include/waxwingloft/request/agentrun.h
@@ -17,7 +17,7 @@
  * out, or may be carried out seconds later, after newer calls; until then it is open, and the refusal of another start
  * says nothing about it. So a run is over when
  * - its executor lists its end, or
- * - a start of it is refused while none is open, or
+ * - a start of it is refused while none is open and it was not listed, or
  * - it is closed, which means that its executor begins it no more, and a list poll sent after that does not list it.
  * An executor begins a run no more when it has begun it, has listed it, refuses it as an old one or has answered a stop of it.
  *
@@ -50,7 +50,7 @@
     /** Records that a start had no effect because its lease was over; it is due again at @p dueAt. */
     void startWasTooLate(Instant dueAt);
 
-    /** Records a refused start. Returns whether the run is over; otherwise it is to be stopped from @p now on. */
+    /** Records a refused start. Returns whether the run is over; otherwise it is to be stopped from @p now on, unless it was listed and goes on. */
     bool startRefused(RefusalReason reason, std::uint64_t nextPoll, Instant now);
 
     void stopAnswered(std::uint64_t nextPoll);
--- a/src/request/agentrun.cpp
+++ b/src/request/agentrun.cpp
@@ -71,6 +71,10 @@
 bool AgentRun::startRefused(RefusalReason reason, std::uint64_t nextPoll, Instant now)
 {
     this->isInFlight = false;
+    // It was listed while this start was under way, so an earlier start of it was carried out and the lists tell its end.
+    if (this->closedFrom != 0) {
+        return false;
+    }
     const bool isKnownToExecutor = reason == RefusalReason::OldRun;
     if (!this->openStart && !isKnownToExecutor) {
         return true;
--- a/tests/request/agentruntest.cpp
+++ b/tests/request/agentruntest.cpp
@@ -164,6 +164,24 @@
     EXPECT_EQ(run.report(SomeRun).checkpoint, "new");
 }
 
+// A start that is carried out while its repeat is under way is listed before the repeat is refused; the run goes on.
+TEST_F(AgentRunTest, ARefusedRepeatOfAListedRunEndsNothing)
+{
+    auto reasons = refusalsOfUnknownRuns();
+    reasons.push_back(RefusalReason::OldRun);
+    for (const auto reason : reasons) {
+        auto run = this->makeRun();
+        this->failStart(run);
+        run.orderSent(false);
+        run.listed("new", 10, NextPoll - 1);
+        EXPECT_FALSE(run.startRefused(reason, NextPoll, this->clock.now())) << nameOf(reason);
+        EXPECT_FALSE(run.isStopWanted()) << nameOf(reason);
+        EXPECT_EQ(run.report(SomeRun).phase, RunPhase::Running) << nameOf(reason);
+        EXPECT_TRUE(run.isOverIfUnlisted(NextPoll)) << nameOf(reason);
+        EXPECT_EQ(run.unlistedEnd(SomeRun).end, RunEnd::Stopped) << nameOf(reason) << ": it ran";
+    }
+}
+
 // A run of an earlier agent process is known by the lists alone.
 TEST_F(AgentRunTest, AnAdoptedRunIsOverWhenItVanishes)
 {
--- a/tests/request/executorcontrollertest.cpp
+++ b/tests/request/executorcontrollertest.cpp
@@ -332,4 +332,22 @@
     EXPECT_EQ(this->countOf(counter), 1);
 }
 
+// The placer would start such a task elsewhere while its run goes on.
+TEST_F(ExecutorControllerTest, ARunThatIsListedBeforeItsRepeatIsRefusedIsNotOver)
+{
+    this->controller.applyAnswer(sync(1, {First}), this->clock.now());
+    this->controller.startAnswered(this->controller.takeDueOrders()[0], makeError(ErrorKind::Ambiguous, "lost"));
+    this->clock.advance(this->options.resendAfter);
+    const auto repeats = this->controller.takeDueOrders();
+    ASSERT_EQ(repeats.size(), 1U);
+    this->answerPoll({First});
+    this->controller.startAnswered(repeats[0], StartAnswer{{this->executorTime(), SomeIncarnation.startedAt}, RefusalReason::Unhealthy});
+    this->answerPoll({First});
+    const auto report = this->controller.report();
+    EXPECT_TRUE(report->ends.empty());
+    ASSERT_EQ(report->runs.size(), 1U);
+    EXPECT_EQ(report->runs[0].phase, RunPhase::Running);
+    EXPECT_EQ(this->countOf("waxwingloft_runs_listed_unexpectedly_total"), 0);
+}
+
 } // namespace waxwingloft::tests
