agent: Adopt the incarnation of an executor that answers a poll

What callers see: after a step of the time of day an executor could stay without work for good, and runs assigned to it stayed assigned.

Cause: heartbeats of other incarnations were ordered by their start on the time of day. One that started after a step back was ignored for ever; a late heartbeat from before the step replaced the live incarnation, whose runs the agent then dropped. Polls that another incarnation answered under the same id were not counted, so the lease never counted as expired.

Fix: a heartbeat only names a candidate. The next poll goes to it, without a renewal and without numbers of ends, and only its own answer adopts it; a process answers at the executor's address only when the earlier one has ended. Polls alternate while the candidate does not answer, so the incarnation in use keeps its lease. Answers of another incarnation count as unanswered, so runs end with the lease.

Evidence: the five new tests of ExecutorController and two of JobSite failed before.

--- a/include/waxwingloft/request/executorcontroller.h
+++ b/include/waxwingloft/request/executorcontroller.h
@@ -6,6 +6,7 @@
 #include "waxwingloft/process/logger.h"
 #include "waxwingloft/request/agentrun.h"
 #include "waxwingloft/request/endproof.h"
+#include "waxwingloft/request/incarnationcandidate.h"
 
 #include <functional>
 #include <map>
@@ -39,6 +40,7 @@
     ExecutorIncarnation incarnation;
     RunListQuery question;
     std::uint64_t serial = 0; ///< increases with each poll
+    bool isOfCandidate = false; ///< asks whether an incarnation that is not in use is live
 };
 
 /**
@@ -90,7 +92,9 @@
     std::uint64_t changes() const;
 
 private:
+    std::optional<ExecutorIncarnation> incarnationInUse() const;
     void beginIncarnation(const ExecutorHeartbeat &heartbeat);
+    void candidateAnswered(const DueRunListQuery &poll, const Result<RunListAnswer> &answer);
     bool applyAssignments(const AssignmentSync &sync);
     void addAssignment(const Assignment &assignment);
     bool hasEnded(const TaskRun &run) const;
@@ -118,7 +122,8 @@
     std::uint64_t generation = 0;
     std::uint64_t reportSequence = 0;
     std::uint64_t changeCount = 0;
-    std::optional<ExecutorHeartbeat> latest;
+    std::optional<ExecutorHeartbeat> latest; ///< of the incarnation in use
+    IncarnationCandidate candidate;
     bool hasRunLists = false; ///< the run lists of this incarnation have been read
     bool hasLeft = false;
     int unansweredPolls = 0;
--- a/src/request/executorcontroller.cpp
+++ b/src/request/executorcontroller.cpp
@@ -41,31 +41,32 @@
 {
     {
         const std::lock_guard<std::mutex> guard(this->mutex);
-        const bool isSameIncarnation = this->latest && this->latest->incarnation == heartbeat.incarnation;
-        if (this->latest && !isSameIncarnation && heartbeat.incarnation.startedAt < this->latest->incarnation.startedAt) {
-            this->log.warn("Heartbeat of executor " + heartbeat.incarnation.id + " is older than that of incarnation " + this->latest->incarnation.id
-                           + "; ignored.");
+        const bool isInUse = this->latest && this->latest->incarnation == heartbeat.incarnation;
+        if (isInUse && heartbeat.sequence <= this->latest->sequence) {
             return;
         }
-        if (isSameIncarnation && heartbeat.sequence <= this->latest->sequence) {
-            return;
-        }
-        const bool isChange = !isSameIncarnation || this->latest->isDraining != heartbeat.isDraining || this->latest->capacity != heartbeat.capacity;
-        if (!isSameIncarnation) {
-            this->beginIncarnation(heartbeat);
-        }
-        if (isSameIncarnation && !this->latest->isDraining && heartbeat.isDraining) {
+        const bool isChange =
+            isInUse ? this->latest->isDraining != heartbeat.isDraining || this->latest->capacity != heartbeat.capacity : this->candidate.heartbeat(heartbeat);
+        if (isInUse && !this->latest->isDraining && heartbeat.isDraining) {
             this->log.info("Executor " + heartbeat.incarnation.id + " drains; it gets no new work.");
         }
-        this->latest = heartbeat;
+        if (isInUse) {
+            this->latest = heartbeat;
+        }
         if (!isChange) {
             return;
         }
-        ++this->changeCount;
+        this->changeCount += isInUse ? 1 : 0;
     }
     this->wake();
 }
 
+std::optional<ExecutorIncarnation> ExecutorController::incarnationInUse() const
+{
+    return this->latest ? std::optional(this->latest->incarnation) : std::nullopt;
+}
+
+/** Replaces the incarnation in use, which is over, by the one that sent @p heartbeat. */
 void ExecutorController::beginIncarnation(const ExecutorHeartbeat &heartbeat)
 {
     this->log.info("Executor " + heartbeat.incarnation.id + " started at " + std::to_string(heartbeat.incarnation.startedAt) + " with "
@@ -83,6 +84,8 @@
     // An earlier process of this agent may have granted a lease just before it ended.
     this->latestLeaseEnd = this->clock.now() + this->longestLease();
     this->clockOffset.reset();
+    this->latest = heartbeat;
+    ++this->changeCount;
 }
 
 void ExecutorController::deregister(const std::string &executorId)
@@ -292,13 +295,25 @@
 std::optional<DueRunListQuery> ExecutorController::nextRunListQuery()
 {
     const std::lock_guard<std::mutex> guard(this->mutex);
-    if (!this->latest || this->generation == 0 || this->hasLeft) {
+    if (this->generation == 0) {
         return std::nullopt;
     }
     DueRunListQuery poll;
-    poll.incarnation = this->latest->incarnation;
-    poll.serial = ++this->pollSerial;
     poll.question.fencingToken = this->fencingToken();
+    const auto inUse = this->incarnationInUse();
+    const auto candidate = this->candidate.poll(this->hasLeft ? std::nullopt : inUse, this->pollSerial + 1);
+    if (candidate) {
+        // It is only asked whether it is live: a late heartbeat may have named it, and its numbers of ends and its clock are its own.
+        poll.incarnation = *candidate;
+        poll.serial = ++this->pollSerial;
+        poll.isOfCandidate = true;
+        return poll;
+    }
+    if (!inUse || this->hasLeft) {
+        return std::nullopt;
+    }
+    poll.incarnation = *inUse;
+    poll.serial = ++this->pollSerial;
     poll.question.acknowledgedEnds = this->acknowledgedEnds;
     // An unanswered renewal may still take effect, so an unresponsive executor is polled without renewal, so that its lease expires.
     poll.question.leaseEnd = this->isUnresponsive() ? std::nullopt : this->grantableLeaseEnd(this->clock.now());
@@ -327,19 +342,20 @@
     bool hasChanges = false;
     {
         const std::lock_guard<std::mutex> guard(this->mutex);
-        if (!this->latest || this->latest->incarnation != poll.incarnation || this->hasLeft) {
-            return;
-        }
         const auto before = this->changeCount;
-        const auto startedAt = succeeded(answer) ? valueOf(answer).stamp.startedAt : std::nullopt;
-        if (startedAt && *startedAt != this->latest->incarnation.startedAt) {
-            this->log.warn("Another incarnation of the executor answered; waiting for its heartbeat.", {{"executor", this->latest->incarnation.id}});
-            return;
-        }
-        if (succeeded(answer)) {
-            this->applyRunLists(poll, valueOf(answer));
-        } else {
-            this->recordUnansweredPoll();
+        if (poll.isOfCandidate) {
+            this->candidateAnswered(poll, answer);
+        } else if (this->latest && this->latest->incarnation == poll.incarnation && !this->hasLeft) {
+            const auto startedAt = succeeded(answer) ? valueOf(answer).stamp.startedAt : std::nullopt;
+            const bool isOfAnother = startedAt && *startedAt != poll.incarnation.startedAt;
+            if (isOfAnother) {
+                this->log.warn("Another incarnation of the executor answered; waiting for its heartbeat.", {{"executor", poll.incarnation.id}});
+            }
+            if (succeeded(answer) && !isOfAnother) {
+                this->applyRunLists(poll, valueOf(answer));
+            } else {
+                this->recordUnansweredPoll();
+            }
         }
         hasChanges = this->changeCount != before;
     }
@@ -348,6 +364,32 @@
     }
 }
 
+void ExecutorController::candidateAnswered(const DueRunListQuery &poll, const Result<RunListAnswer> &answer)
+{
+    // An answer that a later poll has overtaken says nothing on which incarnation is live now.
+    if (poll.serial != this->pollSerial || !this->candidate.isPoll(poll.serial)) {
+        return;
+    }
+    const auto heartbeat = this->candidate.latestHeartbeat();
+    switch (this->candidate.judge(this->incarnationInUse(), answer)) {
+    case IncarnationVerdict::Live:
+        this->beginIncarnation(heartbeat);
+        if (this->generation != 0) {
+            this->applyRunLists(poll, valueOf(answer));
+        }
+        break;
+    case IncarnationVerdict::Unknown:
+        if (this->latest && !this->hasLeft) {
+            this->recordUnansweredPoll();
+        }
+        break;
+    case IncarnationVerdict::Another:
+        this->log.warn("A heartbeat of executor " + heartbeat.incarnation.id + " is ignored: another incarnation answered.",
+                       {{"started_at", std::to_string(heartbeat.incarnation.startedAt)}});
+        break;
+    }
+}
+
 bool ExecutorController::isUnresponsive() const
 {
     return this->unansweredPolls >= this->options.unansweredPollsToUnreachable;
--- a/tests/process/manualclock.h
+++ b/tests/process/manualclock.h
@@ -18,7 +18,7 @@
 
     std::int64_t wallMillis() const override
     {
-        return WallStart + this->elapsed.count();
+        return WallStart + (this->elapsed + this->wallStep).count();
     }
 
     void sleepFor(Millis duration) override
@@ -46,6 +46,12 @@
         this->elapsed += duration;
     }
 
+    /** Steps the time of day; the steady time goes on as before. */
+    void stepWall(Millis step)
+    {
+        this->wallStep += step;
+    }
+
     std::function<void(Millis)> onSleep;
 
 private:
@@ -53,6 +59,7 @@
     static constexpr Millis WaitStep = Millis(100);
 
     Millis elapsed = Millis(1'000'000);
+    Millis wallStep = Millis(0);
 };
 
 } // namespace waxwingloft::tests
--- a/tests/request/executorcontrollertest.cpp
+++ b/tests/request/executorcontrollertest.cpp
@@ -49,10 +49,16 @@
 
     /** Polls the run lists and answers with @p running. */
     DueRunListQuery answerPoll(const std::vector<TaskRun> &running)
+    {
+        return this->answerPollAs(SomeIncarnation.startedAt, running);
+    }
+
+    /** The same, answered by the incarnation that started at @p startedAt. */
+    DueRunListQuery answerPollAs(std::int64_t startedAt, const std::vector<TaskRun> &running)
     {
         const auto poll = this->controller.nextRunListQuery();
         RunListAnswer answer;
-        answer.stamp = {Millis(50'000) + std::chrono::duration_cast<Millis>(this->clock.now().time_since_epoch()), SomeIncarnation.startedAt};
+        answer.stamp = {this->executorTime(), startedAt};
         for (const auto &run : running) {
             answer.running.push_back({run, "", 10});
         }
@@ -207,6 +213,8 @@
     auto again = this->makeHeartbeat(1);
     again.incarnation.startedAt += 5000;
     this->controller.heartbeat(again);
+    EXPECT_FALSE(this->controller.needsGeneration()) << "a heartbeat may be late";
+    this->answerPollAs(again.incarnation.startedAt, {});
     EXPECT_TRUE(this->controller.needsGeneration());
     EXPECT_FALSE(this->controller.nextRunListQuery());
     EXPECT_FALSE(this->controller.report());
@@ -215,6 +223,80 @@
     EXPECT_FALSE(this->controller.report()) << "its lists have not been read";
 }
 
+// A late heartbeat whose sender started at a later time of day, before a clock step, was adopted: the live incarnation's runs counted as over.
+TEST_F(ExecutorControllerTest, ALateHeartbeatOfAnEarlierIncarnationEndsNoRun)
+{
+    this->answerPoll({First});
+    auto late = this->makeHeartbeat(99);
+    late.incarnation.startedAt += 5000;
+    this->controller.heartbeat(late);
+    const auto probe = this->answerPoll({First});
+    EXPECT_FALSE(probe.question.leaseEnd);
+    EXPECT_EQ(probe.question.acknowledgedEnds, 0U) << "the number of an end holds for one incarnation";
+    late.incarnation.id = "i-0";
+    this->controller.heartbeat(late);
+    auto poll = this->controller.nextRunListQuery();
+    EXPECT_EQ(poll->incarnation.id, "i-0");
+    this->controller.runListAnswered(*poll, makeError(ErrorKind::Stale, "another life answered"));
+    EXPECT_EQ(this->controller.nextRunListQuery()->incarnation, SomeIncarnation);
+    EXPECT_EQ(this->controller.report()->incarnation, SomeIncarnation);
+    EXPECT_EQ(this->controller.report()->runs.size(), 1U);
+}
+
+// An incarnation that started at a lower time of day than its predecessor was ignored for ever.
+TEST_F(ExecutorControllerTest, AnIncarnationThatStartedAtALowerTimeOfDayIsUsed)
+{
+    this->answerPoll({First});
+    auto next = this->makeHeartbeat(1);
+    next.incarnation = {"i-2", SomeIncarnation.startedAt - 500};
+    this->controller.heartbeat(next);
+    this->answerPollAs(next.incarnation.startedAt, {});
+    ASSERT_TRUE(this->controller.report());
+    EXPECT_EQ(this->controller.report()->incarnation, next.incarnation);
+    EXPECT_TRUE(this->controller.report()->runs.empty());
+}
+
+// The current incarnation was no longer polled, and so lost its lease, while a late heartbeat named another one.
+TEST_F(ExecutorControllerTest, PollsOfTheCurrentIncarnationGoOnWhileAnotherOneDoesNotAnswer)
+{
+    this->answerPoll({First});
+    auto other = this->makeHeartbeat(1);
+    other.incarnation = {"i-2", SomeIncarnation.startedAt + 500};
+    this->controller.heartbeat(other);
+    EXPECT_EQ(this->failPoll().incarnation, other.incarnation);
+    EXPECT_EQ(this->answerPoll({First}).incarnation, SomeIncarnation);
+    EXPECT_EQ(this->failPoll().incarnation, other.incarnation);
+    EXPECT_TRUE(this->controller.report()->isReachable);
+    EXPECT_EQ(this->controller.report()->runs.size(), 1U);
+}
+
+// An answer to a poll that a later poll has overtaken says nothing on which incarnation is live now.
+TEST_F(ExecutorControllerTest, OnlyTheAnswerToTheLatestPollAdoptsAnIncarnation)
+{
+    auto other = this->makeHeartbeat(1);
+    other.incarnation = {"i-2", SomeIncarnation.startedAt + 500};
+    this->controller.heartbeat(other);
+    const auto early = this->controller.nextRunListQuery();
+    this->answerPoll({First});
+    this->controller.runListAnswered(*early, RunListAnswer{{this->executorTime(), other.incarnation.startedAt}, {}, {}});
+    EXPECT_EQ(this->controller.report()->incarnation, SomeIncarnation);
+}
+
+// Polls that another incarnation answered under the same id were not counted, so that the runs stayed assigned for ever.
+TEST_F(ExecutorControllerTest, RunsEndWithTheirLeaseWhileAnotherIncarnationAnswersWithoutAHeartbeat)
+{
+    this->answerPoll({First});
+    const auto other = SomeIncarnation.startedAt - 500;
+    this->answerPollAs(other, {});
+    this->answerPollAs(other, {});
+    EXPECT_FALSE(this->controller.report()->isReachable);
+    EXPECT_EQ(this->controller.report()->runs.size(), 1U) << "its lease may not have expired";
+    this->clock.advance(this->options.lease * 2);
+    EXPECT_FALSE(this->answerPollAs(other, {}).question.leaseEnd);
+    ASSERT_EQ(this->controller.report()->ends.size(), 1U);
+    EXPECT_EQ(this->controller.report()->ends[0].end, RunEnd::Lapsed);
+}
+
 TEST_F(ExecutorControllerTest, AllRunsEndWhenTheExecutorDeregisters)
 {
     this->answerPoll({First});
--- a/tests/request/jobsitetest.cpp
+++ b/tests/request/jobsitetest.cpp
@@ -248,6 +248,41 @@
     expectNoViolations(site);
 }
 
+// Incarnations were ordered by the time of day, so that one that started after a step back was never used.
+TEST(JobSite, AnExecutorThatRestartsAfterTheTimeOfDayWentBackIsUsed)
+{
+    JobSite site(1);
+    const auto job = site.submit(oneStep(2, Half));
+    site.advance(Millis(600));
+    site.clock.stepWall(Millis(-5000));
+    site.agents[0].executor->restart();
+    EXPECT_EQ(site.finish(job, Millis(15'000)), JobPhase::Completed);
+    expectNoViolations(site);
+}
+
+// After a step back of the time of day a late heartbeat of the previous incarnation passed for a newer one.
+TEST(JobSite, ALateHeartbeatFromBeforeAStepBackStopsNothing)
+{
+    JobSite site(1);
+    auto &agent = site.agents[0];
+    agent.executor->runOf = [](const StartOrder &) {
+        FakeRun run;
+        run.endsAt = Millis(9000);
+        return run;
+    };
+    auto late = agent.executor->heartbeat();
+    site.clock.stepWall(Millis(-5000));
+    agent.executor->restart();
+    site.advance(Millis(2000));
+    const auto job = site.submit(oneStep(2, Half));
+    site.advance(Millis(1000));
+    ASSERT_EQ(runningIn(site), 2U);
+    agent.controller->heartbeat(late);
+    EXPECT_EQ(site.finish(job, Millis(20'000)), JobPhase::Completed);
+    expectStartedOnce(site);
+    expectNoViolations(site);
+}
+
 TEST(JobSite, DelayedStartOrdersRunNothingTwice)
 {
     JobSite site(3);
