agent: Bound the lease of an executor by all calls that may still extend it

Callers could see one task run twice at a time. An agent took the runs of an executor that did not answer to be over one lease after it last asked for one. A renewal or a start without an answer may be carried out up to 12 s later, and where its time counts from then, it keeps runs alive, or begins one, after that. An order that waits in the queue, or a clock reading that is old, moved the bound too.

What a lease can still do now stands in one class, ExecutorLease: a call counts while its answer is pending; answered, it was carried out before its answer; without one, it is carried out within the longest lateness or never, and extends only what has not lapsed. A run with an open start is over only when it can no longer begin. Calls that surely had no effect count for nothing.

So that this is rarely longer than before, only polls that are answered at once renew, none after an unanswered poll, and polls that wait ask for no lease: what is open when an executor fails is most often a poll without one. A lease is asked for only with a clock reading so young that it lasts no longer than assumed.

The fake executor now carries out late polls, can count leases of late calls from their arrival, and takes the lease of a start that it refuses as old or that it has carried out before.

--- a/include/waxwingloft/connection/executorport.h
+++ b/include/waxwingloft/connection/executorport.h
@@ -70,6 +70,12 @@
     virtual Result<RunListAnswer> pollRuns(const ExecutorIncarnation &incarnation, const RunListQuery &question) = 0;
 };
 
+/** Whether a call to an executor that failed with @p kind may have had an effect, or may have one later. */
+constexpr bool mayTakeEffect(ErrorKind kind)
+{
+    return kind != ErrorKind::Unreachable && kind != ErrorKind::LimitExceeded;
+}
+
 /** What an executor says of itself at intervals. */
 struct ExecutorHeartbeat {
     ExecutorIncarnation incarnation;
--- a/include/waxwingloft/request/agentrun.h
+++ b/include/waxwingloft/request/agentrun.h
@@ -1,6 +1,7 @@
 #ifndef WAXWINGLOFT_REQUEST_AGENTRUN_H
 #define WAXWINGLOFT_REQUEST_AGENTRUN_H
 
+#include "waxwingloft/connection/executorport.h"
 #include "waxwingloft/connection/taskmessages.h"
 #include "waxwingloft/process/clock.h"
 #include "waxwingloft/process/error.h"
@@ -58,6 +59,9 @@
     /** Applies its row in the lists that poll @p serial returned. Returns whether that shows that it started. */
     bool listed(const std::string &checkpoint, std::uint32_t percent, std::uint64_t serial);
 
+    /** Whether a start of it without an answer may still begin it. */
+    bool mayBeginLate() const;
+
     /** Whether its absence from the lists that poll @p serial returned proves that it is over. */
     bool isOverIfUnlisted(std::uint64_t serial) const;
 
--- a/src/process/daemon/jobagentrole.cpp
+++ b/src/process/daemon/jobagentrole.cpp
@@ -9,14 +9,14 @@
 namespace {
 
 constexpr auto ExecutorTimeout = Millis(300); ///< the executor stands on the same host; leaves a gang's members ten tries to come together
-constexpr auto LeaseReserve = Millis(100); ///< below the longest lease that the executor grants
 constexpr std::size_t HeartbeatThreads = 3; ///< an executor's connection, one of its next life, and a spare
 constexpr auto OfficeWait = Millis(5000); ///< the office changes hands rarely
 
 ExecutorControllerOptions keeperTermsOf(const NodeConfig &config)
 {
     ExecutorControllerOptions options;
-    options.lease = config.jobs.lease() - LeaseReserve;
+    options.lease = config.jobs.lease() - options.leaseReserve;
+    options.longestLease = config.jobs.longestLease;
     return options;
 }
 
--- a/src/request/agentrun.cpp
+++ b/src/request/agentrun.cpp
@@ -2,16 +2,6 @@
 
 namespace waxwingloft {
 
-namespace {
-
-/** Whether a call that failed with @p kind may have had an effect, or may have one later. */
-bool mayTakeEffect(ErrorKind kind)
-{
-    return kind != ErrorKind::Unreachable && kind != ErrorKind::LimitExceeded;
-}
-
-} // namespace
-
 AgentRun::AgentRun(const Assignment &assignment, Instant now)
     : spec(assignment.spec)
     , checkpoint(assignment.checkpoint)
@@ -108,6 +98,11 @@
     return hasStarted;
 }
 
+bool AgentRun::mayBeginLate() const
+{
+    return this->openStart;
+}
+
 bool AgentRun::isOverIfUnlisted(std::uint64_t serial) const
 {
     return this->closedFrom != 0 && serial >= this->closedFrom && !this->isInFlight;
--- a/src/request/executorcontroller.cpp
+++ b/src/request/executorcontroller.cpp
@@ -5,6 +5,16 @@
 
 namespace waxwingloft {
 
+namespace {
+
+/** Returns @p duration on an executor's clock as it lasts on this clock when that one is slow. */
+Millis onOurClock(Millis duration, double drift)
+{
+    return Millis(static_cast<std::int64_t>(static_cast<double>(duration.count()) / (1.0 - drift)));
+}
+
+} // namespace
+
 ExecutorController::ExecutorController(Clock &clock, NodeId node, std::string address, ExecutorControllerOptions options)
     : clock(clock)
     , node(std::move(node))
@@ -12,7 +22,8 @@
     , options(options)
     , log(LogPart::Gangs)
     , agentLeaseUntil(clock.now())
-    , latestLeaseEnd(clock.now())
+    , lease(onOurClock(options.lease + options.leaseReserve, options.clockDrift), options.longestLateness)
+    , renewedAt(clock.now() - options.renewalInterval)
 {
 }
 
@@ -80,8 +91,8 @@
     this->hasLeft = false;
     this->unansweredPolls = 0;
     this->acknowledgedEnds = 0;
-    // An earlier process of this agent may have granted a lease just before it ended.
-    this->latestLeaseEnd = this->clock.now() + this->longestLease();
+    this->restartLease();
+    this->renewedAt = this->clock.now() - this->options.renewalInterval;
     this->clockOffset.reset();
 }
 
@@ -210,6 +221,9 @@
             continue;
         }
         entry.orderSent(isStop);
+        if (isStart) {
+            this->lease.callSent();
+        }
         orders.push_back(
             {isStop, this->latest->incarnation, {run, entry.startSpec(), entry.latestCheckpoint(), leaseEnd.value_or(Millis(0)), this->fencingToken()}});
     }
@@ -220,8 +234,12 @@
 {
     {
         const std::lock_guard<std::mutex> guard(this->mutex);
+        if (!this->latest || this->latest->incarnation != order.incarnation) {
+            return;
+        }
+        this->recordLeaseAnswer(answer);
         const auto found = this->runs.find(order.start.run);
-        if (found == this->runs.end() || !this->latest || this->latest->incarnation != order.incarnation) {
+        if (found == this->runs.end()) {
             return;
         }
         const auto &run = order.start.run;
@@ -300,26 +318,48 @@
     poll.serial = ++this->pollSerial;
     poll.question.fencingToken = this->fencingToken();
     poll.question.acknowledgedEnds = this->acknowledgedEnds;
-    // An unanswered renewal may still take effect, so an unresponsive executor is polled without renewal, so that its lease expires.
-    poll.question.leaseEnd = this->isUnresponsive() ? std::nullopt : this->grantableLeaseEnd(this->clock.now());
+    poll.question.leaseEnd = this->dueRenewal(this->clock.now());
+    if (poll.question.leaseEnd) {
+        this->lease.callSent();
+    }
     const bool isStopOpen = std::any_of(this->runs.begin(), this->runs.end(), [](const auto &item) { return item.second.isStopWanted(); });
-    poll.question.wait = !this->hasRunLists ? Millis(0) : (isStopOpen ? this->options.stopWait : this->options.pollWait);
+    // A renewal is answered at once, so that one is rarely open when its executor fails.
+    poll.question.wait = !this->hasRunLists || poll.question.leaseEnd ? Millis(0) : (isStopOpen ? this->options.stopWait : this->options.pollWait);
     return poll;
 }
 
-/** Returns the lease end to request while the agent lease is valid, and records when that lease is known to have expired. */
-std::optional<Millis> ExecutorController::grantableLeaseEnd(Instant now)
+/** Returns the lease end to request while the agent lease is valid and the executor's clock is known. */
+std::optional<Millis> ExecutorController::grantableLeaseEnd(Instant now) const
 {
-    if (now >= this->agentLeaseUntil || !this->clockOffset) {
+    const auto longestClockAge = Millis(static_cast<std::int64_t>(static_cast<double>(this->options.leaseReserve.count()) / this->options.clockDrift));
+    if (now >= this->agentLeaseUntil || !this->clockOffset || now >= this->clockOffsetAt + longestClockAge) {
         return std::nullopt;
     }
-    this->latestLeaseEnd = now + this->longestLease();
     return std::chrono::duration_cast<Millis>(now.time_since_epoch()) + *this->clockOffset + this->options.lease;
 }
 
-Millis ExecutorController::longestLease() const
+/** Returns the lease end to request with the next poll. A renewal without an answer may still take effect, so none follows an unanswered poll. */
+std::optional<Millis> ExecutorController::dueRenewal(Instant now) const
 {
-    return Millis(static_cast<std::int64_t>(static_cast<double>(this->options.lease.count()) / (1.0 - this->options.clockDrift)));
+    const bool isDue = this->unansweredPolls == 0 && now >= this->renewedAt + this->options.renewalInterval;
+    return isDue ? this->grantableLeaseEnd(now) : std::nullopt;
+}
+
+/** Records the answer to a call that asked for a lease. */
+template<typename Answer>
+void ExecutorController::recordLeaseAnswer(const Result<Answer> &answer)
+{
+    if (succeeded(answer)) {
+        this->lease.callAnswered(this->clock.now());
+    } else {
+        this->lease.callFailed(this->clock.now(), mayTakeEffect(errorOf(answer).kind));
+    }
+}
+
+/** Earlier processes of this agent, and late orders to an earlier incarnation, may have granted leases that the executor still holds. */
+void ExecutorController::restartLease()
+{
+    this->lease.restart(this->clock.now() + onOurClock(this->options.longestLease, this->options.clockDrift));
 }
 
 void ExecutorController::runListAnswered(const DueRunListQuery &poll, const Result<RunListAnswer> &answer)
@@ -330,6 +370,9 @@
         if (!this->latest || this->latest->incarnation != poll.incarnation || this->hasLeft) {
             return;
         }
+        if (poll.question.leaseEnd) {
+            this->recordLeaseAnswer(answer);
+        }
         const auto before = this->changeCount;
         const auto startedAt = succeeded(answer) ? valueOf(answer).stamp.startedAt : std::nullopt;
         if (startedAt && *startedAt != this->latest->incarnation.startedAt) {
@@ -360,11 +403,28 @@
         this->log.warn("Executor " + this->latest->incarnation.id + " does not answer; it gets no new work.");
         ++this->changeCount;
     }
-    if (this->clock.now() < this->latestLeaseEnd || this->runs.empty()) {
+    this->endLapsedRuns();
+}
+
+/** Ends the runs that are known to have lapsed, as the executor does not answer. */
+void ExecutorController::endLapsedRuns()
+{
+    const auto now = this->clock.now();
+    const bool hasExpired = this->lease.hasExpired(now);
+    const bool hasExpiredForLateStarts = this->lease.hasExpiredForLateStarts(now);
+    std::vector<TaskRun> lapsed;
+    for (const auto &[run, entry] : this->runs) {
+        if (entry.mayBeginLate() ? hasExpiredForLateStarts : hasExpired) {
+            lapsed.push_back(run);
+        }
+    }
+    if (lapsed.empty()) {
         return;
     }
-    this->log.warn("The lease of executor " + this->latest->incarnation.id + " has expired; " + std::to_string(this->runs.size()) + " runs count as ended.");
-    this->endAll(EndProof::LeaseExpired);
+    this->log.warn("The lease of executor " + this->latest->incarnation.id + " has expired; " + std::to_string(lapsed.size()) + " runs count as ended.");
+    for (const auto &run : lapsed) {
+        this->end(this->runs.at(run).inferredEnd(run, RunEnd::Lapsed), EndProof::LeaseExpired);
+    }
     ++this->changeCount;
 }
 
@@ -377,6 +437,10 @@
     this->unansweredPolls = 0;
     const bool isFirstRead = !this->hasRunLists;
     this->hasRunLists = true;
+    if (isFirstRead) {
+        this->restartLease();
+    }
+    this->renewedAt = poll.question.leaseEnd ? this->clock.now() : this->renewedAt;
     for (const auto &listed : answer.running) {
         const auto [found, isNew] = this->runs.try_emplace(listed.run);
         if (isNew && !isFirstRead) {
@@ -444,6 +508,7 @@
     if (stamp.clock.count() == 0) {
         return;
     }
+    this->clockOffsetAt = this->clock.now();
     this->clockOffset = stamp.clock - std::chrono::duration_cast<Millis>(this->clock.now().time_since_epoch());
 }
 
--- a/tests/connection/fakeexecutor.h
+++ b/tests/connection/fakeexecutor.h
@@ -122,42 +122,36 @@
 
     Result<StartAnswer> start(const ExecutorIncarnation &incarnation, const StartOrder &order) override
     {
-        return this->order<StartAnswer>([this, incarnation, order] { return this->doStart(incarnation, order); },
-                                        StartAnswer{this->stamp(), RefusalReason::Unhealthy});
+        return this->call<StartAnswer>(
+            this->drawFate ? this->drawFate() : this->fate,
+            [this, incarnation, order](Millis shift) {
+                auto shifted = order;
+                shifted.leaseEnd += shift;
+                return this->doStart(incarnation, shifted);
+            },
+            StartAnswer{this->stamp(), RefusalReason::Unhealthy});
     }
 
     Result<ExecutorStamp> stop(const ExecutorIncarnation &incarnation, const TaskRun &run, std::uint64_t fencingToken) override
     {
-        return this->order<ExecutorStamp>([this, incarnation, run, fencingToken] { return this->doStop(incarnation, run, fencingToken); },
-                                          makeError(ErrorKind::Unreachable, "unhealthy"));
+        return this->call<ExecutorStamp>(
+            this->drawFate ? this->drawFate() : this->fate,
+            [this, incarnation, run, fencingToken](Millis) { return this->doStop(incarnation, run, fencingToken); },
+            makeError(ErrorKind::Unreachable, "unhealthy"));
     }
 
     Result<RunListAnswer> pollRuns(const ExecutorIncarnation &incarnation, const RunListQuery &question) override
     {
-        if (this->isUnreachable) {
-            return makeError(ErrorKind::Ambiguous, "dark");
-        }
-        if (incarnation.id != this->id) {
-            return makeError(ErrorKind::Stale, "other life");
-        }
-        RunListAnswer answer;
-        answer.stamp = this->stamp();
-        if (question.fencingToken >= this->highestToken) {
-            this->highestToken = question.fencingToken;
-            this->extend(question.leaseEnd);
-            for (const auto &end : this->ends) {
-                // The platform's rules: an end counts as noted unless the lease lapsed between the two.
-                if (end.number <= question.acknowledgedEnds && end.number > this->voidedEnds) {
-                    this->observer.noted(this->id, end.run, end.end);
+        return this->call<RunListAnswer>(
+            this->drawPollFate ? this->drawPollFate(question) : OrderFate::Answered,
+            [this, incarnation, question](Millis shift) {
+                auto shifted = question;
+                if (shifted.leaseEnd) {
+                    *shifted.leaseEnd += shift;
                 }
-            }
-            std::erase_if(this->ends, [&question](const EndReport &end) { return end.number <= question.acknowledgedEnds; });
-        }
-        for (const auto &[run, state] : this->running) {
-            answer.running.push_back({run, state.checkpoint, this->percentOf(state)});
-        }
-        answer.ended = this->ends;
-        return answer;
+                return this->doPoll(incarnation, shifted);
+            },
+            makeError(ErrorKind::Unreachable, "unhealthy"));
     }
 
     Capacity capacity = {128'000, 262'144, 8};
@@ -167,7 +161,9 @@
     bool isUnreachable = false; ///< answers nothing
     OrderFate fate = OrderFate::Answered;
     std::function<OrderFate()> drawFate; ///< when set, gives the fate of each order in place of @c fate
+    std::function<OrderFate(const RunListQuery &)> drawPollFate; ///< when set, gives the fate of each list poll
     Millis lateBy = Millis(3000);
+    bool lateLeasesCountFromArrival = false; ///< the lease of a late call is as long as if it had been sent on its arrival
     Millis stopTime = Millis(400);
     double clockRate = 1.0; ///< of its own clock against ours
     std::function<FakeRun(const StartOrder &)> runOf = [](const StartOrder &) { return FakeRun(); };
@@ -200,10 +196,10 @@
         }
     }
 
+    /** Carries out a call as its fate has it; @p action takes the time by which a lease that it asks for is put off. */
     template<typename Answer, typename Action>
-    Result<Answer> order(Action action, const Result<Answer> &unhealthy)
+    Result<Answer> call(OrderFate fate, Action action, const Result<Answer> &unhealthy)
     {
-        const auto fate = this->drawFate ? this->drawFate() : this->fate;
         if (this->isUnreachable || fate == OrderFate::Lost) {
             return makeError(ErrorKind::Ambiguous, "no answer");
         }
@@ -211,10 +207,12 @@
             return unhealthy;
         }
         if (fate == OrderFate::Delayed) {
-            this->late.emplace_back(this->clock.now() + this->lateBy, [action] { action(); });
+            const auto sentAt = this->now();
+            this->late.emplace_back(this->clock.now() + this->lateBy,
+                                    [this, action, sentAt] { action(this->lateLeasesCountFromArrival ? this->now() - sentAt : Millis(0)); });
             return makeError(ErrorKind::Ambiguous, "no answer");
         }
-        auto answer = action();
+        auto answer = action(Millis(0));
         return fate == OrderFate::AnswerLost ? Result<Answer>(makeError(ErrorKind::Ambiguous, "answer lost")) : answer;
     }
 
@@ -228,8 +226,10 @@
             answer.refusal = RefusalReason::Fenced;
         } else if (this->running.contains(order.run)) {
             this->highestToken = order.fencingToken;
+            this->extend(order.leaseEnd);
         } else if (this->highestEnded.contains(order.run.task) && order.run.run <= this->highestEnded[order.run.task]) {
             answer.refusal = RefusalReason::OldRun;
+            this->extend(order.leaseEnd);
         } else if (order.leaseEnd <= this->now()) {
             answer.refusal = RefusalReason::TooLate;
         } else {
@@ -261,6 +261,31 @@
         return this->stamp();
     }
 
+    Result<RunListAnswer> doPoll(const ExecutorIncarnation &incarnation, const RunListQuery &question)
+    {
+        if (incarnation.id != this->id) {
+            return makeError(ErrorKind::Stale, "other life");
+        }
+        RunListAnswer answer;
+        answer.stamp = this->stamp();
+        if (question.fencingToken >= this->highestToken) {
+            this->highestToken = question.fencingToken;
+            this->extend(question.leaseEnd);
+            for (const auto &end : this->ends) {
+                // The platform's rules: an end counts as noted unless the lease lapsed between the two.
+                if (end.number <= question.acknowledgedEnds && end.number > this->voidedEnds) {
+                    this->observer.noted(this->id, end.run, end.end);
+                }
+            }
+            std::erase_if(this->ends, [&question](const EndReport &end) { return end.number <= question.acknowledgedEnds; });
+        }
+        for (const auto &[run, state] : this->running) {
+            answer.running.push_back({run, state.checkpoint, this->percentOf(state)});
+        }
+        answer.ended = this->ends;
+        return answer;
+    }
+
     void end(const TaskRun &run, RunEnd how)
     {
         const auto checkpoint = this->running[run].checkpoint;
--- a/tests/request/executorcontrollertest.cpp
+++ b/tests/request/executorcontrollertest.cpp
@@ -12,6 +12,7 @@
 constexpr Epoch SomeEpoch = 20;
 constexpr std::uint64_t Generation = 30;
 constexpr auto AgentLease = Millis(3000);
+constexpr auto LongTime = Millis(30'000);
 
 class ExecutorControllerTest : public testing::Test
 {
@@ -67,11 +68,32 @@
         return *poll;
     }
 
+    /** Fails polls until a run ends, while the placer keeps granting agent leases. Returns after how long that was; at most LongTime. */
+    Millis timeUntilLapse()
+    {
+        const auto since = this->clock.now();
+        while (this->controller.report()->ends.empty() && this->clock.now() - since < LongTime) {
+            this->controller.applyAnswer(sync(++this->syncs, {First}), this->clock.now());
+            EXPECT_FALSE(this->failPoll().question.leaseEnd);
+            this->clock.advance(Millis(100));
+        }
+        const auto &ends = this->controller.report()->ends;
+        EXPECT_TRUE(ends.empty() || ends[0].end == RunEnd::Lapsed);
+        EXPECT_FALSE(this->controller.report()->isReachable);
+        return this->clock.now() - since;
+    }
+
+    Millis longestOf(Millis lease) const
+    {
+        return Millis(static_cast<std::int64_t>(static_cast<double>(lease.count()) / (1.0 - this->options.clockDrift)));
+    }
+
     Millis executorTime() const
     {
         return Millis(50'000) + std::chrono::duration_cast<Millis>(this->clock.now().time_since_epoch());
     }
 
+    std::uint64_t syncs = 1;
     ManualClock clock;
     ExecutorControllerOptions options;
     ExecutorController controller{this->clock, NodeId{"agent"}, "a:1", this->options};
@@ -171,20 +193,79 @@
 {
     this->controller.applyAnswer(sync(1, {First}), this->clock.now());
     this->controller.startAnswered(this->controller.takeDueOrders()[0], StartAnswer{{this->executorTime(), SomeIncarnation.startedAt}, RefusalReason::None});
-    this->failPoll();
-    this->failPoll();
-    EXPECT_FALSE(this->controller.report()->isReachable);
-    std::uint64_t sequence = 2;
-    const auto unresponsiveSince = this->clock.now();
-    while (this->controller.report()->ends.empty() && this->clock.now() - unresponsiveSince < Millis(20'000)) {
-        this->controller.applyAnswer(sync(sequence++, {First}), this->clock.now());
-        EXPECT_FALSE(this->failPoll().question.leaseEnd);
-        this->clock.advance(Millis(100));
-    }
-    const auto longest = Millis(static_cast<std::int64_t>(static_cast<double>(this->options.lease.count()) / 0.98));
-    EXPECT_GE(this->clock.now() - unresponsiveSince, longest) << "not before the lease has expired on a clock that is 2% slow";
-    EXPECT_LE(this->clock.now() - unresponsiveSince, longest + Millis(300));
-    EXPECT_EQ(this->controller.report()->ends[0].end, RunEnd::Lapsed);
+    EXPECT_TRUE(this->answerPoll({First}).question.leaseEnd);
+    const auto lapsed = this->timeUntilLapse();
+    EXPECT_GE(lapsed, this->longestOf(this->options.lease)) << "not before the lease has expired on a clock that is 2% slow";
+    EXPECT_LE(lapsed, this->longestOf(this->options.lease) + Millis(300));
+}
+
+// A renewal without an answer can be carried out while the lease before it lasts, and counts from then.
+TEST_F(ExecutorControllerTest, AnOpenRenewalKeepsRunsForAnotherLease)
+{
+    this->controller.applyAnswer(sync(1, {First}), this->clock.now());
+    this->controller.startAnswered(this->controller.takeDueOrders()[0], StartAnswer{{this->executorTime(), SomeIncarnation.startedAt}, RefusalReason::None});
+    EXPECT_TRUE(this->failPoll().question.leaseEnd);
+    const auto lapsed = this->timeUntilLapse();
+    EXPECT_GE(lapsed, 2 * this->longestOf(this->options.lease));
+    EXPECT_LE(lapsed, 2 * this->longestOf(this->options.lease) + Millis(400));
+}
+
+// A start without an answer can be carried out until the longest lateness, and its lease counts from then.
+TEST_F(ExecutorControllerTest, AnOpenStartKeepsItsRunUntilItCannotBeginAnyMore)
+{
+    this->controller.applyAnswer(sync(1, {First}), this->clock.now());
+    this->answerPoll({});
+    this->controller.startAnswered(this->controller.takeDueOrders()[0], makeError(ErrorKind::Ambiguous, "no answer"));
+    const auto lapsed = this->timeUntilLapse();
+    EXPECT_GE(lapsed, this->options.longestLateness + this->longestOf(this->options.lease));
+    EXPECT_LE(lapsed, this->options.longestLateness + this->longestOf(this->options.lease) + Millis(400));
+}
+
+// An order that waited in the queue counted from the moment at which it was taken.
+TEST_F(ExecutorControllerTest, NothingLapsesWhileAnOrderWaitsToBeSent)
+{
+    this->controller.applyAnswer(sync(1, {First}), this->clock.now());
+    this->answerPoll({});
+    const auto orders = this->controller.takeDueOrders();
+    ASSERT_EQ(orders.size(), 1U);
+    EXPECT_EQ(this->timeUntilLapse(), LongTime);
+    this->controller.startAnswered(orders[0], StartAnswer{{this->executorTime(), SomeIncarnation.startedAt}, RefusalReason::None});
+    EXPECT_GE(this->timeUntilLapse(), this->longestOf(this->options.lease));
+}
+
+TEST_F(ExecutorControllerTest, ARenewalThatSurelyHadNoEffectKeepsNothing)
+{
+    this->controller.applyAnswer(sync(1, {First}), this->clock.now());
+    this->controller.startAnswered(this->controller.takeDueOrders()[0], StartAnswer{{this->executorTime(), SomeIncarnation.startedAt}, RefusalReason::None});
+    const auto poll = this->controller.nextRunListQuery();
+    EXPECT_TRUE(poll->question.leaseEnd);
+    this->controller.runListAnswered(*poll, makeError(ErrorKind::Unreachable, "unhealthy"));
+    EXPECT_LE(this->timeUntilLapse(), this->longestOf(this->options.lease) + Millis(300));
+}
+
+// A poll that stays open is most often open when its executor fails, and a renewal that is open then lengthens the lease.
+TEST_F(ExecutorControllerTest, OnlyPollsThatAreAnsweredAtOnceRenew)
+{
+    this->controller.applyAnswer(sync(1, {}), this->clock.now());
+    const auto renewal = this->answerPoll({});
+    EXPECT_TRUE(renewal.question.leaseEnd);
+    EXPECT_EQ(renewal.question.wait, Millis(0));
+    const auto poll = this->answerPoll({});
+    EXPECT_FALSE(poll.question.leaseEnd);
+    EXPECT_EQ(poll.question.wait, this->options.pollWait);
+    this->clock.advance(this->options.renewalInterval);
+    EXPECT_TRUE(this->answerPoll({}).question.leaseEnd);
+}
+
+// The time of an executor whose clock is slow gets ahead of it, so that a lease asked for by it would last longer than assumed.
+TEST_F(ExecutorControllerTest, AnOldClockReadingGrantsNoLease)
+{
+    this->clock.advance(Millis(5000));
+    this->controller.applyAnswer(sync(1, {First}), this->clock.now());
+    EXPECT_FALSE(this->controller.nextRunListQuery()->question.leaseEnd);
+    EXPECT_TRUE(this->controller.takeDueOrders().empty());
+    this->answerPoll({});
+    EXPECT_EQ(this->controller.takeDueOrders().size(), 1U);
 }
 
 TEST_F(ExecutorControllerTest, AnEndIsReportedUntilThePlacerAcknowledgesIt)
--- a/tests/request/jobsitetest.cpp
+++ b/tests/request/jobsitetest.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <array>
 #include <deque>
 #include <functional>
@@ -30,6 +31,25 @@
     }
 }
 
+/** Makes all runs take so long that only a stop or the expiry of their lease ends them. */
+void makeRunsLast(JobSite &site)
+{
+    for (auto &agent : site.agents) {
+        agent.executor->runOf = [](const StartOrder &) {
+            FakeRun run;
+            run.endsAt = Millis(60'000);
+            return run;
+        };
+    }
+}
+
+/** Returns the agent of the first task of a job. */
+SiteAgent &holderOf(JobSite &site, const JobId &job)
+{
+    const auto worker = site.progressOf(job).occurrences.at(0).at(0).at(0).worker;
+    return *std::find_if(site.agents.begin(), site.agents.end(), [&worker](const SiteAgent &agent) { return agent.name == worker.value; });
+}
+
 std::size_t runningIn(const JobSite &site)
 {
     std::size_t count = 0;
@@ -290,6 +310,56 @@
     expectNoViolations(site);
 }
 
+/** Makes the next call of the executor that asks for a lease arrive late, and every other one get lost. */
+void loseContactAfterALateRenewal(FakeExecutor &executor, Millis lateBy)
+{
+    executor.lateLeasesCountFromArrival = true;
+    executor.lateBy = lateBy;
+    executor.fate = OrderFate::Lost;
+    executor.drawPollFate = [isSent = false](const RunListQuery &question) mutable {
+        const bool isNext = !isSent && question.leaseEnd;
+        const auto before = isSent ? OrderFate::Lost : OrderFate::Answered;
+        isSent = isSent || isNext;
+        return isNext ? OrderFate::Delayed : before;
+    };
+}
+
+// The runs of an executor that did not answer counted as over while a renewal without an answer could still keep them alive.
+TEST(JobSite, ARenewalThatAnUnresponsiveExecutorGetsLateRunsNothingTwice)
+{
+    JobSite site(2);
+    makeRunsLast(site);
+    const auto job = site.submit(oneStep(1, Whole));
+    site.advance(Millis(800));
+    ASSERT_EQ(runningIn(site), 1U);
+    loseContactAfterALateRenewal(*holderOf(site, job).executor, Millis(5500));
+    site.advance(Millis(30'000));
+    EXPECT_EQ(site.progressOf(job).occurrences[0][0][0].run, 2U) << "it runs again once the lease has expired";
+    EXPECT_EQ(runningIn(site), 1U);
+    expectNoViolations(site);
+}
+
+// The start of a run that counted as over could still begin it.
+TEST(JobSite, AStartThatAnUnresponsiveExecutorGetsLateRunsNothingTwice)
+{
+    JobSite site(2);
+    makeRunsLast(site);
+    for (auto &agent : site.agents) {
+        agent.executor->lateLeasesCountFromArrival = true;
+        agent.executor->lateBy = Millis(11'900);
+        agent.executor->drawFate = fatesInTurn({OrderFate::Delayed});
+    }
+    const auto job = site.submit(oneStep(1, Whole));
+    while (site.progressOf(job).occurrences.empty() || site.progressOf(job).occurrences[0][0][0].state != TaskPhase::Assigned) {
+        site.advance(Millis(10));
+    }
+    site.advance(Millis(20));
+    holderOf(site, job).executor->isUnreachable = true;
+    site.advance(Millis(40'000));
+    EXPECT_EQ(runningIn(site), 1U);
+    expectNoViolations(site);
+}
+
 TEST(JobSite, AnAgentThatIsCutOffLosesItsRunsOnlyAfterItsLease)
 {
     JobSite site(2);
