Merge the proof of the end of an executor that deregistered

The silence of a candidate no longer counts as a poll that the incarnation in use left unanswered: together with renewals that pause after an unanswered poll it would have let the lease of a live incarnation expire.

--- a/src/request/executorcontroller.cpp
+++ b/src/request/executorcontroller.cpp
@@ -105,16 +105,17 @@
     ++this->changeCount;
 }
 
-void ExecutorController::deregister(const std::string &executorId)
+void ExecutorController::deregister(const ExecutorIncarnation &incarnation)
 {
     {
         const std::lock_guard<std::mutex> guard(this->mutex);
-        if (!this->latest || this->latest->incarnation.id != executorId) {
+        const bool isInUse = this->latest && this->latest->incarnation.id == incarnation.id
+            && (incarnation.startedAt == 0 || this->latest->incarnation.startedAt == incarnation.startedAt);
+        if (!isInUse) {
             return;
         }
-        this->log.info("Executor " + executorId + " has left with " + std::to_string(this->runs.size()) + " runs.");
+        this->log.info("Executor " + incarnation.id + " leaves with " + std::to_string(this->runs.size()) + " runs.");
         this->hasLeft = true;
-        this->endAll(EndProof::ExecutorLeft);
         ++this->changeCount;
     }
     this->wake();
@@ -326,7 +327,8 @@
     DueRunListQuery poll;
     poll.question.fencingToken = this->fencingToken();
     const auto inUse = this->incarnationInUse();
-    const auto candidate = this->candidate.poll(this->hasLeft ? std::nullopt : inUse, this->pollSerial + 1);
+    const bool isInUsePolled = inUse && !(this->hasLeft && this->runs.empty());
+    const auto candidate = this->candidate.poll(isInUsePolled ? inUse : std::nullopt, this->pollSerial + 1);
     if (candidate) {
         // It is only asked whether it is live: a late heartbeat may have named it, and its numbers of ends and its clock are its own.
         poll.incarnation = *candidate;
@@ -334,10 +336,11 @@
         poll.isOfCandidate = true;
         return poll;
     }
-    if (!inUse || this->hasLeft) {
+    if (!isInUsePolled) {
         return std::nullopt;
     }
     poll.incarnation = *inUse;
+    poll.isOfLeaver = this->hasLeft;
     poll.serial = ++this->pollSerial;
     poll.question.acknowledgedEnds = this->acknowledgedEnds;
     poll.question.leaseEnd = this->dueRenewal(this->clock.now());
@@ -345,8 +348,9 @@
         this->lease.callSent();
     }
     const bool isStopOpen = std::any_of(this->runs.begin(), this->runs.end(), [](const auto &item) { return item.second.isStopWanted(); });
+    const auto longestWait = isStopOpen || this->hasLeft ? this->options.stopWait : this->options.pollWait;
     // A renewal is answered at once, so that one is rarely open when its executor fails.
-    poll.question.wait = !this->hasRunLists || poll.question.leaseEnd ? Millis(0) : (isStopOpen ? this->options.stopWait : this->options.pollWait);
+    poll.question.wait = !this->hasRunLists || poll.question.leaseEnd ? Millis(0) : longestWait;
     return poll;
 }
 
@@ -360,10 +364,14 @@
     return std::chrono::duration_cast<Millis>(now.time_since_epoch()) + *this->clockOffset + this->options.lease;
 }
 
-/** Returns the lease end to request with the next poll. A renewal without an answer may still take effect, so none follows an unanswered poll. */
+/**
+ * Returns the lease end to request with the next poll; none for an executor that leaves.
+ *
+ * A renewal without an answer may still take effect, so none follows an unanswered poll either.
+ */
 std::optional<Millis> ExecutorController::dueRenewal(Instant now) const
 {
-    const bool isDue = this->unansweredPolls == 0 && now >= this->renewedAt + this->options.renewalInterval;
+    const bool isDue = !this->hasLeft && this->unansweredPolls == 0 && now >= this->renewedAt + this->options.renewalInterval;
     return isDue ? this->grantableLeaseEnd(now) : std::nullopt;
 }
 
@@ -392,7 +400,7 @@
         const auto before = this->changeCount;
         if (poll.isOfCandidate) {
             this->candidateAnswered(poll, answer);
-        } else if (this->latest && this->latest->incarnation == poll.incarnation && !this->hasLeft) {
+        } else if (this->latest && this->latest->incarnation == poll.incarnation) {
             if (poll.question.leaseEnd) {
                 this->recordLeaseAnswer(answer);
             }
@@ -414,6 +422,19 @@
     }
 }
 
+void ExecutorController::leaverIsAbsent(const DueRunListQuery &poll)
+{
+    {
+        const std::lock_guard<std::mutex> guard(this->mutex);
+        if (!this->latest || this->latest->incarnation != poll.incarnation || !this->hasLeft) {
+            return;
+        }
+        this->endAll(EndProof::ExecutorLeft);
+        ++this->changeCount;
+    }
+    this->wake();
+}
+
 void ExecutorController::candidateAnswered(const DueRunListQuery &poll, const Result<RunListAnswer> &answer)
 {
     // An answer that a later poll has overtaken says nothing on which incarnation is live now.
@@ -429,9 +450,6 @@
         }
         break;
     case IncarnationVerdict::Unknown:
-        if (this->latest && !this->hasLeft) {
-            this->recordUnansweredPoll();
-        }
         break;
     case IncarnationVerdict::Another:
         this->log.warn("A heartbeat of executor " + heartbeat.incarnation.id + " is ignored: another incarnation answered.",
