agent: Infer no end from lists that may lack ends

What callers see: a task that was done could be started again when an executor held 500 ends or more.

Cause: an executor lists at most 500 ends. A run in neither list counted as stopped, though its end may not have fitted in.

Fix: an answer with a full page says that there may be more, and nothing is inferred from absence then. The rest follows once the listed ends are acknowledged.

Evidence: ARunWhoseEndDidNotFitIntoTheListsIsNotTakenAsStopped and AFullPageOfEndsMayHaveMoreBehindIt failed before.

--- a/include/waxwingloft/connection/executorport.h
+++ b/include/waxwingloft/connection/executorport.h
@@ -51,7 +51,8 @@
 struct RunListAnswer {
     ExecutorStamp stamp;
     std::vector<ListedRun> running;
-    std::vector<EndReport> ended; ///< all that are not forgotten, oldest first
+    std::vector<EndReport> ended; ///< those that are not forgotten, oldest first
+    bool hasMoreEnds = false; ///< there may be later ends than those listed
 };
 
 /**
--- a/src/request/executorcontroller.cpp
+++ b/src/request/executorcontroller.cpp
@@ -454,7 +454,10 @@
         this->end(ended, EndProof::Listed);
         ++this->changeCount;
     }
-    this->endUnlistedRuns(poll, answer);
+    // The end of a run that is not listed may be among those that did not fit; they follow once the listed ones are acknowledged.
+    if (!answer.hasMoreEnds) {
+        this->endUnlistedRuns(poll, answer);
+    }
 }
 
 /** Ends the runs whose absence from the lists proves that they are over. */
--- a/tests/platform/platformexecutortest.cpp
+++ b/tests/platform/platformexecutortest.cpp
@@ -147,6 +147,21 @@
     EXPECT_EQ(errorOf(nowhere.stop(Life, SecondRun, 7)).kind, ErrorKind::Unreachable);
 }
 
+// A full page of ends was taken for all of them.
+TEST_F(PlatformExecutorTest, AFullPageOfEndsMayHaveMoreBehindIt)
+{
+    for (const std::size_t count : {499U, 500U}) {
+        auto lists = nlohmann::json{{"clock_ms", 5}, {"running", nlohmann::json::array()}, {"ended", nlohmann::json::array()}};
+        for (std::size_t number = 1; number <= count; ++number) {
+            lists["ended"].push_back({number, "5c0e7a21d94b36f8.0.1.17", number, "done", ""});
+        }
+        this->fake.answer = lists.dump();
+        const auto answer = this->executor.pollRuns(Life, RunListQuery());
+        ASSERT_TRUE(succeeded(answer));
+        EXPECT_EQ(valueOf(answer).hasMoreEnds, count == 500U);
+    }
+}
+
 // Only a refused connection shows that nobody listens.
 TEST_F(PlatformExecutorTest, IsAbsentOnlyWhenNobodyListens)
 {
--- a/tests/request/executorcontrollertest.cpp
+++ b/tests/request/executorcontrollertest.cpp
@@ -282,6 +282,20 @@
     EXPECT_EQ(this->controller.report()->incarnation, SomeIncarnation);
 }
 
+// A run that was in neither list counted as stopped, though its end may not have fitted in.
+TEST_F(ExecutorControllerTest, ARunWhoseEndDidNotFitIntoTheListsIsNotTakenAsStopped)
+{
+    this->controller.applyAnswer(sync(1, {First}), this->clock.now());
+    const ExecutorStamp stamp{this->executorTime(), SomeIncarnation.startedAt};
+    this->controller.startAnswered(this->controller.takeDueOrders()[0], StartAnswer{stamp, RefusalReason::None});
+    const TaskRun other{{JobId{"0000000000000002"}, 0, 0, 0}, 1};
+    this->controller.runListAnswered(*this->controller.nextRunListQuery(), RunListAnswer{stamp, {}, {{1, other, RunEnd::Done, "", {}}}, true});
+    EXPECT_EQ(this->controller.report()->runs.size(), 1U);
+    this->controller.runListAnswered(*this->controller.nextRunListQuery(), RunListAnswer{stamp, {}, {{2, First, RunEnd::Done, "", {}}}, false});
+    ASSERT_EQ(this->controller.report()->ends.size(), 2U);
+    EXPECT_EQ(this->controller.report()->ends[1].end, RunEnd::Done);
+}
+
 // Polls that another incarnation answered under the same id were not counted, so that the runs stayed assigned for ever.
 TEST_F(ExecutorControllerTest, RunsEndWithTheirLeaseWhileAnotherIncarnationAnswersWithoutAHeartbeat)
 {
