gangs: Count a start without an answer as over only when its tasks are

On the product's own path a worker could be given more than it has room for, and a gang could run beside its next attempt.

Cause: when the worker's runtime gave no answer to the start of a part, the agent asked it to stop, ignored the result and counted the part as failed at once. The start may have had its effect and the stop none: the tasks then go on until their lease expires, in capacity that counts as free.

Evidence: GangAgentTest.freesNothingWhileTheTasksOfAnUnansweredStartMayRun failed before: another gang was accepted beside the running tasks.

Unless the start was surely not sent, the part now ends as every other stop does: on the answer to the stop, or when the lease has expired, and without renewing that lease meanwhile.

--- a/include/waxwingloft/request/gangagent.h
+++ b/include/waxwingloft/request/gangagent.h
@@ -103,6 +103,8 @@
     Result<GangReply> callCoordinator(const PrepareGang &order, GangState state);
     bool overruns(const AttemptId &attempt, const TaskUsage &usage);
     void endPart(const AttemptId &attempt, GangState state);
+    Millis beginStop(const AttemptId &attempt);
+    void stopOnWorker(const AttemptId &attempt, Millis taskLease);
     void stopTasks(const AttemptId &attempt, GangState state);
     void stopAndReport(const AttemptId &attempt, GangState state);
     void writeCheckpoint(const AttemptId &attempt);
--- a/src/request/gangagent.cpp
+++ b/src/request/gangagent.cpp
@@ -101,7 +101,9 @@
     }
     const auto started = this->context.worker.start(order);
     if (!succeeded(started)) {
-        this->context.worker.stop(order.id);
+        if (errorOf(started).kind != ErrorKind::Unreachable) {
+            this->stopOnWorker(start.attempt, this->beginStop(start.attempt));
+        }
         this->endPart(start.attempt, GangState::Failed);
         return refused(start.job, start.attempt, errorOf(started));
     }
@@ -440,21 +442,29 @@
     }
 }
 
-/** Stops the tasks; if the worker does not answer, waits until its lease on them has expired. */
-void GangAgent::stopTasks(const AttemptId &attempt, GangState state)
+/** Renews the worker's lease no more. Returns the time after which that lease has expired. */
+Millis GangAgent::beginStop(const AttemptId &attempt)
+{
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    auto &part = this->parts.at(attempt);
+    part.isStopping = true;
+    return part.order.taskLease;
+}
+
+/** Stops the tasks; if the worker does not answer, waits until its lease on them has expired. Call with workerCalls locked. */
+void GangAgent::stopOnWorker(const AttemptId &attempt, Millis taskLease)
 {
-    Millis taskLease{0};
-    {
-        const std::lock_guard<std::mutex> guard(this->mutex);
-        auto &part = this->parts.at(attempt);
-        part.isStopping = true;
-        taskLease = part.order.taskLease;
-    }
-    const std::lock_guard<std::mutex> ordered(this->workerCalls);
     const auto stopped = this->context.worker.stop(attempt.value);
     if (!succeeded(stopped)) {
         this->context.clock.sleepFor(taskLease);
     }
+}
+
+void GangAgent::stopTasks(const AttemptId &attempt, GangState state)
+{
+    const auto taskLease = this->beginStop(attempt);
+    const std::lock_guard<std::mutex> ordered(this->workerCalls);
+    this->stopOnWorker(attempt, taskLease);
     this->endPart(attempt, state);
     this->context.events.record(EventKind::GangStopped, attempt.value);
 }
--- a/tests/connection/fakeworker.h
+++ b/tests/connection/fakeworker.h
@@ -43,6 +43,9 @@
             group.endedAt = this->clock.now();
         }
         this->groups.emplace(order.id, std::move(group));
+        if (this->losesStartAnswers) {
+            return makeError(ErrorKind::Ambiguous, "answer lost");
+        }
         return Done{};
     }
 
@@ -78,6 +81,9 @@
 
     Status stop(const std::string &id) override
     {
+        if (this->losesStops) {
+            return makeError(ErrorKind::Ambiguous, "no answer");
+        }
         auto &group = this->groups[id];
         this->settle(group);
         if (!group.ended) {
@@ -117,6 +123,8 @@
     }
 
     bool failsAlways = false;
+    bool losesStartAnswers = false; ///< starts take effect, without an answer
+    bool losesStops = false; ///< stops never arrive
     std::int64_t overuse = 1;
     int throttles = 0;
     std::map<std::string, Group> groups;
--- a/tests/request/gangagenttest.cpp
+++ b/tests/request/gangagenttest.cpp
@@ -101,6 +101,18 @@
     EXPECT_TRUE(this->agent.start(this->startOf("b", 3)).refused);
 }
 
+// An unanswered start counted as failed at once, although its tasks could run until their lease expired.
+TEST_F(GangAgentTest, freesNothingWhileTheTasksOfAnUnansweredStartMayRun)
+{
+    this->worker.losesStartAnswers = true;
+    this->worker.losesStops = true;
+    this->agent.prepare(this->order("a", 8));
+    EXPECT_TRUE(this->agent.start(this->startOf("a")).refused);
+    auto &tasks = this->worker.groups.at("a");
+    this->worker.settle(tasks);
+    EXPECT_TRUE(tasks.ended || this->agent.prepare(this->order("b", 8)).refused) << "the worker runs tasks whose capacity counts as free";
+}
+
 TEST_F(GangAgentTest, neverStartsAnAttemptThatWasStopped)
 {
     this->agent.stop(this->stopOf("a"));
