tests: Mix the fates of single orders with cut agents, changes of placer and restarts

A random suite for the class of fault in docs/incidents/2026-12-05-runs-believed-over.md: each order meets a fate of its own while agents are cut off or restart, executors drain or restart, and placers lose the table, lead again and receive reports that they no longer should. The other suites keep their draws.

--- a/tests/process/tableclienttest.cpp
+++ b/tests/process/tableclienttest.cpp
@@ -31,6 +31,16 @@
     EXPECT_EQ(this->rows.revision, 2U) << "each took effect once";
 }
 
+TEST_F(TableClientTest, aRefusalOfTheRepeatLeavesACommitInDoubt)
+{
+    this->plan.injectAt(0, [this](const Point &) {
+        this->rows.isDown = true;
+        return Transport::LoseReply;
+    });
+    this->plan.start();
+    EXPECT_EQ(errorOf(this->table.commit({"op-1", {{"job/a", 0}}, {{"job/a", "1"}}})).kind, ErrorKind::Ambiguous);
+}
+
 TEST_F(TableClientTest, staysWithinItsBudgetAndLeavesAFailingServiceAlone)
 {
     int refusedByBudget = 0;
--- a/tests/request/jobsite.cpp
+++ b/tests/request/jobsite.cpp
@@ -298,16 +298,22 @@
 
 void JobSite::report(SiteAgent &agent)
 {
-    const auto now = this->clock.now();
-    agent.nextReport = now + ReportInterval;
+    agent.nextReport = this->clock.now() + ReportInterval;
     agent.reportedChanges = agent.controller->changes();
+    if (this->leader) {
+        this->reportTo(agent, this->placers[*this->leader]);
+    }
+}
+
+void JobSite::reportTo(SiteAgent &agent, SitePlacer &site)
+{
     const auto report = agent.controller->report();
-    if (!report || agent.isCut || !this->leader || !this->placers[*this->leader].isAlive) {
+    if (!report || agent.isCut || !agent.isAlive || !site.isAlive) {
         return;
     }
-    const auto sync = this->placers[*this->leader].placer->report(*report);
+    const auto sync = site.placer->report(*report);
     if (succeeded(sync)) {
-        agent.controller->applyAnswer(valueOf(sync), now);
+        agent.controller->applyAnswer(valueOf(sync), this->clock.now());
     }
 }
 
--- a/tests/request/jobsite.h
+++ b/tests/request/jobsite.h
@@ -92,6 +92,9 @@
     /** Makes placer @p index leader. */
     void elect(std::size_t index);
 
+    /** Lets the agent report to @p site, which need not be the leader any more, unless either is cut off or has ended. */
+    void reportTo(SiteAgent &agent, SitePlacer &site);
+
     /** Restarts the agent's process; its executor keeps running. */
     void restartAgent(std::size_t index);
 
--- a/tests/request/jobsitetest.cpp
+++ b/tests/request/jobsitetest.cpp
@@ -575,4 +575,97 @@
 
 INSTANTIATE_TEST_SUITE_P(Seeds, JobSiteOrderFates, testing::Range<std::uint64_t>(1, 41));
 
+/** Fates of single orders beside cut agents, placers without the table that lead again, reports to replaced placers and restarts. */
+class JobSiteMixedFaults : public testing::TestWithParam<std::uint64_t>
+{
+};
+
+TEST_P(JobSiteMixedFaults, AllGuaranteesHold)
+{
+    std::mt19937_64 random(GetParam());
+    const auto draw = [&random](std::uint64_t below) { return random() % below; };
+    JobSite site(5);
+    for (auto &agent : site.agents) {
+        agent.executor->drawFate = [&draw] {
+            constexpr std::array Fates = {OrderFate::Answered,
+                                          OrderFate::Answered,
+                                          OrderFate::Answered,
+                                          OrderFate::Lost,
+                                          OrderFate::Delayed,
+                                          OrderFate::AnswerLost,
+                                          OrderFate::Unhealthy};
+            return Fates.at(draw(Fates.size()));
+        };
+        agent.executor->lateBy = Millis(500 + static_cast<std::int64_t>(draw(11'500)));
+        agent.executor->stopTime = Millis(50 + static_cast<std::int64_t>(draw(900)));
+        agent.executor->clockRate = 1.0 - 0.02 * static_cast<double>(draw(2));
+    }
+    std::vector<JobId> jobs;
+    for (int round = 0; round < 50; ++round) {
+        auto &agent = site.agents[draw(site.agents.size())];
+        auto &placer = site.placers[draw(site.placers.size())];
+        switch (draw(14)) {
+        case 0:
+            agent.executor->restart();
+            break;
+        case 1:
+            agent.executor->isUnreachable = !agent.executor->isUnreachable;
+            break;
+        case 2:
+            agent.isCut = !agent.isCut;
+            break;
+        case 3:
+        case 4:
+            site.restartAgent(draw(site.agents.size()));
+            break;
+        case 5:
+            site.elect(draw(site.placers.size()));
+            break;
+        case 6:
+            placer.reachesTable = !placer.reachesTable;
+            break;
+        case 7:
+            // The other placer leads for a moment, which the one without the table may not notice.
+            placer.reachesTable = false;
+            site.elect(&placer == &site.placers[0] ? 1 : 0);
+            site.advance(Millis(draw(1500)));
+            site.elect(&placer == &site.placers[0] ? 0 : 1);
+            placer.reachesTable = true;
+            break;
+        case 8:
+            site.reportTo(agent, placer);
+            break;
+        case 9:
+            agent.executor->isDraining = !agent.executor->isDraining;
+            break;
+        case 10:
+            if (!jobs.empty()) {
+                site.cancel(jobs[draw(jobs.size())]);
+            }
+            break;
+        default:
+            jobs.push_back(site.submit(oneStep(1 + static_cast<std::uint32_t>(draw(6)), draw(2) == 0 ? Half : Small, draw(3) == 0), static_cast<int>(draw(3))));
+            break;
+        }
+        site.advance(Millis(draw(1000)));
+        site.reportTo(site.agents[draw(site.agents.size())], site.placers[draw(site.placers.size())]);
+    }
+    for (auto &agent : site.agents) {
+        agent.executor->drawFate = nullptr;
+        agent.executor->isUnreachable = false;
+        agent.executor->isDraining = false;
+        agent.isCut = false;
+    }
+    for (auto &placer : site.placers) {
+        placer.reachesTable = true;
+    }
+    site.advance(Millis(90'000));
+    for (const auto &job : jobs) {
+        EXPECT_TRUE(isFinal(site.stateOf(job))) << job.value << " is " << nameOf(site.stateOf(job));
+    }
+    expectNoViolations(site);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, JobSiteMixedFaults, testing::Range<std::uint64_t>(1, 41));
+
 } // namespace waxwingloft::tests
