tests: Show that a delayed report to an earlier term ends live runs

A placer that leads again takes the first report of an agent as current. One that was sent to its earlier term and is handled late can name an incarnation that has been replaced since; the rows' runs on the newer incarnation then count as lost and are started elsewhere.

Open: draw conclusions only from reports with the term's epoch.

--- a/tests/request/taskplacertest.cpp
+++ b/tests/request/taskplacertest.cpp
@@ -198,6 +198,28 @@
     EXPECT_EQ(site.placer.takeWrites().size(), 1U);
 }
 
+// A report that was sent to an earlier term and arrives late names an incarnation that has been replaced since.
+TEST(TaskPlacer, ADelayedReportToAnEarlierTermEndsNoRun)
+{
+    OnePlacer site;
+    StoredJob stored;
+    stored.submission.id = JobId{"0000000000000001"};
+    stored.submission.service = "tune";
+    stored.submission.maxAttempts = 3;
+    stored.submission.graph = oneStep(1, Half);
+    stored.progress = initialProgress(stored.submission.graph);
+    auto &task = stored.progress.occurrences[0][0][0];
+    task.state = TaskPhase::Assigned;
+    task.run = 1;
+    task.worker = site.report.node;
+    task.incarnation = {"e1", 2};
+    site.placer.stepDown("another placer leads");
+    site.placer.becomeLeader(3, {stored});
+    ++site.report.sequence;
+    site.placer.report(site.report);
+    EXPECT_EQ(site.placer.view().assigned, 1U) << "the run may be live on the newer incarnation";
+}
+
 TEST(TaskPlacer, AWorkerWithAnUnassignedRunGetsNoNewWork)
 {
     OnePlacer site;
