tests: Reproduce two runs of one task after an agent fell silent

TaskPlacer::expireUnresponsive counts the runs of a silent agent as over while a renewal that this agent sent can still be carried out and keep them alive. What the longer wait costs is not measured.

--- a/tests/request/jobsitetest.cpp
+++ b/tests/request/jobsitetest.cpp
@@ -360,6 +360,22 @@
     expectNoViolations(site);
 }
 
+// The runs of an agent that does not report count as over while a renewal that it sent before can still keep them alive.
+TEST(JobSite, ARenewalThatArrivesLateAfterItsAgentStoppedRunsNothingTwice)
+{
+    JobSite site(2);
+    makeRunsLast(site);
+    const auto job = site.submit(oneStep(1, Whole));
+    site.advance(Millis(800));
+    ASSERT_EQ(runningIn(site), 1U);
+    auto &agent = holderOf(site, job);
+    loseContactAfterALateRenewal(*agent.executor, Millis(5000));
+    agent.isCut = true;
+    site.advance(Millis(40'000));
+    EXPECT_EQ(runningIn(site), 1U);
+    expectNoViolations(site);
+}
+
 TEST(JobSite, AnAgentThatIsCutOffLosesItsRunsOnlyAfterItsLease)
 {
     JobSite site(2);
@@ -554,7 +570,8 @@
 
 INSTANTIATE_TEST_SUITE_P(Seeds, JobSiteFaults, testing::Range<std::uint64_t>(1, 41));
 
-/** Each order meets a fate of its own, so that a late, an unanswered and a refused order for one run follow each other. */
+/** Each call meets a fate of its own, so that a late, an unanswered and a refused order for one run follow each other; in every second case late leases count
+ * from their arrival. */
 class JobSiteOrderFates : public testing::TestWithParam<std::uint64_t>
 {
 };
@@ -575,12 +592,17 @@
                                           OrderFate::Unhealthy};
             return Fates.at(draw(Fates.size()));
         };
+        agent.executor->drawPollFate = [&draw](const RunListQuery &) {
+            constexpr std::array Fates = {OrderFate::Answered, OrderFate::Answered, OrderFate::Answered, OrderFate::AnswerLost, OrderFate::Delayed};
+            return Fates.at(draw(Fates.size()));
+        };
+        agent.executor->lateLeasesCountFromArrival = GetParam() % 2 == 0;
         agent.executor->lateBy = Millis(2000 + static_cast<std::int64_t>(draw(10'000)));
     }
     std::vector<JobId> jobs;
     for (int round = 0; round < 30; ++round) {
         auto &agent = site.agents[draw(site.agents.size())];
-        switch (draw(10)) {
+        switch (draw(11)) {
         case 0:
             agent.executor->restart();
             break;
@@ -595,6 +617,9 @@
                 site.cancel(jobs[draw(jobs.size())]);
             }
             break;
+        case 4:
+            agent.executor->isUnreachable = !agent.executor->isUnreachable;
+            break;
         default:
             jobs.push_back(site.submit(oneStep(1 + static_cast<std::uint32_t>(draw(6)), draw(2) == 0 ? Half : Small, draw(3) == 0), static_cast<int>(draw(3))));
             break;
@@ -603,6 +628,8 @@
     }
     for (auto &agent : site.agents) {
         agent.executor->drawFate = nullptr;
+        agent.executor->drawPollFate = nullptr;
+        agent.executor->isUnreachable = false;
     }
     site.advance(Millis(90'000));
     for (const auto &job : jobs) {
