--- a/include/waxwingloft/request/executorcontroller.h
+++ b/include/waxwingloft/request/executorcontroller.h
@@ -109,6 +109,7 @@
     std::uint64_t changes() const;
 
 private:
+    bool refresh(const ExecutorHeartbeat &heartbeat);
     std::optional<ExecutorIncarnation> incarnationInUse() const;
     void beginIncarnation(const ExecutorHeartbeat &heartbeat);
     void candidateAnswered(const DueRunListQuery &poll, const Result<RunListAnswer> &answer);
--- a/src/request/executorcontroller.cpp
+++ b/src/request/executorcontroller.cpp
@@ -59,25 +59,30 @@
     {
         const std::lock_guard<std::mutex> guard(this->mutex);
         const bool isInUse = this->latest && this->latest->incarnation == heartbeat.incarnation;
-        if (isInUse && heartbeat.sequence <= this->latest->sequence) {
+        const bool isRelevant = isInUse ? this->refresh(heartbeat) : this->candidate.heartbeat(heartbeat);
+        if (!isRelevant) {
             return;
         }
-        const bool isChange =
-            isInUse ? this->latest->isDraining != heartbeat.isDraining || this->latest->capacity != heartbeat.capacity : this->candidate.heartbeat(heartbeat);
-        if (isInUse && !this->latest->isDraining && heartbeat.isDraining) {
-            this->log.info("Executor " + heartbeat.incarnation.id + " drains; it gets no new work.");
-        }
-        if (isInUse) {
-            this->latest = heartbeat;
-        }
-        if (!isChange) {
-            return;
-        }
-        this->changeCount += isInUse ? 1 : 0;
     }
     this->wake();
 }
 
+/** Takes a heartbeat of the incarnation in use. Returns whether it changes anything worth a report. */
+bool ExecutorController::refresh(const ExecutorHeartbeat &heartbeat)
+{
+    if (heartbeat.sequence <= this->latest->sequence) {
+        return false;
+    }
+    const bool drains = !this->latest->isDraining && heartbeat.isDraining;
+    const bool isChange = this->latest->isDraining != heartbeat.isDraining || this->latest->capacity != heartbeat.capacity;
+    this->latest = heartbeat;
+    if (drains) {
+        this->log.info("Executor " + heartbeat.incarnation.id + " drains; it gets no new work.");
+    }
+    this->changeCount += isChange ? 1 : 0;
+    return isChange;
+}
+
 std::optional<ExecutorIncarnation> ExecutorController::incarnationInUse() const
 {
     return this->latest ? std::optional(this->latest->incarnation) : std::nullopt;
--- a/tests/request/executorcontrollertest.cpp
+++ b/tests/request/executorcontrollertest.cpp
@@ -83,9 +83,9 @@
             EXPECT_FALSE(this->failPoll().question.leaseEnd);
             this->clock.advance(Millis(100));
         }
-        const auto &ends = this->controller.report()->ends;
-        EXPECT_TRUE(ends.empty() || ends[0].end == RunEnd::Lapsed);
-        EXPECT_FALSE(this->controller.report()->isReachable);
+        const auto report = this->controller.report();
+        EXPECT_TRUE(report->ends.empty() || report->ends[0].end == RunEnd::Lapsed);
+        EXPECT_FALSE(report->isReachable);
         return this->clock.now() - since;
     }
 
@@ -360,6 +360,19 @@
     EXPECT_EQ(this->controller.report()->runs.size(), 1U);
 }
 
+// The silence of a candidate held up the renewals of the incarnation in use, whose lease then expired.
+TEST_F(ExecutorControllerTest, TheLeaseIsRenewedWhileAnotherIncarnationDoesNotAnswer)
+{
+    this->answerPoll({First});
+    auto other = this->makeHeartbeat(1);
+    other.incarnation = {"i-2", SomeIncarnation.startedAt + 500};
+    this->controller.heartbeat(other);
+    this->controller.applyAnswer(sync(1, {First}), this->clock.now());
+    this->clock.advance(this->options.renewalInterval);
+    EXPECT_EQ(this->failPoll().incarnation, other.incarnation);
+    EXPECT_TRUE(this->answerPoll({First}).question.leaseEnd);
+}
+
 // An answer to a poll that a later poll has overtaken says nothing on which incarnation is live now.
 TEST_F(ExecutorControllerTest, OnlyTheAnswerToTheLatestPollAdoptsAnIncarnation)
 {
