agent: Move what an agent asks for as a lease into a class of its own

LeaseGranter holds the agent lease, the reading of the executor's clock and the renewals, beside ExecutorLease, which says when a lease is over. The options get a header of their own, as those of TaskPlacer have.

--- a/include/waxwingloft/request/executorcontroller.h
+++ b/include/waxwingloft/request/executorcontroller.h
@@ -7,8 +7,9 @@
 #include "waxwingloft/process/metrics.h"
 #include "waxwingloft/request/agentrun.h"
 #include "waxwingloft/request/endproof.h"
-#include "waxwingloft/request/executorlease.h"
+#include "waxwingloft/request/executorcontrolleroptions.h"
 #include "waxwingloft/request/incarnationcandidate.h"
+#include "waxwingloft/request/leasegranter.h"
 
 #include <functional>
 #include <map>
@@ -20,20 +21,6 @@
 
 namespace waxwingloft {
 
-/** Timing between an agent and its executor. */
-struct ExecutorControllerOptions {
-    Millis lease = Millis(5900); ///< of all runs; the reserve below the longest lease that executors grant
-    Millis leaseReserve = Millis(100); ///< by which a lease may last longer, as the executor's clock falls behind since its last answer
-    Millis longestLease = Millis(6000); ///< that an executor grants, on its own clock; also to an order meant for its previous incarnation
-    Millis longestLateness = Millis(12'000); ///< after which a call without an answer is carried out no more; the platform's largest
-    double clockDrift = 0.02; ///< largest share by which an executor's clock may be slow
-    Millis renewalInterval = Millis(500); ///< least time between two renewals; one follows each poll that stayed open
-    Millis pollWait = Millis(1000); ///< how long a list poll stays open; allows several renewals within a lease
-    Millis stopWait = Millis(200); ///< the same while a stop is pending, as its run may never appear in the lists and so end the poll
-    Millis resendAfter = Millis(50); ///< pause before an unanswered order is sent again
-    int unansweredPollsToUnreachable = 2; ///< consecutive unanswered polls after which the executor gets no new work
-};
-
 /** An order to send to the executor. */
 struct DueOrder {
     bool isStop = false;
@@ -122,14 +109,9 @@
     void end(const EndReport &end, EndProof proof);
     void endAll(EndProof proof);
     void endLapsedRuns();
-    void updateClockOffset(const ExecutorStamp &stamp);
     bool isUnresponsive() const;
     void recordUnansweredPoll();
-    std::optional<Millis> grantableLeaseEnd(Instant now) const;
-    std::optional<Millis> dueRenewal(Instant now) const;
-    void restartLease();
-    template<typename Answer>
-    void recordLeaseAnswer(const Result<Answer> &answer);
+    std::optional<Millis> dueRenewal() const;
     std::uint64_t fencingToken() const;
     void wake();
 
@@ -155,11 +137,7 @@
     std::uint64_t syncSequence = 0;
     std::uint64_t acknowledgedEnds = 0;
     std::uint64_t pollSerial = 0;
-    Instant agentLeaseUntil;
-    ExecutorLease lease;
-    Instant renewedAt; ///< when the last renewal was answered
-    std::optional<Millis> clockOffset; ///< executor's clock minus the agent's
-    Instant clockOffsetAt; ///< when the executor last gave its time
+    LeaseGranter leases;
     std::map<TaskRun, AgentRun> runs;
     std::vector<EndReport> ends;
     std::set<TaskRun> reportedEnds; ///< in the last report
--- /dev/null
+++ b/include/waxwingloft/request/executorcontrolleroptions.h
@@ -0,0 +1,24 @@
+#ifndef WAXWINGLOFT_REQUEST_EXECUTORCONTROLLEROPTIONS_H
+#define WAXWINGLOFT_REQUEST_EXECUTORCONTROLLEROPTIONS_H
+
+#include "waxwingloft/process/clock.h"
+
+namespace waxwingloft {
+
+/** Timing between an agent and its executor. */
+struct ExecutorControllerOptions {
+    Millis lease = Millis(5900); ///< of all runs; the reserve below the longest lease that executors grant
+    Millis leaseReserve = Millis(100); ///< by which a lease may last longer, as the executor's clock falls behind since its last answer
+    Millis longestLease = Millis(6000); ///< that an executor grants, on its own clock; also to an order meant for its previous incarnation
+    Millis longestLateness = Millis(12'000); ///< after which a call without an answer is carried out no more; the platform's largest
+    double clockDrift = 0.02; ///< largest share by which an executor's clock may be slow
+    Millis renewalInterval = Millis(500); ///< least time between two renewals; one follows each poll that stayed open
+    Millis pollWait = Millis(1000); ///< how long a list poll stays open; allows several renewals within a lease
+    Millis stopWait = Millis(200); ///< the same while a stop is pending, as its run may never appear in the lists and so end the poll
+    Millis resendAfter = Millis(50); ///< pause before an unanswered order is sent again
+    int unansweredPollsToUnreachable = 2; ///< consecutive unanswered polls after which the executor gets no new work
+};
+
+} // namespace waxwingloft
+
+#endif
--- a/src/request/executorcontroller.cpp
+++ b/src/request/executorcontroller.cpp
@@ -5,16 +5,6 @@
 
 namespace waxwingloft {
 
-namespace {
-
-/** Returns @p duration on an executor's clock as it lasts on this clock when that one is slow. */
-Millis onOurClock(Millis duration, double drift)
-{
-    return Millis(static_cast<std::int64_t>(static_cast<double>(duration.count()) / (1.0 - drift)));
-}
-
-} // namespace
-
 ExecutorController::ExecutorController(Clock &clock, Metrics &metrics, NodeId node, std::string address, ExecutorControllerOptions options)
     : clock(clock)
     , metrics(metrics)
@@ -23,9 +13,7 @@
     , address(std::move(address))
     , options(options)
     , log(LogPart::Gangs)
-    , agentLeaseUntil(clock.now())
-    , lease(onOurClock(options.lease + options.leaseReserve, options.clockDrift), options.longestLateness)
-    , renewedAt(clock.now() - options.renewalInterval)
+    , leases(options, clock.now())
 {
 }
 
@@ -103,9 +91,7 @@
     this->hasLeft = false;
     this->unansweredPolls = 0;
     this->acknowledgedEnds = 0;
-    this->restartLease();
-    this->renewedAt = this->clock.now() - this->options.renewalInterval;
-    this->clockOffset.reset();
+    this->leases.beginIncarnation(this->clock.now());
     this->latest = heartbeat;
     ++this->changeCount;
 }
@@ -145,7 +131,7 @@
         const std::lock_guard<std::mutex> guard(this->mutex);
         const bool isNewTerm = sync.epoch > this->highestEpoch;
         if (sync.epoch >= this->highestEpoch) {
-            this->agentLeaseUntil = std::max(this->agentLeaseUntil, sentAt + sync.agentLease);
+            this->leases.prolongAgentLease(sentAt + sync.agentLease);
             // A placer that only announces its term has not applied the report.
             this->answeredEnds = sync.incarnation.isKnown() ? this->reportedEnds : this->answeredEnds;
         }
@@ -235,13 +221,13 @@
             continue;
         }
         // Without a lease a run would have no bounded end, so a start waits for an agent lease and for a responsive executor.
-        const auto leaseEnd = isStart && !this->isUnresponsive() ? this->grantableLeaseEnd(now) : std::nullopt;
+        const auto leaseEnd = isStart && !this->isUnresponsive() ? this->leases.leaseEnd(now) : std::nullopt;
         if (isStart && !leaseEnd) {
             continue;
         }
         entry.orderSent(isStop);
         if (isStart) {
-            this->lease.callSent();
+            this->leases.callSent();
         }
         orders.push_back(
             {isStop, this->latest->incarnation, {run, entry.startSpec(), entry.latestCheckpoint(), leaseEnd.value_or(Millis(0)), this->fencingToken()}});
@@ -256,7 +242,7 @@
         if (!this->latest || this->latest->incarnation != order.incarnation) {
             return;
         }
-        this->recordLeaseAnswer(answer);
+        this->leases.callEnded(answer, this->clock.now());
         const auto found = this->runs.find(order.start.run);
         if (found == this->runs.end()) {
             return;
@@ -272,7 +258,7 @@
             }
             return;
         }
-        this->updateClockOffset(valueOf(answer).stamp);
+        this->leases.readClock(valueOf(answer).stamp, this->clock.now());
         const auto refusal = valueOf(answer).refusal;
         if (refusal == RefusalReason::TooLate) {
             found->second.startWasTooLate(retryAt);
@@ -318,7 +304,7 @@
             return;
         }
         if (succeeded(answer)) {
-            this->updateClockOffset(valueOf(answer));
+            this->leases.readClock(valueOf(answer), this->clock.now());
             found->second.stopAnswered(this->pollSerial + 1);
         } else {
             found->second.orderFailed(true, errorOf(answer), this->clock.now() + this->options.resendAfter);
@@ -352,9 +338,9 @@
     poll.isOfLeaver = this->hasLeft;
     poll.serial = ++this->pollSerial;
     poll.question.acknowledgedEnds = this->acknowledgedEnds;
-    poll.question.leaseEnd = this->dueRenewal(this->clock.now());
+    poll.question.leaseEnd = this->dueRenewal();
     if (poll.question.leaseEnd) {
-        this->lease.callSent();
+        this->leases.callSent();
     }
     const bool isStopOpen = std::any_of(this->runs.begin(), this->runs.end(), [](const auto &item) { return item.second.isStopWanted(); });
     const auto longestWait = isStopOpen || this->hasLeft ? this->options.stopWait : this->options.pollWait;
@@ -363,42 +349,14 @@
     return poll;
 }
 
-/** Returns the lease end to request while the agent lease is valid and the executor's clock is known. */
-std::optional<Millis> ExecutorController::grantableLeaseEnd(Instant now) const
-{
-    const auto longestClockAge = Millis(static_cast<std::int64_t>(static_cast<double>(this->options.leaseReserve.count()) / this->options.clockDrift));
-    if (now >= this->agentLeaseUntil || !this->clockOffset || now >= this->clockOffsetAt + longestClockAge) {
-        return std::nullopt;
-    }
-    return std::chrono::duration_cast<Millis>(now.time_since_epoch()) + *this->clockOffset + this->options.lease;
-}
-
 /**
  * Returns the lease end to request with the next poll; none for an executor that leaves.
  *
  * A renewal without an answer may still take effect, so none follows an unanswered poll either.
  */
-std::optional<Millis> ExecutorController::dueRenewal(Instant now) const
-{
-    const bool isDue = !this->hasLeft && this->unansweredPolls == 0 && now >= this->renewedAt + this->options.renewalInterval;
-    return isDue ? this->grantableLeaseEnd(now) : std::nullopt;
-}
-
-/** Records the answer to a call that asked for a lease. */
-template<typename Answer>
-void ExecutorController::recordLeaseAnswer(const Result<Answer> &answer)
-{
-    if (succeeded(answer)) {
-        this->lease.callAnswered(this->clock.now());
-    } else {
-        this->lease.callFailed(this->clock.now(), mayTakeEffect(errorOf(answer).kind));
-    }
-}
-
-/** Earlier processes of this agent, and late orders to an earlier incarnation, may have granted leases that the executor still holds. */
-void ExecutorController::restartLease()
+std::optional<Millis> ExecutorController::dueRenewal() const
 {
-    this->lease.restart(this->clock.now() + onOurClock(this->options.longestLease, this->options.clockDrift));
+    return this->hasLeft || this->unansweredPolls > 0 ? std::nullopt : this->leases.renewalEnd(this->clock.now());
 }
 
 void ExecutorController::runListAnswered(const DueRunListQuery &poll, const Result<RunListAnswer> &answer)
@@ -411,7 +369,7 @@
             this->candidateAnswered(poll, answer);
         } else if (this->latest && this->latest->incarnation == poll.incarnation) {
             if (poll.question.leaseEnd) {
-                this->recordLeaseAnswer(answer);
+                this->leases.callEnded(answer, this->clock.now());
             }
             const auto startedAt = succeeded(answer) ? valueOf(answer).stamp.startedAt : std::nullopt;
             const bool isOfAnother = startedAt && *startedAt != poll.incarnation.startedAt;
@@ -486,8 +444,8 @@
 void ExecutorController::endLapsedRuns()
 {
     const auto now = this->clock.now();
-    const bool hasExpired = this->lease.hasExpired(now);
-    const bool hasExpiredForLateStarts = this->lease.hasExpiredForLateStarts(now);
+    const bool hasExpired = this->leases.expiry().hasExpired(now);
+    const bool hasExpiredForLateStarts = this->leases.expiry().hasExpiredForLateStarts(now);
     std::vector<TaskRun> lapsed;
     for (const auto &[run, entry] : this->runs) {
         if (entry.mayBeginLate() ? hasExpiredForLateStarts : hasExpired) {
@@ -506,7 +464,7 @@
 
 void ExecutorController::applyRunLists(const DueRunListQuery &poll, const RunListAnswer &answer)
 {
-    this->updateClockOffset(answer.stamp);
+    this->leases.readClock(answer.stamp, this->clock.now());
     if (this->isUnresponsive() || !this->hasRunLists) {
         ++this->changeCount;
     }
@@ -514,9 +472,11 @@
     const bool isFirstRead = !this->hasRunLists;
     this->hasRunLists = true;
     if (isFirstRead) {
-        this->restartLease();
+        this->leases.assumeLongestLease(this->clock.now());
+    }
+    if (poll.question.leaseEnd) {
+        this->leases.renewed(this->clock.now());
     }
-    this->renewedAt = poll.question.leaseEnd ? this->clock.now() : this->renewedAt;
     for (const auto &listed : answer.running) {
         const auto [found, isNew] = this->runs.try_emplace(listed.run);
         if (isNew && !isFirstRead) {
@@ -584,15 +544,6 @@
                     {"executor", this->latest->incarnation.id}});
 }
 
-void ExecutorController::updateClockOffset(const ExecutorStamp &stamp)
-{
-    if (stamp.clock.count() == 0) {
-        return;
-    }
-    this->clockOffsetAt = this->clock.now();
-    this->clockOffset = stamp.clock - std::chrono::duration_cast<Millis>(this->clock.now().time_since_epoch());
-}
-
 std::optional<AgentReport> ExecutorController::report()
 {
     const std::lock_guard<std::mutex> guard(this->mutex);
