agent: Acknowledge only ends that the executor has just listed

Callers could see a task started again after it was done. An executor that starts again under its id numbers its ends anew. Until its heartbeat arrives it is polled as the earlier incarnation, and the acknowledged number of that one made it forget an end of its own, whose task was then started again.

A poll acknowledges ends only when the lists that were read last begin with one of them. What remains is a restart between those lists and the poll.

--- a/include/waxwingloft/request/executorcontroller.h
+++ b/include/waxwingloft/request/executorcontroller.h
@@ -138,6 +138,7 @@
     std::uint64_t acknowledgedEnds = 0;
     std::uint64_t pollSerial = 0;
     LeaseGranter leases;
+    std::uint64_t firstListedEnd = 0; ///< in the lists that were read last; zero when they had none
     std::map<TaskRun, AgentRun> runs;
     std::vector<EndReport> ends;
     std::set<TaskRun> reportedEnds; ///< in the last report
--- a/src/request/executorcontroller.cpp
+++ b/src/request/executorcontroller.cpp
@@ -93,6 +93,7 @@
     this->acknowledgedEnds = 0;
     this->leases.beginIncarnation(this->clock.now());
     this->latest = heartbeat;
+    this->firstListedEnd = 0;
     ++this->changeCount;
 }
 
@@ -337,7 +338,8 @@
     poll.incarnation = *inUse;
     poll.isOfLeaver = this->hasLeft;
     poll.serial = ++this->pollSerial;
-    poll.question.acknowledgedEnds = this->acknowledgedEnds;
+    // Another incarnation under the same id may answer, whose ends have numbers of their own, so only ends that were just listed are acknowledged.
+    poll.question.acknowledgedEnds = this->firstListedEnd != 0 && this->firstListedEnd <= this->acknowledgedEnds ? this->acknowledgedEnds : 0;
     poll.question.leaseEnd = this->dueRenewal();
     if (poll.question.leaseEnd) {
         this->leases.callSent();
@@ -478,6 +480,7 @@
         this->leases.renewed(this->clock.now());
     }
     for (const auto &listed : answer.running) {
+    this->firstListedEnd = answer.ended.empty() ? 0 : answer.ended.front().number;
         const auto [found, isNew] = this->runs.try_emplace(listed.run);
         if (isNew && !isFirstRead) {
             this->metrics.add(Count::RunsListedUnexpectedly);
--- a/tests/connection/fakeexecutor.h
+++ b/tests/connection/fakeexecutor.h
@@ -67,7 +67,9 @@
         this->running.clear();
         this->ends.clear();
         this->highestEnded.clear();
-        this->late.clear();
+        if (!this->lateCallsSurviveRestart) {
+            this->late.clear();
+        }
         this->highestToken = 0;
         this->lastEnd = 0;
         this->voidedEnds = 0;
@@ -169,6 +171,7 @@
     std::function<OrderFate()> drawFate; ///< when set, gives the fate of each order in place of @c fate
     std::function<OrderFate(const RunListQuery &)> drawPollFate; ///< when set, gives the fate of each list poll
     Millis lateBy = Millis(3000);
+    bool lateCallsSurviveRestart = false; ///< late calls reach the next incarnation
     bool lateLeasesCountFromArrival = false; ///< the lease of a late call is as long as if it had been sent on its arrival
     Millis stopTime = Millis(400);
     double clockRate = 1.0; ///< of its own clock against ours
--- a/tests/request/jobsitetest.cpp
+++ b/tests/request/jobsitetest.cpp
@@ -280,6 +280,45 @@
     expectNoViolations(site);
 }
 
+// The number of an acknowledged end was sent to the next incarnation under the same id, which then forgot an end of its own.
+TEST(JobSite, AnEndOfAnIncarnationThatIsNotKnownYetIsNotAcknowledged)
+{
+    JobSite site(1);
+    auto &agent = site.agents[0];
+    agent.executor->runOf = [](const StartOrder &) {
+        FakeRun run;
+        run.endsAt = Millis(60);
+        return run;
+    };
+    for (int count = 0; count < 3; ++count) {
+        ASSERT_EQ(site.finish(site.submit(oneStep(1, Whole)), Millis(5000)), JobPhase::Completed);
+    }
+    site.advance(Millis(1000));
+    const auto job = site.submit(oneStep(1, Whole));
+    agent.nextHeartbeat = site.clock.now() + Millis(1500);
+    agent.executor->restart();
+    site.advance(Millis(4000));
+    EXPECT_EQ(site.finish(job, Millis(15'000)), JobPhase::Completed);
+    expectNoViolations(site);
+}
+
+// Open: an order for an earlier incarnation reaches the next one under the same id before that one knows a fencing token.
+TEST(JobSite, AStartForAnEarlierIncarnationOfTheSameIdRunsNothingTwice)
+{
+    JobSite site(1);
+    auto &agent = site.agents[0];
+    agent.executor->lateCallsSurviveRestart = true;
+    agent.executor->lateBy = Millis(5000);
+    agent.executor->drawFate = fatesInTurn({OrderFate::Delayed});
+    const auto job = site.submit(oneStep(1, Whole));
+    ASSERT_EQ(site.finish(job, Millis(5000)), JobPhase::Completed);
+    site.advance(Millis(2000));
+    agent.nextHeartbeat = site.clock.now() + Millis(1500);
+    agent.executor->restart();
+    site.advance(Millis(4000));
+    expectNoViolations(site);
+}
+
 // After a step back of the time of day a late heartbeat of the previous incarnation passed for a newer one.
 TEST(JobSite, ALateHeartbeatFromBeforeAStepBackStopsNothing)
 {
