agent: Poll at once after an unanswered poll; put a live executor back to work

Lists of another incarnation no longer count as an answer, so that polls do not follow each other without a pause. A heartbeat of an executor that is ready takes back a deregister, which may be a late one that does not say which incarnation it is from.

Bounds of the tests on leases count the reserve, as the code does.

--- a/include/waxwingloft/connection/taskmessages.h
+++ b/include/waxwingloft/connection/taskmessages.h
@@ -68,7 +68,7 @@
 
 /** An end that the placer has not taken note of yet. */
 struct EndReport {
-    std::uint64_t number = 0; ///< rises within an incarnation of the executor; zero for a refusal, which the executor does not list
+    std::uint64_t number = 0; ///< rises within an incarnation of the executor; zero for an end that the agent inferred, which the executor does not list
     TaskRun run;
     RunEnd end = RunEnd::Done;
     std::string checkpoint;
--- a/include/waxwingloft/request/executorcontroller.h
+++ b/include/waxwingloft/request/executorcontroller.h
@@ -84,7 +84,9 @@
 
     /** Returns the next list poll; empty while no executor is registered or no generation is set. */
     std::optional<DueRunListQuery> nextRunListQuery();
-    void runListAnswered(const DueRunListQuery &poll, const Result<RunListAnswer> &answer);
+
+    /** Takes the answer to @p poll. Returns whether its lists were applied; the next poll may follow at once only then. */
+    bool runListAnswered(const DueRunListQuery &poll, const Result<RunListAnswer> &answer);
 
     /** Notes that nobody listened at the executor's address after @p poll, which went to an incarnation that leaves, was not answered. */
     void leaverIsAbsent(const DueRunListQuery &poll);
@@ -99,7 +101,7 @@
     bool refresh(const ExecutorHeartbeat &heartbeat);
     std::optional<ExecutorIncarnation> incarnationInUse() const;
     void beginIncarnation(const ExecutorHeartbeat &heartbeat);
-    void candidateAnswered(const DueRunListQuery &poll, const Result<RunListAnswer> &answer);
+    bool candidateAnswered(const DueRunListQuery &poll, const Result<RunListAnswer> &answer);
     bool applyAssignments(const AssignmentSync &sync);
     void addAssignment(const Assignment &assignment);
     bool hasEnded(const TaskRun &run) const;
@@ -136,9 +138,9 @@
     Epoch highestEpoch = 0;
     std::uint64_t syncSequence = 0;
     std::uint64_t acknowledgedEnds = 0;
+    std::uint64_t firstListedEnd = 0; ///< in the lists that were read last; zero when they had none
     std::uint64_t pollSerial = 0;
     LeaseGranter leases;
-    std::uint64_t firstListedEnd = 0; ///< in the lists that were read last; zero when they had none
     std::map<TaskRun, AgentRun> runs;
     std::vector<EndReport> ends;
     std::set<TaskRun> reportedEnds; ///< in the last report
--- a/src/request/executoragent.cpp
+++ b/src/request/executoragent.cpp
@@ -200,17 +200,16 @@
     while (!this->isStopping) {
         lock.unlock();
         const auto poll = this->controller.nextRunListQuery();
-        bool isAnswered = false;
+        bool isApplied = false;
         if (poll) {
             const auto answer = this->executor.pollRuns(poll->incarnation, poll->question);
-            isAnswered = succeeded(answer);
-            this->controller.runListAnswered(*poll, answer);
-            if (!isAnswered && poll->isOfLeaver && this->executor.isAbsent()) {
+            isApplied = this->controller.runListAnswered(*poll, answer);
+            if (!succeeded(answer) && poll->isOfLeaver && this->executor.isAbsent()) {
                 this->controller.leaverIsAbsent(*poll);
             }
         }
         lock.lock();
-        if (!isAnswered && !this->isStopping) {
+        if (!isApplied && !this->isStopping) {
             this->wakeUp.wait_for(lock, this->options.pollRetry);
         }
     }
--- a/src/request/executorcontroller.cpp
+++ b/src/request/executorcontroller.cpp
@@ -64,6 +64,8 @@
     const bool drains = !this->latest->isDraining && heartbeat.isDraining;
     const bool isChange = this->latest->isDraining != heartbeat.isDraining || this->latest->capacity != heartbeat.capacity;
     this->latest = heartbeat;
+    // A deregister that does not say which incarnation it is from may be a late one of an earlier incarnation.
+    this->hasLeft = this->hasLeft && heartbeat.isDraining;
     if (drains) {
         this->log.info("Executor " + heartbeat.incarnation.id + " drains; it gets no new work.");
     }
@@ -91,9 +93,9 @@
     this->hasLeft = false;
     this->unansweredPolls = 0;
     this->acknowledgedEnds = 0;
+    this->firstListedEnd = 0;
     this->leases.beginIncarnation(this->clock.now());
     this->latest = heartbeat;
-    this->firstListedEnd = 0;
     ++this->changeCount;
 }
 
@@ -346,8 +348,9 @@
     }
     const bool isStopOpen = std::any_of(this->runs.begin(), this->runs.end(), [](const auto &item) { return item.second.isStopWanted(); });
     const auto longestWait = isStopOpen || this->hasLeft ? this->options.stopWait : this->options.pollWait;
-    // A renewal is answered at once, so that one is rarely open when its executor fails.
-    poll.question.wait = !this->hasRunLists || poll.question.leaseEnd ? Millis(0) : longestWait;
+    // A renewal is answered at once, so that one is rarely open when its executor fails; after an unanswered poll renewals wait for an answer.
+    const bool isUrgent = !this->hasRunLists || poll.question.leaseEnd || this->unansweredPolls > 0;
+    poll.question.wait = isUrgent ? Millis(0) : longestWait;
     return poll;
 }
 
@@ -361,14 +364,15 @@
     return this->hasLeft || this->unansweredPolls > 0 ? std::nullopt : this->leases.renewalEnd(this->clock.now());
 }
 
-void ExecutorController::runListAnswered(const DueRunListQuery &poll, const Result<RunListAnswer> &answer)
+bool ExecutorController::runListAnswered(const DueRunListQuery &poll, const Result<RunListAnswer> &answer)
 {
     bool hasChanges = false;
+    bool isApplied = false;
     {
         const std::lock_guard<std::mutex> guard(this->mutex);
         const auto before = this->changeCount;
         if (poll.isOfCandidate) {
-            this->candidateAnswered(poll, answer);
+            isApplied = this->candidateAnswered(poll, answer);
         } else if (this->latest && this->latest->incarnation == poll.incarnation) {
             if (poll.question.leaseEnd) {
                 this->leases.callEnded(answer, this->clock.now());
@@ -378,7 +382,8 @@
             if (isOfAnother) {
                 this->log.warn("Another incarnation of the executor answered; waiting for its heartbeat.", {{"executor", poll.incarnation.id}});
             }
-            if (succeeded(answer) && !isOfAnother) {
+            isApplied = succeeded(answer) && !isOfAnother;
+            if (isApplied) {
                 this->applyRunLists(poll, valueOf(answer));
             } else {
                 this->recordUnansweredPoll();
@@ -389,6 +394,7 @@
     if (hasChanges) {
         this->wake();
     }
+    return isApplied;
 }
 
 void ExecutorController::leaverIsAbsent(const DueRunListQuery &poll)
@@ -404,14 +410,16 @@
     this->wake();
 }
 
-void ExecutorController::candidateAnswered(const DueRunListQuery &poll, const Result<RunListAnswer> &answer)
+/** Returns whether the candidate is in use now. */
+bool ExecutorController::candidateAnswered(const DueRunListQuery &poll, const Result<RunListAnswer> &answer)
 {
     // An answer that a later poll has overtaken says nothing on which incarnation is live now.
     if (poll.serial != this->pollSerial || !this->candidate.isPoll(poll.serial)) {
-        return;
+        return false;
     }
     const auto heartbeat = this->candidate.latestHeartbeat();
-    switch (this->candidate.judge(this->incarnationInUse(), answer)) {
+    const auto verdict = this->candidate.judge(this->incarnationInUse(), answer);
+    switch (verdict) {
     case IncarnationVerdict::Live:
         this->beginIncarnation(heartbeat);
         if (this->generation != 0) {
@@ -425,6 +433,7 @@
                        {{"started_at", std::to_string(heartbeat.incarnation.startedAt)}});
         break;
     }
+    return verdict == IncarnationVerdict::Live;
 }
 
 bool ExecutorController::isUnresponsive() const
@@ -471,6 +480,7 @@
         ++this->changeCount;
     }
     this->unansweredPolls = 0;
+    this->firstListedEnd = answer.ended.empty() ? 0 : answer.ended.front().number;
     const bool isFirstRead = !this->hasRunLists;
     this->hasRunLists = true;
     if (isFirstRead) {
@@ -480,7 +490,6 @@
         this->leases.renewed(this->clock.now());
     }
     for (const auto &listed : answer.running) {
-    this->firstListedEnd = answer.ended.empty() ? 0 : answer.ended.front().number;
         const auto [found, isNew] = this->runs.try_emplace(listed.run);
         if (isNew && !isFirstRead) {
             this->metrics.add(Count::RunsListedUnexpectedly);
--- a/tests/request/executorcontrollertest.cpp
+++ b/tests/request/executorcontrollertest.cpp
@@ -94,6 +94,12 @@
         return Millis(static_cast<std::int64_t>(static_cast<double>(lease.count()) / (1.0 - this->options.clockDrift)));
     }
 
+    /** The longest that a lease can last on the agent's clock. */
+    Millis longestLease() const
+    {
+        return this->longestOf(this->options.lease + this->options.leaseReserve);
+    }
+
     Millis executorTime() const
     {
         return Millis(50'000) + std::chrono::duration_cast<Millis>(this->clock.now().time_since_epoch());
@@ -210,7 +216,7 @@
     this->controller.startAnswered(this->controller.takeDueOrders()[0], StartAnswer{{this->executorTime(), SomeIncarnation.startedAt}, RefusalReason::None});
     EXPECT_TRUE(this->answerPoll({First}).question.leaseEnd);
     const auto lapsed = this->timeUntilLapse();
-    EXPECT_GE(lapsed, this->longestOf(this->options.lease)) << "not before the lease has expired on a clock that is 2% slow";
+    EXPECT_GE(lapsed, this->longestLease()) << "not before the lease has expired on a clock that is 2% slow";
     EXPECT_LE(lapsed, this->longestOf(this->options.lease) + Millis(300));
 }
 
@@ -221,7 +227,7 @@
     this->controller.startAnswered(this->controller.takeDueOrders()[0], StartAnswer{{this->executorTime(), SomeIncarnation.startedAt}, RefusalReason::None});
     EXPECT_TRUE(this->failPoll().question.leaseEnd);
     const auto lapsed = this->timeUntilLapse();
-    EXPECT_GE(lapsed, 2 * this->longestOf(this->options.lease));
+    EXPECT_GE(lapsed, 2 * this->longestLease());
     EXPECT_LE(lapsed, 2 * this->longestOf(this->options.lease) + Millis(400));
 }
 
@@ -232,7 +238,7 @@
     this->answerPoll({});
     this->controller.startAnswered(this->controller.takeDueOrders()[0], makeError(ErrorKind::Ambiguous, "no answer"));
     const auto lapsed = this->timeUntilLapse();
-    EXPECT_GE(lapsed, this->options.longestLateness + this->longestOf(this->options.lease));
+    EXPECT_GE(lapsed, this->options.longestLateness + this->longestLease());
     EXPECT_LE(lapsed, this->options.longestLateness + this->longestOf(this->options.lease) + Millis(400));
 }
 
@@ -245,7 +251,7 @@
     ASSERT_EQ(orders.size(), 1U);
     EXPECT_EQ(this->timeUntilLapse(), LongTime);
     this->controller.startAnswered(orders[0], StartAnswer{{this->executorTime(), SomeIncarnation.startedAt}, RefusalReason::None});
-    EXPECT_GE(this->timeUntilLapse(), this->longestOf(this->options.lease));
+    EXPECT_GE(this->timeUntilLapse(), this->longestLease());
 }
 
 TEST_F(ExecutorControllerTest, ARenewalThatSurelyHadNoEffectKeepsNothing)
@@ -424,6 +430,39 @@
     EXPECT_FALSE(this->controller.report()->isDraining);
 }
 
+// A late deregister that does not say which incarnation it is from left the live executor without work for good.
+TEST_F(ExecutorControllerTest, AHeartbeatAfterADeregisterWithoutAStartPutsTheExecutorBackToWork)
+{
+    this->controller.deregister({SomeIncarnation.id, 0});
+    EXPECT_TRUE(this->controller.report()->isDraining);
+    this->controller.heartbeat(this->makeHeartbeat(2));
+    EXPECT_FALSE(this->controller.report()->isDraining);
+    this->controller.applyAnswer(sync(1, {First}), this->clock.now());
+    EXPECT_EQ(this->controller.takeDueOrders().size(), 1U);
+}
+
+// Renewals wait for an answer after an unanswered poll, and a poll that stays open takes too long to bring one.
+TEST_F(ExecutorControllerTest, APollAfterAnUnansweredOneIsAnsweredAtOnceSoThatRenewalsGoOn)
+{
+    this->controller.applyAnswer(sync(1, {First}), this->clock.now());
+    this->answerPoll({First});
+    this->clock.advance(this->options.renewalInterval);
+    this->failPoll();
+    const auto next = this->answerPoll({First});
+    EXPECT_FALSE(next.question.leaseEnd);
+    EXPECT_EQ(next.question.wait, Millis(0));
+    EXPECT_TRUE(this->answerPoll({First}).question.leaseEnd);
+}
+
+// Lists of another incarnation counted as an answer, so that polls which are answered at once followed each other without a pause.
+TEST_F(ExecutorControllerTest, ListsOfAnotherIncarnationAreNotApplied)
+{
+    const auto poll = this->controller.nextRunListQuery();
+    EXPECT_FALSE(this->controller.runListAnswered(*poll, RunListAnswer{{this->executorTime(), SomeIncarnation.startedAt - 500}, {}, {}}));
+    const auto next = this->controller.nextRunListQuery();
+    EXPECT_TRUE(this->controller.runListAnswered(*next, RunListAnswer{{this->executorTime(), SomeIncarnation.startedAt}, {}, {}}));
+}
+
 // Runs counted as over at the deregister, though an executor that gets no answer to it runs on for seconds.
 TEST_F(ExecutorControllerTest, RunsOfAnExecutorThatDeregisteredEndWithItsLease)
 {
