--- a/include/waxwingloft/request/executorcontroller.h
+++ b/include/waxwingloft/request/executorcontroller.h
@@ -7,8 +7,9 @@
 #include "waxwingloft/process/metrics.h"
 #include "waxwingloft/request/agentrun.h"
 #include "waxwingloft/request/endproof.h"
-#include "waxwingloft/request/executorlease.h"
+#include "waxwingloft/request/executorcontrolleroptions.h"
 #include "waxwingloft/request/incarnationcandidate.h"
+#include "waxwingloft/request/leasegranter.h"
 
 #include <functional>
 #include <map>
@@ -20,20 +21,6 @@
 
 namespace waxwingloft {
 
-/** Timing between an agent and its executor. */
-struct ExecutorControllerOptions {
-    Millis lease = Millis(5900); ///< of all runs; the reserve below the longest lease that executors grant
-    Millis leaseReserve = Millis(100); ///< by which a lease may last longer, as the executor's clock falls behind since its last answer
-    Millis longestLease = Millis(6000); ///< that an executor grants, on its own clock; also to an order meant for its previous incarnation
-    Millis longestLateness = Millis(12'000); ///< after which a call without an answer is carried out no more; the platform's largest
-    double clockDrift = 0.02; ///< largest share by which an executor's clock may be slow
-    Millis renewalInterval = Millis(500); ///< least time between two renewals; one follows each poll that stayed open
-    Millis pollWait = Millis(1000); ///< how long a list poll stays open; allows several renewals within a lease
-    Millis stopWait = Millis(200); ///< the same while a stop is pending, as its run may never appear in the lists and so end the poll
-    Millis resendAfter = Millis(50); ///< pause before an unanswered order is sent again
-    int unansweredPollsToUnreachable = 2; ///< consecutive unanswered polls after which the executor gets no new work
-};
-
 /** An order to send to the executor. */
 struct DueOrder {
     bool isStop = false;
@@ -97,7 +84,9 @@
 
     /** Returns the next list poll; empty while no executor is registered or no generation is set. */
     std::optional<DueRunListQuery> nextRunListQuery();
-    void runListAnswered(const DueRunListQuery &poll, const Result<RunListAnswer> &answer);
+
+    /** Takes the answer to @p poll. Returns whether its lists were applied; the next poll may follow at once only then. */
+    bool runListAnswered(const DueRunListQuery &poll, const Result<RunListAnswer> &answer);
 
     /** Notes that nobody listened at the executor's address after @p poll, which went to an incarnation that leaves, was not answered. */
     void leaverIsAbsent(const DueRunListQuery &poll);
@@ -109,9 +98,10 @@
     std::uint64_t changes() const;
 
 private:
+    bool refresh(const ExecutorHeartbeat &heartbeat);
     std::optional<ExecutorIncarnation> incarnationInUse() const;
     void beginIncarnation(const ExecutorHeartbeat &heartbeat);
-    void candidateAnswered(const DueRunListQuery &poll, const Result<RunListAnswer> &answer);
+    bool candidateAnswered(const DueRunListQuery &poll, const Result<RunListAnswer> &answer);
     bool applyAssignments(const AssignmentSync &sync);
     void addAssignment(const Assignment &assignment);
     bool hasEnded(const TaskRun &run) const;
@@ -121,14 +111,9 @@
     void end(const EndReport &end, EndProof proof);
     void endAll(EndProof proof);
     void endLapsedRuns();
-    void updateClockOffset(const ExecutorStamp &stamp);
     bool isUnresponsive() const;
     void recordUnansweredPoll();
-    std::optional<Millis> grantableLeaseEnd(Instant now) const;
-    std::optional<Millis> dueRenewal(Instant now) const;
-    void restartLease();
-    template<typename Answer>
-    void recordLeaseAnswer(const Result<Answer> &answer);
+    std::optional<Millis> dueRenewal() const;
     std::uint64_t fencingToken() const;
     void wake();
 
@@ -153,12 +138,9 @@
     Epoch highestEpoch = 0;
     std::uint64_t syncSequence = 0;
     std::uint64_t acknowledgedEnds = 0;
+    std::uint64_t firstListedEnd = 0; ///< in the lists that were read last; zero when they had none
     std::uint64_t pollSerial = 0;
-    Instant agentLeaseUntil;
-    ExecutorLease lease;
-    Instant renewedAt; ///< when the last renewal was answered
-    std::optional<Millis> clockOffset; ///< executor's clock minus the agent's
-    Instant clockOffsetAt; ///< when the executor last gave its time
+    LeaseGranter leases;
     std::map<TaskRun, AgentRun> runs;
     std::vector<EndReport> ends;
     std::set<TaskRun> reportedEnds; ///< in the last report
