--- a/cli/jobstory.cpp
+++ b/cli/jobstory.cpp
@@ -27,7 +27,7 @@
                                           {"A job's state changed.", "until its last change of state"}}};
 
 /** A line of an agent with one of these texts ends runs without naming their jobs. */
-constexpr std::array<std::string_view, 3> EndsOfRuns = {"runs of its previous incarnation are over", " has left with ", " runs count as ended"};
+constexpr std::array<std::string_view, 3> EndsOfRuns = {"runs of its previous incarnation are over", " leaves with ", " runs count as ended"};
 
 bool endsRuns(const LogLine &line)
 {
--- a/tests/cli/jobstorytest.cpp
+++ b/tests/cli/jobstorytest.cpp
@@ -81,7 +81,7 @@
 {
     const std::string replaced =
         R"(level=INFO node=side part=gangs what="Executor i-5 started at 1779 with 8 accelerators; 2 runs of its previous incarnation are over.")";
-    const std::string left = R"(level=INFO node=side part=gangs what="Executor i-4 has left with 2 runs.")";
+    const std::string left = R"(level=INFO node=side part=gangs what="Executor i-4 leaves with 2 runs.")";
     const std::string joined = R"(level=INFO node=side part=gangs what="Executor i-4 started at 1779 with 8 accelerators.")";
     const auto story = storyOf({
         line("20,136", R"(level=INFO node=side part=gangs what="A run started." job=")" + Job + R"(" run="1" executor="i-4")"),
@@ -92,7 +92,7 @@
         line("24,000", R"(level=INFO node=front part=placer what="A run ended." job=")" + Job + R"(" run="1" end="lapsed" executor="i-4")"),
     });
     EXPECT_NE(story.find("side gangs: Executor i-5 started at 1779 with 8 accelerators; 2 runs of its previous incarnation are over."), std::string::npos);
-    EXPECT_NE(story.find("side gangs: Executor i-4 has left with 2 runs."), std::string::npos);
+    EXPECT_NE(story.find("side gangs: Executor i-4 leaves with 2 runs."), std::string::npos);
     EXPECT_EQ(story.find("other gangs"), std::string::npos) << "another agent's executor";
     EXPECT_EQ(story.find("8 accelerators.\n"), std::string::npos) << "it ended no runs";
 }
