--- a/tests/request/jobsitetest.cpp
+++ b/tests/request/jobsitetest.cpp
@@ -59,6 +59,16 @@
     return count;
 }
 
+/** Lets the site, whose faults are over, finish its jobs. Expects each of them to reach a final state, and no violation. */
+void expectAllEnd(JobSite &site, const std::vector<JobId> &jobs)
+{
+    site.advance(Millis(90'000));
+    for (const auto &job : jobs) {
+        EXPECT_TRUE(isFinal(site.stateOf(job))) << job.value << " is " << nameOf(site.stateOf(job));
+    }
+    expectNoViolations(site);
+}
+
 /** Returns fates for successive orders; all later orders are answered. */
 std::function<OrderFate()> fatesInTurn(std::deque<OrderFate> fates)
 {
@@ -688,11 +698,7 @@
             site.restartAgent(index);
         }
     }
-    site.advance(Millis(90'000));
-    for (const auto &job : jobs) {
-        EXPECT_TRUE(isFinal(site.stateOf(job))) << job.value << " is " << nameOf(site.stateOf(job));
-    }
-    expectNoViolations(site);
+    expectAllEnd(site, jobs);
 }
 
 INSTANTIATE_TEST_SUITE_P(Seeds, JobSiteFaults, testing::Range<std::uint64_t>(1, 41));
@@ -758,11 +764,7 @@
         agent.executor->drawPollFate = nullptr;
         agent.executor->isUnreachable = false;
     }
-    site.advance(Millis(90'000));
-    for (const auto &job : jobs) {
-        EXPECT_TRUE(isFinal(site.stateOf(job))) << job.value << " is " << nameOf(site.stateOf(job));
-    }
-    expectNoViolations(site);
+    expectAllEnd(site, jobs);
 }
 
 INSTANTIATE_TEST_SUITE_P(Seeds, JobSiteOrderFates, testing::Range<std::uint64_t>(1, 41));
@@ -851,11 +853,7 @@
     for (auto &placer : site.placers) {
         placer.reachesTable = true;
     }
-    site.advance(Millis(90'000));
-    for (const auto &job : jobs) {
-        EXPECT_TRUE(isFinal(site.stateOf(job))) << job.value << " is " << nameOf(site.stateOf(job));
-    }
-    expectNoViolations(site);
+    expectAllEnd(site, jobs);
 }
 
 INSTANTIATE_TEST_SUITE_P(Seeds, JobSiteMixedFaults, testing::Range<std::uint64_t>(1, 41));
