agent: Report whether an executor outlived the start of a run

A task can crash every executor that starts it. When an executor is replaced, the placer knows which runs were assigned to it, but not which of them could have been the cause: most had worked there for seconds, and for some no start was ever carried out. Logs and reports could not tell these apart.

Each reported run now says what its start did to the executor: nothing yet, unproven, or outlived. Nothing decides on it yet.

Tests: AgentRunTest.ARunHasNotStartedBeforeAStartOfItMayHaveTakenEffect, AgentRunTest.AnExecutorOutlivesAStartOnlyOnItsOwnClock.

--- a/include/waxwingloft/connection/taskmessages.h
+++ b/include/waxwingloft/connection/taskmessages.h
@@ -25,6 +25,18 @@
     static constexpr std::array<std::string_view, 3> names = {"ordered", "running", "stopping"};
 };
 
+/** What an agent knows of the effect that the start of a run had on its executor. */
+enum class StartEffect {
+    NotStarted, ///< no start of it can have been carried out
+    Unproven, ///< it may have begun, and nothing shows that its executor outlived that
+    Outlived, ///< its executor was live for the start period after it had begun
+};
+
+template<>
+struct NameTable<StartEffect> {
+    static constexpr std::array<std::string_view, 3> names = {"not-started", "unproven", "outlived"};
+};
+
 /** How a run ended. */
 enum class RunEnd {
     Done,
@@ -64,6 +76,7 @@
     RunPhase phase = RunPhase::Ordered;
     std::string checkpoint; ///< newest; empty for none
     std::uint32_t percent = 0; ///< of its work that is done
+    StartEffect startEffect = StartEffect::Unproven;
 };
 
 /** An end that the placer has not taken note of yet. */
--- a/include/waxwingloft/request/agentrun.h
+++ b/include/waxwingloft/request/agentrun.h
@@ -7,6 +7,7 @@
 #include "waxwingloft/process/error.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace waxwingloft {
@@ -59,6 +60,13 @@
     /** Applies its row in the lists that poll @p serial returned. Returns whether that shows that it started. */
     bool listed(const std::string &checkpoint, std::uint32_t percent, std::uint64_t serial);
 
+    /**
+     * Records that the executor had the run when its clock showed @p executorClock; zero for an unknown time.
+     *
+     * Returns whether that is the first proof that the executor outlived the start by @p startPeriod.
+     */
+    bool seenAt(Millis executorClock, Millis startPeriod);
+
     /** Whether a start of it without an answer may still begin it. */
     bool mayBeginLate() const;
 
@@ -77,6 +85,7 @@
 
 private:
     void close(std::uint64_t nextPoll);
+    StartEffect startEffect() const;
 
     std::string spec;
     std::string checkpoint;
@@ -86,6 +95,8 @@
     bool stopWasAnswered = false;
     bool isInFlight = false; ///< an order was sent and its answer is pending
     bool openStart = false;
+    bool hasOutlivedStart = false;
+    std::optional<Millis> firstSeenAt; ///< on the executor's clock
     RefusalReason refusal = RefusalReason::None; ///< of a start that was refused while another one was open
     std::uint64_t closedFrom = 0; ///< serial of the first poll that was sent after the run was closed; zero while it is not
     Instant dueAt;
--- a/proto/node.capnp
+++ b/proto/node.capnp
@@ -55,7 +55,7 @@
 struct TaskRun { task @0 :Text; run @1 :UInt32; }
 struct Capacity { milliCores @0 :Int64; memoryMb @1 :Int64; accelerators @2 :Int64; }
 struct ExecutorLife { id @0 :Text; startedAt @1 :Int64; }
-struct RunReport { run @0 :TaskRun; phase @1 :UInt8; checkpoint @2 :Text; percent @3 :UInt32; }
+struct RunReport { run @0 :TaskRun; phase @1 :UInt8; checkpoint @2 :Text; percent @3 :UInt32; startEffect @4 :UInt8; }
 struct EndReport { number @0 :UInt64; run @1 :TaskRun; end @2 :UInt8; checkpoint @3 :Text; refusal @4 :UInt8; }
 struct AgentReport {
   node @0 :Text; address @1 :Text; generation @2 :UInt64; sequence @3 :UInt64; epoch @4 :UInt64; life @5 :ExecutorLife;
--- a/src/connection/private/node.capnp.h
+++ b/src/connection/private/node.capnp.h
@@ -3925,6 +3925,8 @@
 
   inline  ::uint32_t getPercent() const;
 
+  inline  ::uint8_t getStartEffect() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3973,6 +3975,9 @@
   inline  ::uint32_t getPercent();
   inline void setPercent( ::uint32_t value);
 
+  inline  ::uint8_t getStartEffect();
+  inline void setStartEffect( ::uint8_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -9035,6 +9040,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint8_t RunReport::Reader::getStartEffect() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t RunReport::Builder::getStartEffect() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void RunReport::Builder::setStartEffect( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t EndReport::Reader::getNumber() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/connection/taskcodec.cpp
+++ b/src/connection/taskcodec.cpp
@@ -46,11 +46,16 @@
     builder.setPhase(static_cast<std::uint8_t>(report.phase));
     builder.setCheckpoint(report.checkpoint);
     builder.setPercent(report.percent);
+    builder.setStartEffect(static_cast<std::uint8_t>(report.startEffect));
 }
 
 RunReport decode(wire::RunReport::Reader reader)
 {
-    return {decode(reader.getRun()), enumOf(reader.getPhase(), RunPhase::Running), textOf(reader.getCheckpoint()), reader.getPercent()};
+    return {decode(reader.getRun()),
+            enumOf(reader.getPhase(), RunPhase::Running),
+            textOf(reader.getCheckpoint()),
+            reader.getPercent(),
+            enumOf(reader.getStartEffect(), StartEffect::Unproven)};
 }
 
 void encode(const EndReport &report, wire::EndReport::Builder builder)
--- a/src/request/agentrun.cpp
+++ b/src/request/agentrun.cpp
@@ -102,6 +102,25 @@
     return hasStarted;
 }
 
+bool AgentRun::seenAt(Millis executorClock, Millis startPeriod)
+{
+    if (executorClock.count() == 0 || this->hasOutlivedStart) {
+        return false;
+    }
+    this->firstSeenAt = this->firstSeenAt.value_or(executorClock);
+    this->hasOutlivedStart = executorClock - *this->firstSeenAt >= startPeriod;
+    return this->hasOutlivedStart;
+}
+
+StartEffect AgentRun::startEffect() const
+{
+    if (this->hasOutlivedStart) {
+        return StartEffect::Outlived;
+    }
+    const bool mayHaveStarted = this->openStart || this->closedFrom != 0 || this->isInFlight;
+    return mayHaveStarted ? StartEffect::Unproven : StartEffect::NotStarted;
+}
+
 bool AgentRun::mayBeginLate() const
 {
     return this->openStart;
@@ -124,7 +143,7 @@
 
 RunReport AgentRun::report(const TaskRun &run) const
 {
-    return {run, this->phase, this->checkpoint, this->percent};
+    return {run, this->phase, this->checkpoint, this->percent, this->startEffect()};
 }
 
 const std::string &AgentRun::startSpec() const
--- a/src/request/executorcontroller.cpp
+++ b/src/request/executorcontroller.cpp
@@ -271,6 +271,7 @@
             this->applyRefusal(found->second, order, refusal);
         } else {
             found->second.startAccepted(this->pollSerial + 1);
+            found->second.seenAt(valueOf(answer).stamp.clock, this->options.startPeriod);
             this->log.info("A run started.",
                            {{"job", run.task.job.value},
                             {"task", toString(run.task)},
@@ -500,7 +501,9 @@
                             {"executor", poll.incarnation.id},
                             {"counted_as_over", this->hasEnded(listed.run) ? "yes" : "no"}});
         }
-        this->changeCount += found->second.listed(listed.checkpoint, listed.percent, poll.serial) ? 1 : 0;
+        const bool hasStarted = found->second.listed(listed.checkpoint, listed.percent, poll.serial);
+        const bool hasOutlivedStart = found->second.seenAt(answer.stamp.clock, this->options.startPeriod);
+        this->changeCount += hasStarted || hasOutlivedStart ? 1 : 0;
     }
     for (const auto &ended : answer.ended) {
         if (ended.number <= this->acknowledgedEnds || this->hasEnded(ended.run)) {
--- a/tests/request/agentruntest.cpp
+++ b/tests/request/agentruntest.cpp
@@ -265,4 +265,33 @@
     EXPECT_EQ(stopped.unlistedEnd(SomeRun).refusal, RefusalReason::None);
 }
 
+// A run whose start was never carried out is blamed for the crash of its executor.
+TEST_F(AgentRunTest, ARunHasNotStartedBeforeAStartOfItMayHaveTakenEffect)
+{
+    auto run = this->makeRun();
+    EXPECT_EQ(run.report(SomeRun).startEffect, StartEffect::NotStarted);
+    this->failStart(run, ErrorKind::Unreachable);
+    EXPECT_EQ(run.report(SomeRun).startEffect, StartEffect::NotStarted) << "that start had no effect";
+    run.orderSent(false);
+    EXPECT_EQ(run.report(SomeRun).startEffect, StartEffect::Unproven) << "its executor may crash before it answers";
+    run.orderFailed(false, makeError(ErrorKind::Ambiguous, "lost"), this->clock.now());
+    EXPECT_EQ(run.report(SomeRun).startEffect, StartEffect::Unproven);
+}
+
+// A run that has worked for long is blamed for the crash of its executor.
+TEST_F(AgentRunTest, AnExecutorOutlivesAStartOnlyOnItsOwnClock)
+{
+    constexpr auto StartPeriod = Millis(500);
+    auto run = this->makeRun();
+    run.orderSent(false);
+    run.startAccepted(NextPoll);
+    EXPECT_FALSE(run.seenAt(Millis(0), StartPeriod)) << "the time is not known";
+    EXPECT_FALSE(run.seenAt(Millis(10'000), StartPeriod));
+    EXPECT_FALSE(run.seenAt(Millis(10'499), StartPeriod));
+    EXPECT_EQ(run.report(SomeRun).startEffect, StartEffect::Unproven);
+    EXPECT_TRUE(run.seenAt(Millis(10'500), StartPeriod));
+    EXPECT_FALSE(run.seenAt(Millis(11'000), StartPeriod)) << "it is proven only once";
+    EXPECT_EQ(run.report(SomeRun).startEffect, StartEffect::Outlived);
+}
+
 } // namespace waxwingloft::tests
