placer: End the runs of every incarnation when an agent expires

A task could stay assigned for good: after a change of placer its job showed nothing running although there was capacity, and a gang of which it was a member never started again.

Jobs are written one by one, so rows can name runs of two incarnations of one executor. A new placer keeps one of the two as the worker's present incarnation, and the expiry ended only the runs of that one. The worker was then erased with the others, and no run was left whose end could free their tasks.

The lease inequality bounds the leases of all incarnations, as only this agent renews them, so all runs of the worker are over by then.

--- a/src/request/taskplacer.cpp
+++ b/src/request/taskplacer.cpp
@@ -417,6 +417,11 @@
             continue;
         }
         this->loseRuns(worker->second, "agent " + worker->first.value + " has not reported within its agent lease and executor lease");
+        // A row that was not written since a replacement names an earlier incarnation, which is over as well.
+        while (!worker->second.runs.empty()) {
+            const auto run = worker->second.runs.begin()->first;
+            this->endRun(worker->second, run, RunEnd::Lapsed, {});
+        }
         this->log.warn("Removed agent " + worker->first.value + ".");
         worker = this->workers.erase(worker);
     }
--- a/tests/request/taskplacertest.cpp
+++ b/tests/request/taskplacertest.cpp
@@ -220,6 +220,35 @@
     EXPECT_EQ(site.placer.view().assigned, 1U) << "the run may be live on the newer incarnation";
 }
 
+// A row that was not written since its executor was replaced names an incarnation that the expiry of the agent passed over.
+TEST(TaskPlacer, TheExpiryOfAnAgentEndsTheRunsOfAllItsIncarnations)
+{
+    OnePlacer site;
+    StoredJob stored;
+    stored.submission.id = JobId{"0000000000000001"};
+    stored.submission.service = "tune";
+    stored.submission.maxAttempts = 3;
+    stored.submission.graph = oneStep(2, Half);
+    stored.progress = initialProgress(stored.submission.graph);
+    for (auto &task : stored.progress.occurrences[0][0]) {
+        task.state = TaskPhase::Assigned;
+        task.run = 1;
+        task.worker = NodeId{"gone"};
+    }
+    stored.progress.occurrences[0][0][0].incarnation = {"e1", 1};
+    stored.progress.occurrences[0][0][1].incarnation = {"e2", 2};
+    site.placer.stepDown("another placer leads");
+    site.report.epoch = 3;
+    site.placer.becomeLeader(3, {stored});
+    const TaskPlacerOptions options;
+    site.clock.advance(options.grantPeriod + options.agentLease + options.longestLease + options.margin);
+    site.placer.plan();
+    EXPECT_EQ(site.placer.view().assigned, 0U);
+    site.send();
+    site.placer.plan();
+    EXPECT_EQ(site.placer.view().assigned, 2U) << "both tasks start elsewhere";
+}
+
 TEST(TaskPlacer, AWorkerWithAnUnassignedRunGetsNoNewWork)
 {
     OnePlacer site;
