relay: Keep a commit in doubt unless the answer of its peer settles it

A commit that had taken effect could be reported as without effect: a caller was refused a job that ran later.

Only a missing answer counted as doubt. Any other error of a peer, also one of an unexpected kind or a message of the wrong type, which becomes an internal error, counted as proof that nothing was done. The commit was then sent again through the next peer or directly; the repeat of a conditional commit is a conflict, which is a refusal.

Now the kinds that prove that nothing was done are listed, and all others leave the commit in doubt, so that its operation id decides. A stale history is a verdict on a feed only.

--- a/src/connection/relaytable.cpp
+++ b/src/connection/relaytable.cpp
@@ -1,5 +1,6 @@
 #include "waxwingloft/connection/relaytable.h"
 
+#include <algorithm>
 #include <array>
 
 namespace waxwingloft {
@@ -47,13 +48,26 @@
     return succeeded(result) ? Message(answerOf(valueOf(result))) : replyWith(errorOf(result));
 }
 
+/** Whether @p kind says that the call did not reach a peer, or that the peer did not carry it out. */
+bool isProofOfNoEffect(ErrorKind kind)
+{
+    constexpr std::array Proofs = {ErrorKind::Unreachable, ErrorKind::PlatformDown, ErrorKind::LimitExceeded, ErrorKind::Draining, ErrorKind::InvalidInput};
+    return std::find(Proofs.begin(), Proofs.end(), kind) != Proofs.end();
+}
+
 /** A call that no peer has answered may have had an effect only if it was a commit. */
 Error lost(const Error &error, TableCallKind kind)
 {
-    const bool mayHaveHadEffect = kind == TableCallKind::Commit && error.kind == ErrorKind::Ambiguous;
+    const bool mayHaveHadEffect = kind == TableCallKind::Commit && !isProofOfNoEffect(error.kind);
     return makeError(mayHaveHadEffect ? ErrorKind::Ambiguous : ErrorKind::PlatformDown, error.message);
 }
 
+/** Whether @p kind is the store's own verdict on a call, which a peer passes on. */
+bool isVerdict(ErrorKind kind, TableCallKind call)
+{
+    return kind == ErrorKind::Conflict || (kind == ErrorKind::Stale && call == TableCallKind::Changes);
+}
+
 } // namespace
 
 RelayTable::RelayTable(TableStore &direct, TableFeed &directFeed, NodePort &nodes, Clock &clock, PeerSource peers, RelayTableOptions options)
@@ -105,7 +119,7 @@
             return answer;
         }
         const auto kind = errorOf(answer).kind;
-        if (kind == ErrorKind::Conflict || kind == ErrorKind::Stale) {
+        if (isVerdict(kind, call.kind)) {
             return errorOf(answer);
         }
         if (kind == ErrorKind::Unreachable || kind == ErrorKind::Ambiguous) {
--- a/tests/connection/relaytabletest.cpp
+++ b/tests/connection/relaytabletest.cpp
@@ -70,10 +70,12 @@
         if (peer == this->peers.end()) {
             return makeError(ErrorKind::Unreachable, "nobody at " + address);
         }
-        return peer->second->serve(std::get<RelayTableCall>(message));
+        auto reply = peer->second->serve(std::get<RelayTableCall>(message));
+        return this->replyInstead.value_or(std::move(reply));
     }
 
     std::map<std::string, RelayTable *> peers;
+    std::optional<Message> replyInstead; ///< what arrives in place of each reply
     int calls = 0;
 };
 
@@ -133,6 +135,31 @@
     EXPECT_EQ(this->net.calls, 1);
 }
 
+// A peer whose answer says nothing on the effect of a commit counted as one without an effect, and the commit went out again.
+TEST_F(RelayTableTest, ACommitWhosePeerGivesAnUnexpectedAnswerIsInDoubt)
+{
+    this->own.isCut = true;
+    this->table.get("jobs/1");
+    for (const auto kind : {ErrorKind::Internal, ErrorKind::Damaged, ErrorKind::DeadlineExceeded, ErrorKind::NotFound, ErrorKind::Stale}) {
+        this->net.replyInstead = replyWith(makeError(kind, "unexpected"));
+        const auto operation = std::string(nameOf(kind));
+        EXPECT_EQ(errorOf(this->table.commit({operation, {}, {{"jobs/1", "a"}}})).kind, ErrorKind::Ambiguous) << operation;
+        EXPECT_EQ(this->rows.rows.at("jobs/1").operation, operation);
+    }
+    this->net.replyInstead = Ack{};
+    EXPECT_EQ(errorOf(this->table.commit({"op", {}, {{"jobs/1", "a"}}})).kind, ErrorKind::Ambiguous);
+    EXPECT_EQ(this->own.calls, 1) << "no commit was repeated";
+}
+
+TEST_F(RelayTableTest, APeerThatSurelyDidNothingLeavesNoDoubt)
+{
+    this->own.isCut = true;
+    for (const auto kind : {ErrorKind::PlatformDown, ErrorKind::LimitExceeded, ErrorKind::Draining, ErrorKind::InvalidInput}) {
+        this->net.replyInstead = replyWith(makeError(kind, "nothing was done"));
+        EXPECT_EQ(errorOf(this->table.commit({"op", {}, {{"jobs/1", "a"}}})).kind, ErrorKind::PlatformDown) << nameOf(kind);
+    }
+}
+
 TEST_F(RelayTableTest, SaysSoWhenNobodyReachesTheTable)
 {
     this->own.isCut = true;
