agent: Acknowledge ends only right after a poll that was answered

A task that was done ran again, after its executor had started again under the same id.

An agent acknowledges ends by number, and numbers start anew with each incarnation.

An unanswered poll now clears what was listed, so each answered poll lets one acknowledgement out. The poll after an unanswered one is answered at once, so that an acknowledgement waits for one short poll more.

AnAcknowledgementThatArrivesLateForgetsNoEndOfAKnownIncarnation passed before; it shows that the new generation bars an acknowledgement that is still on its way. One that arrives late before that generation is polled remains open.

--- a/src/request/executorcontroller.cpp
+++ b/src/request/executorcontroller.cpp
@@ -445,6 +445,8 @@
 void ExecutorController::recordUnansweredPoll()
 {
     ++this->unansweredPolls;
+    // The executor may have started again since its lists were read.
+    this->firstListedEnd = 0;
     if (this->unansweredPolls == this->options.unansweredPollsToUnreachable) {
         this->log.warn("Executor " + this->latest->incarnation.id + " does not answer; it gets no new work.");
         ++this->changeCount;
--- a/tests/request/jobsitetest.cpp
+++ b/tests/request/jobsitetest.cpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <deque>
 #include <functional>
+#include <memory>
 #include <random>
 
 namespace waxwingloft::tests {
@@ -31,18 +32,24 @@
     }
 }
 
-/** Makes all runs take so long that only a stop or the expiry of their lease ends them. */
-void makeRunsLast(JobSite &site)
+/** Makes all runs take @p time. */
+void makeRunsLastFor(JobSite &site, Millis time)
 {
     for (auto &agent : site.agents) {
-        agent.executor->runOf = [](const StartOrder &) {
+        agent.executor->runOf = [time](const StartOrder &) {
             FakeRun run;
-            run.endsAt = Millis(60'000);
+            run.endsAt = time;
             return run;
         };
     }
 }
 
+/** Makes all runs take so long that only a stop or the expiry of their lease ends them. */
+void makeRunsLast(JobSite &site)
+{
+    makeRunsLastFor(site, Millis(60'000));
+}
+
 /** Returns the agent of the first task of a job. */
 SiteAgent &holderOf(JobSite &site, const JobId &job)
 {
@@ -69,6 +76,27 @@
     expectNoViolations(site);
 }
 
+/** Lets one task end, and restarts its executor under the same id at the poll that acknowledges it and has @p fate. Returns the executor. */
+FakeExecutor &restartAtAnAcknowledgement(JobSite &site, OrderFate fate)
+{
+    makeRunsLastFor(site, Millis(900));
+    auto &executor = *site.agents[0].executor;
+    executor.lateCallsSurviveRestart = true;
+    const auto isSent = std::make_shared<bool>(false);
+    executor.drawPollFate = [isSent, fate](const RunListQuery &query) {
+        *isSent = query.acknowledgedEnds > 0;
+        return *isSent ? fate : OrderFate::Answered;
+    };
+    EXPECT_EQ(site.finish(site.submit(oneStep(1, Whole)), Millis(5000)), JobPhase::Completed);
+    while (!*isSent) {
+        site.advance(Millis(10));
+    }
+    executor.drawPollFate = nullptr;
+    site.agents[0].nextHeartbeat = site.clock.now() + Millis(1500);
+    executor.restart();
+    return executor;
+}
+
 /** Returns fates for successive orders; all later orders are answered. */
 std::function<OrderFate()> fatesInTurn(std::deque<OrderFate> fates)
 {
@@ -329,6 +357,43 @@
     expectNoViolations(site);
 }
 
+// After an unanswered poll the number of an earlier incarnation's end was sent again, to the next one under the same id.
+TEST(JobSite, AnAcknowledgementWithoutAnAnswerIsNotRepeatedToTheNextIncarnation)
+{
+    JobSite site(1);
+    auto &executor = restartAtAnAcknowledgement(site, OrderFate::Lost);
+    const auto job = site.submit(oneStep(1, Whole));
+    executor.drawPollFate = [](const RunListQuery &) { return OrderFate::Lost; };
+    site.advance(Millis(1500));
+    ASSERT_EQ(executor.ends.size(), 1U) << "the start was sent before its agent knew of the restart";
+    executor.drawPollFate = nullptr;
+    EXPECT_EQ(site.finish(job, Millis(15'000)), JobPhase::Completed);
+    expectNoViolations(site);
+    expectStartedOnce(site);
+}
+
+// The new generation bars an acknowledgement for the previous incarnation under the same id that is still on its way.
+TEST(JobSite, AnAcknowledgementThatArrivesLateForgetsNoEndOfAKnownIncarnation)
+{
+    JobSite site(1);
+    auto &executor = restartAtAnAcknowledgement(site, OrderFate::Delayed);
+    const auto sentAt = site.clock.now();
+    site.agents[0].nextHeartbeat = sentAt;
+    site.advance(Millis(1500));
+    const auto job = site.submit(oneStep(1, Whole));
+    while (executor.ends.empty() && site.clock.now() - sentAt < executor.lateBy) {
+        executor.drawPollFate = [](const RunListQuery &) { return OrderFate::Lost; };
+        site.advance(Millis(10));
+    }
+    ASSERT_EQ(executor.ends.size(), 1U);
+    site.advance(sentAt + executor.lateBy - site.clock.now() + Millis(20));
+    EXPECT_EQ(executor.ends.size(), 1U);
+    executor.drawPollFate = nullptr;
+    EXPECT_EQ(site.finish(job, Millis(15'000)), JobPhase::Completed);
+    expectNoViolations(site);
+    expectStartedOnce(site);
+}
+
 // After a step back of the time of day a late heartbeat of the previous incarnation passed for a newer one.
 TEST(JobSite, ALateHeartbeatFromBeforeAStepBackStopsNothing)
 {
