tests: Show an acknowledgement that reaches an unknown incarnation late

A task that was done runs again when three things meet: a call that outlives the executor it was sent to, a restart under the same id, and polls without an answer while that incarnation runs a start to its end. Its agent has sent it that start in the belief that it is the previous incarnation, so it has the same fencing token as the acknowledgement. The answer of a start does not say when its incarnation began; only its clock, which starts anew, could show it.

--- a/tests/request/jobsitetest.cpp
+++ b/tests/request/jobsitetest.cpp
@@ -394,6 +394,20 @@
     expectStartedOnce(site);
 }
 
+// Open: the same before the new generation is polled, when a start has reached the next incarnation already.
+TEST(JobSite, AnAcknowledgementThatArrivesLateForgetsNoEndOfAnUnknownIncarnation)
+{
+    JobSite site(1);
+    auto &executor = restartAtAnAcknowledgement(site, OrderFate::Delayed);
+    const auto job = site.submit(oneStep(1, Whole));
+    executor.drawPollFate = [](const RunListQuery &) { return OrderFate::Lost; };
+    site.advance(executor.lateBy + Millis(200));
+    executor.drawPollFate = nullptr;
+    EXPECT_EQ(site.finish(job, Millis(15'000)), JobPhase::Completed);
+    expectNoViolations(site);
+    expectStartedOnce(site);
+}
+
 // After a step back of the time of day a late heartbeat of the previous incarnation passed for a newer one.
 TEST(JobSite, ALateHeartbeatFromBeforeAStepBackStopsNothing)
 {
