tests: Show that ends which come too late are not taken note of

- An end `done` that is listed after its run counted as lapsed is acknowledged without effect, and the task has run again by then.
The end lies before a lapse of the lease, so the acknowledgement takes note of nothing.
Two tests: the agent is cut from the placer, and the executor does not answer its agent.
- An end that the agent knew and the placer did not is dropped when the executor is replaced, and the work is done again.
No acknowledgement of it was sent or can be, as its incarnation is gone, and the numbers of the next incarnation do not meet it.

--- a/tests/request/jobsitetest.cpp
+++ b/tests/request/jobsitetest.cpp
@@ -408,6 +408,71 @@
     expectStartedOnce(site);
 }
 
+// The numbers of ends start anew with each incarnation, and an end that only its agent knew cannot be taken note of any more.
+TEST(JobSite, AnEndThatThePlacerNeverLearntIsDoneAgainByTheNextIncarnation)
+{
+    JobSite site(1);
+    makeRunsLastFor(site, Millis(900));
+    auto &agent = site.agents[0];
+    const auto first = site.submit(oneStep(1, Whole));
+    site.advance(Millis(600));
+    ASSERT_EQ(runningIn(site), 1U);
+    agent.isCut = true;
+    site.advance(Millis(1000));
+    ASSERT_EQ(agent.executor->ends.size(), 1U);
+    ASSERT_EQ(agent.controller->report()->ends.size(), 1U) << "the agent knows it";
+    agent.executor->restart();
+    site.advance(Millis(1600));
+    agent.isCut = false;
+    const auto second = site.submit(oneStep(1, Whole));
+    EXPECT_EQ(site.finish(first, Millis(15'000)), JobPhase::Completed);
+    EXPECT_EQ(site.finish(second, Millis(15'000)), JobPhase::Completed);
+    EXPECT_EQ(site.checker.starts.at({first, 0, 0, 0}), 2U);
+    EXPECT_EQ(site.checker.starts.at({second, 0, 0, 0}), 1U);
+    expectNoViolations(site);
+}
+
+// An end from before a lapse does not count: it is acknowledged without effect when it is listed after the lapse.
+TEST(JobSite, ATaskThatWasDoneBeforeItsWorkerExpiredMayRunAgain)
+{
+    JobSite site(2);
+    makeRunsLastFor(site, Millis(4000));
+    const auto job = site.submit(oneStep(1, Whole));
+    site.advance(Millis(800));
+    ASSERT_EQ(runningIn(site), 1U);
+    auto &agent = holderOf(site, job);
+    agent.isCut = true;
+    EXPECT_EQ(site.finish(job, Millis(40'000)), JobPhase::Completed);
+    EXPECT_EQ(site.checker.starts.at({job, 0, 0, 0}), 2U);
+    ASSERT_EQ(agent.executor->ends.size(), 1U);
+    EXPECT_EQ(agent.executor->ends[0].end, RunEnd::Done);
+    agent.isCut = false;
+    site.advance(Millis(5000));
+    EXPECT_TRUE(agent.executor->ends.empty()) << "it is acknowledged";
+    EXPECT_EQ(site.checker.starts.at({job, 0, 0, 0}), 2U);
+    expectNoViolations(site);
+}
+
+TEST(JobSite, ATaskThatWasDoneWhileItsExecutorDidNotAnswerMayRunAgainAfterItsLease)
+{
+    JobSite site(2);
+    makeRunsLastFor(site, Millis(4000));
+    const auto job = site.submit(oneStep(1, Whole));
+    site.advance(Millis(800));
+    ASSERT_EQ(runningIn(site), 1U);
+    auto &agent = holderOf(site, job);
+    agent.executor->drawPollFate = [](const RunListQuery &) { return OrderFate::Lost; };
+    EXPECT_EQ(site.finish(job, Millis(60'000)), JobPhase::Completed);
+    EXPECT_EQ(site.checker.starts.at({job, 0, 0, 0}), 2U);
+    ASSERT_EQ(agent.executor->ends.size(), 1U);
+    EXPECT_EQ(agent.executor->ends[0].end, RunEnd::Done);
+    agent.executor->drawPollFate = nullptr;
+    site.advance(Millis(5000));
+    EXPECT_TRUE(agent.executor->ends.empty()) << "it is acknowledged";
+    EXPECT_EQ(site.checker.starts.at({job, 0, 0, 0}), 2U);
+    expectNoViolations(site);
+}
+
 // After a step back of the time of day a late heartbeat of the previous incarnation passed for a newer one.
 TEST(JobSite, ALateHeartbeatFromBeforeAStepBackStopsNothing)
 {
