placer: Start nothing on a worker that is over its capacity

An executor may report a smaller capacity than its runs hold. Its free capacity is negative then. A worker that lacks capacity also offset the free capacity of the others when the planner judged whether the fleet is busy, and a gang then reserved workers that were mostly free.

Demand::fits() now rejects a worker whose own runs hold more of any resource than it has. It does not look at reservations, which may bring the planned free capacity below zero as before. Victims that are reclaimed on trial bring a worker back under its capacity, so guaranteed work still reclaims there. isBusy() counts a missing amount as zero.

--- a/src/request/private/demand.cpp
+++ b/src/request/private/demand.cpp
@@ -27,6 +27,14 @@
         && (tasks.requiredLabel.empty() || std::find(labels.begin(), labels.end(), tasks.requiredLabel) != labels.end());
 }
 
+/** Whether the runs of a worker hold more than its capacity. Reservations alone may bring @p available below zero too. */
+bool isOverCapacity(const PlannerWorker &worker, const Capacity &available)
+{
+    const auto isOver = [](std::int64_t free, std::int64_t left) { return free < 0 && left < 0; };
+    return isOver(worker.free.milliCores, available.milliCores) || isOver(worker.free.memoryMb, available.memoryMb)
+        || isOver(worker.free.accelerators, available.accelerators);
+}
+
 std::uint32_t limitOn(std::size_t worker, const WaitingTasks &tasks)
 {
     if (tasks.maxPerWorker == 0) {
@@ -40,6 +48,7 @@
 
 Demand::Demand(const WaitingTasks &tasks, const std::vector<PlannerWorker> &workers)
     : tasks(tasks)
+    , workers(workers)
     , left(tasks.count)
     , limits(workers.size(), 0)
 {
@@ -52,7 +61,7 @@
 std::uint32_t Demand::fits(std::size_t worker, const Capacity &available) const
 {
     const auto limit = std::min(this->left, this->limits[worker]);
-    return limit == 0 ? 0 : timesIn(available, this->tasks.needs, limit);
+    return limit == 0 || isOverCapacity(this->workers[worker], available) ? 0 : timesIn(available, this->tasks.needs, limit);
 }
 
 bool Demand::fitsInto(const Group &group, const std::vector<Capacity> &available) const
--- a/src/request/stepplanner.cpp
+++ b/src/request/stepplanner.cpp
@@ -13,6 +13,12 @@
 
 constexpr double MinRankRatio = 1.5; ///< by which urgent work must outrank what it preempts; avoids preemption over small differences
 
+/** Returns @p free without what a worker lacks that is over its capacity, as other workers cannot make up for it. */
+Capacity leftOf(const Capacity &free)
+{
+    return {std::max<std::int64_t>(free.milliCores, 0), std::max<std::int64_t>(free.memoryMb, 0), std::max<std::int64_t>(free.accelerators, 0)};
+}
+
 /** Computes one plan; the free capacity shrinks as tasks are placed. */
 class Planning
 {
@@ -329,7 +335,7 @@
         Capacity free;
         for (const auto &worker : this->workers) {
             total += worker.acceptsWork ? worker.capacity : Capacity();
-            free += worker.acceptsWork ? worker.free : Capacity();
+            free += worker.acceptsWork ? leftOf(worker.free) : Capacity();
         }
         const auto isHalfUsed = [](std::int64_t whole, std::int64_t left) { return whole > 0 && left * 2 <= whole; };
         return isHalfUsed(total.milliCores, free.milliCores) || isHalfUsed(total.memoryMb, free.memoryMb) || isHalfUsed(total.accelerators, free.accelerators);
--- a/tests/request/stepplannertest.cpp
+++ b/tests/request/stepplannertest.cpp
@@ -70,6 +70,35 @@
     EXPECT_EQ(planSteps({worker("w0", "r1"), worker("w1", "r2")}, {gang}, {}).starts.size(), 1U) << "no rack could ever hold it";
 }
 
+TEST(PlanSteps, AWorkerOverItsCapacityInOneResourceGetsNoTaskThatNeedsNoneOfIt)
+{
+    auto shrunken = worker("w0", "r1");
+    shrunken.free.accelerators = -2;
+    const auto plan = planSteps({shrunken}, {tasks(1, {1000, 1000, 0})}, {});
+    EXPECT_TRUE(plan.starts.empty());
+}
+
+TEST(PlanSteps, AWorkerOverItsCapacityIsReclaimedUntilTheTaskFits)
+{
+    auto shrunken = worker("w0", "r1", 4);
+    shrunken.capacity.accelerators = 4;
+    shrunken.free.accelerators = -2;
+    const std::vector<RunningTasks> running = {runs(0, 2, One, 1.0, 2), runs(0, 4, One, 2.0, 2)};
+    EXPECT_TRUE(planSteps({shrunken}, {urgent({1000, 1000, 0}, 0.0)}, running).starts.empty());
+    EXPECT_EQ(planSteps({shrunken}, {urgent({1000, 1000, 0}, Unbounded)}, running).stops, (std::vector<std::size_t>{0}));
+    EXPECT_EQ(planSteps({shrunken}, {urgent({64'000, 131'072, 4}, Unbounded)}, running).stops, (std::vector<std::size_t>{0, 1}));
+}
+
+TEST(PlanSteps, AWorkerOverItsCapacityDoesNotMakeTheOthersCountAsBusy)
+{
+    const Capacity half{64'000, 131'072, 4};
+    auto shrunken = worker("w0", "r1", -4);
+    shrunken.capacity = half;
+    const auto plan = planSteps({shrunken, worker("w1", "r1")}, {tasks(3, half, true), tasks(1, One)}, {});
+    ASSERT_EQ(plan.starts.size(), 1U) << "nothing is reserved for a gang on workers that are mostly free";
+    EXPECT_EQ(plan.starts[0].workers, std::vector<std::size_t>{1});
+}
+
 TEST(PlanSteps, RespectsLabelsAndTheLimitPerWorker)
 {
     auto limited = tasks(3, One);
