agent: Acknowledge no end after an unanswered poll of a candidate either

The previous fix of this cleared what was listed only when the incarnation in use did not answer. Its successor under the same id is a candidate first, and a poll of a candidate without an answer cleared nothing: the next poll went to that id again and acknowledged the listed end of the previous incarnation, and the successor forgot an end of its own.

Any poll whose lists were not applied clears it now, in the one place where all answers arrive. A candidate is settled by its first answer, so acknowledgements are held back only while the executor does not answer.

--- a/src/request/executorcontroller.cpp
+++ b/src/request/executorcontroller.cpp
@@ -390,6 +390,8 @@
                 this->recordUnansweredPoll();
             }
         }
+        // Without an answer the executor may have started again since its lists were read.
+        this->firstListedEnd = isApplied ? this->firstListedEnd : 0;
         hasChanges = this->changeCount != before;
     }
     if (hasChanges) {
@@ -445,8 +447,6 @@
 void ExecutorController::recordUnansweredPoll()
 {
     ++this->unansweredPolls;
-    // The executor may have started again since its lists were read.
-    this->firstListedEnd = 0;
     if (this->unansweredPolls == this->options.unansweredPollsToUnreachable) {
         this->log.warn("Executor " + this->latest->incarnation.id + " does not answer; it gets no new work.");
         ++this->changeCount;
--- a/tests/request/jobsitetest.cpp
+++ b/tests/request/jobsitetest.cpp
@@ -372,6 +372,37 @@
     expectStartedOnce(site);
 }
 
+// The poll of an incarnation that is not in use had no answer, and the next one acknowledged an end that had been listed before it.
+TEST(JobSite, AnEndThatWasListedBeforeAnUnansweredPollOfACandidateIsNotAcknowledged)
+{
+    JobSite site(1);
+    makeRunsLastFor(site, Millis(900));
+    auto &agent = site.agents[0];
+    auto &executor = *agent.executor;
+    bool isRestarted = false;
+    executor.drawPollFate = [&isRestarted](const RunListQuery &query) {
+        return isRestarted && query.acknowledgedEnds == 0 ? OrderFate::Lost : OrderFate::Answered;
+    };
+    ASSERT_EQ(site.finish(site.submit(oneStep(1, Whole)), Millis(5000)), JobPhase::Completed);
+    while (executor.ends.empty()) {
+        site.advance(Millis(10));
+    }
+    agent.nextRunListQuery = site.clock.now() + Millis(4000);
+    agent.nextHeartbeat = agent.nextRunListQuery;
+    site.advance(Millis(1000));
+    executor.restart();
+    isRestarted = true;
+    const auto job = site.submit(oneStep(1, Whole));
+    site.advance(Millis(2500));
+    ASSERT_EQ(executor.ends.size(), 1U) << "the start was sent before its agent knew of the restart";
+    site.advance(Millis(2000));
+    EXPECT_EQ(executor.ends.size(), 1U);
+    executor.drawPollFate = nullptr;
+    EXPECT_EQ(site.finish(job, Millis(15'000)), JobPhase::Completed);
+    expectNoViolations(site);
+    expectStartedOnce(site);
+}
+
 // The new generation bars an acknowledgement for the previous incarnation under the same id that is still on its way.
 TEST(JobSite, AnAcknowledgementThatArrivesLateForgetsNoEndOfAKnownIncarnation)
 {
