agent: Check each start against the capacity that the executor reports

An executor's capacity may shrink while it runs. The placer goes by the capacity of the last report, and the agent sent whatever was assigned: a start that was assigned just before the change, that waited for a lease, or that was repeated for want of an answer brought the executor over the capacity it had reported (LIMIT). The agent hears of the change first, with the heartbeat, and is the last to decide on a start.

The agent now keeps what each run needs, and takeDueOrders() compares the capacity of the latest heartbeat with what all runs that may be live there hold (HeldCapacity): from the first start that is sent until the run is proven to be over, so runs that are being stopped, starts in flight and open starts count. A start that does not fit is not held back at the agent: - when no start of the run can have been carried out, the run is over and goes back to the placer as refused for room (EndProof::NoRoom). A gang is broken by this and starts again elsewhere once its runs are over. - otherwise it is stopped instead of repeated and ends on proof as before. A run that is known only from the lists has unknown needs until the placer names it; it may not count as nothing. Starts wait for it to end, at most unknownNeedsWait, and are given up after that.

The check cannot refuse what the placer may rightly assign: the placer counts every run that its agent counts, with the same needs. Executors that enforce their capacity go on refusing for themselves.

--- a/include/waxwingloft/request/agentrun.h
+++ b/include/waxwingloft/request/agentrun.h
@@ -3,6 +3,7 @@
 
 #include "waxwingloft/connection/executorport.h"
 #include "waxwingloft/connection/taskmessages.h"
+#include "waxwingloft/process/capacity.h"
 #include "waxwingloft/process/clock.h"
 #include "waxwingloft/process/error.h"
 
@@ -37,6 +38,18 @@
     /** Whether a stop is wanted, also when it has been answered. */
     bool isStopWanted() const;
 
+    /** Returns since when the start that is due has been waiting. */
+    Instant dueSince() const;
+
+    /** Sets what it needs, which is not known of a run that was only listed. */
+    void setNeeds(const Capacity &needs);
+
+    /** Returns what it needs of its executor's capacity; nothing while that is not known. */
+    const std::optional<Capacity> &needs() const;
+
+    /** Whether a start of it may have been carried out, or may still be. */
+    bool mayHaveStarted() const;
+
     /** Wants the run stopped, from @p now on. */
     void stop(Instant now);
 
@@ -55,6 +68,10 @@
     /** Records a refused start. Returns whether the run is over; otherwise it is to be stopped from @p now on, unless it was listed and goes on. */
     bool startRefused(RefusalReason reason, std::uint64_t nextPoll, Instant now);
 
+    /** Gives up the start that is due at @p now for lack of capacity. Returns whether the run is over; otherwise an earlier start is open and the run is to be
+     * stopped. */
+    bool startHasNoRoom(Instant now);
+
     void stopAnswered(std::uint64_t nextPoll);
 
     /** Applies its row in the lists that poll @p serial returned. Returns whether that shows that it started. */
@@ -89,6 +106,7 @@
 
     std::string spec;
     std::string checkpoint;
+    std::optional<Capacity> knownNeeds;
     std::uint32_t percent = 0;
     RunPhase phase = RunPhase::Ordered;
     bool stopWanted = false;
@@ -97,7 +115,7 @@
     bool openStart = false;
     bool hasOutlivedStart = false;
     std::optional<Millis> firstSeenAt; ///< on the executor's clock
-    RefusalReason refusal = RefusalReason::None; ///< of a start that was refused while another one was open
+    RefusalReason refusal = RefusalReason::None; ///< of a start that was refused or given up while another one was open
     std::uint64_t closedFrom = 0; ///< serial of the first poll that was sent after the run was closed; zero while it is not
     Instant dueAt;
 };
--- a/include/waxwingloft/request/endproof.h
+++ b/include/waxwingloft/request/endproof.h
@@ -13,11 +13,12 @@
     LeaseExpired, ///< the executor does not answer, and every lease that it can hold has expired
     ExecutorLeft, ///< the executor said that it ends, and nobody listens at its address any more
     NeverOrdered, ///< no start was sent, as the executor drains
+    NoRoom, ///< no start of it can have been carried out, and the executor has no room for it
 };
 
 template<>
 struct NameTable<EndProof> {
-    static constexpr std::array<std::string_view, 6> names = {"listed", "refused", "unlisted", "lease-expired", "executor-left", "never-ordered"};
+    static constexpr std::array<std::string_view, 7> names = {"listed", "refused", "unlisted", "lease-expired", "executor-left", "never-ordered", "no-room"};
 };
 
 } // namespace waxwingloft
--- a/include/waxwingloft/request/executorcontroller.h
+++ b/include/waxwingloft/request/executorcontroller.h
@@ -8,6 +8,7 @@
 #include "waxwingloft/request/agentrun.h"
 #include "waxwingloft/request/endproof.h"
 #include "waxwingloft/request/executorcontrolleroptions.h"
+#include "waxwingloft/request/heldcapacity.h"
 #include "waxwingloft/request/incarnationcandidate.h"
 #include "waxwingloft/request/leasegranter.h"
 
@@ -41,8 +42,8 @@
  * The agent's state of its executor: runs that were assigned, runs that are active and runs that ended.
  *
  * It makes the final checks before a start: the placer's epoch, the executor's incarnation, whether the executor
- * drains, and that the run has not ended. It renews the executor's lease only while it holds an agent lease from the
- * placer. It makes no calls itself; its owner sends what is due and passes the answers back. Thread safe.
+ * drains, that the run has not ended, and that the executor's capacity covers it beside the other runs that may be live there. It renews the executor's lease
+ * only while it holds an agent lease from the placer. It makes no calls itself; its owner sends what is due and passes the answers back. Thread safe.
  */
 class ExecutorController
 {
@@ -77,7 +78,7 @@
     /** Applies the answer to a report. Its agent lease counts from @p sentAt, when the report was sent, so it ends no later than the placer assumes. */
     void applyAnswer(const AssignmentSync &sync, Instant sentAt);
 
-    /** Returns the orders that are due and marks them as in flight. */
+    /** Returns the orders that are due and marks them as in flight. Returns starts for which there is no room to the placer. */
     std::vector<DueOrder> takeDueOrders();
     void startAnswered(const DueOrder &order, const Result<StartAnswer> &answer);
     void stopAnswered(const DueOrder &order, const Result<ExecutorStamp> &answer);
@@ -105,6 +106,9 @@
     bool applyAssignments(const AssignmentSync &sync);
     void addAssignment(const Assignment &assignment);
     bool hasEnded(const TaskRun &run) const;
+    std::vector<DueOrder> collectDueOrders();
+    StartFit fitOf(const AgentRun &entry, const HeldCapacity &held) const;
+    bool giveUpStart(const TaskRun &run, AgentRun &entry);
     void applyRefusal(AgentRun &entry, const DueOrder &order, RefusalReason refusal);
     void applyRunLists(const DueRunListQuery &poll, const RunListAnswer &answer);
     void endUnlistedRuns(const DueRunListQuery &poll, const RunListAnswer &answer);
--- a/include/waxwingloft/request/executorcontrolleroptions.h
+++ b/include/waxwingloft/request/executorcontrolleroptions.h
@@ -16,6 +16,7 @@
     Millis pollWait = Millis(1000); ///< how long a list poll stays open; allows several renewals within a lease
     Millis stopWait = Millis(200); ///< the same while a stop is pending, as its run may never appear in the lists and so end the poll
     Millis resendAfter = Millis(50); ///< pause before an unanswered order is sent again
+    Millis unknownNeedsWait = Millis(1000); ///< for which a start waits for a run of unknown needs to end; then it returns to the placer
     Millis startPeriod = Millis(500); ///< on the executor's clock, after which a run that it still lists did not crash it by its start
     int unansweredPollsToUnreachable = 2; ///< consecutive unanswered polls after which the executor gets no new work
 };
--- a/src/request/agentrun.cpp
+++ b/src/request/agentrun.cpp
@@ -5,6 +5,7 @@
 AgentRun::AgentRun(const Assignment &assignment, Instant now)
     : spec(assignment.spec)
     , checkpoint(assignment.checkpoint)
+    , knownNeeds(assignment.needs)
     , dueAt(now)
 {
 }
@@ -24,6 +25,26 @@
     return this->stopWanted;
 }
 
+Instant AgentRun::dueSince() const
+{
+    return this->dueAt;
+}
+
+void AgentRun::setNeeds(const Capacity &needs)
+{
+    this->knownNeeds = needs;
+}
+
+const std::optional<Capacity> &AgentRun::needs() const
+{
+    return this->knownNeeds;
+}
+
+bool AgentRun::mayHaveStarted() const
+{
+    return this->openStart || this->closedFrom != 0 || this->isInFlight;
+}
+
 void AgentRun::stop(Instant now)
 {
     this->stopWanted = true;
@@ -77,6 +98,16 @@
     return false;
 }
 
+bool AgentRun::startHasNoRoom(Instant now)
+{
+    if (!this->openStart) {
+        return true;
+    }
+    this->refusal = RefusalReason::NoRoom;
+    this->stop(now);
+    return false;
+}
+
 void AgentRun::stopAnswered(std::uint64_t nextPoll)
 {
     this->isInFlight = false;
@@ -117,8 +148,7 @@
     if (this->hasOutlivedStart) {
         return StartEffect::Outlived;
     }
-    const bool mayHaveStarted = this->openStart || this->closedFrom != 0 || this->isInFlight;
-    return mayHaveStarted ? StartEffect::Unproven : StartEffect::NotStarted;
+    return this->mayHaveStarted() ? StartEffect::Unproven : StartEffect::NotStarted;
 }
 
 bool AgentRun::mayBeginLate() const
--- a/src/request/executorcontroller.cpp
+++ b/src/request/executorcontroller.cpp
@@ -194,7 +194,12 @@
 
 void ExecutorController::addAssignment(const Assignment &assignment)
 {
-    if (this->runs.contains(assignment.run) || this->hasEnded(assignment.run) || !assignment.hasOrder) {
+    const auto known = this->runs.find(assignment.run);
+    if (known != this->runs.end()) {
+        known->second.setNeeds(assignment.needs);
+        return;
+    }
+    if (this->hasEnded(assignment.run) || !assignment.hasOrder) {
         return;
     }
     if (this->latest->isDraining || this->hasLeft) {
@@ -211,33 +216,84 @@
 
 std::vector<DueOrder> ExecutorController::takeDueOrders()
 {
-    const std::lock_guard<std::mutex> guard(this->mutex);
+    std::vector<DueOrder> orders;
+    bool hasChanges = false;
+    {
+        const std::lock_guard<std::mutex> guard(this->mutex);
+        const auto before = this->changeCount;
+        orders = this->collectDueOrders();
+        hasChanges = this->changeCount != before;
+    }
+    if (hasChanges) {
+        this->wake();
+    }
+    return orders;
+}
+
+std::vector<DueOrder> ExecutorController::collectDueOrders()
+{
     std::vector<DueOrder> orders;
     const auto now = this->clock.now();
     if (!this->latest || this->generation == 0 || this->hasLeft) {
         return orders;
     }
+    HeldCapacity held(this->runs);
+    std::vector<TaskRun> returned;
     for (auto &[run, entry] : this->runs) {
         const bool isStart = entry.isStartDue(now);
         const bool isStop = entry.isStopDue(now);
         if (!isStart && !isStop) {
             continue;
         }
+        const auto fit = isStart ? this->fitOf(entry, held) : StartFit::Fits;
+        if (fit == StartFit::Exceeds && this->giveUpStart(run, entry)) {
+            returned.push_back(run);
+        }
+        if (fit != StartFit::Fits) {
+            continue;
+        }
         // Without a lease a run would have no bounded end, so a start waits for an agent lease and for a responsive executor.
         const auto leaseEnd = isStart && !this->isUnresponsive() ? this->leases.leaseEnd(now) : std::nullopt;
         if (isStart && !leaseEnd) {
             continue;
         }
-        entry.orderSent(isStop);
         if (isStart) {
+            held.add(entry);
             this->leases.callSent();
         }
+        entry.orderSent(isStop);
         orders.push_back(
             {isStop, this->latest->incarnation, {run, entry.startSpec(), entry.latestCheckpoint(), leaseEnd.value_or(Millis(0)), this->fencingToken()}});
     }
+    for (const auto &run : returned) {
+        this->end({0, run, RunEnd::Refused, this->runs.at(run).latestCheckpoint(), RefusalReason::NoRoom}, EndProof::NoRoom);
+    }
     return orders;
 }
 
+/** Returns whether the start of @p entry that is due fits; needs that stay unknown count as too much. */
+StartFit ExecutorController::fitOf(const AgentRun &entry, const HeldCapacity &held) const
+{
+    const auto fit = held.fitOf(entry, this->latest->capacity);
+    const bool isOverdue = this->clock.now() - entry.dueSince() >= this->options.unknownNeedsWait;
+    return fit == StartFit::Unknown && isOverdue ? StartFit::Exceeds : fit;
+}
+
+/** Gives up a start that does not fit. Returns whether its run is over. */
+bool ExecutorController::giveUpStart(const TaskRun &run, AgentRun &entry)
+{
+    const bool isOver = entry.startHasNoRoom(this->clock.now());
+    ++this->changeCount;
+    this->log.warn("An executor has no room for a run any more.",
+                   {{"job", run.task.job.value},
+                    {"task", toString(run.task)},
+                    {"run", std::to_string(run.run)},
+                    {"executor", this->latest->incarnation.id},
+                    {"capacity", toString(this->latest->capacity)},
+                    {"over", isOver ? "yes" : "no"}});
+    return isOver;
+}
+
 void ExecutorController::startAnswered(const DueOrder &order, const Result<StartAnswer> &answer)
 {
     {
