placer: Tell crashes of executors from leaves and lapses

A task can crash every executor that starts it. The placer logged "Lost 5 runs: executor ... has been replaced by ..." for a crash and for a planned restart alike, and named none of the tasks: the log could not show under which tasks executors crashed, nor which were just started there.

CrashLedger recognizes a crash by an incarnation that is replaced without having drained. It logs the executor with the numbers of runs and suspects, and for each run the job, task and what is known of its start, so that explain shows them. A new counter gives the crashes. Nothing decides on it yet.

--- a/include/waxwingloft/process/metrics.h
+++ b/include/waxwingloft/process/metrics.h
@@ -32,11 +32,12 @@
     GangsStopped,
     StartsUnanswered, ///< runs with a start that may have taken effect though no answer came
     RunsListedUnexpectedly, ///< runs that an executor listed though they were not ordered or counted as over
+    ExecutorCrashes, ///< executors that were replaced without having drained
 };
 
 template<>
 struct NameTable<Count> {
-    static constexpr std::array<std::string_view, 15> names = {"waxwingloft_requests_accepted_total",
+    static constexpr std::array<std::string_view, 16> names = {"waxwingloft_requests_accepted_total",
                                                                "waxwingloft_requests_refused_total",
                                                                "waxwingloft_retries_total",
                                                                "waxwingloft_late_answers_total",
@@ -50,7 +51,8 @@
                                                                "waxwingloft_gangs_started_total",
                                                                "waxwingloft_gangs_stopped_total",
                                                                "waxwingloft_starts_unanswered_total",
-                                                               "waxwingloft_runs_listed_unexpectedly_total"};
+                                                               "waxwingloft_runs_listed_unexpectedly_total",
+                                                               "waxwingloft_executor_crashes_total"};
 };
 
 /** What a process shows the present value of. */
--- a/include/waxwingloft/request/liveworker.h
+++ b/include/waxwingloft/request/liveworker.h
@@ -21,6 +21,7 @@
     std::optional<Instant> expectedEnd;
     std::uint32_t percent = 0;
     bool isRunning = false; ///< was reported as started by its executor
+    StartEffect startEffect = StartEffect::Unproven; ///< as last reported; stays Outlived
     Instant lastProgressAt; ///< when it was first reported as running or its percentage last rose
     Millis estimate = Millis(0);
     std::uint64_t omittedSince = 0; ///< sequence number of the first assignments that omit it; zero while it should run
--- a/include/waxwingloft/request/taskplacer.h
+++ b/include/waxwingloft/request/taskplacer.h
@@ -5,6 +5,7 @@
 #include "waxwingloft/process/clock.h"
 #include "waxwingloft/process/error.h"
 #include "waxwingloft/process/logger.h"
+#include "waxwingloft/request/crashledger.h"
 #include "waxwingloft/request/jobprogress.h"
 #include "waxwingloft/request/jobrank.h"
 #include "waxwingloft/request/liveworker.h"
@@ -64,6 +65,9 @@
 public:
     TaskPlacer(Clock &clock, TaskPlacerOptions options, JobRankOptions rankOptions);
 
+    /** Counts crashes of executors into @p metrics from now on, which must outlive this object. */
+    void setMetrics(Metrics &metrics);
+
     /** Becomes leader under @p epoch. @p jobs must have been read after the epoch was written. */
     void becomeLeader(Epoch epoch, std::vector<StoredJob> jobs);
     void stepDown(const std::string &reason);
@@ -143,6 +147,7 @@
     RoutingTable routes;
     std::map<JobId, LiveJob> jobs;
     std::map<NodeId, LiveWorker> workers;
+    CrashLedger crashes;
     std::atomic<bool> hasChanges{false}; ///< since the last plan; read without the mutex
 };
 
--- a/src/process/daemon/jobentryrole.cpp
+++ b/src/process/daemon/jobentryrole.cpp
@@ -65,6 +65,7 @@
         , front(config.jobs.frontAddress, frontTermsOf(config), this->gate)
         , ready(config.jobs.readyAddress, [this] { return this->isReady(); })
     {
+        this->placer.setMetrics(this->node.metrics);
     }
 
     void start() override
--- a/src/request/taskplacer.cpp
+++ b/src/request/taskplacer.cpp
@@ -26,9 +26,16 @@
     , log(LogPart::Placer)
     , rank(rankOptions)
     , health(clock, options.health)
+    , crashes(this->jobs)
 {
 }
 
+void TaskPlacer::setMetrics(Metrics &metrics)
+{
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    this->crashes.setMetrics(metrics);
+}
+
 void TaskPlacer::becomeLeader(Epoch epoch, std::vector<StoredJob> jobs)
 {
     const std::lock_guard<std::mutex> guard(this->mutex);
@@ -287,6 +294,9 @@
     }
     if (worker.last.incarnation.isKnown() && worker.last.incarnation != report.incarnation) {
         this->rebindRuns(worker, report);
+        if (CrashLedger::isCrash(worker, report)) {
+            this->crashes.recordCrash(worker);
+        }
         this->loseRuns(worker, "executor " + worker.last.incarnation.id + " has been replaced by " + report.incarnation.id);
         worker.seenEnds = 0;
         worker.acknowledgedEnds = 0;
--- a/tests/request/jobsite.cpp
+++ b/tests/request/jobsite.cpp
@@ -154,6 +154,7 @@
     for (std::size_t index = 0; index < placers; ++index) {
         SitePlacer placer;
         placer.placer = std::make_unique<TaskPlacer>(this->clock, TaskPlacerOptions(), JobRankOptions());
+        placer.placer->setMetrics(*placer.metrics);
         placer.cache = std::make_unique<JobCache>(*placer.placer);
         this->placers.push_back(std::move(placer));
     }
--- a/tests/request/jobsite.h
+++ b/tests/request/jobsite.h
@@ -65,6 +65,7 @@
 
 /** A placer with its job cache and the writes it has in flight. */
 struct SitePlacer {
+    std::unique_ptr<Metrics> metrics = std::make_unique<Metrics>();
     std::unique_ptr<TaskPlacer> placer;
     std::unique_ptr<JobCache> cache;
     bool isAlive = true;
