placer: Give up a task that crashes the executors that start it

Callers and operators saw one task take down executor after executor: it was started again each time its executor had come back, and with every crash all other runs on that executor were lost. Nothing counted executors that crashed under a task; the end of such a run is a lapse, which is no failure, so max_attempts never applied.

Cause: the placer treated the loss of an executor as an event of the executor alone. The class of the fault is a retry without a budget.

CrashLedger now counts in the job's row, in the write that lets the task start again, each crash under a task, and apart from that those whose start the executor is not known to have outlived. Runs that lapsed while their executor did not answer are counted once another incarnation is there. A task with three start crashes, or five of any kind, fails and with it its job, whose other runs are stopped; the users' rule forbids three further starts after three crashes.

In between, a task with a start crash is a suspect, and its next start a trial: the suspects of one job start on the one executor where a crash loses the least work, and nothing starts beside them until the executor has outlived the start; the job's other tasks wait. At most a quarter of the executors is on trial. An innocent task that stood beside a deadly one is therefore not tried beside one again.

Tests: JobSiteCrash.*, the random suite JobSiteCrashes with 40 seeds, four tests of TaskPlacer on what counts, three of PlanSteps on trials. InvariantChecker has the users' rule for all random suites; FakeExecutor can crash by a run and come back later, under the same or another id.

--- a/include/waxwingloft/process/metrics.h
+++ b/include/waxwingloft/process/metrics.h
@@ -33,11 +33,12 @@
     StartsUnanswered, ///< runs with a start that may have taken effect though no answer came
     RunsListedUnexpectedly, ///< runs that an executor listed though they were not ordered or counted as over
     ExecutorCrashes, ///< executors that were replaced without having drained
+    TasksGivenUp, ///< tasks that start no more because the executors that start them crash
 };
 
 template<>
 struct NameTable<Count> {
-    static constexpr std::array<std::string_view, 16> names = {"waxwingloft_requests_accepted_total",
+    static constexpr std::array<std::string_view, 17> names = {"waxwingloft_requests_accepted_total",
                                                                "waxwingloft_requests_refused_total",
                                                                "waxwingloft_retries_total",
                                                                "waxwingloft_late_answers_total",
@@ -52,7 +53,8 @@
                                                                "waxwingloft_gangs_stopped_total",
                                                                "waxwingloft_starts_unanswered_total",
                                                                "waxwingloft_runs_listed_unexpectedly_total",
-                                                               "waxwingloft_executor_crashes_total"};
+                                                               "waxwingloft_executor_crashes_total",
+                                                               "waxwingloft_tasks_given_up_total"};
 };
 
 /** What a process shows the present value of. */
--- a/include/waxwingloft/request/livejob.h
+++ b/include/waxwingloft/request/livejob.h
@@ -26,6 +26,9 @@
     /** Derives the state of the job from its tasks. Returns whether it changed; a final state is kept. */
     bool refreshState();
 
+    /** Whether an executor crashed as it started @p key, or for a gang any of its members, so that the next start is a trial. */
+    bool isSuspect(const TaskKey &key) const;
+
     /** Marks all members of a gang's run as done: they finish together, so the end of one applies to all. */
     void finishGang(const TaskRun &run);
 
--- a/include/waxwingloft/request/liveworker.h
+++ b/include/waxwingloft/request/liveworker.h
@@ -50,6 +50,7 @@
     std::deque<PendingAck> pendingAcks;
     bool hasOrphans = false; ///< reports unassigned runs, which use capacity that is not accounted for
     std::map<TaskRun, LiveRun> runs;
+    std::map<TaskRun, StartEffect> lapsedRuns; ///< that lapsed while the executor did not answer; it may have crashed, which shows once it is back
     bool needsSync = false;
 
     /** Applies the progress of runs in a report received at @p now. */
--- a/include/waxwingloft/request/stepplanner.h
+++ b/include/waxwingloft/request/stepplanner.h
@@ -20,6 +20,7 @@
     Capacity free; ///< excludes what stopping runs still hold
     bool acceptsWork = false;
     bool isSlow = false; ///< gets tasks only when they fit on no other worker
+    bool isOnTrial = false; ///< starts suspect tasks and gets nothing else meanwhile
 };
 
 /** Waiting tasks of a step. The tasks of a gang start together or not at all, others one by one. */
@@ -31,6 +32,7 @@
     std::string dataRack;
     bool isGang = false;
     bool prefersOneRack = false;
+    bool isSuspect = false; ///< crashed the executors that started it; starts with nothing else and preempts and reserves nothing
     int priority = 0; ///< zero is the most urgent
     double rank = 0.0; ///< value per capacity and time used
     bool isGuaranteed = false; ///< within its workspace's guarantee; may preempt any work that is not
--- a/include/waxwingloft/request/taskplaceroptions.h
+++ b/include/waxwingloft/request/taskplaceroptions.h
@@ -27,6 +27,9 @@
     double slowShare = 0.4; ///< of the median speed, below which a worker counts as slow; the users' slow-downs are by factors of 4 to 6.5
     Millis minSpeedAge = Millis(1000); ///< age from which the speed of a run is derived from its progress
     WorkerHealthOptions health = {2, 3, Millis(4000), Millis(60'000)}; ///< quarantine of workers that fail what they start; such failure periods last about 6 s
+    std::uint32_t startCrashesToGiveUp =
+        3; ///< the users' rule allows no three further starts, and three others crash beside a task by chance less often than two
+    std::uint32_t crashesToGiveUp = 5; ///< of any kind; bounds what a task costs that crashes its executors long after its start
     std::size_t batchRows = 40; ///< rows per transaction; each takes one condition and one write of the 100 operations allowed
 };
 
--- a/include/waxwingloft/request/taskplanner.h
+++ b/include/waxwingloft/request/taskplanner.h
@@ -16,6 +16,8 @@
 
 namespace waxwingloft {
 
+class OpenTrials;
+
 /** The state that a plan is computed from. */
 struct PlannerInput {
     const std::map<JobId, LiveJob> &jobs;
@@ -68,6 +70,7 @@
         double rank = 0.0;
         bool isGuaranteed = false;
         bool isUrgent = false; ///< has priority zero and can still meet its objective
+        bool isSuspect = false; ///< its start is a trial
         bool isRecent = false; ///< was accepted within waitForEnds
     };
 
@@ -87,11 +90,12 @@
         std::vector<std::vector<PlacedRun>> runs;
     };
 
-    Fleet collectFleet() const;
+    Fleet collectFleet(const OpenTrials &trials) const;
     bool canTakeWork(const LiveWorker &worker) const;
     void markSlow(Fleet &fleet) const;
     Ranks rankJobs(const Fleet &fleet) const;
-    std::vector<Unit> collectUnits(const std::set<JobId> &guaranteed, const Ranks &ranks) const;
+    std::vector<Unit> collectUnits(const std::set<JobId> &guaranteed, const Ranks &ranks, const OpenTrials &trials) const;
+    std::vector<Unit> unitsOf(const LiveJob &job, const Unit &base) const;
     void addUnits(const LiveJob &job, std::uint32_t occurrence, const Unit &base, std::vector<Unit> &units) const;
     bool isOrphaned(const TaskKey &task) const;
     WaitingTasks waitingOf(const Unit &unit, const Fleet &fleet) const;
--- a/src/request/crashledger.cpp
+++ b/src/request/crashledger.cpp
@@ -5,8 +5,9 @@
 
 namespace waxwingloft {
 
-CrashLedger::CrashLedger(std::map<JobId, LiveJob> &jobs)
+CrashLedger::CrashLedger(std::map<JobId, LiveJob> &jobs, const TaskPlacerOptions &options)
     : jobs(jobs)
+    , options(options)
     , log(LogPart::Placer)
 {
 }
@@ -21,10 +22,25 @@
     return worker.last.incarnation.isKnown() && worker.last.incarnation != report.incarnation && !worker.last.isDraining;
 }
 
+void CrashLedger::keepLapsedRuns(LiveWorker &worker, const AgentReport &report)
+{
+    if (report.isReachable) {
+        worker.lapsedRuns.clear();
+    }
+    for (const auto &end : report.ends) {
+        const auto live = worker.runs.find(end.run);
+        // An executor numbers the ends that it reports itself.
+        const bool isUnanswered = end.end == RunEnd::Lapsed && end.number == 0 && live != worker.runs.end();
+        if (isUnanswered && live->second.isSent && live->second.startEffect != StartEffect::NotStarted) {
+            worker.lapsedRuns[end.run] = live->second.startEffect;
+        }
+    }
+}
+
 /** Returns the runs whose start the crashed executor may have carried out. */
 std::map<TaskRun, StartEffect> CrashLedger::runsUnder(const LiveWorker &worker) const
 {
-    std::map<TaskRun, StartEffect> runs;
+    auto runs = worker.lapsedRuns;
     for (const auto &[run, live] : worker.runs) {
         const auto job = this->jobs.find(run.task.job);
         const auto *const task = job == this->jobs.end() ? nullptr : findTask(job->second.progress, run.task);
@@ -50,15 +66,54 @@
     }
     std::vector<TaskKey> tasks;
     for (const auto &[run, startEffect] : runs) {
+        const auto job = this->jobs.find(run.task.job);
+        auto *const task = job == this->jobs.end() || isFinal(job->second.progress.state) ? nullptr : findTask(job->second.progress, run.task);
+        if (task == nullptr || task->state == TaskPhase::Done) {
+            continue;
+        }
         tasks.push_back(run.task);
+        ++task->crashes;
+        task->startCrashes += startEffect == StartEffect::Unproven ? 1 : 0;
+        job->second.markChanged();
         this->log.warn("An executor crashed under a task.",
                        {{"job", run.task.job.value},
                         {"task", toString(run.task)},
                         {"run", std::to_string(run.run)},
                         {"executor", worker.last.incarnation.id},
-                        {"start_effect", std::string(nameOf(startEffect))}});
+                        {"start_effect", std::string(nameOf(startEffect))},
+                        {"start_crashes", std::to_string(task->startCrashes)},
+                        {"crashes", std::to_string(task->crashes)}});
     }
     return tasks;
 }
 
+bool CrashLedger::isLimitReached(const LiveJob &job, const TaskKey &key) const
+{
+    const auto &task = *findTask(job.progress, key);
+    const bool isWorn = task.crashes >= this->options.crashesToGiveUp && !job.stepOf(key).isPerpetual;
+    return task.startCrashes >= this->options.startCrashesToGiveUp || isWorn;
+}
+
+std::set<JobId> CrashLedger::giveUp(const std::vector<TaskKey> &tasks)
+{
+    std::set<JobId> failed;
+    for (const auto &key : tasks) {
+        auto &job = this->jobs.at(key.job);
+        auto &task = *findTask(job.progress, key);
+        if (task.state == TaskPhase::Done || task.state == TaskPhase::Failed || !this->isLimitReached(job, key)) {
+            continue;
+        }
+        task.state = TaskPhase::Failed;
+        job.markChanged();
+        failed.insert(key.job);
+        this->log.warn(
+            "A task is given up: the executors that start it crash.",
+            {{"job", key.job.value}, {"task", toString(key)}, {"start_crashes", std::to_string(task.startCrashes)}, {"crashes", std::to_string(task.crashes)}});
+        if (this->metrics != nullptr) {
+            this->metrics->add(Count::TasksGivenUp);
+        }
+    }
+    return failed;
+}
+
 } // namespace waxwingloft
--- a/src/request/jobrows.cpp
+++ b/src/request/jobrows.cpp
@@ -14,7 +14,7 @@
 constexpr std::string_view ProgressSuffix = "/progress";
 
 /** Positions of a task's fields in a progress row. Trailing fields may be absent. */
-enum TaskField : std::size_t { StateField, RunField, FailuresField, CheckpointField, ExecutorField, TaskFields };
+enum TaskField : std::size_t { StateField, RunField, FailuresField, CheckpointField, ExecutorField, StartCrashesField, CrashesField, TaskFields };
 
 Json toJson(const JobStep &step)
 {
@@ -103,8 +103,15 @@
 Json toJson(const TaskProgress &task, ExecutorList &executors)
 {
     Json json = {static_cast<int>(task.state), task.run, task.failures, task.checkpoint};
+    const bool hasCrashes = task.startCrashes > 0 || task.crashes > 0;
     if (task.state == TaskPhase::Assigned) {
         json.push_back(executors.indexOf(task));
+    } else if (hasCrashes) {
+        json.push_back(nullptr);
+    }
+    if (hasCrashes) {
+        json.push_back(task.startCrashes);
+        json.push_back(task.crashes);
     }
     return json;
 }
@@ -116,11 +123,15 @@
     task.run = json.at(RunField).get<std::uint32_t>();
     task.failures = json.at(FailuresField).get<std::uint32_t>();
     task.checkpoint = json.at(CheckpointField).get<std::string>();
-    if (json.size() == TaskFields) {
+    if (json.size() > ExecutorField && !json.at(ExecutorField).is_null()) {
         const auto &executor = executors.at(json.at(ExecutorField).get<std::size_t>());
         task.worker.value = executor.at(0).get<std::string>();
         task.incarnation = {executor.at(1).get<std::string>(), executor.at(2).get<std::int64_t>()};
     }
+    if (json.size() == TaskFields) {
+        task.startCrashes = json.at(StartCrashesField).get<std::uint32_t>();
+        task.crashes = json.at(CrashesField).get<std::uint32_t>();
+    }
     return task;
 }
 
--- a/src/request/livejob.cpp
+++ b/src/request/livejob.cpp
@@ -1,5 +1,7 @@
 #include "waxwingloft/request/livejob.h"
 
+#include <algorithm>
+
 namespace waxwingloft {
 
 void LiveJob::markChanged()
@@ -34,6 +36,15 @@
     return this->progress.state != before;
 }
 
+bool LiveJob::isSuspect(const TaskKey &key) const
+{
+    const auto &tasks = this->progress.occurrences[key.occurrence][key.step];
+    if (!this->stepOf(key).isGang) {
+        return tasks[key.index].startCrashes > 0;
+    }
+    return std::any_of(tasks.begin(), tasks.end(), [](const TaskProgress &member) { return member.startCrashes > 0; });
+}
+
 void LiveJob::finishGang(const TaskRun &run)
 {
     for (auto &member : this->progress.occurrences[run.task.occurrence][run.task.step]) {
--- /dev/null
+++ b/src/request/private/opentrials.cpp
@@ -0,0 +1,38 @@
+#include "opentrials.h"
+
+namespace waxwingloft {
+
+std::set<JobId> jobsOnTrial(const std::map<JobId, LiveJob> &jobs, const LiveWorker &worker)
+{
+    std::set<JobId> onTrial;
+    for (const auto &[run, live] : worker.runs) {
+        const auto job = jobs.find(run.task.job);
+        if (job != jobs.end() && live.startEffect != StartEffect::Outlived && job->second.isSuspect(run.task)) {
+            onTrial.insert(run.task.job);
+        }
+    }
+    return onTrial;
+}
+
+OpenTrials::OpenTrials(const std::map<JobId, LiveJob> &jobs, const std::map<NodeId, LiveWorker> &workers)
+{
+    for (const auto &[node, worker] : workers) {
+        const auto onTrial = jobsOnTrial(jobs, worker);
+        if (!onTrial.empty()) {
+            this->nodes.insert(node);
+            this->jobs.insert(onTrial.begin(), onTrial.end());
+        }
+    }
+}
+
+bool OpenTrials::isAt(const NodeId &node) const
+{
+    return this->nodes.contains(node);
+}
+
+bool OpenTrials::isOf(const JobId &job) const
+{
+    return this->jobs.contains(job);
+}
+
+} // namespace waxwingloft
--- a/src/request/stepplanner.cpp
+++ b/src/request/stepplanner.cpp
@@ -1,5 +1,6 @@
 #include "waxwingloft/request/stepplanner.h"
 
+#include "suspectplacement.h"
 #include "trialcapacity.h"
 
 #include <algorithm>
@@ -27,6 +28,7 @@
         : workers(workers)
         , running(running)
         , isStopped(running.size(), false)
+        , suspects(workers, running)
     {
         for (const auto &worker : workers) {
             this->free.push_back(worker.free);
@@ -41,9 +43,15 @@
     void place(std::size_t index, const WaitingTasks &tasks)
     {
         Demand demand(tasks, this->workers);
+        this->suspects.exclude(demand);
+        if (tasks.isSuspect) {
+            this->placeSuspects(index, demand);
+            return;
+        }
         auto places = tasks.isGang ? this->gangPlaces(demand) : this->taskPlaces(demand);
         const bool isWhole = places.size() == tasks.count;
         if (!places.empty()) {
+            this->suspects.othersStart(places);
             this->plan.starts.push_back({index, std::move(places)});
         }
         if (isWhole) {
@@ -58,6 +66,15 @@
     StepPlan plan;
 
 private:
+    void placeSuspects(std::size_t index, const Demand &demand)
+    {
+        auto places = this->suspects.place(demand, this->free);
+        if (!places.empty()) {
+            this->allocate(places, demand.tasks);
+            this->plan.starts.push_back({index, std::move(places)});
+        }
+    }
+
     /** Places tasks on @p group, fullest workers first. Returns one worker per task, or fewer when not all fit. */
     std::vector<std::size_t> fill(const Group &group, const Demand &demand, const std::vector<Capacity> &available) const
     {
@@ -344,6 +361,7 @@
     const std::vector<PlannerWorker> &workers;
     const std::vector<RunningTasks> &running;
     std::vector<bool> isStopped;
+    SuspectPlacement suspects;
     std::vector<Capacity> free;
     std::vector<Capacity> whole; ///< capacity of each worker when empty
     std::map<std::string, Group> racks;
--- a/src/request/taskplacer.cpp
+++ b/src/request/taskplacer.cpp
@@ -3,6 +3,8 @@
 #include "waxwingloft/request/assignmentbuilder.h"
 #include "waxwingloft/request/jobrows.h"
 
+#include "opentrials.h"
+
 #include <algorithm>
 #include <set>
 #include <tuple>
@@ -26,7 +28,7 @@
     , log(LogPart::Placer)
     , rank(rankOptions)
     , health(clock, options.health)
-    , crashes(this->jobs)
+    , crashes(this->jobs, this->options)
 {
 }
 
@@ -288,16 +290,19 @@
     const auto now = this->clock.now();
     auto &worker = this->workers[report.node];
     const auto usability = usabilityOf(worker);
+    const auto trials = jobsOnTrial(this->jobs, worker);
     const bool isOlder = worker.isKnown && std::pair(report.generation, report.sequence) < std::pair(worker.last.generation, worker.last.sequence);
     if (isOlder) {
         return makeError(ErrorKind::Stale, "a newer report of this agent was already applied", "send a new report");
     }
     if (worker.last.incarnation.isKnown() && worker.last.incarnation != report.incarnation) {
         this->rebindRuns(worker, report);
-        if (CrashLedger::isCrash(worker, report)) {
-            this->crashes.recordCrash(worker);
-        }
+        const auto crashed = CrashLedger::isCrash(worker, report) ? this->crashes.recordCrash(worker) : std::vector<TaskKey>();
         this->loseRuns(worker, "executor " + worker.last.incarnation.id + " has been replaced by " + report.incarnation.id);
+        for (const auto &job : this->crashes.giveUp(crashed)) {
+            this->refreshState(this->jobs.at(job));
+        }
+        worker.lapsedRuns.clear();
         worker.seenEnds = 0;
         worker.acknowledgedEnds = 0;
         worker.pendingAcks.clear();
@@ -312,10 +317,11 @@
     worker.isKnown = true;
     worker.lastReportAt = now;
     worker.last = report;
+    CrashLedger::keepLapsedRuns(worker, report);
     this->handleEnds(worker, report);
     worker.applyProgress(report, now);
     this->endUnknownRuns(worker, report);
-    if (usabilityOf(worker) != usability) {
+    if (usabilityOf(worker) != usability || jobsOnTrial(this->jobs, worker) != trials) {
         this->hasChanges.store(true, std::memory_order_release);
     }
     auto sync = AssignmentBuilder(this->jobs, this->epoch).makeSync(worker);
--- a/src/request/taskplanner.cpp
+++ b/src/request/taskplanner.cpp
@@ -1,5 +1,7 @@
 #include "waxwingloft/request/taskplanner.h"
 
+#include "opentrials.h"
+
 #include <algorithm>
 #include <limits>
 
@@ -34,10 +36,11 @@
 {
     TaskPlan decided;
     const auto guaranteed = this->guaranteedJobs();
-    auto fleet = this->collectFleet();
+    const OpenTrials trials(this->state.jobs, this->state.workers);
+    auto fleet = this->collectFleet(trials);
     this->markSlow(fleet);
     const auto ranks = this->rankJobs(fleet);
-    const auto units = this->collectUnits(guaranteed, ranks);
+    const auto units = this->collectUnits(guaranteed, ranks, trials);
     if (units.empty()) {
         return decided;
     }
@@ -104,7 +107,7 @@
     }
 }
 
-TaskPlanner::Fleet TaskPlanner::collectFleet() const
+TaskPlanner::Fleet TaskPlanner::collectFleet(const OpenTrials &trials) const
 {
     Fleet fleet;
     for (const auto &[node, worker] : this->state.workers) {
@@ -116,6 +119,7 @@
             view.free -= live.needs;
         }
         view.acceptsWork = this->canTakeWork(worker);
+        view.isOnTrial = trials.isAt(node);
         if (view.acceptsWork) {
             fleet.total += view.capacity;
         }
@@ -156,11 +160,11 @@
     return guaranteed;
 }
 
-std::vector<TaskPlanner::Unit> TaskPlanner::collectUnits(const std::set<JobId> &guaranteed, const Ranks &ranks) const
+std::vector<TaskPlanner::Unit> TaskPlanner::collectUnits(const std::set<JobId> &guaranteed, const Ranks &ranks, const OpenTrials &trials) const
 {
     std::vector<Unit> units;
     for (const auto &[id, job] : this->state.jobs) {
-        if (isFinal(job.progress.state)) {
+        if (isFinal(job.progress.state) || trials.isOf(id)) {
             continue;
         }
         Unit base;
@@ -169,14 +173,8 @@
         base.rank = ranks.at(id);
         base.isRecent = this->now - job.knownSince < this->state.options.waitForEnds;
         base.isUrgent = job.submission.priority == 0 && this->state.rank.isInTime(job.submission, job.progress, this->wallNow);
-        for (std::uint32_t occurrence = 0; occurrence < job.progress.occurrences.size(); ++occurrence) {
-            const auto &graph = job.submission.graph;
-            const auto dueAt = graph.firstRunAt + static_cast<std::int64_t>(occurrence) * graph.interval.count();
-            const bool isDue = graph.firstRunAt == 0 || dueAt + this->state.options.dueMargin.count() <= this->wallNow;
-            if (isDue) {
-                this->addUnits(job, occurrence, base, units);
-            }
-        }
+        const auto own = this->unitsOf(job, base);
+        units.insert(units.end(), own.begin(), own.end());
     }
     std::stable_sort(units.begin(), units.end(), [](const Unit &left, const Unit &right) {
         return std::pair(left.isGuaranteed, left.rank) > std::pair(right.isGuaranteed, right.rank);
@@ -184,6 +182,22 @@
     return units;
 }
 
+/** Returns the units of a job that may start now. One suspect unit at a time starts, and the job's other tasks wait for the result. */
+std::vector<TaskPlanner::Unit> TaskPlanner::unitsOf(const LiveJob &job, const Unit &base) const
+{
+    std::vector<Unit> units;
+    for (std::uint32_t occurrence = 0; occurrence < job.progress.occurrences.size(); ++occurrence) {
+        const auto &graph = job.submission.graph;
+        const auto dueAt = graph.firstRunAt + static_cast<std::int64_t>(occurrence) * graph.interval.count();
+        const bool isDue = graph.firstRunAt == 0 || dueAt + this->state.options.dueMargin.count() <= this->wallNow;
+        if (isDue) {
+            this->addUnits(job, occurrence, base, units);
+        }
+    }
+    const auto suspect = std::find_if(units.begin(), units.end(), [](const Unit &unit) { return unit.isSuspect; });
+    return suspect == units.end() ? units : std::vector<Unit>{*suspect};
+}
+
 void TaskPlanner::addUnits(const LiveJob &job, std::uint32_t occurrence, const Unit &base, std::vector<Unit> &units) const
 {
     const auto &graph = job.submission.graph;
@@ -195,16 +209,20 @@
         Unit unit = base;
         unit.occurrence = occurrence;
         unit.step = step;
+        Unit suspects = unit;
+        suspects.isSuspect = true;
         for (std::uint32_t index = 0; index < steps[step].size(); ++index) {
             const TaskKey key{job.submission.id, occurrence, step, index};
             if (steps[step][index].state == TaskPhase::Waiting && !this->isOrphaned(key)) {
-                unit.indices.push_back(index);
+                (job.isSuspect(key) ? suspects : unit).indices.push_back(index);
             }
         }
         // The members of a gang start together, so every run of the previous attempt must have ended.
-        const bool isWhole = !graph.steps[step].isGang || unit.indices.size() == steps[step].size();
-        if (!unit.indices.empty() && isWhole) {
-            units.push_back(std::move(unit));
+        for (auto *const part : {&suspects, &unit}) {
+            const bool isWhole = !graph.steps[step].isGang || part->indices.size() == steps[step].size();
+            if (!part->indices.empty() && isWhole) {
+                units.push_back(std::move(*part));
+            }
         }
     }
 }
@@ -247,6 +265,7 @@
     waiting.dataRack = step.dataRack;
     waiting.isGang = step.isGang;
     waiting.prefersOneRack = step.prefersOneRack;
+    waiting.isSuspect = unit.isSuspect;
     waiting.priority = unit.job->submission.priority;
     waiting.rank = unit.rank;
     waiting.isGuaranteed = unit.isGuaranteed;
--- a/tests/connection/fakeexecutor.h
+++ b/tests/connection/fakeexecutor.h
@@ -8,6 +8,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -31,6 +32,7 @@
     Millis endsAt = Millis(0); ///< on the executor's clock
     Millis stopsAt = Millis(0); ///< zero: is not being stopped
     RunEnd endsAs = RunEnd::Done;
+    std::optional<Millis> crashesAfter; ///< from its start; its executor crashes then
 };
 
 /** Sees what really runs; checks the promises. */
@@ -44,6 +46,11 @@
 
     /** Ends up to @p number of this incarnation may be forgotten now. */
     virtual void noted(const std::string &executor, const TaskRun &run, RunEnd how) = 0;
+
+    /** @p executor crashes, because of @p culprit if there is one, and comes back as @p successor, which may be the same id. */
+    virtual void crashed(const std::string & /*executor*/, const std::string & /*successor*/, const TaskRun * /*culprit*/)
+    {
+    }
 };
 
 /** An executor of the users' platform in memory: lease, fencing token, lists, and orders that go astray. */
@@ -79,6 +86,21 @@
         this->sequence = 0;
     }
 
+    /** What ran is gone; a new incarnation begins after the restart time. */
+    void crash(const TaskRun *culprit = nullptr)
+    {
+        const auto successor = this->changesIdAfterCrash ? this->id + "'" : this->id;
+        this->observer.crashed(this->id, successor, culprit);
+        this->restart();
+        this->backAt = this->clock.now() + this->restartTime;
+        this->id = successor;
+    }
+
+    bool isDown() const
+    {
+        return this->backAt.has_value();
+    }
+
     ExecutorHeartbeat heartbeat()
     {
         ExecutorHeartbeat heartbeat;
@@ -96,6 +118,11 @@
     /** Lets time pass: ends, lapses and late orders. */
     void advance()
     {
+        if (this->backAt && this->clock.now() >= *this->backAt) {
+            this->backAt.reset();
+            this->restart();
+        }
+        this->crashByRuns();
         const auto now = this->now();
         for (std::size_t index = 0; index < this->late.size();) {
             if (this->clock.now() < this->late[index].first) {
@@ -158,7 +185,7 @@
 
     bool isAbsent() override
     {
-        return this->hasEnded;
+        return this->hasEnded || this->isDown();
     }
 
     Capacity capacity = {128'000, 262'144, 8};
@@ -171,6 +198,8 @@
     std::function<OrderFate()> drawFate; ///< when set, gives the fate of each order in place of @c fate
     std::function<OrderFate(const RunListQuery &)> drawPollFate; ///< when set, gives the fate of each list poll
     Millis lateBy = Millis(3000);
+    Millis restartTime = Millis(2000); ///< after a crash
+    bool changesIdAfterCrash = false;
     bool lateCallsSurviveRestart = false; ///< late calls reach the next incarnation
     bool lateLeasesCountFromArrival = false; ///< the lease of a late call is as long as if it had been sent on its arrival
     Millis stopTime = Millis(400);
@@ -209,7 +238,7 @@
     template<typename Answer, typename Action>
     Result<Answer> call(OrderFate fate, Action action, const Result<Answer> &unhealthy)
     {
-        if (this->isUnreachable || fate == OrderFate::Lost) {
+        if (this->isUnreachable || this->isDown() || fate == OrderFate::Lost) {
             return makeError(ErrorKind::Ambiguous, "no answer");
         }
         if (fate == OrderFate::Unhealthy) {
@@ -295,6 +324,17 @@
         return answer;
     }
 
+    void crashByRuns()
+    {
+        const auto culprit = std::find_if(this->running.begin(), this->running.end(), [now = this->now()](const auto &item) {
+            return item.second.crashesAfter && now >= item.second.startedAt + *item.second.crashesAfter;
+        });
+        if (culprit != this->running.end()) {
+            const auto run = culprit->first;
+            this->crash(&run);
+        }
+    }
+
     void end(const TaskRun &run, RunEnd how)
     {
         const auto checkpoint = this->running[run].checkpoint;
@@ -306,7 +346,8 @@
 
     Clock &clock;
     RunObserver &observer;
-    const std::string id;
+    std::string id;
+    std::optional<Instant> backAt; ///< after a crash
     Instant bornAt;
     std::int64_t startedAt = 0;
     std::uint64_t sequence = 0;
--- a/tests/request/crashtest.cpp
+++ b/tests/request/crashtest.cpp
@@ -1,12 +1,15 @@
 #include "jobsite.h"
 
+#include <algorithm>
 #include <gtest/gtest.h>
+#include <random>
 
 namespace waxwingloft::tests {
 
 namespace {
 
 const Capacity Half{64'000, 131'072, 4};
+const Capacity Small{10'000, 10'000, 1};
 
 /** Returns how many crashes of executors the placers of @p site have counted. */
 int crashesAt(const JobSite &site)
@@ -20,8 +23,78 @@
     return crashes;
 }
 
+void expectNoViolations(const JobSite &site)
+{
+    for (const auto &text : site.checker.violations) {
+        ADD_FAILURE() << text;
+    }
+}
+
+/** Makes executors come back from a crash under another id. */
+void changeIdsAfterCrash(JobSite &site)
+{
+    for (auto &agent : site.agents) {
+        agent.executor->changesIdAfterCrash = true;
+    }
+}
+
+/** Makes the tasks of @p job run for @p duration. */
+void makeRunsLast(JobSite &site, const JobId &job, Millis duration)
+{
+    for (auto &agent : site.agents) {
+        const auto otherwise = agent.executor->runOf;
+        agent.executor->runOf = [job, duration, otherwise](const StartOrder &order) {
+            auto run = otherwise(order);
+            run.endsAt = order.run.task.job == job ? duration : run.endsAt;
+            return run;
+        };
+    }
+}
+
+/** Submits a job whose task @p index crashes the executors that start it. */
+JobId submitDeadly(JobSite &site, const JobGraph &graph, std::uint32_t index = 0)
+{
+    const auto job = site.submit(graph);
+    site.deadly.insert({job, 0, 0, index});
+    if (graph.steps[0].isGang) {
+        // The fake members of a gang end without each other, so the others must outlast the restart of the crashed executor.
+        makeRunsLast(site, job, Millis(20'000));
+    }
+    return job;
+}
+
+std::size_t runningIn(const JobSite &site, const JobId &job)
+{
+    std::size_t runs = 0;
+    for (const auto &[executor, running] : site.checker.running) {
+        runs += static_cast<std::size_t>(std::count_if(running.begin(), running.end(), [&job](const TaskRun &run) { return run.task.job == job; }));
+    }
+    return runs;
+}
+
+TaskProgress firstTaskOf(const JobSite &site, const JobId &job)
+{
+    return site.progressOf(job).occurrences.at(0).at(0).at(0);
+}
+
 } // namespace
 
+TEST(JobSiteCrash, ATaskThatCrashesItsExecutorsIsGivenUp)
+{
+    for (const bool changesId : {false, true}) {
+        JobSite site(5);
+        if (changesId) {
+            changeIdsAfterCrash(site);
+        }
+        const auto job = site.submit(oneStep(1, Half));
+        site.deadly.insert({job, 0, 0, 0});
+        EXPECT_EQ(site.finish(job, Millis(60'000)), JobPhase::Failed) << changesId;
+        site.advance(Millis(20'000));
+        EXPECT_EQ((site.checker.starts[{job, 0, 0, 0}]), 3U) << changesId;
+        expectNoViolations(site);
+    }
+}
+
 TEST(JobSiteCrash, AReplacedExecutorCountsAsACrash)
 {
     JobSite site(2);
@@ -59,4 +132,285 @@
     EXPECT_EQ(crashesAt(site), 0);
 }
 
+TEST(JobSiteCrash, TheCountLastsThroughChangesOfPlacer)
+{
+    JobSite site(5);
+    const auto job = submitDeadly(site, oneStep(1, Half));
+    for (std::size_t round = 0; round < 60; ++round) {
+        site.advance(Millis(700));
+        site.elect(round % 2);
+    }
+    EXPECT_EQ(site.stateOf(job), JobPhase::Failed);
+    expectNoViolations(site);
+}
+
+TEST(JobSiteCrash, TheCountLastsThroughOutagesOfTheTable)
+{
+    JobSite site(5);
+    const auto job = submitDeadly(site, oneStep(1, Half));
+    for (std::size_t round = 0; round < 30; ++round) {
+        site.rows.isDown = round % 2 == 1;
+        site.advance(Millis(1300));
+    }
+    EXPECT_EQ(site.stateOf(job), JobPhase::Failed);
+    expectNoViolations(site);
+}
+
+TEST(JobSiteCrash, TheCountLastsThroughRestartsOfAgents)
+{
+    JobSite site(5);
+    const auto job = submitDeadly(site, oneStep(1, Half));
+    for (std::size_t round = 0; round < 40; ++round) {
+        site.restartAgent(round % site.agents.size());
+        site.advance(Millis(500));
+    }
+    EXPECT_EQ(site.stateOf(job), JobPhase::Failed);
+    expectNoViolations(site);
+}
+
+TEST(JobSiteCrash, TheCountLastsThroughAFailedRun)
+{
+    JobSite site(3);
+    for (auto &agent : site.agents) {
+        agent.executor->runOf = [](const StartOrder &order) {
+            FakeRun run;
+            run.endsAt = Millis(100);
+            run.endsAs = RunEnd::Failed;
+            if (order.run.run != 2) {
+                run.crashesAfter = Millis(10);
+            }
+            return run;
+        };
+    }
+    const auto job = site.submit(oneStep(1, Half));
+    EXPECT_EQ(site.finish(job, Millis(60'000)), JobPhase::Failed);
+    EXPECT_EQ(firstTaskOf(site, job).startCrashes, 3U);
+    EXPECT_EQ(firstTaskOf(site, job).run, 4U);
+    expectNoViolations(site);
+}
+
+TEST(JobSiteCrash, AnExecutorThatComesBackAfterItsLeaseHasRunOutCrashed)
+{
+    JobSite site(4);
+    for (auto &agent : site.agents) {
+        agent.executor->restartTime = Millis(11'000);
+    }
+    const auto job = submitDeadly(site, oneStep(1, Half));
+    site.finish(job, Millis(120'000));
+    EXPECT_EQ(site.stateOf(job), JobPhase::Failed);
+    EXPECT_GE(firstTaskOf(site, job).startCrashes, 3U);
+    expectNoViolations(site);
+}
+
+TEST(JobSiteCrash, AnInnocentTaskInTwoCrashesIsNotGivenUp)
+{
+    JobSite site(2);
+    const auto job = site.submit(oneStep(1, Half));
+    for (std::uint32_t crash = 1; crash <= 2; ++crash) {
+        while (site.checker.starts[{job, 0, 0, 0}] < crash) {
+            site.advance(Millis(10));
+        }
+        for (auto &agent : site.agents) {
+            agent.executor->crash();
+        }
+        site.advance(Millis(1000));
+    }
+    EXPECT_EQ(site.finish(job, Millis(20'000)), JobPhase::Completed);
+    EXPECT_EQ(firstTaskOf(site, job).startCrashes, 2U);
+    expectNoViolations(site);
+}
+
+TEST(JobSiteCrash, AnInnocentTaskBesideADeadlyOneIsNotGivenUp)
+{
+    JobSite site(1);
+    const auto deadly = submitDeadly(site, oneStep(1, Half));
+    const auto innocent = site.submit(oneStep(1, Half));
+    const auto laterDeadly = submitDeadly(site, oneStep(1, Small));
+    EXPECT_EQ(site.finish(innocent, Millis(60'000)), JobPhase::Completed);
+    EXPECT_EQ(site.finish(deadly, Millis(60'000)), JobPhase::Failed);
+    EXPECT_EQ(site.finish(laterDeadly, Millis(60'000)), JobPhase::Failed);
+    expectNoViolations(site);
+}
+
+TEST(JobSiteCrash, ASuspectIsTriedAwayFromUnsavedWork)
+{
+    JobSite site(4);
+    const auto busy = site.submit(oneStep(3, Half));
+    makeRunsLast(site, busy, Millis(20'000));
+    site.advance(Millis(3000));
+    const auto deadly = submitDeadly(site, oneStep(1, Half));
+    EXPECT_EQ(site.finish(deadly, Millis(20'000)), JobPhase::Failed);
+    std::uint32_t starts = 0;
+    for (std::uint32_t index = 0; index < 3; ++index) {
+        starts += site.checker.starts[{busy, 0, 0, index}];
+    }
+    EXPECT_EQ(starts, 4U) << "only the first start of the deadly task may cost one run";
+    expectNoViolations(site);
+}
+
+TEST(JobSiteCrash, NothingStartsBesideASuspect)
+{
+    JobSite site(4);
+    const auto deadly = site.submit(oneStep(1, Half));
+    for (auto &agent : site.agents) {
+        agent.executor->runOf = [deadly](const StartOrder &order) {
+            FakeRun run;
+            run.endsAt = Millis(2000);
+            if (order.run.task.job == deadly) {
+                run.crashesAfter = Millis(300);
+            }
+            return run;
+        };
+    }
+    std::vector<JobId> others;
+    std::map<TaskRun, std::set<TaskRun>> present; // beside each trial when it started
+    for (int step = 0; step < 3000 && !isFinal(site.stateOf(deadly)); ++step) {
+        if (step % 20 == 0) {
+            others.push_back(site.submit(oneStep(1, Small)));
+        }
+        site.advance(Millis(10));
+        for (const auto &[executor, running] : site.checker.running) {
+            const auto trial = std::find_if(running.begin(), running.end(), [&deadly](const TaskRun &run) { return run.task.job == deadly && run.run > 1; });
+            if (trial != running.end()) {
+                const auto &before = present.emplace(*trial, running).first->second;
+                EXPECT_TRUE(std::includes(before.begin(), before.end(), running.begin(), running.end())) << executor;
+            }
+        }
+    }
+    EXPECT_EQ(site.stateOf(deadly), JobPhase::Failed);
+    EXPECT_EQ(present.size(), 2U);
+    for (const auto &job : others) {
+        EXPECT_EQ(site.finish(job, Millis(20'000)), JobPhase::Completed);
+    }
+    expectNoViolations(site);
+}
+
+TEST(JobSiteCrash, OneDeadlyTaskOfAWideStepCostsOnlyItsJob)
+{
+    JobSite site(6);
+    const auto innocent = site.submit(oneStep(8, Small));
+    const auto deadly = submitDeadly(site, oneStep(20, Small), 7);
+    EXPECT_EQ(site.finish(deadly, Millis(60'000)), JobPhase::Failed);
+    EXPECT_EQ(site.finish(innocent, Millis(60'000)), JobPhase::Completed);
+    expectNoViolations(site);
+}
+
+TEST(JobSiteCrash, OneDeadlyMemberOfAGangCostsOnlyItsJob)
+{
+    JobSite site(6);
+    const auto innocent = site.submit(oneStep(4, Half, true));
+    const auto deadly = submitDeadly(site, oneStep(4, Half, true), 2);
+    EXPECT_EQ(site.finish(deadly, Millis(60'000)), JobPhase::Failed);
+    EXPECT_EQ(site.finish(innocent, Millis(60'000)), JobPhase::Completed);
+    site.advance(Millis(3000));
+    EXPECT_EQ(runningIn(site, deadly), 0U);
+    expectNoViolations(site);
+}
+
+TEST(JobSiteCrash, SeveralDeadlyJobsAtOnceCostOnlyThemselves)
+{
+    JobSite site(8);
+    std::vector<JobId> deadly;
+    std::vector<JobId> innocent;
+    for (int round = 0; round < 5; ++round) {
+        deadly.push_back(submitDeadly(site, oneStep(1, Half)));
+        innocent.push_back(site.submit(oneStep(2, Half)));
+        site.advance(Millis(200));
+    }
+    for (const auto &job : deadly) {
+        EXPECT_EQ(site.finish(job, Millis(60'000)), JobPhase::Failed) << job.value;
+    }
+    for (const auto &job : innocent) {
+        EXPECT_EQ(site.finish(job, Millis(60'000)), JobPhase::Completed) << job.value;
+    }
+    expectNoViolations(site);
+}
+
+TEST(JobSiteCrash, NothingOfAGivenUpJobGoesOnRunning)
+{
+    JobSite site(4);
+    const auto job = submitDeadly(site, oneStep(12, Half));
+    makeRunsLast(site, job, Millis(60'000));
+    EXPECT_EQ(site.finish(job, Millis(60'000)), JobPhase::Failed);
+    site.advance(Millis(2500));
+    EXPECT_EQ(runningIn(site, job), 0U);
+    expectNoViolations(site);
+}
+
+TEST(JobSiteCrash, TheCountsAreKeptInTheRow)
+{
+    auto progress = initialProgress(oneStep(3, Half));
+    auto &tasks = progress.occurrences[0][0];
+    tasks[0].startCrashes = 1;
+    tasks[0].crashes = 2;
+    tasks[1] = {TaskPhase::Assigned, 4, 0, "c", NodeId{"agent"}, {"executor", 5}, 0, 3};
+    const auto parsed = parseProgress(encodeProgress(progress));
+    ASSERT_TRUE(succeeded(parsed));
+    EXPECT_EQ(valueOf(parsed), progress);
+    const auto old = parseProgress(R"({"state":"running","tasks":[[[[1,2,0,"c",0],[0,1,0,""]]]],"executors":[["agent","executor",5]]})");
+    ASSERT_TRUE(succeeded(old));
+    EXPECT_EQ(valueOf(old).occurrences[0][0][0].incarnation.startedAt, 5);
+}
+
+/** Deadly tasks beside crashes without a culprit, elections, outages and cut or restarted agents: only deadly jobs may fail, and all of them must. */
+class JobSiteCrashes : public testing::TestWithParam<std::uint64_t>
+{
+};
+
+TEST_P(JobSiteCrashes, OnlyDeadlyJobsFail)
+{
+    std::mt19937_64 random(GetParam());
+    const auto draw = [&random](std::uint64_t below) { return random() % below; };
+    JobSite site(6);
+    if (GetParam() % 2 == 0) {
+        changeIdsAfterCrash(site);
+    }
+    std::vector<JobId> deadly;
+    std::vector<JobId> innocent;
+    for (int round = 0; round < 60; ++round) {
+        auto &agent = site.agents[draw(site.agents.size())];
+        const JobGraph graph = oneStep(1 + static_cast<std::uint32_t>(draw(5)), draw(2) == 0 ? Half : Small, draw(3) == 0);
+        switch (draw(12)) {
+        case 0:
+            agent.executor->crash();
+            break;
+        case 1:
+            site.elect(draw(site.placers.size()));
+            break;
+        case 2:
+            site.restartAgent(draw(site.agents.size()));
+            break;
+        case 3:
+            agent.isCut = !agent.isCut;
+            break;
+        case 4:
+            site.rows.isDown = true;
+            site.advance(Millis(draw(3000)));
+            site.rows.isDown = false;
+            break;
+        case 5:
+        case 6:
+            deadly.push_back(submitDeadly(site, graph, static_cast<std::uint32_t>(draw(graph.steps[0].count))));
+            break;
+        default:
+            innocent.push_back(site.submit(graph, static_cast<int>(draw(3))));
+            break;
+        }
+        site.advance(Millis(draw(1500)));
+    }
+    for (auto &agent : site.agents) {
+        agent.isCut = false;
+    }
+    site.advance(Millis(120'000));
+    for (const auto &job : deadly) {
+        EXPECT_EQ(site.stateOf(job), JobPhase::Failed) << job.value;
+    }
+    for (const auto &job : innocent) {
+        EXPECT_EQ(site.stateOf(job), JobPhase::Completed) << job.value;
+    }
+    expectNoViolations(site);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, JobSiteCrashes, testing::Range<std::uint64_t>(1, 41));
+
 } // namespace waxwingloft::tests
--- a/tests/request/jobsite.cpp
+++ b/tests/request/jobsite.cpp
@@ -13,6 +13,8 @@
 constexpr auto PollInterval = Millis(100);
 constexpr auto HeartbeatInterval = Millis(1500);
 constexpr auto TaskTime = Millis(2000);
+constexpr auto CrashTime = Millis(10); ///< from the start of a deadly task to the crash of its executor
+constexpr std::uint32_t CrashLimit = 3; ///< the users' rule: as many starts after so many crashes break it
 
 std::string agentName(std::size_t index)
 {
@@ -104,6 +106,7 @@
             return earlier.task == run.task;
         });
     }
+    this->checkCrashes(run);
     Logger(LogPart::Main).info("STARTED " + describe(run) + " at " + executor);
     this->checkOrder(run);
     this->running[executor].insert(run);
@@ -114,6 +117,24 @@
     }
 }
 
+/** A task that crashes the executors that start it must not go on to be started. */
+void InvariantChecker::checkCrashes(const TaskRun &run)
+{
+    const auto found = this->crashes.find(run.task);
+    if (found != this->crashes.end() && found->second >= CrashLimit && ++this->startsDespiteCrashes[run.task] == CrashLimit) {
+        this->violations.push_back("started three times after three executors had crashed under it: " + describe(run));
+    }
+}
+
+void InvariantChecker::crashed(const std::string &executor, const std::string &successor, const TaskRun *culprit)
+{
+    Logger(LogPart::Main).info("CRASHED " + executor + (culprit == nullptr ? "" : " by " + describe(*culprit)));
+    if (culprit != nullptr) {
+        ++this->crashes[culprit->task];
+    }
+    this->capacities[successor] = this->capacities.at(executor);
+}
+
 void InvariantChecker::ended(const std::string &executor, const TaskRun &run, RunEnd how)
 {
     Logger(LogPart::Main).info("ENDED " + describe(run) + " at " + executor + " " + std::string(nameOf(how)));
@@ -141,9 +162,12 @@
         SiteAgent agent;
         const auto id = "executor-" + std::to_string(index);
         agent.executor = std::make_unique<FakeExecutor>(this->clock, id, this->checker);
-        agent.executor->runOf = [](const StartOrder &) {
+        agent.executor->runOf = [this](const StartOrder &order) {
             FakeRun run;
             run.endsAt = TaskTime;
+            if (this->deadly.contains(order.run.task)) {
+                run.crashesAfter = CrashTime;
+            }
             return run;
         };
         agent.executor->rack = "r1-" + std::to_string(index / 3);
@@ -273,7 +297,7 @@
     if (!agent.isAlive) {
         return;
     }
-    if (now >= agent.nextHeartbeat && !agent.executor->isUnreachable) {
+    if (now >= agent.nextHeartbeat && !agent.executor->isUnreachable && !agent.executor->isDown()) {
         agent.controller->heartbeat(agent.executor->heartbeat());
         agent.nextHeartbeat = now + HeartbeatInterval;
     }
--- a/tests/request/jobsite.h
+++ b/tests/request/jobsite.h
@@ -25,6 +25,7 @@
     void started(const std::string &executor, const TaskRun &run, const std::string &spec) override;
     void ended(const std::string &executor, const TaskRun &run, RunEnd how) override;
     void noted(const std::string &executor, const TaskRun &run, RunEnd how) override;
+    void crashed(const std::string &executor, const std::string &successor, const TaskRun *culprit) override;
 
     /** Registers a submitted job; its steps give the order, the spec and the capacity that runs are checked against. */
     void expect(const JobSubmission &job);
@@ -35,14 +36,17 @@
     std::map<std::string, Capacity> capacities; ///< by executor
     std::vector<std::string> violations; ///< one description per violated guarantee
     std::map<TaskKey, std::uint32_t> starts;
+    std::map<TaskKey, std::uint32_t> crashes; ///< of executors, by the task that caused them
     std::map<std::string, std::set<TaskRun>> running; ///< by executor
 
 private:
     Capacity heldBy(const std::string &executor) const;
     void checkOrder(const TaskRun &run);
+    void checkCrashes(const TaskRun &run);
 
     std::map<JobId, JobSubmission> jobs;
     std::set<JobId> forbidden;
+    std::map<TaskKey, std::uint32_t> startsDespiteCrashes;
     std::set<TaskKey> done;
     std::set<TaskKey> notedDone;
     std::set<TaskRun> doneRuns;
@@ -107,6 +111,7 @@
     std::vector<SitePlacer> placers;
     std::optional<std::size_t> leader;
     RoutingTable routes;
+    std::set<TaskKey> deadly; ///< tasks that crash each executor that starts them
 
 private:
     void step();
--- a/tests/request/stepplannertest.cpp
+++ b/tests/request/stepplannertest.cpp
@@ -1,7 +1,7 @@
 #include "waxwingloft/request/stepplanner.h"
 
+#include <algorithm>
 #include <gtest/gtest.h>
-
 #include <limits>
 
 namespace waxwingloft::tests {
@@ -237,4 +237,38 @@
     EXPECT_EQ(plan.stops, (std::vector<std::size_t>{0})) << "the second task needs the other worker";
 }
 
+TEST(PlanSteps, SuspectsStartTogetherWhereACrashLosesLeast)
+{
+    auto suspects = tasks(3, One);
+    suspects.isSuspect = true;
+    const auto plan = planSteps({worker("w0", "r1", 4), worker("w1", "r1", 4), worker("w2", "r1", 4)},
+                                {suspects, tasks(2, One)},
+                                {runs(0, 4, One, 900.0, 1), runs(1, 4, One, 10.0, 1), runs(2, 4, One, 500.0, 1)});
+    ASSERT_EQ(plan.starts.size(), 2U);
+    EXPECT_EQ(plan.starts[0].workers, (std::vector<std::size_t>{1, 1, 1}));
+    EXPECT_EQ(std::count(plan.starts[1].workers.begin(), plan.starts[1].workers.end(), 1U), 0) << "nothing starts beside a suspect";
+}
+
+TEST(PlanSteps, AQuarterOfTheExecutorsIsOnTrialAtMost)
+{
+    auto suspect = tasks(1, One);
+    suspect.isSuspect = true;
+    std::vector<PlannerWorker> workers;
+    for (int index = 0; index < 8; ++index) {
+        workers.push_back(worker("w" + std::to_string(index), "r1"));
+    }
+    workers[3].isOnTrial = true;
+    const auto plan = planSteps(workers, {suspect, suspect, suspect}, {});
+    ASSERT_EQ(plan.starts.size(), 1U);
+    EXPECT_NE(plan.starts[0].workers.front(), 3U);
+}
+
+TEST(PlanSteps, ASuspectPreemptsNothing)
+{
+    auto suspect = urgent(Whole, Unbounded);
+    suspect.isSuspect = true;
+    suspect.isGuaranteed = true;
+    EXPECT_TRUE(planSteps({worker("w0", "r1", 0)}, {suspect}, {runs(0, 8, One, 1.0, 2)}).stops.empty());
+}
+
 } // namespace waxwingloft::tests
--- a/tests/request/taskplacertest.cpp
+++ b/tests/request/taskplacertest.cpp
@@ -79,6 +79,16 @@
         return std::none_of(assignments.begin(), assignments.end(), [&run](const Assignment &assignment) { return assignment.run == run; });
     }
 
+    /** Replaces the executor and returns the progress that the placer then writes for the task of @p run. */
+    TaskProgress progressAfterCrash(const TaskRun &run)
+    {
+        this->report.incarnation = {"e1", 2};
+        this->report.runs.clear();
+        this->send();
+        const auto writes = this->placer.takeWrites();
+        return writes.empty() ? TaskProgress() : *findTask(valueOf(parseProgress(writes[0].value)), run.task);
+    }
+
     static constexpr auto ReportStep = Millis(100);
     ManualClock clock;
     TaskPlacer placer;
@@ -116,6 +126,57 @@
     EXPECT_TRUE(site.isStopped(run));
 }
 
+TEST(TaskPlacer, AStartThatWasNeverCarriedOutIsNoCrashUnderItsTask)
+{
+    OnePlacer site;
+    const auto run = site.startTask();
+    site.report.runs = {{run, RunPhase::Ordered, "", 0, StartEffect::NotStarted}};
+    site.send();
+    const auto task = site.progressAfterCrash(run);
+    EXPECT_EQ(task.state, TaskPhase::Waiting);
+    EXPECT_EQ(task.crashes, 0U);
+}
+
+TEST(TaskPlacer, ARunWhoseStartWasOutlivedIsNoSuspect)
+{
+    OnePlacer site;
+    const auto run = site.startTask();
+    site.report.runs = {{run, RunPhase::Running, "", 0, StartEffect::Outlived}};
+    site.send();
+    site.report.runs = {{run, RunPhase::Running, "", 0, StartEffect::Unproven}};
+    site.send();
+    const auto task = site.progressAfterCrash(run);
+    EXPECT_EQ(task.crashes, 1U);
+    EXPECT_EQ(task.startCrashes, 0U);
+}
+
+TEST(TaskPlacer, ARunThatLapsedBeforeItsExecutorWasReplacedStoodInTheCrash)
+{
+    OnePlacer site;
+    const auto run = site.startTask();
+    site.report.runs = {{run, RunPhase::Running, "", 0, StartEffect::Unproven}};
+    site.send();
+    site.report.isReachable = false;
+    site.report.runs.clear();
+    site.report.ends = {{0, run, RunEnd::Lapsed, "", RefusalReason::None}};
+    site.send();
+    site.report.ends.clear();
+    EXPECT_EQ(site.progressAfterCrash(run).startCrashes, 1U);
+}
+
+TEST(TaskPlacer, ALapseOfAnExecutorThatAnswersAgainIsNoCrash)
+{
+    OnePlacer site;
+    const auto run = site.startTask();
+    site.report.isReachable = false;
+    site.report.ends = {{0, run, RunEnd::Lapsed, "", RefusalReason::None}};
+    site.send();
+    site.report.isReachable = true;
+    site.report.ends.clear();
+    site.send();
+    EXPECT_EQ(site.progressAfterCrash(run).crashes, 0U);
+}
+
 TEST(TaskPlacer, AGangCancelledBeforeItIsSentEndsAsAWhole)
 {
     OnePlacer site;
