agent: Fence a new incarnation of the same id at its first answer

A task that was done could run again: a start without an answer was carried out after its executor had started again under the same id. The new incarnation knows no fencing token, and the agent drew a new generation only when the incarnation's heartbeat had come, up to a heartbeat interval later, although its answers to the list polls had named their start all the while.

The agent now draws a new generation at the first answer of an unknown incarnation, so that its next poll fences late orders off.

What remains open is the time until that poll. A start names its executor's id, the run, a fencing token and the end of a lease on the executor's clock. The id is the same, the new incarnation remembers neither runs nor tokens, and its clock starts anew, so that an end on the previous clock lies ahead and is shortened to the longest lease. Nothing of this lets it refuse.

Evidence: without the new condition AStartForAnEarlierIncarnationOfTheSameId- RunsNothingTwice and AnUnknownIncarnationOfTheSameIdIsFencedBeforeItsHeart- beat (a late start 500 ms after the restart) fail; both pass now.

--- a/include/waxwingloft/request/executorcontroller.h
+++ b/include/waxwingloft/request/executorcontroller.h
@@ -55,7 +55,7 @@
     /** Whether an executor that left or is unresponsive has runs whose end the placer has not confirmed. */
     bool hasUnconfirmedEnds() const;
 
-    /** Whether a new generation is needed: at the start, and when the executor restarted under the same id. */
+    /** Whether a new generation is needed: at the start, and at the first answer of an executor that restarted under the same id. */
     bool needsGeneration() const;
 
     /**
@@ -135,6 +135,8 @@
 
     mutable std::mutex mutex;
     std::uint64_t generation = 0;
+    std::optional<std::int64_t> unknownStart; ///< of an incarnation under the same id that answered before its heartbeat came
+    bool isFenceDue = false; ///< that incarnation needs a higher fencing token than late orders to the previous one carry
     std::uint64_t reportSequence = 0;
     std::uint64_t changeCount = 0;
     std::optional<ExecutorHeartbeat> latest; ///< of the incarnation in use
--- a/src/request/executorcontroller.cpp
+++ b/src/request/executorcontroller.cpp
@@ -22,6 +22,7 @@
     {
         const std::lock_guard<std::mutex> guard(this->mutex);
         this->generation = generation;
+        this->isFenceDue = false;
         if (epoch > this->highestEpoch) {
             this->highestEpoch = epoch;
             this->syncSequence = 0;
@@ -448,6 +449,11 @@
             const bool isOfAnother = startedAt && *startedAt != poll.incarnation.startedAt;
             if (isOfAnother) {
                 this->log.warn("Another incarnation of the executor answered; waiting for its heartbeat.", {{"executor", poll.incarnation.id}});
+                // Until it knows a higher token it carries out late orders to the previous incarnation, and its heartbeat may be long in coming.
+                const bool isNew = this->unknownStart != startedAt;
+                this->unknownStart = startedAt;
+                this->isFenceDue = this->isFenceDue || isNew;
+                this->changeCount += isNew ? 1 : 0;
             }
             isApplied = succeeded(answer) && !isOfAnother;
             if (isApplied) {
@@ -672,7 +678,7 @@
 bool ExecutorController::needsGeneration() const
 {
     const std::lock_guard<std::mutex> guard(this->mutex);
-    return this->generation == 0;
+    return this->generation == 0 || this->isFenceDue;
 }
 
 std::uint64_t ExecutorController::changes() const
--- a/tests/request/jobsitetest.cpp
+++ b/tests/request/jobsitetest.cpp
@@ -340,7 +340,7 @@
     expectNoViolations(site);
 }
 
-// Open: an order for an earlier incarnation reaches the next one under the same id before that one knows a fencing token.
+// An order for an earlier incarnation reached the next one under the same id before that one knew a fencing token.
 TEST(JobSite, AStartForAnEarlierIncarnationOfTheSameIdRunsNothingTwice)
 {
     JobSite site(1);
@@ -504,6 +504,44 @@
     expectNoViolations(site);
 }
 
+/** Restarts the executor under its id after its task was done, so that the task's late start arrives @p later than that; heartbeats follow after 1.5 s. */
+void restartBeforeALateStart(JobSite &site, Millis later)
+{
+    constexpr auto LateBy = Millis(8000);
+    auto &agent = site.agents[0];
+    agent.executor->lateCallsSurviveRestart = true;
+    agent.executor->lateBy = LateBy;
+    std::optional<Instant> sentAt;
+    agent.executor->drawFate = [&site, &sentAt] {
+        const bool isFirst = !sentAt;
+        sentAt = sentAt.value_or(site.clock.now());
+        return isFirst ? OrderFate::Delayed : OrderFate::Answered;
+    };
+    const auto job = site.submit(oneStep(1, Whole));
+    ASSERT_EQ(site.finish(job, Millis(5000)), JobPhase::Completed);
+    site.advance(std::chrono::duration_cast<Millis>(*sentAt + LateBy - later - site.clock.now()));
+    agent.executor->drawFate = nullptr;
+    agent.nextHeartbeat = site.clock.now() + Millis(1500);
+    agent.executor->restart();
+    site.advance(Millis(4000));
+}
+
+// An incarnation under the same id carried out late orders to the previous one until its first heartbeat had come.
+TEST(JobSite, AnUnknownIncarnationOfTheSameIdIsFencedBeforeItsHeartbeat)
+{
+    JobSite site(1);
+    restartBeforeALateStart(site, Millis(500));
+    expectNoViolations(site);
+}
+
+// Open: nothing that the new incarnation knows tells an order to the previous one from an order to it, until its agent's next poll.
+TEST(JobSite, AStartThatReachesANewIncarnationOfTheSameIdBeforeItsAgentRunsNothingTwice)
+{
+    JobSite site(1);
+    restartBeforeALateStart(site, Millis(20));
+    expectNoViolations(site);
+}
+
 // After a step back of the time of day a late heartbeat of the previous incarnation passed for a newer one.
 TEST(JobSite, ALateHeartbeatFromBeforeAStepBackStopsNothing)
 {
