tests: Let the HTTP fakes listen before they can be stopped

PlatformExecutorTest.AnAbsentExecutorDidNothing and PlatformStoreTest.AnAbsentStoreHadNoEffect hung now and then: neither calls its fake, so the fake could be stopped before its thread began to listen, and the library ignores such a stop.

The fakes wait as the listener does.

--- a/tests/platform/fakestore.h
+++ b/tests/platform/fakestore.h
@@ -3,6 +3,7 @@
 
 #include <atomic>
 #include <httplib.h>
+#include <latch>
 #include <map>
 #include <mutex>
 #include <nlohmann/json.hpp>
@@ -28,8 +29,13 @@
         this->server.Post("/waxwingloft/rows-tx", [this](const httplib::Request &request, httplib::Response &response) { this->transact(request, response); });
         this->server.Get("/waxwingloft/rows-get", [this](const httplib::Request &request, httplib::Response &response) { this->read(request, response); });
         this->server.Get("/waxwingloft/rows-feed", [this](const httplib::Request &request, httplib::Response &response) { this->feed(request, response); });
+        this->server.new_task_queue = [this] {
+            this->isListening.count_down();
+            return new httplib::ThreadPool(CPPHTTPLIB_THREAD_POOL_COUNT);
+        };
         this->port = this->server.bind_to_any_port("127.0.0.1");
         this->thread = std::thread([this] { this->server.listen_after_bind(); });
+        this->isListening.wait();
     }
 
     ~FakeStore()
@@ -143,6 +149,7 @@
     }
 
     httplib::Server server;
+    std::latch isListening{1}; ///< the library ignores a stop that comes earlier
     int port = 0;
     std::thread thread;
     std::mutex mutex;
--- a/tests/platform/platformexecutortest.cpp
+++ b/tests/platform/platformexecutortest.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 #include <httplib.h>
+#include <latch>
 #include <nlohmann/json.hpp>
 #include <thread>
 
@@ -22,8 +23,13 @@
             response.status = this->status;
             response.set_content(this->answer, "application/json");
         });
+        this->server.new_task_queue = [this] {
+            this->isListening.count_down();
+            return new httplib::ThreadPool(CPPHTTPLIB_THREAD_POOL_COUNT);
+        };
         this->port = this->server.bind_to_any_port("127.0.0.1");
         this->thread = std::thread([this] { this->server.listen_after_bind(); });
+        this->isListening.wait();
     }
 
     ~ScriptedExecutor()
@@ -44,6 +50,7 @@
 
 private:
     httplib::Server server;
+    std::latch isListening{1}; ///< the library ignores a stop that comes earlier
     std::thread thread;
 };
 
