tests: Give each run of RealProcessTest ports of its own

A run now takes the first block of ports whose lock file nobody holds, and its processes hold the lock until they end.

--- a/tests/process/realprocesstest.sh
+++ b/tests/process/realprocesstest.sh
@@ -5,7 +5,12 @@
 cd "$(dirname "$0")/../.."
 BIN=$1
 RUN=$(mktemp -d)
-PORT_BASE=${PORT_BASE:-17400}
+# Several runs on one host at a time must not share ports.
+for PORT_BASE in $(seq 17400 100 27300); do
+    exec {PORT_LOCK}>"${TMPDIR:-/tmp}/waxwingloft-ports-$PORT_BASE.lock"
+    if flock -n "$PORT_LOCK"; then break; fi
+    exec {PORT_LOCK}>&-
+done
 WORK_MS=1500
 . tools/deployment.sh
 trap 'stop_all; rm -rf "$RUN"' EXIT
