placer: Put no task on trial for a crash of which its leader knows nothing

A leader that reads the runs from the rows does not know whether their executors had outlived their starts. All 24 runs that were lost with the power counted as unproven, so their tasks became suspects, started on at most a quarter of the executors, and held up the other tasks of their jobs.

What was never reported to this leader is unknown now. It counts as a crash, of which five still fail the task, so that the users' bound holds through any number of changes of placer, but not as a start crash.

TaskPlacer.ARunThatWasNotReportedToThisLeaderIsNoSuspect expects no start crash where the former default counted one.

--- a/include/waxwingloft/request/crashledger.h
+++ b/include/waxwingloft/request/crashledger.h
@@ -8,6 +8,7 @@
 #include "waxwingloft/request/taskplaceroptions.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -42,7 +43,7 @@
 
 private:
     bool isLimitReached(const LiveJob &job, const TaskKey &key) const;
-    std::map<TaskRun, StartEffect> runsUnder(const LiveWorker &worker) const;
+    std::map<TaskRun, std::optional<StartEffect>> runsUnder(const LiveWorker &worker) const;
 
     std::map<JobId, LiveJob> &jobs;
     const TaskPlacerOptions &options;
--- a/include/waxwingloft/request/liveworker.h
+++ b/include/waxwingloft/request/liveworker.h
@@ -21,7 +21,7 @@
     std::optional<Instant> expectedEnd;
     std::uint32_t percent = 0;
     bool isRunning = false; ///< was reported as started by its executor
-    StartEffect startEffect = StartEffect::Unproven; ///< as last reported; stays Outlived
+    std::optional<StartEffect> startEffect; ///< as last reported to this leader, or nothing; stays Outlived
     Instant lastProgressAt; ///< when it was first reported as running or its percentage last rose
     Millis estimate = Millis(0);
     std::uint64_t omittedSince = 0; ///< sequence number of the first assignments that omit it; zero while it should run
@@ -51,7 +51,8 @@
     std::deque<PendingAck> pendingAcks;
     bool hasOrphans = false; ///< reports unassigned runs, which use capacity that is not accounted for
     std::map<TaskRun, LiveRun> runs;
-    std::map<TaskRun, StartEffect> lapsedRuns; ///< that lapsed while the executor did not answer; it may have crashed, which shows once it is back
+    std::map<TaskRun, std::optional<StartEffect>>
+        lapsedRuns; ///< that lapsed while the executor did not answer; it may have crashed, which shows once it is back
     bool needsSync = false;
 
     /** Applies the progress of runs in a report received at @p now. */
--- a/src/request/crashledger.cpp
+++ b/src/request/crashledger.cpp
@@ -38,7 +38,7 @@
 }
 
 /** Returns the runs whose start the crashed executor may have carried out. */
-std::map<TaskRun, StartEffect> CrashLedger::runsUnder(const LiveWorker &worker) const
+std::map<TaskRun, std::optional<StartEffect>> CrashLedger::runsUnder(const LiveWorker &worker) const
 {
     auto runs = worker.lapsedRuns;
     for (const auto &[run, live] : worker.runs) {
@@ -73,6 +73,7 @@
         }
         tasks.push_back(run.task);
         ++task->crashes;
+        // Of a run that was never reported to this leader nothing is known; blaming it would put all tasks on trial after a loss of power.
         task->startCrashes += startEffect == StartEffect::Unproven ? 1 : 0;
         job->second.markChanged();
         this->log.warn("An executor crashed under a task.",
@@ -80,7 +81,7 @@
                         {"task", toString(run.task)},
                         {"run", std::to_string(run.run)},
                         {"executor", worker.last.incarnation.id},
-                        {"start_effect", std::string(nameOf(startEffect))},
+                        {"start_effect", startEffect ? std::string(nameOf(*startEffect)) : "unknown"},
                         {"start_crashes", std::to_string(task->startCrashes)},
                         {"crashes", std::to_string(task->crashes)}});
     }
--- a/tests/request/taskplacertest.cpp
+++ b/tests/request/taskplacertest.cpp
@@ -177,6 +177,16 @@
     EXPECT_EQ(task.startCrashes, 0U);
 }
 
+// After a loss of power and a change of placer all tasks became suspects, and were tried one after the other.
+TEST(TaskPlacer, ARunThatWasNotReportedToThisLeaderIsNoSuspect)
+{
+    OnePlacer site;
+    const auto run = site.startTask();
+    const auto task = site.progressAfterCrash(run);
+    EXPECT_EQ(task.crashes, 1U);
+    EXPECT_EQ(task.startCrashes, 0U);
+}
+
 TEST(TaskPlacer, ARunThatLapsedBeforeItsExecutorWasReplacedStoodInTheCrash)
 {
     OnePlacer site;
