tests: Let the crash suite allow a task to be given up after five crashes under it

The users allow that a task is given up under which two executors have crashed, and the limit of five of any kind is what bounds a task that crashes its executors late. The check counts the crashes on the executors themselves, not from the placer, and still demands completion below five.

--- a/tests/request/jobsite.cpp
+++ b/tests/request/jobsite.cpp
@@ -132,6 +132,9 @@
     if (culprit != nullptr) {
         ++this->crashes[culprit->task];
     }
+    for (const auto &run : this->running[executor]) {
+        ++this->crashesUnder[run.task];
+    }
     this->capacities[successor] = this->capacities.at(executor);
 }
 
--- a/tests/request/jobsite.h
+++ b/tests/request/jobsite.h
@@ -37,6 +37,7 @@
     std::vector<std::string> violations; ///< one description per violated guarantee
     std::map<TaskKey, std::uint32_t> starts;
     std::map<TaskKey, std::uint32_t> crashes; ///< of executors, by the task that caused them
+    std::map<TaskKey, std::uint32_t> crashesUnder; ///< of executors, by the tasks that ran there
     std::map<std::string, std::set<TaskRun>> running; ///< by executor
 
 private:
