placer: Let a trial hold up no other work for long

Review of the trials, each shown by a test of the reviewer on a scratch copy: a trial on an executor that does not answer kept the suspects of all jobs waiting (12.9 s beside three idle executors), as it counted against a limit that is drawn from the usable executors only; and a suspect that fits nowhere kept all other tasks of its job from starting (20 s beside an idle executor).

Only trials on usable executors count against the limit now, and a job's other tasks wait for an open trial, not for a suspect that has found no place.

--- a/src/request/private/suspectplacement.cpp
+++ b/src/request/private/suspectplacement.cpp
@@ -18,7 +18,7 @@
     std::size_t usable = 0;
     for (const auto &worker : workers) {
         this->isOnTrial.push_back(worker.isOnTrial);
-        this->open += worker.isOnTrial ? 1 : 0;
+        this->open += worker.isOnTrial && worker.acceptsWork ? 1 : 0;
         usable += worker.acceptsWork ? 1 : 0;
     }
     this->limit = std::max<std::size_t>(1, usable / WorkersPerTrial);
--- a/src/request/taskplanner.cpp
+++ b/src/request/taskplanner.cpp
@@ -182,7 +182,7 @@
     return units;
 }
 
-/** Returns the units of a job that may start now. One suspect unit at a time starts, and the job's other tasks wait for the result. */
+/** Returns the units of a job that may start now, suspects first. */
 std::vector<TaskPlanner::Unit> TaskPlanner::unitsOf(const LiveJob &job, const Unit &base) const
 {
     std::vector<Unit> units;
@@ -194,8 +194,8 @@
             this->addUnits(job, occurrence, base, units);
         }
     }
-    const auto suspect = std::find_if(units.begin(), units.end(), [](const Unit &unit) { return unit.isSuspect; });
-    return suspect == units.end() ? units : std::vector<Unit>{*suspect};
+    std::stable_partition(units.begin(), units.end(), [](const Unit &unit) { return unit.isSuspect; });
+    return units;
 }
 
 void TaskPlanner::addUnits(const LiveJob &job, std::uint32_t occurrence, const Unit &base, std::vector<Unit> &units) const
