placer: Leave renewals their length beside calls that may be late

A renewal had only half of what the bound leaves, as a late call adds its length to the lease that it finds.

A placer that only announces its term does not raise the limit as if it had read the open calls.

--- a/include/waxwingloft/request/leasebudget.h
+++ b/include/waxwingloft/request/leasebudget.h
@@ -23,8 +23,11 @@
 class LeaseBudget
 {
 public:
-    /** Calls without an answer are carried out within @p longestLateness; no lease lasts longer than @p longestLease on this clock. */
-    LeaseBudget(Millis longestLease, Millis longestLateness);
+    /**
+     * Calls without an answer are carried out within @p longestLateness; no lease lasts longer than @p longestLease on this clock. The placer waits for
+     * @p reserve longer than for one lease.
+     */
+    LeaseBudget(Millis longestLease, Millis longestLateness, Millis reserve);
 
     /** Begins anew; leases that others have granted end by @p grantedUntil. */
     void restart(Instant grantedUntil);
@@ -62,6 +65,7 @@
 
     Millis longestLease;
     Millis longestLateness;
+    Millis reserve;
     Instant end; ///< of all runs that have begun, without the pending and the open calls
     Instant limitAt;
     Millis pending = Millis(0); ///< reserved by calls whose answer is pending
--- a/include/waxwingloft/request/leasegranter.h
+++ b/include/waxwingloft/request/leasegranter.h
@@ -47,6 +47,9 @@
     /** The same with a renewal; empty until the last one is old enough. */
     std::optional<DueLease> takeRenewal(Instant now);
 
+    /** Whether the last renewal is old enough for the next one, whether or not that may be asked for. */
+    bool isRenewalDue(Instant now) const;
+
     /** Records the answer to a call that asked for a lease. */
     template<typename Answer>
     void callEnded(const LeaseCall &call, const Result<Answer> &answer, Instant now)
--- a/src/request/executorcontroller.cpp
+++ b/src/request/executorcontroller.cpp
@@ -135,8 +135,8 @@
         const std::lock_guard<std::mutex> guard(this->mutex);
         const bool isNewTerm = sync.epoch > this->highestEpoch;
         if (sync.epoch >= this->highestEpoch) {
-            this->leases.prolongAgentLease(sentAt + sync.agentLease, this->openCallsReported);
             // A placer that only announces its term has not applied the report.
+            this->leases.prolongAgentLease(sentAt + sync.agentLease, sync.incarnation.isKnown() && this->openCallsReported);
             this->answeredEnds = sync.incarnation.isKnown() ? this->reportedEnds : this->answeredEnds;
         }
         // The new placer waits for a report that names its term.
@@ -415,7 +415,9 @@
         poll.lease = renewal->call;
     }
     const bool isStopOpen = std::any_of(this->runs.begin(), this->runs.end(), [](const auto &item) { return item.second.isStopWanted(); });
-    const auto longestWait = isStopOpen || this->hasLeft ? this->options.stopWait : this->options.pollWait;
+    // A renewal that is held back goes out with the first poll after the placer has answered.
+    const bool isRenewalHeldBack = !poll.question.leaseEnd && !this->runs.empty() && this->leases.isRenewalDue(this->clock.now());
+    const auto longestWait = isStopOpen || this->hasLeft || isRenewalHeldBack ? this->options.stopWait : this->options.pollWait;
     // A renewal is answered at once, so that one is rarely open when its executor fails; after an unanswered poll renewals wait for an answer.
     const bool isUrgent = !this->hasRunLists || poll.question.leaseEnd || this->unansweredPolls > 0;
     poll.question.wait = isUrgent ? Millis(0) : longestWait;
--- a/src/request/leasebudget.cpp
+++ b/src/request/leasebudget.cpp
@@ -4,9 +4,10 @@
 
 namespace waxwingloft {
 
-LeaseBudget::LeaseBudget(Millis longestLease, Millis longestLateness)
+LeaseBudget::LeaseBudget(Millis longestLease, Millis longestLateness, Millis reserve)
     : longestLease(longestLease)
     , longestLateness(longestLateness)
+    , reserve(reserve)
 {
 }
 
@@ -21,7 +22,7 @@
 void LeaseBudget::raise(Instant agentLeaseUntil, bool openCallsReported)
 {
     const auto lateness = openCallsReported ? this->longestLateness : Millis(0);
-    this->limitAt = std::max(this->limitAt, agentLeaseUntil + lateness + this->longestLease);
+    this->limitAt = std::max(this->limitAt, agentLeaseUntil + lateness + this->longestLease + this->reserve);
 }
 
 Millis LeaseBudget::longestNext(Instant now)
--- a/src/request/leasegranter.cpp
+++ b/src/request/leasegranter.cpp
@@ -24,7 +24,7 @@
 LeaseGranter::LeaseGranter(const ExecutorControllerOptions &options, Instant now)
     : options(options)
     , lease(onOurClock(options.lease + options.leaseReserve, options.clockDrift), options.longestLateness)
-    , budget(onOurClock(options.lease + options.leaseReserve, options.clockDrift), options.longestLateness)
+    , budget(onOurClock(options.lease + options.leaseReserve, options.clockDrift), options.longestLateness, options.lateCallReserve)
     , agentLeaseUntil(now)
     , renewedAt(now - options.renewalInterval)
 {
@@ -90,13 +90,18 @@
 
 std::optional<DueLease> LeaseGranter::takeRenewal(Instant now)
 {
-    if (!this->mayAsk(now) || now < this->renewedAt + this->options.renewalInterval) {
+    if (!this->mayAsk(now) || !this->isRenewalDue(now)) {
         return std::nullopt;
     }
     const auto length = this->budget.longestNext(now);
     return length <= this->options.renewalInterval ? std::nullopt : std::optional(this->take(length, length, now));
 }
 
+bool LeaseGranter::isRenewalDue(Instant now) const
+{
+    return now >= this->renewedAt + this->options.renewalInterval;
+}
+
 bool LeaseGranter::hasOpenCalls(Instant now)
 {
     return this->budget.hasOpenCalls(now);
--- a/src/request/taskplacer.cpp
+++ b/src/request/taskplacer.cpp
@@ -430,7 +430,7 @@
  */
 Millis TaskPlacer::runsLastAfter(Millis lateness) const
 {
-    return this->options.agentLease + lateness + this->options.longestLease + this->options.margin;
+    return this->options.agentLease + lateness + this->options.longestLease + this->options.lateCallReserve + this->options.margin;
 }
 
 /**
