--- a/tests/request/crashtest.cpp
+++ b/tests/request/crashtest.cpp
@@ -352,6 +352,112 @@
     EXPECT_EQ(valueOf(old).occurrences[0][0][0].incarnation.startedAt, 5);
 }
 
+// A trial on an executor that does not answer held up the suspects of all other jobs.
+TEST(JobSiteCrash, ATrialOnAnExecutorThatDoesNotAnswerHoldsUpNoOther)
+{
+    for (const bool isSilentAgent : {false, true}) {
+        JobSite site(4);
+        const auto first = site.submit(oneStep(1, Small));
+        const auto second = site.submit(oneStep(1, Small));
+        makeRunsLast(site, first, Millis(2000));
+        makeRunsLast(site, second, Millis(2000));
+        while (runningIn(site, first) + runningIn(site, second) < 2) {
+            site.advance(Millis(10));
+        }
+        for (auto &agent : site.agents) {
+            agent.executor->crash();
+        }
+        while (site.checker.starts[{first, 0, 0, 0}] + site.checker.starts[{second, 0, 0, 0}] < 3) {
+            site.advance(Millis(10));
+        }
+        const auto trial = site.checker.starts[{first, 0, 0, 0}] == 2 ? first : second;
+        const auto waiting = trial == first ? second : first;
+        const auto worker = firstTaskOf(site, trial).worker;
+        for (auto &agent : site.agents) {
+            if (agent.name == worker.value) {
+                agent.executor->isUnreachable = true;
+                agent.isCut = isSilentAgent;
+            }
+        }
+        const auto from = site.clock.now();
+        while (site.checker.starts[{waiting, 0, 0, 0}] < 2 && site.clock.now() - from < Millis(60'000)) {
+            site.advance(Millis(10));
+        }
+        EXPECT_LT(site.clock.now() - from, Millis(3000));
+    }
+}
+
+// A suspect that fits nowhere kept all other tasks of its job from starting.
+TEST(JobSiteCrash, AJobGoesOnWhileItsSuspectFitsNowhere)
+{
+    JobSite site(2);
+    for (auto &agent : site.agents) {
+        agent.executor->rack = agent.executor == site.agents[0].executor ? "r1-0" : "r1-1";
+    }
+    site.advance(Millis(1000));
+    auto graph = oneStep(1, Half);
+    graph.steps[0].requiredLabel = "r1-0";
+    auto other = graph.steps[0];
+    other.requiredLabel = "r1-1";
+    other.count = 2;
+    graph.steps.push_back(other);
+    graph.steps[1].needs = Small;
+    auto whole = oneStep(1, {128'000, 262'144, 8});
+    whole.steps[0].requiredLabel = "r1-1";
+    const auto blocker = site.submit(whole);
+    makeRunsLast(site, blocker, Millis(3000));
+    site.advance(Millis(300));
+    const auto job = site.submit(graph);
+    makeRunsLast(site, job, Millis(60'000));
+    while (site.checker.starts[{job, 0, 0, 0}] == 0) {
+        site.advance(Millis(10));
+    }
+    site.agents[0].executor->crash();
+    site.advance(Millis(400));
+    site.agents[0].executor->rack = "r1-7";
+    site.advance(Millis(20'000));
+    EXPECT_EQ(site.stateOf(blocker), JobPhase::Completed);
+    EXPECT_EQ(runningIn(site, job), 2U) << "20 s after the crash, with an idle executor that fits them";
+}
+
+// Open: crashes long after the start of a task that lasts have no limit.
+TEST(JobSiteCrash, APerpetualTaskThatCrashesItsExecutorsLaterIsGivenUp)
+{
+    JobSite site(5);
+    auto graph = oneStep(1, Half);
+    graph.steps[0].isPerpetual = true;
+    const auto job = site.submit(graph);
+    for (auto &agent : site.agents) {
+        agent.executor->runOf = [](const StartOrder &) {
+            FakeRun run;
+            run.endsAt = Millis(600'000);
+            run.crashesAfter = Millis(1000);
+            return run;
+        };
+    }
+    site.finish(job, Millis(60'000));
+    std::cerr << "REVW perpetual starts " << site.checker.starts[{job, 0, 0, 0}] << "\n";
+    expectNoViolations(site);
+}
+
+// Open: a crash is counted only once the executor is back, and the lease lets its task start elsewhere before.
+TEST(JobSiteCrash, ATaskWhoseExecutorsComeBackAfter20SecondsIsGivenUpInTime)
+{
+    JobSite site(12);
+    const auto job = site.submit(oneStep(1, Half));
+    for (auto &agent : site.agents) {
+        agent.executor->restartTime = Millis(20'000);
+        agent.executor->runOf = [](const StartOrder &) {
+            FakeRun run;
+            run.endsAt = Millis(20'000);
+            run.crashesAfter = Millis(300);
+            return run;
+        };
+    }
+    site.finish(job, Millis(120'000));
+    expectNoViolations(site);
+}
+
 /** Deadly tasks beside crashes without a culprit, elections, outages and cut or restarted agents: only deadly jobs may fail, and all of them must. */
 class JobSiteCrashes : public testing::TestWithParam<std::uint64_t>
 {
