--- a/tests/request/jobsitetest.cpp
+++ b/tests/request/jobsitetest.cpp
@@ -799,6 +799,38 @@
     expectNoViolations(site);
 }
 
+// Since the placer counts late calls, renewals were so short that healthy runs lapsed.
+TEST(JobSite, RunsSurviveAnAgentThatIsFrozenForThreeAndAHalfSeconds)
+{
+    for (int phase = 0; phase < 1600; phase += 100) {
+        JobSite site(1);
+        makeRunsLastFor(site, Millis(15'000));
+        const auto job = site.submit(oneStep(1, Half));
+        site.advance(Millis(9000 + phase));
+        site.agents[0].isAlive = false;
+        site.advance(Millis(3500));
+        site.agents[0].isAlive = true;
+        site.advance(Millis(4000));
+        EXPECT_EQ(site.checker.starts.at({job, 0, 0, 0}), 1U) << phase;
+    }
+}
+
+TEST(JobSite, RunsSurviveATableOutageOfNineSeconds)
+{
+    for (int phase = 0; phase < 1600; phase += 100) {
+        JobSite site(1);
+        makeRunsLast(site);
+        const auto job = site.submit(oneStep(1, Half));
+        site.advance(Millis(9000 + phase));
+        site.rows.isDown = true;
+        site.advance(Millis(9000));
+        site.rows.isDown = false;
+        site.advance(Millis(4000));
+        EXPECT_EQ(site.checker.starts.at({job, 0, 0, 0}), 1U) << phase;
+        EXPECT_EQ(runningIn(site), 1U) << phase;
+    }
+}
+
 TEST(JobSite, ActiveRunsSurviveAShortTableOutage)
 {
     JobSite site(2);
