agent: Let an absent start effect mean that nothing is proven

The wire's zero said that no start of a run had been carried out. A report of an agent of an earlier version would thereby clear each of its runs of the crash of its executor. Zero now stands for an unproven start.

--- a/include/waxwingloft/connection/taskmessages.h
+++ b/include/waxwingloft/connection/taskmessages.h
@@ -27,14 +27,14 @@
 
 /** What an agent knows of the effect that the start of a run had on its executor. */
 enum class StartEffect {
-    NotStarted, ///< no start of it can have been carried out
     Unproven, ///< it may have begun, and nothing shows that its executor outlived that
+    NotStarted, ///< no start of it can have been carried out
     Outlived, ///< its executor was live for the start period after it had begun
 };
 
 template<>
 struct NameTable<StartEffect> {
-    static constexpr std::array<std::string_view, 3> names = {"not-started", "unproven", "outlived"};
+    static constexpr std::array<std::string_view, 3> names = {"unproven", "not-started", "outlived"};
 };
 
 /** How a run ended. */
