--- a/include/waxwingloft/request/taskplaceroptions.h
+++ b/include/waxwingloft/request/taskplaceroptions.h
@@ -16,7 +16,7 @@
     Millis longestLateness = Millis(12'000); ///< after which an executor carries out a call without an answer no more; the platform's largest
     Millis lateCallReserve = Millis(2000); ///< added for silent agents, as their renewals leave it to calls that are carried out late
     Millis margin = Millis(300); ///< for rounding and the latency of an answer
-    Millis grantPeriod = Millis(4000); ///< agent leases are granted so long after the last renewal; with both leases, work survives a table outage of 12 s
+    Millis grantPeriod = Millis(4000); ///< agent leases are granted so long after the last renewal; with both leases, work survives a table outage of 9 s
     Millis settleTime = Millis(400); ///< after becoming leader, for the agents to report
     Millis maxReportAge = Millis(2000); ///< an agent whose last report is older gets no new work
     Millis refusalPause = Millis(500); ///< without new work for a worker that refused a start because it was unhealthy or full
@@ -29,8 +29,7 @@
     double slowShare = 0.4; ///< of the median speed, below which a worker counts as slow; the users' slow-downs are by factors of 4 to 6.5
     Millis minSpeedAge = Millis(1000); ///< age from which the speed of a run is derived from its progress
     WorkerHealthOptions health = {2, 3, Millis(4000), Millis(60'000)}; ///< quarantine of workers that fail what they start; such failure periods last about 6 s
-    std::uint32_t startCrashesToGiveUp =
-        3; ///< the users' rule allows no three further starts, and three others crash beside a task by chance less often than two
+    std::uint32_t startCrashesToGiveUp = 3; ///< the users' rule allows no three further starts after three crashes
     std::uint32_t crashesToGiveUp = 5; ///< of any kind; bounds what a task costs that crashes its executors long after its start
     std::size_t batchRows = 40; ///< rows per transaction; each takes one condition and one write of the 100 operations allowed
 };
