placer: Grant agent leases from the last renewal of the leadership

Cause: the election thread told the placer every half second that its leadership had been renewed just now, also when the lease was only still held. A process that was paused there, or whose table did not answer, granted agent leases for longer than a successor waits. Change: Duty tells when the last renewal that took effect was sent, and grants count from that.

--- a/include/waxwingloft/process/duty.h
+++ b/include/waxwingloft/process/duty.h
@@ -55,6 +55,9 @@
     /** Returns the epoch while the lease is held. Check again after every wait. */
     std::optional<Epoch> heldEpoch() const;
 
+    /** Returns when the last renewal that took effect was sent; nothing while the lease is not held. */
+    std::optional<Instant> renewedAt() const;
+
     /** Returns the latest known record of the duty, its own or another's. */
     std::optional<DutyRecord> lastKnown() const;
 
@@ -80,6 +83,7 @@
     std::optional<DutyRecord> seen;
     std::optional<Instant> seenUnchangedSince;
     std::optional<Instant> heldUntil;
+    Instant renewalSentAt; ///< of the last renewal that took effect
     Instant renewAt;
 };
 
--- a/src/process/duty.cpp
+++ b/src/process/duty.cpp
@@ -75,6 +75,12 @@
     return this->seen->epoch;
 }
 
+std::optional<Instant> Duty::renewedAt() const
+{
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    return this->heldUntil && this->clock.now() < *this->heldUntil ? std::optional(this->renewalSentAt) : std::nullopt;
+}
+
 std::optional<DutyRecord> Duty::lastKnown() const
 {
     const std::lock_guard<std::mutex> guard(this->mutex);
@@ -112,6 +118,7 @@
     this->seenRevision = valueOf(committed).revision;
     this->seenUnchangedSince = this->clock.now();
     this->heldUntil = sentAt + this->options.term - this->options.safety;
+    this->renewalSentAt = sentAt;
     this->renewAt = sentAt + this->options.term / 3;
     if (isNew) {
         this->events.record(EventKind::LeaseTaken, this->name, {}, "epoch " + std::to_string(record.epoch));
--- a/src/request/placerservice.cpp
+++ b/src/request/placerservice.cpp
@@ -84,13 +84,14 @@
     }
     this->election.pursue();
     const auto holder = this->election.lastKnown();
-    if (!this->election.heldEpoch()) {
+    const auto renewedAt = this->election.renewedAt();
+    if (!renewedAt) {
         if (holder && !holder->holder.isEmpty() && holder->holder != this->self) {
             this->placer.stepDown("the leader is " + holder->holder.value);
         }
         return;
     }
-    this->placer.leadershipRenewed(this->clock.now());
+    this->placer.leadershipRenewed(*renewedAt);
     if (!this->placer.isLeader() && this->becomeLeader()) {
         this->jobCache.forwardAll();
         this->planTicker->nudge();
