agent: Report how long a draining executor stays

Cause: an executor that is taken away at short notice says how long it stays; nothing read that, so its runs went on until they were lost with it. Change: the heartbeat's time becomes a time left in the agent's report; a time that cannot be read leaves the drain as it is.

--- a/include/waxwingloft/connection/executorport.h
+++ b/include/waxwingloft/connection/executorport.h
@@ -88,6 +88,7 @@
     std::string zone;
     std::string address;
     bool isDraining = false;
+    std::optional<Millis> drainTimeLeft; ///< for which it stays at least while it drains, if it says so
     Capacity capacity;
     std::vector<std::string> labels;
 };
--- a/include/waxwingloft/connection/taskmessages.h
+++ b/include/waxwingloft/connection/taskmessages.h
@@ -99,6 +99,7 @@
     std::string service;
     std::string zone;
     bool isDraining = false;
+    std::optional<Millis> drainTimeLeft; ///< for which a draining executor stays at least, if it said so
     bool isReachable = true; ///< the executor answers
     Capacity capacity;
     std::vector<std::string> labels; ///< kind and rack of the machine, among others
--- a/include/waxwingloft/request/executorcontroller.h
+++ b/include/waxwingloft/request/executorcontroller.h
@@ -140,6 +140,7 @@
     std::uint64_t reportSequence = 0;
     std::uint64_t changeCount = 0;
     std::optional<ExecutorHeartbeat> latest; ///< of the incarnation in use
+    std::optional<Instant> leavesAt; ///< while it drains: it stays until then at least
     IncarnationCandidate candidate;
     bool hasRunLists = false; ///< the run lists of this incarnation have been read
     bool hasLeft = false; ///< the incarnation in use said that it is about to end
--- a/src/connection/private/node.capnp.h
+++ b/src/connection/private/node.capnp.h
@@ -559,7 +559,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c2873ed4eee4c1a4, 6, 9)
+    CAPNP_DECLARE_STRUCT_HEADER(c2873ed4eee4c1a4, 7, 9)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -4172,6 +4172,8 @@
 
   inline  ::int64_t getBudgetLeftMs() const;
 
+  inline  ::int64_t getDrainLeftMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4288,6 +4290,9 @@
   inline  ::int64_t getBudgetLeftMs();
   inline void setBudgetLeftMs( ::int64_t value);
 
+  inline  ::int64_t getDrainLeftMs();
+  inline void setDrainLeftMs( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -9611,6 +9616,20 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int64_t AgentReport::Reader::getDrainLeftMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, -1ll);
+}
+
+inline  ::int64_t AgentReport::Builder::getDrainLeftMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, -1ll);
+}
+inline void AgentReport::Builder::setDrainLeftMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value, -1ll);
+}
+
 inline bool Assignment::Reader::hasRun() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/connection/taskcodec.cpp
+++ b/src/connection/taskcodec.cpp
@@ -133,6 +133,9 @@
     encodeList(report.ends, builder.initEnds(static_cast<unsigned>(report.ends.size())));
     builder.setOpenCalls(report.hasOpenCalls);
     builder.setBudgetLeftMs(report.budgetLeft.count());
+    if (report.drainTimeLeft) {
+        builder.setDrainLeftMs(report.drainTimeLeft->count());
+    }
 }
 
 AgentReport decode(wire::AgentReport::Reader reader)
@@ -157,6 +160,9 @@
     report.ends = decodeList<EndReport>(reader.getEnds());
     report.hasOpenCalls = reader.getOpenCalls();
     report.budgetLeft = Millis(reader.getBudgetLeftMs());
+    if (reader.getDrainLeftMs() >= 0) {
+        report.drainTimeLeft = Millis(reader.getDrainLeftMs());
+    }
     return report;
 }
 
--- a/src/request/executorcontroller.cpp
+++ b/src/request/executorcontroller.cpp
@@ -65,6 +65,7 @@
     const bool drains = !this->latest->isDraining && heartbeat.isDraining;
     const bool isChange = this->latest->isDraining != heartbeat.isDraining || this->latest->capacity != heartbeat.capacity;
     this->latest = heartbeat;
+    this->leavesAt = heartbeat.drainTimeLeft ? std::optional(this->clock.now() + *heartbeat.drainTimeLeft) : std::nullopt;
     // A deregister that does not say which incarnation it is from may be a late one of an earlier incarnation.
     this->hasLeft = this->hasLeft && heartbeat.isDraining;
     if (drains) {
@@ -97,6 +98,7 @@
     this->firstListedEnd = 0;
     this->leases.beginIncarnation(this->clock.now());
     this->latest = heartbeat;
+    this->leavesAt = heartbeat.drainTimeLeft ? std::optional(this->clock.now() + *heartbeat.drainTimeLeft) : std::nullopt;
     ++this->changeCount;
 }
 
@@ -652,6 +654,9 @@
     report.service = this->latest->service;
     report.zone = this->latest->zone;
     report.isDraining = this->latest->isDraining || this->hasLeft;
+    if (report.isDraining && this->leavesAt) {
+        report.drainTimeLeft = std::max(Millis(0), *this->leavesAt - this->clock.now());
+    }
     report.isReachable = !this->isUnresponsive();
     report.capacity = this->latest->capacity;
     report.labels = this->latest->labels;
--- a/tests/platform/parserstest.cpp
+++ b/tests/platform/parserstest.cpp
@@ -33,6 +33,10 @@
     EXPECT_EQ(valueOf(heartbeat).labels, (std::vector<std::string>{"a", "r1-3"}));
     EXPECT_FALSE(valueOf(heartbeat).isDraining);
     EXPECT_TRUE(valueOf(parseHeartbeat("i-7", replaced(Heartbeat, "\"ready\"", "\"draining\""))).isDraining);
+    EXPECT_EQ(valueOf(parseHeartbeat("i-7", replaced(Heartbeat, "\"ready\"", "\"draining\",\"remaining_ms\":6500"))).drainTimeLeft, Millis(6500));
+    const auto unreadable = parseHeartbeat("i-7", replaced(Heartbeat, "\"ready\"", "\"draining\",\"remaining_ms\":\"soon\""));
+    ASSERT_TRUE(succeeded(unreadable)) << "that it drains matters more than for how long";
+    EXPECT_EQ(valueOf(unreadable).drainTimeLeft, std::nullopt);
 }
 
 TEST(ParseHeartbeat, RefusesThoseOfAnotherWriter)
