agent: Send no start that waited until its executor drained

Cause: the drain was checked when an assignment came, not when its start was sent. Change: a due start is given up once the executor drains, as one without room is: returned if nothing of it can have been carried out, else stopped. Tests: AStartThatWaitsIsReturnedWhenItsExecutorDrains and AStartWithoutAnAnswerIsNotRepeatedWhileItsExecutorDrains; both fail without the check.

--- a/include/waxwingloft/request/agentrun.h
+++ b/include/waxwingloft/request/agentrun.h
@@ -68,9 +68,9 @@
     /** Records a refused start. Returns whether the run is over; otherwise it is to be stopped from @p now on, unless it was listed and goes on. */
     bool startRefused(RefusalReason reason, std::uint64_t nextPoll, Instant now);
 
-    /** Gives up the start that is due at @p now for lack of capacity. Returns whether the run is over; otherwise an earlier start is open and the run is to be
+    /** Gives up the start that is due at @p now, as @p reason stands against it. Returns whether the run is over; otherwise an earlier start is open and the run is to be
      * stopped. */
-    bool startHasNoRoom(Instant now);
+    bool withdrawStart(RefusalReason reason, Instant now);
 
     void stopAnswered(std::uint64_t nextPoll);
 
--- a/include/waxwingloft/request/endproof.h
+++ b/include/waxwingloft/request/endproof.h
@@ -12,7 +12,7 @@
     Unlisted, ///< its executor no longer lists it
     LeaseExpired, ///< the executor does not answer, and every lease that it can hold has expired
     ExecutorLeft, ///< the executor said that it ends, and nobody listens at its address any more
-    NeverOrdered, ///< no start was sent, as the executor drains
+    NeverOrdered, ///< no start of it can have been carried out, and the executor drains
     NoRoom, ///< no start of it can have been carried out, and the executor has no room for it
 };
 
--- a/include/waxwingloft/request/executorcontroller.h
+++ b/include/waxwingloft/request/executorcontroller.h
@@ -110,7 +110,8 @@
     bool hasEnded(const TaskRun &run) const;
     std::vector<DueOrder> collectDueOrders();
     StartFit fitOf(const AgentRun &entry, const HeldCapacity &held) const;
-    bool giveUpStart(const TaskRun &run, AgentRun &entry);
+    RefusalReason obstacleTo(const AgentRun &entry, const HeldCapacity &held) const;
+    bool giveUpStart(const TaskRun &run, AgentRun &entry, RefusalReason reason);
     void applyRefusal(AgentRun &entry, const DueOrder &order, RefusalReason refusal);
     void applyRunLists(const DueRunListQuery &poll, const RunListAnswer &answer);
     void endUnlistedRuns(const DueRunListQuery &poll, const RunListAnswer &answer);
--- a/src/request/agentrun.cpp
+++ b/src/request/agentrun.cpp
@@ -98,12 +98,12 @@
     return false;
 }
 
-bool AgentRun::startHasNoRoom(Instant now)
+bool AgentRun::withdrawStart(RefusalReason reason, Instant now)
 {
     if (!this->openStart) {
         return true;
     }
-    this->refusal = RefusalReason::NoRoom;
+    this->refusal = reason;
     this->stop(now);
     return false;
 }
--- a/src/request/executorcontroller.cpp
+++ b/src/request/executorcontroller.cpp
@@ -241,7 +241,7 @@
         return orders;
     }
     HeldCapacity held(this->runs);
-    std::vector<TaskRun> returned;
+    std::map<TaskRun, RefusalReason> returned;
     this->hasStartWithoutLease = false;
     for (auto &[run, entry] : this->runs) {
         const bool isStart = entry.isStartDue(now);
@@ -249,11 +249,14 @@
         if (!isStart && !isStop) {
             continue;
         }
-        const auto fit = isStart ? this->fitOf(entry, held) : StartFit::Fits;
-        if (fit == StartFit::Exceeds && this->giveUpStart(run, entry)) {
-            returned.push_back(run);
+        const auto obstacle = isStart ? this->obstacleTo(entry, held) : RefusalReason::None;
+        if (obstacle != RefusalReason::None) {
+            if (this->giveUpStart(run, entry, obstacle)) {
+                returned[run] = obstacle;
+            }
+            continue;
         }
-        if (fit != StartFit::Fits) {
+        if (isStart && this->fitOf(entry, held) != StartFit::Fits) {
             continue;
         }
         // Without a lease a run would have no bounded end, so a start waits for an agent lease and for a responsive executor.
@@ -271,8 +274,9 @@
                           {run, entry.startSpec(), entry.latestCheckpoint(), lease ? lease->end : Millis(0), this->fencingToken()},
                           lease ? lease->call : LeaseCall()});
     }
-    for (const auto &run : returned) {
-        this->end({0, run, RunEnd::Refused, this->runs.at(run).latestCheckpoint(), RefusalReason::NoRoom}, EndProof::NoRoom);
+    for (const auto &[run, reason] : returned) {
+        const auto proof = reason == RefusalReason::NoRoom ? EndProof::NoRoom : EndProof::NeverOrdered;
+        this->end({0, run, RunEnd::Refused, this->runs.at(run).latestCheckpoint(), reason}, proof);
     }
     return orders;
 }
@@ -285,12 +289,21 @@
     return fit == StartFit::Unknown && isOverdue ? StartFit::Exceeds : fit;
 }
 
-/** Gives up a start that does not fit. Returns whether its run is over. */
-bool ExecutorController::giveUpStart(const TaskRun &run, AgentRun &entry)
+/** Returns why the executor must not get the start of @p entry any more; None when nothing is against it. */
+RefusalReason ExecutorController::obstacleTo(const AgentRun &entry, const HeldCapacity &held) const
+{
+    if (this->latest->isDraining) {
+        return RefusalReason::Unhealthy;
+    }
+    return this->fitOf(entry, held) == StartFit::Exceeds ? RefusalReason::NoRoom : RefusalReason::None;
+}
+
+/** Gives up a start that is due. Returns whether its run is over. */
+bool ExecutorController::giveUpStart(const TaskRun &run, AgentRun &entry, RefusalReason reason)
 {
-    const bool isOver = entry.startHasNoRoom(this->clock.now());
+    const bool isOver = entry.withdrawStart(reason, this->clock.now());
     ++this->changeCount;
-    this->log.warn("An executor has no room for a run any more.",
+    this->log.warn(reason == RefusalReason::NoRoom ? "An executor has no room for a run any more." : "An executor drains before a run has started.",
                    {{"job", run.task.job.value},
                     {"task", toString(run.task)},
                     {"run", std::to_string(run.run)},
--- a/tests/request/executorcontrollertest.cpp
+++ b/tests/request/executorcontrollertest.cpp
@@ -171,6 +171,45 @@
     EXPECT_TRUE(report->isDraining);
 }
 
+// A start that waited for a lease was sent after its executor had said that it drains.
+TEST_F(ExecutorControllerTest, AStartThatWaitsIsReturnedWhenItsExecutorDrains)
+{
+    this->controller.apply(sync(1, {First}));
+    ASSERT_TRUE(this->controller.takeDueOrders().empty()) << "there is no agent lease yet";
+    this->controller.heartbeat(this->makeHeartbeat(2, true));
+    this->controller.applyAnswer(sync(2, {First}), this->clock.now());
+    EXPECT_TRUE(this->controller.takeDueOrders().empty());
+    const auto report = this->controller.report();
+    ASSERT_EQ(report->ends.size(), 1U);
+    EXPECT_EQ(report->ends[0].end, RunEnd::Refused);
+}
+
+TEST_F(ExecutorControllerTest, AStartWithoutAnAnswerIsNotRepeatedWhileItsExecutorDrains)
+{
+    this->controller.applyAnswer(sync(1, {First}), this->clock.now());
+    const auto orders = this->controller.takeDueOrders();
+    ASSERT_EQ(orders.size(), 1U);
+    this->controller.startAnswered(orders[0], makeError(ErrorKind::Ambiguous, "no answer"));
+    this->controller.heartbeat(this->makeHeartbeat(2, true));
+    this->clock.advance(Millis(1000));
+    this->controller.applyAnswer(sync(2, {First}), this->clock.now());
+    for (const auto &order : this->controller.takeDueOrders()) {
+        EXPECT_TRUE(order.isStop);
+    }
+    EXPECT_TRUE(this->controller.report()->ends.empty()) << "the start may still be carried out";
+}
+
+TEST_F(ExecutorControllerTest, ReportsHowLongADrainingExecutorStays)
+{
+    auto heartbeat = this->makeHeartbeat(2, true);
+    heartbeat.drainTimeLeft = Millis(6500);
+    this->controller.heartbeat(heartbeat);
+    this->clock.advance(Millis(1000));
+    EXPECT_EQ(this->controller.report()->drainTimeLeft, Millis(5500));
+    this->clock.advance(LongTime);
+    EXPECT_EQ(this->controller.report()->drainTimeLeft, Millis(0));
+}
+
 TEST_F(ExecutorControllerTest, AnOutOfDateHeartbeatChangesNothing)
 {
     this->controller.heartbeat(this->makeHeartbeat(5));
