placer: Send assignments to all agents at once

Cause: four threads sent the assignments, and each waited for an answer of 60 ms in the median. Change: 32 threads, and an assignment that has not been sent yet gives way to a newer one for the same agent. Ruled out: plans (8 ms), writes (49 ms), reports (below 1 ms), the agents. Test: PlacerService.SendsTheAssignmentsOfAWideGangAtOnce; fails with four threads.

--- a/include/waxwingloft/request/placerservice.h
+++ b/include/waxwingloft/request/placerservice.h
@@ -10,7 +10,9 @@
 #include "waxwingloft/request/placerdirectory.h"
 #include "waxwingloft/request/taskplacer.h"
 
+#include <map>
 #include <memory>
+#include <mutex>
 #include <string>
 
 namespace waxwingloft {
@@ -22,7 +24,7 @@
     Millis planInterval = Millis(250); ///< between plans when no event triggers one earlier
     Millis writeRetry = Millis(60); ///< pause after a write that is known to have had no effect
     Millis pushTimeout = Millis(800); ///< for assignments; lost ones are repeated in the answer to the agent's next report
-    std::size_t pushThreads = 4; ///< assignments sent concurrently
+    std::size_t pushThreads = 32; ///< assignments sent concurrently; an answer takes 60 ms across regions, one that does not come 800 ms
 };
 
 /**
@@ -67,6 +69,7 @@
     void plan();
     void writeProgress();
     void pushAssignments();
+    void push(const std::string &address);
 
     Clock &clock;
     IdSource &ids;
@@ -80,6 +83,8 @@
     const Logger log;
     Duty election;
     bool isAnnounced = false; ///< the row of this entry has been written to the placer table
+    std::mutex pushMutex;
+    std::map<std::string, AssignmentSync> queuedPushes; ///< by the agent's address; a newer one takes the place of what has not been sent yet
     std::unique_ptr<ThreadPool> pushPool;
     std::unique_ptr<Ticker> electionTicker;
     std::unique_ptr<Ticker> planTicker;
--- a/src/request/placerservice.cpp
+++ b/src/request/placerservice.cpp
@@ -162,19 +162,37 @@
 void PlacerService::pushAssignments()
 {
     for (auto &outgoing : this->placer.takeSyncs()) {
-        const bool isPosted = this->pushPool->post([this, outgoing = std::move(outgoing)] {
-            const auto reply = this->nodes.call(outgoing.address, outgoing.sync, this->options.pushTimeout);
-            if (!succeeded(reply)) {
-                this->log.warn("Assignments to " + outgoing.address
-                               + " were not acknowledged; they are repeated in the answer to its next report: " + toString(errorOf(reply)));
+        const auto address = outgoing.address;
+        {
+            const std::lock_guard<std::mutex> guard(this->pushMutex);
+            const bool isQueued = !this->queuedPushes.insert_or_assign(address, std::move(outgoing.sync)).second;
+            if (isQueued) {
+                continue;
             }
-        });
-        if (!isPosted) {
+        }
+        if (!this->pushPool->post([this, address] { this->push(address); })) {
+            const std::lock_guard<std::mutex> guard(this->pushMutex);
+            this->queuedPushes.erase(address);
             this->log.warn("The queue of outgoing assignments is full; agents get theirs in the answers to their next reports.");
         }
     }
 }
 
+/** Sends the newest assignments for the agent at @p address. */
+void PlacerService::push(const std::string &address)
+{
+    AssignmentSync sync;
+    {
+        const std::lock_guard<std::mutex> guard(this->pushMutex);
+        sync = std::move(this->queuedPushes.extract(address).mapped());
+    }
+    const auto reply = this->nodes.call(address, sync, this->options.pushTimeout);
+    if (!succeeded(reply)) {
+        this->log.warn("Assignments to " + address
+                       + " were not acknowledged; they are repeated in the answer to its next report: " + toString(errorOf(reply)));
+    }
+}
+
 void PlacerService::reset(const RowList &rows)
 {
     this->jobCache.reset(rows);
--- a/tests/request/placerservicetest.cpp
+++ b/tests/request/placerservicetest.cpp
@@ -3,8 +3,11 @@
 #include "waxwingloft/request/jobcache.h"
 #include "waxwingloft/request/placerservice.h"
 
+#include <algorithm>
 #include <atomic>
+#include <condition_variable>
 #include <gtest/gtest.h>
+#include <mutex>
 #include <thread>
 
 namespace waxwingloft::tests {
@@ -75,6 +78,40 @@
     FakeRows rows;
 };
 
+/** Answers assignments only once a number of them is under way at a time, or after a second. */
+class GatheringNodes : public NodePort
+{
+public:
+    explicit GatheringNodes(std::size_t expected)
+        : expected(expected)
+    {
+    }
+
+    Result<Message> call(const std::string & /*address*/, const Message & /*message*/, Millis /*timeout*/) override
+    {
+        std::unique_lock<std::mutex> lock(this->mutex);
+        ++this->underWay;
+        this->most = std::max(this->most, this->underWay);
+        this->changed.notify_all();
+        this->changed.wait_for(lock, std::chrono::seconds(1), [this] { return this->most >= this->expected; });
+        --this->underWay;
+        return Message(Ack{});
+    }
+
+    std::size_t mostAtOnce()
+    {
+        const std::lock_guard<std::mutex> guard(this->mutex);
+        return this->most;
+    }
+
+private:
+    const std::size_t expected;
+    std::mutex mutex;
+    std::condition_variable changed;
+    std::size_t underWay = 0;
+    std::size_t most = 0;
+};
+
 /** Delivers nothing. */
 class SilentNodes : public NodePort
 {
@@ -85,6 +122,21 @@
     }
 };
 
+/** Returns a report of agent @p index to the present term of @p placer. */
+AgentReport reportOf(const TaskPlacer &placer, std::size_t index)
+{
+    AgentReport report;
+    report.node = NodeId{"a" + std::to_string(index)};
+    report.address = report.node.value + ":1";
+    report.generation = 1;
+    report.sequence = 1;
+    report.epoch = placer.view().epoch;
+    report.incarnation = {"x" + std::to_string(index), 1};
+    report.service = "tune";
+    report.capacity = {128'000, 524'288, 8};
+    return report;
+}
+
 /** Waits in real time until @p isDone returns true. */
 void waitUntil(const std::function<bool()> &isDone)
 {
@@ -118,15 +170,45 @@
     waitUntil([&table] { return table.failedReads > 1; });
     clock.advance(placerOptions.grantPeriod - (options.lease.term - options.lease.safety) + Millis(200));
     ASSERT_TRUE(placer.isLeader());
-    AgentReport report;
-    report.node = NodeId{"a0"};
-    report.generation = 1;
-    report.sequence = 1;
-    report.epoch = placer.view().epoch;
-    report.incarnation = {"x0", 1};
-    const auto answer = placer.report(report);
+    const auto answer = placer.report(reportOf(placer, 0));
     ASSERT_TRUE(succeeded(answer));
     EXPECT_EQ(valueOf(answer).agentLease, Millis(0));
 }
 
+// Assignments waited for seconds behind those of other agents, as only four were sent at a time.
+TEST(PlacerService, SendsTheAssignmentsOfAWideGangAtOnce)
+{
+    constexpr std::size_t Members = 26; // the widest urgent gang of the users' sheets
+    SharedClock clock;
+    EventLog events(clock, "e0", 10);
+    IdSource ids(1);
+    StoppableTable table;
+    GatheringNodes nodes(Members);
+    TaskPlacer placer(clock, TaskPlacerOptions(), JobRankOptions());
+    JobCache cache(placer);
+    PlacerServiceOptions options;
+    options.electionInterval = Millis(1);
+    PlacerService service(clock, events, ids, table, nodes, NodeId{"e0"}, "e0:1", placer, cache, options);
+    service.start();
+    waitUntil([&placer] { return placer.isLeader(); });
+    for (std::size_t index = 0; index < Members; ++index) {
+        ASSERT_TRUE(succeeded(placer.report(reportOf(placer, index))));
+    }
+    clock.advance(TaskPlacerOptions().settleTime);
+    JobSubmission job;
+    job.id = JobId{"0000000000000001"};
+    job.service = "tune";
+    job.acceptedAt = clock.wallMillis();
+    job.maxAttempts = 3;
+    job.graph.steps.resize(1);
+    job.graph.steps[0].count = Members;
+    job.graph.steps[0].needs = {15'000, 61'000, 8};
+    job.graph.steps[0].isGang = true;
+    placer.submit(job);
+    service.nudge();
+    waitUntil([&nodes] { return nodes.mostAtOnce() > 0; });
+    service.stop();
+    EXPECT_EQ(nodes.mostAtOnce(), Members);
+}
+
 } // namespace waxwingloft::tests
