placer: Weigh stops and waits for urgent work in worth; move runs off executors that leave

Cause: an urgent gang waited up to 0.9 s for runs that end soon, whatever that cost it, and could then stop work of 150 core seconds, which is what two of its tasks with whole workers have done in one second. Late jobs could stop nothing. Stops were chosen by the cost of each run, which spread them over many workers without making one whole. Runs on an executor that had given notice went on until they were lost with it. A gang with data in a rack went to the fullest rack. PlannerFleet keeps free capacity by rack and in order. Runs that cannot end before their executor leaves are stopped where they fit elsewhere now. A gang goes to the rack of its data if it fits there. Tests of urgentMaxLostWork and endsSoon state their bounds in worth now, as strict as before.

--- a/bench/decisionbench.cpp
+++ b/bench/decisionbench.cpp
@@ -165,14 +165,11 @@
             const auto rack = "r1-" + std::to_string(index / 5);
             auto free = whole;
             for (int task = 0; task < 4; ++task) {
-                RunningTasks entry{
-                    {{static_cast<std::size_t>(index), 1}}, {11'000, 46'000, 1}, static_cast<double>(random() % 100), 2, 1.0, false, false, false};
-                free -= entry.needs;
-                this->running.push_back(std::move(entry));
+                this->addRun(index, {11'000, 46'000, 1}, static_cast<double>(random() % 100), 2);
+                free -= this->running.back().needs;
             }
-            RunningTasks gang{{{static_cast<std::size_t>(index), 1}}, {52'000, 150'000, 4}, static_cast<double>(random() % 1000), 1, 2.0, false, false, false};
-            free -= gang.needs;
-            this->running.push_back(std::move(gang));
+            this->addRun(index, {52'000, 150'000, 4}, static_cast<double>(random() % 1000), 1);
+            free -= this->running.back().needs;
             this->workers.push_back({NodeId{"w" + std::to_string(index)}, "tune", rack, {"a", rack}, whole, free, true, false});
         }
         for (int index = 0; index < workerCount / 2; ++index) {
@@ -185,13 +182,28 @@
             tasks.prefersOneRack = isUrgent;
             tasks.priority = isUrgent ? 0 : 2;
             tasks.rank = isUrgent ? 10.0 : 1.0;
-            tasks.maxLostWork = isUrgent ? 150.0 : 0.0;
+            tasks.mayPreempt = isUrgent;
+            tasks.worth = {4.0, 1.2, 1.5, 6.0, 0.5};
+            tasks.longestWait = 4.0;
             this->waiting.push_back(std::move(tasks));
         }
         std::stable_sort(
             this->waiting.begin(), this->waiting.end(), [](const WaitingTasks &left, const WaitingTasks &right) { return left.rank > right.rank; });
     }
 
+    void addRun(int worker, Capacity needs, double lostWork, int priority)
+    {
+        RunningTasks entry;
+        entry.parts = {{static_cast<std::size_t>(worker), 1}};
+        entry.needs = needs;
+        entry.lostWork = lostWork;
+        entry.stopCost = lostWork / 1000.0;
+        entry.job = this->running.size();
+        entry.priority = priority;
+        entry.rank = priority == 1 ? 2.0 : 1.0;
+        this->running.push_back(std::move(entry));
+    }
+
     std::vector<PlannerWorker> workers;
     std::vector<WaitingTasks> waiting;
     std::vector<RunningTasks> running;
@@ -208,7 +220,7 @@
 
 } // namespace
 
-BENCHMARK(planFullFleet)->Arg(11)->Arg(64)->Arg(300)->Unit(benchmark::kMicrosecond);
+BENCHMARK(planFullFleet)->Arg(11)->Arg(64)->Arg(300)->Arg(7500)->Unit(benchmark::kMicrosecond);
 BENCHMARK(routeAndAdmit)->ThreadRange(1, 8)->UseRealTime();
 BENCHMARK(placeOneJob)->Unit(benchmark::kMicrosecond);
 BENCHMARK(placeGangOf512)->Unit(benchmark::kMicrosecond);
--- a/include/waxwingloft/request/jobgraph.h
+++ b/include/waxwingloft/request/jobgraph.h
@@ -54,6 +54,9 @@
 /** Returns the length of the critical path: the longest chain of estimated run times through dependent steps. */
 Millis criticalPath(const JobGraph &graph);
 
+/** Returns for each step the longest chain of estimated run times of the steps that wait for it, without its own. */
+std::vector<Millis> chainsAfter(const JobGraph &graph);
+
 /** A job as an entry accepted it, with the settings of its route at that time. */
 struct JobSubmission {
     JobId id;
--- a/include/waxwingloft/request/jobrank.h
+++ b/include/waxwingloft/request/jobrank.h
@@ -4,6 +4,7 @@
 #include "waxwingloft/process/capacity.h"
 #include "waxwingloft/process/clock.h"
 #include "waxwingloft/request/jobprogress.h"
+#include "waxwingloft/request/startworth.h"
 
 #include <array>
 #include <cstdint>
@@ -20,6 +21,7 @@
     double lateShare = 0.3; ///< share of the value left to a job that ends between one and three times its objective; about the mean of the users' sheets
     double expiredShare = 0.01; ///< weight of a job that can no longer earn any value; ranks it behind all others
     double lateFactor = 3.0; ///< multiple of its objective after which a job earns nothing; the users' rules
+    double estimateError = 0.2; ///< share of its estimate by which a run is commonly longer or shorter; the users' sheets
     double coresPerAccelerator = 8.0; ///< cores that one accelerator counts as; the users' rules
 };
 
@@ -39,8 +41,11 @@
     /** Returns the rank of a job at @p wallNow (wall clock, ms); the highest rank goes first. @p fleet is the capacity of all executors. */
     double of(const JobSubmission &submission, const JobProgress &progress, const Capacity &fleet, std::int64_t wallNow) const;
 
-    /** Whether a job that starts now is expected to meet its objective. */
-    bool isInTime(const JobSubmission &submission, const JobProgress &progress, std::int64_t wallNow) const;
+    /** Returns what a job earns by the time from its acceptance to its end. */
+    StartWorth worthByEnd(const JobSubmission &submission) const;
+
+    /** Returns what a job earns by how long its waiting tasks take to start, from @p wallNow (wall clock, ms). */
+    StartWorth worthByStart(const JobSubmission &submission, const JobProgress &progress, std::int64_t wallNow) const;
 
     /** Returns @p capacity in cores, counting each accelerator as coresPerAccelerator. */
     double coresOf(const Capacity &capacity) const;
@@ -49,6 +54,8 @@
     double workOf(const JobSubmission &submission) const;
 
 private:
+    double valueOf(const JobSubmission &submission) const;
+
     struct Mean {
         double total = 0.0;
         std::uint64_t count = 0;
--- a/include/waxwingloft/request/liveworker.h
+++ b/include/waxwingloft/request/liveworker.h
@@ -26,6 +26,9 @@
     Millis estimate = Millis(0);
     std::uint64_t omittedSince = 0; ///< sequence number of the first assignments that omit it; zero while it should run
     Capacity needs;
+
+    /** Returns the seconds until it is expected to end; infinity when that is not known or was longer than @p overdueTime ago. */
+    double endsIn(Instant now, Millis overdueTime) const;
 };
 
 /** Returns a run of a step of @p job, assigned at @p now. */
@@ -38,19 +41,20 @@
     std::uint64_t change = 0;
 };
 
-/** The leading placer's view of an agent and its executor. */
-struct LiveWorker {
-    AgentReport last;
 /** A run that lapsed while its executor did not answer. */
 struct LapsedRun {
     std::optional<StartEffect> startEffect; ///< as last reported
     Instant lapsedAt;
 };
 
+/** The leading placer's view of an agent and its executor. */
+struct LiveWorker {
+    AgentReport last;
     bool isKnown = false; ///< has reported to this leader
     Instant lastReportAt;
     Instant begunRunsEndBy; ///< for an agent that falls silent
     Instant pausedUntil; ///< gets no new work until then
+    std::optional<Instant> leavesAt; ///< while its executor drains: it stays until then at least
     std::uint64_t syncSequence = 0;
     std::uint64_t seenEnds = 0;
     std::uint64_t acknowledgedEnds = 0;
--- a/include/waxwingloft/request/stepplanner.h
+++ b/include/waxwingloft/request/stepplanner.h
@@ -3,8 +3,11 @@
 
 #include "waxwingloft/process/capacity.h"
 #include "waxwingloft/process/ids.h"
+#include "waxwingloft/request/startworth.h"
 
+#include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <string>
 #include <vector>
 
@@ -37,8 +40,10 @@
     double rank = 0.0; ///< value per capacity and time used
     bool isGuaranteed = false; ///< within its workspace's guarantee; may preempt any work that is not
     std::vector<bool> avoided; ///< by worker, true where the task has failed; empty for none
-    double maxLostWork = 0.0; ///< core seconds of other work that may be lost to preemption; zero forbids it
-    bool canWait = false; ///< waits for runs that end soon rather than preempting others
+    bool mayPreempt = false; ///< work of others may be stopped for it
+    StartWorth worth; ///< of its job, by how long the start of these tasks takes; only for tasks that may preempt
+    double longestWait = 0.0; ///< seconds that runs may be waited for rather than stopping others
+    bool isMove = false; ///< tasks that still run, on an executor that leaves; their start here says that they may be stopped there
     std::uint32_t maxPerWorker = 0; ///< zero means no limit
     std::vector<std::uint32_t> present; ///< tasks of the step that each worker already runs; empty for none
 };
@@ -53,10 +58,13 @@
     std::vector<Part> parts;
     Capacity needs; ///< of one task
     double lostWork = 0.0; ///< core seconds that a stop would lose
+    double stopCost = 0.0; ///< worth of that work
+    double delayLoss = 0.0; ///< worth that their job would lose by ending later
+    std::size_t job = 0; ///< entries of one job are delayed together
     int priority = 0;
     double rank = 0.0; ///< value per capacity and time used
     bool isGuaranteed = false; ///< must not be preempted
-    bool endsSoon = false; ///< is expected to end shortly without a stop
+    double endsIn = std::numeric_limits<double>::infinity(); ///< seconds until they are expected to end without a stop
     bool isStopping = false; ///< is already being stopped; its capacity becomes free shortly
 };
 
@@ -78,7 +86,7 @@
  * @p waiting is in order of precedence. Small tasks are packed best-fit, so that whole workers and racks
  * stay free for large gangs. A gang goes to a single rack if it fits there now; one that prefers one rack waits for
  * any rack that could hold it. While at least half of the fleet is in use, a gang that does not fit reserves capacity
- * against the entries after it.
+ * against the entries after it. Work is preempted where that gains clearly more worth than it loses.
  */
 StepPlan planSteps(const std::vector<PlannerWorker> &workers, const std::vector<WaitingTasks> &waiting, const std::vector<RunningTasks> &running);
 
--- a/include/waxwingloft/request/taskplaceroptions.h
+++ b/include/waxwingloft/request/taskplaceroptions.h
@@ -20,9 +20,13 @@
     Millis settleTime = Millis(400); ///< after becoming leader, for the agents to report
     Millis maxReportAge = Millis(2000); ///< an agent whose last report is older gets no new work
     Millis refusalPause = Millis(500); ///< without new work for a worker that refused a start because it was unhealthy or full
-    double urgentMaxLostWork = 150.0; ///< core seconds that an urgent job in time may cost other work: a fifteenth of its value at the users' price
-    Millis endsSoonTime = Millis(700); ///< a run expected to end within this is waited for rather than another one preempted
-    Millis waitForEnds = Millis(900); ///< after a job arrives, for runs that end soon; leaves time for a stop and a start in the shortest reclaim bound
+    Millis endsSoonTime = Millis(700); ///< a guaranteed job waits for runs expected to end within this rather than preempting others
+    Millis waitForEnds = Millis(900); ///< after a guaranteed job arrives, for runs that end soon; leaves time for a stop and a start in the shortest reclaim bound
+    double worthPerCoreSecond = 0.001; ///< of work thrown away; the users' price, about 0.0014 of a day's worth for 1,000 core seconds
+    Millis restartWait = Millis(3000); ///< until a stopped task is expected to run again in a full fleet, as patient work has waited on the users' days
+    Millis longestWait = Millis(4000); ///< for runs that end, before a job that may preempt; twice the slack of the most urgent jobs
+    Millis overdueTime = Millis(1000); ///< after which a run that should have ended is not waited for any more
+    Millis leaveMargin = Millis(300); ///< a run must be expected to end so long before its executor leaves, or it is moved
     Millis dueMargin = Millis(100); ///< added to a due time because host clocks differ; too short for callers to notice
     Millis stallTime = Millis(3000); ///< without progress; covers two polls of 1 s by the agent, the report interval of 0.8 s and the transfer
     std::uint32_t movePercent = 50; ///< a stalled run is started elsewhere only below this progress
@@ -31,11 +35,11 @@
     WorkerHealthOptions health = {2, 3, Millis(4000), Millis(60'000)}; ///< quarantine of workers that fail what they start; such failure periods last about 6 s
     std::uint32_t startCrashesToGiveUp = 3; ///< the users' rule allows no three further starts after three crashes
     std::uint32_t crashesToGiveUp = 5; ///< of any kind; bounds what a task costs that crashes its executors long after its start
+    std::size_t silentStartsToWait = 2; ///< executors that fell silent at the start of a task, after which it waits for them: one more may be its third crash
+    Millis silentStartWait = Millis(30'000); ///< after a lapse, for the executor to come back; one that is lost for good must not hold up its task for ever
     std::size_t batchRows = 40; ///< rows per transaction; each takes one condition and one write of the 100 operations allowed
 };
 
 } // namespace waxwingloft
-    std::size_t silentStartsToWait = 2; ///< executors that fell silent at the start of a task, after which it waits for them: one more may be its third crash
-    Millis silentStartWait = Millis(30'000); ///< after a lapse, for the executor to come back; one that is lost for good must not hold up its task for ever
 
 #endif
--- a/include/waxwingloft/request/taskplanner.h
+++ b/include/waxwingloft/request/taskplanner.h
@@ -46,6 +46,7 @@
 /** Runs to stop and tasks to start. */
 struct TaskPlan {
     std::vector<PlacedRun> stops;
+    std::vector<PlacedRun> moves; ///< runs to stop because their executors leave before they can end
     std::vector<StepStart> starts;
 };
 
@@ -69,7 +70,7 @@
         std::vector<std::uint32_t> indices;
         double rank = 0.0;
         bool isGuaranteed = false;
-        bool isUrgent = false; ///< has priority zero and can still meet its objective
+        bool isUrgent = false; ///< has priority zero
         bool isSuspect = false; ///< its start is a trial
         bool isRecent = false; ///< was accepted within waitForEnds
     };
@@ -88,6 +89,16 @@
     struct RunningSet {
         std::vector<RunningTasks> tasks;
         std::vector<std::vector<PlacedRun>> runs;
+        std::vector<TaskKey> keys;
+        std::vector<double> savedShares; ///< of the work of each entry that a stop keeps
+        std::vector<const LiveJob *> jobs; ///< by RunningTasks::job
+    };
+
+    /** An entry of the step planner: the tasks of a unit, or running tasks that are to move. */
+    struct Entry {
+        WaitingTasks tasks;
+        const Unit *unit = nullptr; ///< null for a move
+        std::size_t running = 0; ///< index of what moves
     };
 
     Fleet collectFleet(const OpenTrials &trials) const;
@@ -102,13 +113,18 @@
     std::vector<bool> avoidedBy(const Unit &unit, const Fleet &fleet) const;
     std::set<JobId> guaranteedJobs() const;
     RunningSet collectRunning(const Fleet &fleet, const std::set<JobId> &guaranteed, const Ranks &ranks) const;
+    void addRun(RunningSet &running, std::size_t entry, const LiveJob &job, const TaskRun &run, const LiveRun &live) const;
+    void weighDelays(RunningSet &running) const;
+    double endOfWaiting(const LiveJob &job, const std::vector<Millis> &chains) const;
+    std::vector<Entry> collectMoves(const Fleet &fleet, const RunningSet &running) const;
+    bool isCutShort(const Fleet &fleet, const RunningTasks &tasks) const;
 
     const PlannerInput &state;
     const Instant now;
     const std::int64_t wallNow;
+    const std::set<TaskKey> ofSilentExecutors; ///< tasks that start once the executors of their last starts have answered
 };
 
 } // namespace waxwingloft
 
 #endif
-    const std::set<TaskKey> ofSilentExecutors; ///< tasks that start once the executors of their last starts have answered
--- a/src/request/jobgraph.cpp
+++ b/src/request/jobgraph.cpp
@@ -68,4 +68,15 @@
     return longest;
 }
 
+std::vector<Millis> chainsAfter(const JobGraph &graph)
+{
+    std::vector<Millis> chains(graph.steps.size(), Millis(0));
+    for (std::size_t index = graph.steps.size(); index-- > 0;) {
+        for (const auto earlier : graph.steps[index].after) {
+            chains[earlier] = std::max(chains[earlier], graph.steps[index].estimate + chains[index]);
+        }
+    }
+    return chains;
+}
+
 } // namespace waxwingloft
--- a/src/request/jobrank.cpp
+++ b/src/request/jobrank.cpp
@@ -89,20 +89,36 @@
     return work;
 }
 
-bool JobRank::isInTime(const JobSubmission &submission, const JobProgress &progress, std::int64_t wallNow) const
-{
-    const auto remaining = remainingOf(submission, progress, Capacity());
-    return secondsSince(submission.acceptedAt, wallNow) + remaining.chainSeconds <= objectiveOf(submission);
-}
-
-double JobRank::of(const JobSubmission &submission, const JobProgress &progress, const Capacity &fleet, std::int64_t wallNow) const
+/** Returns what a job earns in time, by its priority and its size. */
+double JobRank::valueOf(const JobSubmission &submission) const
 {
     const auto found = this->meanByRoute.find(submission.route);
     const double mean = found == this->meanByRoute.end() ? 0.0 : found->second.total / static_cast<double>(found->second.count);
     const double size = mean > 0.0 ? std::min(this->options.largestSize, this->workOf(submission) / mean) : 1.0;
     const auto priority = static_cast<std::size_t>(std::clamp(submission.priority, 0, static_cast<int>(this->options.valueByPriority.size()) - 1));
-    const double value = this->options.valueByPriority[priority] * (this->options.baseShare + (1.0 - this->options.baseShare) * size);
+    return this->options.valueByPriority[priority] * (this->options.baseShare + (1.0 - this->options.baseShare) * size);
+}
+
+StartWorth JobRank::worthByEnd(const JobSubmission &submission) const
+{
+    const double value = this->valueOf(submission);
+    const double objective = objectiveOf(submission);
+    const double spread = this->options.estimateError * secondsOf(criticalPath(submission.graph));
+    return {value, value * this->options.lateShare, objective, this->options.lateFactor * objective, spread};
+}
 
+StartWorth JobRank::worthByStart(const JobSubmission &submission, const JobProgress &progress, std::int64_t wallNow) const
+{
+    auto worth = this->worthByEnd(submission);
+    const auto spent = secondsSince(submission.acceptedAt, wallNow) + remainingOf(submission, progress, Capacity()).chainSeconds;
+    worth.inTimeFor -= spent;
+    worth.lateFor -= spent;
+    return worth;
+}
+
+double JobRank::of(const JobSubmission &submission, const JobProgress &progress, const Capacity &fleet, std::int64_t wallNow) const
+{
+    const double value = this->valueOf(submission);
     const auto remaining = remainingOf(submission, progress, fleet);
     const double objective = objectiveOf(submission);
     const double endsAfter = secondsSince(submission.acceptedAt, wallNow) + remaining.chainSeconds;
--- a/src/request/liveworker.cpp
+++ b/src/request/liveworker.cpp
@@ -1,6 +1,7 @@
 #include "waxwingloft/request/liveworker.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace waxwingloft {
 
@@ -25,6 +26,13 @@
     return live;
 }
 
+double LiveRun::endsIn(Instant now, Millis overdueTime) const
+{
+    const auto end = this->expectedEnd ? *this->expectedEnd : this->assignedAt + this->estimate;
+    const bool isKnown = this->isRunning && this->estimate.count() > 0 && end + overdueTime > now;
+    return isKnown ? std::max(0.0, std::chrono::duration<double>(end - now).count()) : std::numeric_limits<double>::infinity();
+}
+
 void LiveWorker::applyProgress(const AgentReport &report, Instant now)
 {
     this->hasOrphans = false;
--- a/src/request/private/demand.cpp
+++ b/src/request/private/demand.cpp
@@ -1,11 +1,33 @@
 #include "demand.h"
 
 #include <algorithm>
+#include <optional>
+#include <tuple>
 
 namespace waxwingloft {
 
 namespace {
 
+/** Returns the first worker of @p order that fits @p left tasks, or else the one that fits most. */
+std::optional<std::size_t> bestForRest(const Group &order, const Demand &demand, const std::vector<Capacity> &available, std::uint32_t left)
+{
+    std::optional<std::size_t> most;
+    std::uint32_t mostFits = 0;
+    for (const auto worker : order) {
+        const auto count = demand.fits(worker, available[worker]);
+        if (count >= left) {
+            return worker;
+        }
+        if (count > mostFits) {
+            most = worker;
+            mostFits = count;
+        }
+    }
+    return most;
+}
+
+} // namespace
+
 std::uint32_t timesIn(const Capacity &available, const Capacity &needs, std::uint32_t limit)
 {
     auto times = static_cast<std::int64_t>(limit);
@@ -20,14 +42,6 @@
     return static_cast<std::uint32_t>(times);
 }
 
-bool mayRunOn(const PlannerWorker &worker, const WaitingTasks &tasks)
-{
-    const auto &labels = worker.labels;
-    return worker.acceptsWork && worker.service == tasks.service
-        && (tasks.requiredLabel.empty() || std::find(labels.begin(), labels.end(), tasks.requiredLabel) != labels.end());
-}
-
-/** Whether the runs of a worker hold more than its capacity. Reservations alone may bring @p available below zero too. */
 bool isOverCapacity(const PlannerWorker &worker, const Capacity &available)
 {
     const auto isOver = [](std::int64_t free, std::int64_t left) { return free < 0 && left < 0; };
@@ -35,45 +49,67 @@
         || isOver(worker.free.accelerators, available.accelerators);
 }
 
-std::uint32_t limitOn(std::size_t worker, const WaitingTasks &tasks)
-{
-    if (tasks.maxPerWorker == 0) {
-        return tasks.count;
-    }
-    const auto present = tasks.present.empty() ? 0 : tasks.present[worker];
-    return std::min(tasks.count, tasks.maxPerWorker - std::min(tasks.maxPerWorker, present));
-}
-
-} // namespace
-
-Demand::Demand(const WaitingTasks &tasks, const std::vector<PlannerWorker> &workers)
+Demand::Demand(const WaitingTasks &tasks, const std::vector<PlannerWorker> &workers, const std::vector<bool> &isEligible, std::size_t shape)
     : tasks(tasks)
     , workers(workers)
+    , isEligible(isEligible)
+    , shape(shape)
     , left(tasks.count)
-    , limits(workers.size(), 0)
 {
-    for (std::size_t worker = 0; worker < workers.size(); ++worker) {
-        const bool isAvoided = !tasks.avoided.empty() && tasks.avoided[worker];
-        this->limits[worker] = !isAvoided && mayRunOn(workers[worker], tasks) ? limitOn(worker, tasks) : 0;
+}
+
+std::uint32_t Demand::limitOn(std::size_t worker) const
+{
+    const bool isAvoided = !this->tasks.avoided.empty() && this->tasks.avoided[worker];
+    if (!this->isEligible[worker] || isAvoided) {
+        return 0;
+    }
+    if (this->tasks.maxPerWorker == 0) {
+        return this->left;
     }
+    const auto placedHere = this->placed.find(worker);
+    const auto present = (this->tasks.present.empty() ? 0 : this->tasks.present[worker]) + (placedHere == this->placed.end() ? 0 : placedHere->second);
+    return std::min(this->left, this->tasks.maxPerWorker - std::min(this->tasks.maxPerWorker, present));
 }
 
 std::uint32_t Demand::fits(std::size_t worker, const Capacity &available) const
 {
-    const auto limit = std::min(this->left, this->limits[worker]);
+    const auto limit = this->limitOn(worker);
     return limit == 0 || isOverCapacity(this->workers[worker], available) ? 0 : timesIn(available, this->tasks.needs, limit);
 }
 
-bool Demand::fitsInto(const Group &group, const std::vector<Capacity> &available) const
+bool Demand::isUniform() const
+{
+    return this->tasks.avoided.empty() && this->tasks.maxPerWorker == 0;
+}
+
+void Demand::placedAt(std::size_t worker)
+{
+    --this->left;
+    if (this->tasks.maxPerWorker > 0) {
+        ++this->placed[worker];
+    }
+}
+
+std::vector<std::size_t> fillGroup(const Group &group, const Demand &demand, const std::vector<Capacity> &available)
 {
-    std::uint64_t total = 0;
-    for (const auto worker : group) {
-        total += this->fits(worker, available[worker]);
-        if (total >= this->left) {
-            return true;
+    auto order = group;
+    std::stable_sort(order.begin(), order.end(), [&demand, &available](std::size_t left, std::size_t right) {
+        return std::tuple(demand.workers[left].isSlow, available[left].accelerators, available[left].milliCores)
+            < std::tuple(demand.workers[right].isSlow, available[right].accelerators, available[right].milliCores);
+    });
+    // Prefers the fullest worker that fits all remaining tasks, which keeps the gang together.
+    std::vector<std::size_t> places;
+    while (places.size() < demand.left) {
+        const auto left = demand.left - static_cast<std::uint32_t>(places.size());
+        const auto best = bestForRest(order, demand, available, left);
+        if (!best) {
+            break;
         }
+        places.insert(places.end(), std::min(left, demand.fits(*best, available[*best])), *best);
+        std::erase(order, *best);
     }
-    return total >= this->left;
+    return places;
 }
 
 } // namespace waxwingloft
--- a/src/request/private/suspectplacement.cpp
+++ b/src/request/private/suspectplacement.cpp
@@ -32,13 +32,6 @@
     }
 }
 
-void SuspectPlacement::exclude(Demand &demand) const
-{
-    for (std::size_t worker = 0; worker < this->isOnTrial.size(); ++worker) {
-        demand.limits[worker] = this->isOnTrial[worker] ? 0 : demand.limits[worker];
-    }
-}
-
 void SuspectPlacement::othersStart(const std::vector<std::size_t> &places)
 {
     for (const auto worker : places) {
--- a/src/request/private/suspectplacement.h
+++ b/src/request/private/suspectplacement.h
@@ -15,9 +15,6 @@
 public:
     SuspectPlacement(const std::vector<PlannerWorker> &workers, const std::vector<RunningTasks> &running);
 
-    /** Keeps the tasks of @p demand off the executors on trial. */
-    void exclude(Demand &demand) const;
-
     /** Records that other tasks start at @p places. */
     void othersStart(const std::vector<std::size_t> &places);
 
--- a/src/request/taskplacer.cpp
+++ b/src/request/taskplacer.cpp
@@ -496,6 +496,14 @@
             this->stopRun(worker, run);
         }
     }
+    for (const auto &[node, run] : plan.moves) {
+        auto &worker = this->workers.at(node);
+        if (worker.runs.contains(run)) {
+            this->log.info("A run is moved, as an executor leaves before it can end.",
+                           {{"job", run.task.job.value}, {"task", toString(run.task)}, {"run", std::to_string(run.run)}, {"agent", node.value}});
+            this->stopRun(worker, run);
+        }
+    }
     for (const auto &start : plan.starts) {
         this->assign(start, now);
     }
--- a/src/request/taskplanner.cpp
+++ b/src/request/taskplanner.cpp
@@ -3,6 +3,7 @@
 #include "opentrials.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace waxwingloft {
@@ -10,7 +11,9 @@
 namespace {
 
 constexpr std::size_t MinKnownSpeeds = 3; ///< with fewer known worker speeds the median is not meaningful
+constexpr double WholePercent = 100.0;
 constexpr double RestoreSeconds = 0.1; ///< of work lost when a run resumes from the checkpoint taken at its stop; from the users' bounds
+constexpr StartWorth GuaranteedWorth = {1e6, 0.0, 5.0, 5.0, 0.0}; ///< outweighs all work, so that the cheapest is stopped at once; s of the users' bounds
 constexpr std::string_view RackLabelPrefix = "r"; ///< of labels such as "r1-3", which name the rack of a machine
 
 std::string rackOf(const std::vector<std::string> &labels)
@@ -23,12 +26,18 @@
     return {};
 }
 
+double secondsOf(Instant::duration time)
+{
+    return std::chrono::duration<double>(time).count();
+}
+
 } // namespace
 
 TaskPlanner::TaskPlanner(const PlannerInput &state, Instant now, std::int64_t wallNow)
     : state(state)
     , now(now)
     , wallNow(wallNow)
+    , ofSilentExecutors(tasksOfSilentExecutors(state.workers, state.options.silentStartsToWait, now - state.options.silentStartWait))
 {
 }
 
@@ -37,25 +46,37 @@
     TaskPlan decided;
     const auto guaranteed = this->guaranteedJobs();
     const OpenTrials trials(this->state.jobs, this->state.workers);
-    , ofSilentExecutors(tasksOfSilentExecutors(state.workers, state.options.silentStartsToWait, now - state.options.silentStartWait))
     auto fleet = this->collectFleet(trials);
     this->markSlow(fleet);
     const auto ranks = this->rankJobs(fleet);
     const auto units = this->collectUnits(guaranteed, ranks, trials);
-    if (units.empty()) {
+    const auto running = this->collectRunning(fleet, guaranteed, ranks);
+    auto entries = this->collectMoves(fleet, running);
+    for (const auto &unit : units) {
+        entries.push_back({this->waitingOf(unit, fleet), &unit, 0});
+    }
+    if (entries.empty()) {
         return decided;
     }
+    std::stable_sort(entries.begin(), entries.end(), [](const Entry &left, const Entry &right) {
+        return std::pair(left.tasks.isGuaranteed, left.tasks.rank) > std::pair(right.tasks.isGuaranteed, right.tasks.rank);
+    });
     std::vector<WaitingTasks> waiting;
-    for (const auto &unit : units) {
-        waiting.push_back(this->waitingOf(unit, fleet));
+    for (auto &entry : entries) {
+        waiting.push_back(std::move(entry.tasks));
     }
-    const auto running = this->collectRunning(fleet, guaranteed, ranks);
     const auto steps = planSteps(fleet.workers, waiting, running.tasks);
     for (const auto index : steps.stops) {
         decided.stops.insert(decided.stops.end(), running.runs[index].begin(), running.runs[index].end());
     }
     for (const auto &start : steps.starts) {
-        const auto &unit = units[start.waiting];
+        const auto &entry = entries[start.waiting];
+        if (entry.unit == nullptr) {
+            const auto &runs = running.runs[entry.running];
+            decided.moves.insert(decided.moves.end(), runs.begin(), runs.end());
+            continue;
+        }
+        const auto &unit = *entry.unit;
         StepStart begun{unit.job->submission.id, unit.occurrence, unit.step, unit.indices, {}, unit.indices.size(), unit.rank, unit.isGuaranteed};
         begun.indices.resize(start.workers.size());
         for (const auto worker : start.workers) {
@@ -173,13 +194,10 @@
         base.isGuaranteed = guaranteed.contains(id);
         base.rank = ranks.at(id);
         base.isRecent = this->now - job.knownSince < this->state.options.waitForEnds;
-        base.isUrgent = job.submission.priority == 0 && this->state.rank.isInTime(job.submission, job.progress, this->wallNow);
+        base.isUrgent = job.submission.priority == 0;
         const auto own = this->unitsOf(job, base);
         units.insert(units.end(), own.begin(), own.end());
     }
-    std::stable_sort(units.begin(), units.end(), [](const Unit &left, const Unit &right) {
-        return std::pair(left.isGuaranteed, left.rank) > std::pair(right.isGuaranteed, right.rank);
-    });
     return units;
 }
 
@@ -271,8 +289,14 @@
     waiting.rank = unit.rank;
     waiting.isGuaranteed = unit.isGuaranteed;
     waiting.avoided = this->avoidedBy(unit, fleet);
-    waiting.maxLostWork = unit.isGuaranteed ? std::numeric_limits<double>::infinity() : (unit.isUrgent ? this->state.options.urgentMaxLostWork : 0.0);
-    waiting.canWait = unit.isRecent;
+    waiting.mayPreempt = unit.isGuaranteed || unit.isUrgent;
+    if (unit.isGuaranteed) {
+        waiting.worth = GuaranteedWorth;
+        waiting.longestWait = unit.isRecent ? secondsOf(this->state.options.endsSoonTime) : 0.0;
+    } else if (unit.isUrgent) {
+        waiting.worth = this->state.rank.worthByStart(unit.job->submission, unit.job->progress, this->wallNow);
+        waiting.longestWait = secondsOf(this->state.options.longestWait);
+    }
     waiting.maxPerWorker = step.maxPerExecutor;
     if (step.maxPerExecutor > 0) {
         waiting.present.assign(fleet.workers.size(), 0);
@@ -290,43 +314,141 @@
 TaskPlanner::RunningSet TaskPlanner::collectRunning(const Fleet &fleet, const std::set<JobId> &guaranteed, const Ranks &ranks) const
 {
     RunningSet running;
-    std::map<TaskKey, std::size_t> gangs;
+    std::map<TaskKey, std::size_t> entries;
+    std::map<JobId, std::size_t> jobs;
     for (std::size_t index = 0; index < fleet.byIndex.size(); ++index) {
-        const auto &worker = *fleet.byIndex[index];
-        for (const auto &[run, live] : worker.runs) {
+        for (const auto &[run, live] : fleet.byIndex[index]->runs) {
             const auto job = this->state.jobs.find(run.task.job);
             if (job == this->state.jobs.end()) {
                 continue;
             }
             const auto &step = job->second.stepOf(run.task);
             const TaskKey unit{run.task.job, run.task.occurrence, run.task.step, step.isGang ? 0 : run.task.index};
-            const auto [entry, isNew] = gangs.emplace(unit, running.tasks.size());
+            const auto [entry, isNew] = entries.emplace(unit, running.tasks.size());
             if (isNew) {
+                const auto [place, isNewJob] = jobs.emplace(run.task.job, running.jobs.size());
+                if (isNewJob) {
+                    running.jobs.push_back(&job->second);
+                }
                 RunningTasks fresh;
                 fresh.needs = live.needs;
+                fresh.job = place->second;
+                fresh.priority = job->second.submission.priority;
+                const auto rank = ranks.find(run.task.job);
+                fresh.rank = rank == ranks.end() ? 0.0 : rank->second;
+                // A perpetual task serves its users continuously, so it is never preempted.
+                fresh.isGuaranteed = guaranteed.contains(run.task.job) || step.isPerpetual;
+                fresh.endsIn = 0.0;
                 fresh.isStopping = true;
                 running.tasks.push_back(std::move(fresh));
                 running.runs.emplace_back();
+                running.keys.push_back(unit);
+                running.savedShares.push_back(step.isCheckpointing ? 1.0 : 0.0);
             }
-            auto &tasks = running.tasks[entry->second];
-            const bool isEnding = live.isStopping || isFinal(job->second.progress.state);
-            auto lost = std::chrono::duration<double>(this->now - live.assignedAt).count();
-            lost = step.isCheckpointing ? std::min(lost, RestoreSeconds) : lost;
-            tasks.priority = job->second.submission.priority;
-            const auto rank = ranks.find(run.task.job);
-            tasks.rank = rank == ranks.end() ? 0.0 : rank->second;
-            // A perpetual task serves its users continuously, so it is never preempted.
-            tasks.isGuaranteed = guaranteed.contains(run.task.job) || step.isPerpetual;
-            tasks.endsSoon = live.expectedEnd && *live.expectedEnd - this->now < this->state.options.endsSoonTime;
-            tasks.isStopping = tasks.isStopping && isEnding;
-            tasks.lostWork += lost * this->state.rank.coresOf(live.needs);
-            tasks.parts.push_back({index, 1});
+            this->addRun(running, entry->second, job->second, run, live);
+            running.tasks[entry->second].parts.push_back({index, 1});
             running.runs[entry->second].emplace_back(fleet.workers[index].node, run);
         }
     }
+    this->weighDelays(running);
     return running;
 }
 
+void TaskPlanner::addRun(RunningSet &running, std::size_t entry, const LiveJob &job, const TaskRun &run, const LiveRun &live) const
+{
+    auto &tasks = running.tasks[entry];
+    const auto &step = job.stepOf(run.task);
+    auto lost = secondsOf(this->now - live.assignedAt);
+    lost = step.isCheckpointing ? std::min(lost, RestoreSeconds) : lost;
+    tasks.lostWork += lost * this->state.rank.coresOf(live.needs);
+    tasks.stopCost = tasks.lostWork * this->state.options.worthPerCoreSecond;
+    tasks.endsIn = step.isPerpetual ? std::numeric_limits<double>::infinity() : std::max(tasks.endsIn, live.endsIn(this->now, this->state.options.overdueTime));
+    tasks.isStopping = tasks.isStopping && (live.isStopping || isFinal(job.progress.state));
+    running.savedShares[entry] = std::min(running.savedShares[entry], static_cast<double>(live.percent) / WholePercent);
+}
+
+/** Sets for each entry what its job would lose if it were stopped and ran again later. */
+void TaskPlanner::weighDelays(RunningSet &running) const
+{
+    std::vector<std::vector<Millis>> chains;
+    std::vector<double> ends; // of the jobs as things stand, in seconds from now
+    for (const auto *const job : running.jobs) {
+        chains.push_back(chainsAfter(job->submission.graph));
+        ends.push_back(this->endOfWaiting(*job, chains.back()));
+    }
+    const auto lengthOf = [&running](std::size_t entry) { return secondsOf(running.jobs[running.tasks[entry].job]->stepOf(running.keys[entry]).estimate); };
+    const auto chainAfter = [&](std::size_t entry) { return secondsOf(chains[running.tasks[entry].job][running.keys[entry].step]); };
+    for (std::size_t entry = 0; entry < running.tasks.size(); ++entry) {
+        const auto &tasks = running.tasks[entry];
+        const auto left = std::isfinite(tasks.endsIn) ? tasks.endsIn : lengthOf(entry);
+        ends[tasks.job] = std::max(ends[tasks.job], left + chainAfter(entry));
+    }
+    for (std::size_t entry = 0; entry < running.tasks.size(); ++entry) {
+        auto &tasks = running.tasks[entry];
+        const auto &job = *running.jobs[tasks.job];
+        if (isFinal(job.progress.state)) {
+            continue;
+        }
+        const auto age = static_cast<double>(this->wallNow - job.submission.acceptedAt) / 1000.0;
+        const auto again = secondsOf(this->state.options.restartWait) + lengthOf(entry) * (1.0 - running.savedShares[entry]) + chainAfter(entry);
+        const auto worth = this->state.rank.worthByEnd(job.submission);
+        tasks.delayLoss = worth.after(age + ends[tasks.job]) - worth.after(age + std::max(ends[tasks.job], again));
+    }
+}
+
+/** Returns in how many seconds a job ends by what is waiting in it; zero when nothing waits. */
+double TaskPlanner::endOfWaiting(const LiveJob &job, const std::vector<Millis> &chains) const
+{
+    double end = 0.0;
+    for (const auto &steps : job.progress.occurrences) {
+        for (std::uint32_t step = 0; step < steps.size(); ++step) {
+            const bool isWaiting = isReady(job.submission.graph, steps, step)
+                && std::any_of(steps[step].begin(), steps[step].end(), [](const TaskProgress &task) { return task.state == TaskPhase::Waiting; });
+            if (isWaiting) {
+                end = std::max(end, secondsOf(this->state.options.restartWait + job.submission.graph.steps[step].estimate + chains[step]));
+            }
+        }
+    }
+    return end;
+}
+
+/** Whether executors of @p tasks leave before they are expected to end. */
+bool TaskPlanner::isCutShort(const Fleet &fleet, const RunningTasks &tasks) const
+{
+    return std::any_of(tasks.parts.begin(), tasks.parts.end(), [this, &fleet, &tasks](const RunningTasks::Part &part) {
+        const auto &leavesAt = fleet.byIndex[part.worker]->leavesAt;
+        return leavesAt && tasks.endsIn > secondsOf(*leavesAt - this->state.options.leaveMargin - this->now);
+    });
+}
+
+/** Returns entries for the runs whose executors leave too soon; where one fits elsewhere now, starting again there loses less than the leave. */
+std::vector<TaskPlanner::Entry> TaskPlanner::collectMoves(const Fleet &fleet, const RunningSet &running) const
+{
+    std::vector<Entry> moves;
+    for (std::size_t entry = 0; entry < running.tasks.size(); ++entry) {
+        const auto &tasks = running.tasks[entry];
+        if (tasks.isStopping || !this->isCutShort(fleet, tasks)) {
+            continue;
+        }
+        Unit unit;
+        unit.job = running.jobs[tasks.job];
+        unit.occurrence = running.keys[entry].occurrence;
+        unit.step = running.keys[entry].step;
+        unit.rank = tasks.rank;
+        // Members of a gang on executors that stay free their own capacity.
+        for (const auto &part : tasks.parts) {
+            if (fleet.byIndex[part.worker]->last.isDraining) {
+                unit.indices.push_back(running.keys[entry].index);
+            }
+        }
+        auto waiting = this->waitingOf(unit, fleet);
+        waiting.isMove = true;
+        waiting.prefersOneRack = false;
+        moves.push_back({std::move(waiting), nullptr, entry});
+    }
+    return moves;
+}
+
 /** Ranks the jobs that are not in a final state. */
 TaskPlanner::Ranks TaskPlanner::rankJobs(const Fleet &fleet) const
 {
--- a/tests/request/stepplannertest.cpp
+++ b/tests/request/stepplannertest.cpp
@@ -10,7 +10,8 @@
 
 const Capacity Whole{128'000, 262'144, 8};
 const Capacity One{16'000, 32'768, 1};
-constexpr double Unbounded = std::numeric_limits<double>::infinity();
+constexpr double Unbounded = 1e9;
+constexpr double WorthPerCoreSecond = 0.001;
 
 PlannerWorker worker(const std::string &name, const std::string &rack, std::int64_t freeAccelerators = 8)
 {
@@ -34,14 +35,18 @@
     running.parts = {{where, count}};
     running.needs = needs;
     running.lostWork = lostWork;
+    running.stopCost = lostWork * WorthPerCoreSecond;
     running.priority = priority;
     return running;
 }
 
+/** Returns a gang that is worth stopping work of others for, up to @p maxLostWork core seconds, if it starts within a second. */
 WaitingTasks urgent(Capacity needs, double maxLostWork)
 {
+    constexpr double MinGainRatio = 1.5;
     auto waiting = tasks(1, needs, true);
-    waiting.maxLostWork = maxLostWork;
+    waiting.mayPreempt = true;
+    waiting.worth = {MinGainRatio * maxLostWork * WorthPerCoreSecond, 0.0, 1.0, 1.0, 0.0};
     waiting.rank = 10.0;
     return waiting;
 }
@@ -150,7 +155,8 @@
 {
     const std::vector<PlannerWorker> workers = {worker("w0", "r1"), worker("w1", "r1", 0), worker("w2", "r1", 0)};
     auto two = tasks(2, Whole);
-    two.maxLostWork = Unbounded;
+    two.mayPreempt = true;
+    two.worth = urgent(Whole, Unbounded).worth;
     two.rank = 10.0;
     const auto plan = planSteps(workers, {two}, {runs(1, 1, Whole, 5.0, 2), runs(2, 1, Whole, 5.0, 2)});
     EXPECT_EQ(plan.starts.size(), 1U);
@@ -172,15 +178,90 @@
 {
     const std::vector<PlannerWorker> workers = {worker("w0", "r1", 0), worker("w1", "r1", 0)};
     auto ending = runs(0, 1, Whole, 400.0, 1);
-    ending.endsSoon = true;
+    ending.endsIn = 0.5;
     auto patient = urgent(Whole, Unbounded);
-    patient.canWait = true;
+    patient.longestWait = 0.7;
     EXPECT_TRUE(planSteps(workers, {patient}, {ending, runs(1, 1, Whole, 1.0, 2)}).stops.empty());
     auto stopping = runs(1, 1, Whole, 1.0, 2);
     stopping.isStopping = true;
     EXPECT_TRUE(planSteps(workers, {urgent(Whole, Unbounded)}, {runs(0, 1, Whole, 400.0, 1), stopping}).stops.empty());
 }
 
+TEST(PlanSteps, StopsNothingForAJobThatIsLateEitherWay)
+{
+    auto late = urgent(Whole, 500.0);
+    late.worth = {4.0, 1.2, -1.0, 30.0, 0.0};
+    EXPECT_TRUE(planSteps({worker("w0", "r1", 0)}, {late}, {runs(0, 1, Whole, 100.0, 2)}).stops.empty());
+    late.worth.lateFor = 5.0;
+    EXPECT_EQ(planSteps({worker("w0", "r1", 0)}, {late}, {runs(0, 1, Whole, 100.0, 2)}).stops.size(), 1U) << "it would earn nothing later";
+}
+
+TEST(PlanSteps, WaitsForAnEndOnlyWhileTheObjectiveIsKept)
+{
+    auto ending = runs(0, 1, Whole, 100.0, 1);
+    ending.endsIn = 0.9;
+    auto gang = urgent(Whole, 500.0);
+    gang.longestWait = 4.0;
+    EXPECT_TRUE(planSteps({worker("w0", "r1", 0)}, {gang}, {ending}).stops.empty());
+    gang.worth.inTimeFor = 0.5;
+    EXPECT_EQ(planSteps({worker("w0", "r1", 0)}, {gang}, {ending}).stops.size(), 1U);
+}
+
+TEST(PlanSteps, SparesTheJobThatWouldMissItsObjective)
+{
+    auto tight = runs(0, 1, Whole, 10.0, 2);
+    tight.delayLoss = 0.4;
+    tight.job = 1;
+    const std::vector<PlannerWorker> workers = {worker("w0", "r1", 0), worker("w1", "r1", 0)};
+    EXPECT_EQ(planSteps(workers, {urgent(Whole, 500.0)}, {tight, runs(1, 1, Whole, 200.0, 2)}).stops, std::vector<std::size_t>{1});
+}
+
+TEST(PlanSteps, AJobThatIsDelayedAnywayIsStoppedFurther)
+{
+    std::vector<PlannerWorker> workers;
+    std::vector<RunningTasks> running;
+    for (std::size_t index = 0; index < 4; ++index) {
+        workers.push_back(worker("w" + std::to_string(index), "r1", 0));
+        running.push_back(runs(index, 1, Whole, 100.0, 2));
+        running.back().delayLoss = 0.3;
+        running.back().job = index < 2 ? 1 : index;
+    }
+    auto pair = urgent(Whole, 600.0);
+    pair.count = 2;
+    EXPECT_EQ(planSteps(workers, {pair}, running).stops, (std::vector<std::size_t>{0, 1})) << "two tasks of one job cost one delay";
+}
+
+TEST(PlanSteps, FreesWholeWorkersRatherThanPartsOfMany)
+{
+    std::vector<PlannerWorker> workers;
+    std::vector<RunningTasks> running;
+    for (std::size_t index = 0; index < 6; ++index) {
+        workers.push_back(worker("w" + std::to_string(index), "r1", 0));
+        for (int run = 0; run < 8; ++run) {
+            running.push_back(runs(index, 1, One, 10.0 + run, 2));
+        }
+    }
+    auto pair = urgent(Whole, 500.0);
+    pair.count = 2;
+    EXPECT_EQ(planSteps(workers, {pair}, running).stops.size(), 16U);
+}
+
+TEST(PlanSteps, AGangGoesToTheRackOfItsDataIfItFitsThere)
+{
+    auto gang = tasks(2, Whole, true);
+    gang.dataRack = "r2";
+    const std::vector<PlannerWorker> workers = {worker("w0", "r1"), worker("w1", "r1"), worker("w2", "r2"), worker("w3", "r2"), worker("w4", "r2")};
+    EXPECT_EQ(planSteps(workers, {gang}, {}).starts[0].workers, (std::vector<std::size_t>{2, 3}));
+}
+
+TEST(PlanSteps, AMoveStartsWhereItFitsAndReservesNothing)
+{
+    auto move = tasks(2, Whole, true);
+    move.isMove = true;
+    EXPECT_TRUE(planSteps({worker("w0", "r1", 4)}, {move, tasks(1, One)}, {}).starts.size() == 1U) << "only the task after it fits";
+    EXPECT_EQ(planSteps({worker("w0", "r1"), worker("w1", "r1")}, {move}, {}).starts.size(), 1U);
+}
+
 TEST(PlanSteps, CapacityBeingReclaimedIsNotGivenToOthers)
 {
     const std::vector<PlannerWorker> workers = {worker("w0", "r1", 4)};
@@ -229,7 +310,8 @@
 {
     auto limited = tasks(2, One);
     limited.maxPerWorker = 1;
-    limited.maxLostWork = Unbounded;
+    limited.mayPreempt = true;
+    limited.worth = urgent(One, Unbounded).worth;
     limited.isGuaranteed = true;
     const auto plan = planSteps({worker("w0", "r1"), worker("w1", "r1", 0)}, {limited}, {runs(1, 8, One, 10.0, 2)});
     ASSERT_EQ(plan.starts.size(), 1U);
