process: Let an exception end a piece of work rather than the process

Cause: nothing caught what a posted task, a tick, an observer of the table or the handler of a message threw; one such exception ended the process with all that it did. Change: runGuarded() around each of them, with a log line that names the work; a caller whose message failed is told that its effect is not known; a follower whose observer failed reads its table anew; a fan-out does not wait for a call that threw.

--- a/include/waxwingloft/process/threadpool.h
+++ b/include/waxwingloft/process/threadpool.h
@@ -5,17 +5,18 @@
 #include <deque>
 #include <functional>
 #include <mutex>
+#include <string>
 #include <thread>
 #include <vector>
 
 namespace waxwingloft {
 
-/** A fixed number of threads that run posted tasks in order. Idle threads sleep. */
+/** A fixed number of threads that run posted tasks in order. Idle threads sleep. A task that throws ends with a log line. */
 class ThreadPool
 {
 public:
-    /** @p maxQueued bounds the tasks that wait for a thread. */
-    ThreadPool(std::size_t threads, std::size_t maxQueued);
+    /** @p name says in log lines what the tasks do; @p maxQueued bounds the tasks that wait for a thread. */
+    ThreadPool(std::string name, std::size_t threads, std::size_t maxQueued);
 
     /** Runs what is queued, then joins the threads. */
     ~ThreadPool();
@@ -32,6 +33,7 @@
 private:
     void run();
 
+    const std::string name;
     const std::size_t maxQueued;
     std::mutex mutex;
     std::condition_variable wakeUp;
--- a/include/waxwingloft/process/ticker.h
+++ b/include/waxwingloft/process/ticker.h
@@ -6,15 +6,17 @@
 #include <condition_variable>
 #include <functional>
 #include <mutex>
+#include <string>
 #include <thread>
 
 namespace waxwingloft {
 
-/** A thread that calls a function at intervals, and at once when it is nudged. Sleeps in between. */
+/** A thread that calls a function at intervals, and at once when it is nudged. Sleeps in between. A call that throws ends with a log line. */
 class Ticker
 {
 public:
-    Ticker(Millis interval, std::function<void()> task);
+    /** @p name says in log lines what the function does. */
+    Ticker(std::string name, Millis interval, std::function<void()> task);
 
     /** Stops the thread after the call in hand. */
     ~Ticker();
@@ -30,6 +32,7 @@
 private:
     void run();
 
+    const std::string name;
     const Millis interval;
     const std::function<void()> task;
     std::mutex mutex;
--- a/include/waxwingloft/request/executoragent.h
+++ b/include/waxwingloft/request/executoragent.h
@@ -68,6 +68,7 @@
     void sendOrders();
     void sendOrder(const DueOrder &order);
     void pollLoop();
+    bool pollOnce();
 
     Clock &clock;
     TableStore &table;
--- a/src/connection/nodeserver.cpp
+++ b/src/connection/nodeserver.cpp
@@ -1,6 +1,7 @@
 #include "nodeserver.h"
 
 #include "messagecodec.h"
+#include "waxwingloft/process/guard.h"
 
 #include <kj/async.h>
 
@@ -18,8 +19,8 @@
 
 MessageDispatcher::MessageDispatcher(HeaderKeeper &headers, const RpcOptions &options)
     : headers(headers)
-    , requests(options.requestThreads, options.maxQueuedMessages)
-    , control(options.controlThreads, options.maxQueuedMessages)
+    , requests("messages that wait for work", options.requestThreads, options.maxQueuedMessages)
+    , control("messages", options.controlThreads, options.maxQueuedMessages)
 {
 }
 
@@ -41,7 +42,12 @@
         return;
     }
     auto &pool = waitsForWork(message) ? this->requests : this->control;
-    const bool isPosted = pool.post([current, header, message = std::move(message), answer] { answer(current->handle(header, message)); });
+    const bool isPosted = pool.post([current, header, message = std::move(message), answer] {
+        Message reply =
+            replyWith(makeError(ErrorKind::Internal, "an unexpected error ended the handling of this message", "look for it in this process's log"));
+        runGuarded("a message of " + header.from.value, [&] { reply = current->handle(header, message); });
+        answer(std::move(reply));
+    });
     if (!isPosted) {
         answer(replyWith(makeError(ErrorKind::LimitExceeded, "this process has too many messages waiting")));
     }
--- a/src/process/daemon/agentrole.cpp
+++ b/src/process/daemon/agentrole.cpp
@@ -53,8 +53,8 @@
     {
         this->node.rpc.serve(this->service);
         this->node.startSync();
-        this->membershipTicker = std::make_unique<Ticker>(HeartbeatInterval, [this] { this->service.tickMembership(); });
-        this->gangTicker = std::make_unique<Ticker>(GangInterval, [this] { this->service.tickGangs(); });
+        this->membershipTicker = std::make_unique<Ticker>("membership", HeartbeatInterval, [this] { this->service.tickMembership(); });
+        this->gangTicker = std::make_unique<Ticker>("gangs", GangInterval, [this] { this->service.tickGangs(); });
         this->node.http.serveAnnouncements(this->service);
         this->node.http.run();
     }
--- a/src/process/daemon/entryrole.cpp
+++ b/src/process/daemon/entryrole.cpp
@@ -53,7 +53,7 @@
     explicit EntryRole(const NodeConfig &config)
         : node(config)
         , fanOut(FanOutThreads)
-        , launches(LaunchThreads, MaxQueuedLaunches)
+        , launches("launches of gangs", LaunchThreads, MaxQueuedLaunches)
         , service(contextOf(this->node, this->fanOut, this->launches), termsOf(config))
     {
     }
@@ -62,10 +62,10 @@
     {
         this->node.rpc.serve(this->service);
         this->node.startSync();
-        this->settingsTicker = std::make_unique<Ticker>(SettingsInterval, [this] { this->service.tickSettings(); });
-        this->placerTicker = std::make_unique<Ticker>(PlacerInterval, [this] { this->service.tickPlacer(); });
-        this->queueTicker = std::make_unique<Ticker>(QueueInterval, [this] { this->service.tickQueue(); });
-        this->sweepTicker = std::make_unique<Ticker>(SweepInterval, [this] { this->service.tickRowCleanup(); });
+        this->settingsTicker = std::make_unique<Ticker>("settings", SettingsInterval, [this] { this->service.tickSettings(); });
+        this->placerTicker = std::make_unique<Ticker>("the placer", PlacerInterval, [this] { this->service.tickPlacer(); });
+        this->queueTicker = std::make_unique<Ticker>("the queue", QueueInterval, [this] { this->service.tickQueue(); });
+        this->sweepTicker = std::make_unique<Ticker>("the removal of rows", SweepInterval, [this] { this->service.tickRowCleanup(); });
         this->service.setPlacerWakeUp([this] { this->placerTicker->nudge(); });
         this->node.http.serveFront(this->service);
         this->node.http.run();
--- a/src/process/daemon/jobnode.cpp
+++ b/src/process/daemon/jobnode.cpp
@@ -57,7 +57,7 @@
     TableFollowerOptions options;
     options.wait = wait;
     this->officeFollower = std::make_unique<TableFollower>(this->table, this->relay, this->clock, std::string(PlacerTable), this->office, options);
-    this->probing = std::make_unique<Ticker>(ProbeInterval, [this] { this->relay.probe(); });
+    this->probing = std::make_unique<Ticker>("probes of the table", ProbeInterval, [this] { this->relay.probe(); });
 }
 
 void JobNode::stopOffice()
--- a/src/process/daemon/node.cpp
+++ b/src/process/daemon/node.cpp
@@ -68,7 +68,7 @@
 
 void Node::startSync()
 {
-    this->syncTicker = std::make_unique<Ticker>(SyncInterval, [this] { this->sync.run(this->rpc); });
+    this->syncTicker = std::make_unique<Ticker>("the sync of settings", SyncInterval, [this] { this->sync.run(this->rpc); });
     this->sync.setWakeUp([this] { this->syncTicker->nudge(); });
 }
 
--- a/src/process/fanout.cpp
+++ b/src/process/fanout.cpp
@@ -1,5 +1,7 @@
 #include "waxwingloft/process/fanout.h"
 
+#include "waxwingloft/process/guard.h"
+
 #include <limits>
 
 namespace waxwingloft {
@@ -38,7 +40,7 @@
 } // namespace
 
 PoolFanOut::PoolFanOut(std::size_t threads)
-    : pool(threads, std::numeric_limits<std::size_t>::max())
+    : pool("calls to several processes", threads, std::numeric_limits<std::size_t>::max())
 {
 }
 
@@ -50,7 +52,8 @@
     Countdown countdown(count);
     for (std::size_t index = 0; index < count; ++index) {
         const auto run = [&call, &countdown, index] {
-            call(index);
+            // Without the countdown the caller would wait for ever.
+            runGuarded("a call to one of several processes", [&call, index] { call(index); });
             countdown.countDown();
         };
         if (!this->pool.post(run)) {
--- a/src/process/tablefollower.cpp
+++ b/src/process/tablefollower.cpp
@@ -1,5 +1,6 @@
 #include "waxwingloft/process/tablefollower.h"
 
+#include "waxwingloft/process/guard.h"
 #include "waxwingloft/process/ids.h"
 
 #include <algorithm>
@@ -41,7 +42,10 @@
 void TableFollower::run()
 {
     while (!this->isStopping.load(std::memory_order_acquire)) {
-        const bool succeeded = this->isListed ? this->follow() : this->list();
+        bool succeeded = false;
+        const bool isNormal = runGuarded("changes of table " + this->table, [this, &succeeded] { succeeded = this->isListed ? this->follow() : this->list(); });
+        // What an observer missed is in the next list.
+        this->isListed = this->isListed && isNormal;
         this->failures = succeeded ? 0 : this->failures + 1;
         if (!succeeded) {
             this->pause();
--- a/src/process/threadpool.cpp
+++ b/src/process/threadpool.cpp
@@ -1,9 +1,12 @@
 #include "waxwingloft/process/threadpool.h"
 
+#include "waxwingloft/process/guard.h"
+
 namespace waxwingloft {
 
-ThreadPool::ThreadPool(std::size_t threads, std::size_t maxQueued)
-    : maxQueued(maxQueued)
+ThreadPool::ThreadPool(std::string name, std::size_t threads, std::size_t maxQueued)
+    : name(std::move(name))
+    , maxQueued(maxQueued)
 {
     for (std::size_t index = 0; index < threads; ++index) {
         this->threads.emplace_back([this] { this->run(); });
@@ -53,7 +56,7 @@
         const auto task = std::move(this->tasks.front());
         this->tasks.pop_front();
         lock.unlock();
-        task();
+        runGuarded(this->name, task);
         lock.lock();
     }
 }
--- a/src/process/ticker.cpp
+++ b/src/process/ticker.cpp
@@ -1,9 +1,12 @@
 #include "waxwingloft/process/ticker.h"
 
+#include "waxwingloft/process/guard.h"
+
 namespace waxwingloft {
 
-Ticker::Ticker(Millis interval, std::function<void()> task)
-    : interval(interval)
+Ticker::Ticker(std::string name, Millis interval, std::function<void()> task)
+    : name(std::move(name))
+    , interval(interval)
     , task(std::move(task))
     , thread([this] { this->run(); })
 {
@@ -41,7 +44,7 @@
     while (!this->isStopping) {
         this->isNudged = false;
         lock.unlock();
-        this->task();
+        runGuarded(this->name, this->task);
         lock.lock();
         this->wakeUp.wait_for(lock, this->interval, [this] { return this->isNudged || this->isStopping; });
     }
--- a/src/request/executoragent.cpp
+++ b/src/request/executoragent.cpp
@@ -1,5 +1,7 @@
 #include "waxwingloft/request/executoragent.h"
 
+#include "waxwingloft/process/guard.h"
+
 namespace waxwingloft {
 
 namespace {
@@ -38,9 +40,9 @@
 
 void ExecutorAgent::start()
 {
-    this->orderPool = std::make_unique<ThreadPool>(this->options.orderThreads, MaxQueuedOrders);
-    this->reportTicker = std::make_unique<Ticker>(this->options.reportInterval, [this] { this->report(); });
-    this->orderTicker = std::make_unique<Ticker>(this->options.orderInterval, [this] { this->sendOrders(); });
+    this->orderPool = std::make_unique<ThreadPool>("orders to the executor", this->options.orderThreads, MaxQueuedOrders);
+    this->reportTicker = std::make_unique<Ticker>("reports to the placer", this->options.reportInterval, [this] { this->report(); });
+    this->orderTicker = std::make_unique<Ticker>("due orders", this->options.orderInterval, [this] { this->sendOrders(); });
     this->directory.setListener([this] { this->reportTicker->nudge(); });
     this->controller.setWakeUp([this] {
         this->orderTicker->nudge();
@@ -199,15 +201,8 @@
     std::unique_lock<std::mutex> lock(this->mutex);
     while (!this->isStopping) {
         lock.unlock();
-        const auto poll = this->controller.nextRunListQuery();
         bool isApplied = false;
-        if (poll) {
-            const auto answer = this->executor.pollRuns(poll->incarnation, poll->question);
-            isApplied = this->controller.runListAnswered(*poll, answer);
-            if (!succeeded(answer) && poll->isOfLeaver && this->executor.isAbsent()) {
-                this->controller.leaverIsAbsent(*poll);
-            }
-        }
+        runGuarded("polls of the executor", [this, &isApplied] { isApplied = this->pollOnce(); });
         lock.lock();
         if (!isApplied && !this->isStopping) {
             this->wakeUp.wait_for(lock, this->options.pollRetry);
@@ -215,4 +210,19 @@
     }
 }
 
+/** Returns whether the executor's lists were taken over. */
+bool ExecutorAgent::pollOnce()
+{
+    const auto poll = this->controller.nextRunListQuery();
+    if (!poll) {
+        return false;
+    }
+    const auto answer = this->executor.pollRuns(poll->incarnation, poll->question);
+    const bool isApplied = this->controller.runListAnswered(*poll, answer);
+    if (!succeeded(answer) && poll->isOfLeaver && this->executor.isAbsent()) {
+        this->controller.leaverIsAbsent(*poll);
+    }
+    return isApplied;
+}
+
 } // namespace waxwingloft
--- a/tests/connection/rpcnodetest.cpp
+++ b/tests/connection/rpcnodetest.cpp
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 #include <memory>
 #include <netinet/in.h>
+#include <stdexcept>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -38,6 +39,16 @@
     }
 };
 
+/** Throws on each message. */
+class ThrowingHandler : public MessageHandler
+{
+public:
+    Message handle(const Header & /*header*/, const Message & /*message*/) override
+    {
+        throw std::runtime_error("broken");
+    }
+};
+
 /** A listener on loopback that takes connections and never says anything. */
 class SilentListener
 {
@@ -117,6 +128,29 @@
     EXPECT_EQ(valueOf(settings).delta.teams.front().value["note"], "x");
 }
 
+TEST_F(RpcNodeTest, carriesANoticeOfARow)
+{
+    const auto notice = expectReply<RowNotice>(this->client.call(this->address(), RowNotice{{"jobs/1", std::string("\0\xff", 2), 7, "op"}}, Millis(5000)));
+    ASSERT_TRUE(succeeded(notice));
+    EXPECT_EQ(valueOf(notice).row.key, "jobs/1");
+    EXPECT_EQ(valueOf(notice).row.value, std::string("\0\xff", 2));
+    EXPECT_EQ(valueOf(notice).row.revision, 7U);
+}
+
+// An exception in the handling of one message took the whole process down.
+TEST_F(RpcNodeTest, outlivesAHandlerThatThrows)
+{
+    ThrowingHandler throwing;
+    RpcNode broken("127.0.0.1:0", this->headers, this->metrics, RpcOptions{});
+    broken.serve(throwing);
+    const auto address = "127.0.0.1:" + std::to_string(broken.port());
+    for (int call = 0; call < 2; ++call) {
+        const auto answer = expectReply<AssignmentSync>(this->client.call(address, AgentReport{}, Millis(5000)));
+        ASSERT_FALSE(succeeded(answer));
+        EXPECT_EQ(errorOf(answer).kind, ErrorKind::Internal) << "what it did is not known";
+    }
+}
+
 TEST_F(RpcNodeTest, tellsNeverSentFromNoAnswer)
 {
     EXPECT_EQ(errorOf(this->client.call("127.0.0.1:1", Ping{}, Millis(2000))).kind, ErrorKind::Unreachable);
