--- a/include/waxwingloft/request/agentrun.h
+++ b/include/waxwingloft/request/agentrun.h
@@ -68,8 +68,8 @@
     /** Records a refused start. Returns whether the run is over; otherwise it is to be stopped from @p now on, unless it was listed and goes on. */
     bool startRefused(RefusalReason reason, std::uint64_t nextPoll, Instant now);
 
-    /** Gives up the start that is due at @p now, as @p reason stands against it. Returns whether the run is over; otherwise an earlier start is open and the run is to be
-     * stopped. */
+    /** Gives up the start that is due at @p now, as @p reason stands against it. Returns whether the run is over; otherwise an earlier start is open and the
+     * run is to be stopped. */
     bool withdrawStart(RefusalReason reason, Instant now);
 
     void stopAnswered(std::uint64_t nextPoll);
--- a/tests/connection/fakeexecutor.h
+++ b/tests/connection/fakeexecutor.h
@@ -110,6 +110,9 @@
         heartbeat.zone = "vejle-a";
         heartbeat.address = "127.0.0.1:1";
         heartbeat.isDraining = this->isDraining;
+        if (this->leavesAt) {
+            heartbeat.drainTimeLeft = std::max(Millis(0), *this->leavesAt - this->clock.now());
+        }
         heartbeat.capacity = this->capacity;
         heartbeat.labels = {"a", this->rack};
         return heartbeat;
@@ -191,6 +194,7 @@
     Capacity capacity = {128'000, 262'144, 8};
     std::string rack = "r1-1";
     bool isDraining = false;
+    std::optional<Instant> leavesAt; ///< told in its heartbeats
     bool isStalled = false; ///< what runs makes no progress and does not end
     bool isUnreachable = false; ///< answers nothing
     bool hasEnded = false; ///< nobody listens at its address
--- a/tests/request/naivestepplanner.cpp
+++ b/tests/request/naivestepplanner.cpp
@@ -66,8 +66,8 @@
     std::uint32_t fits(std::size_t worker, const Capacity &available) const
     {
         const auto &view = this->workers[worker];
-        const bool hasLabel = this->tasks->requiredLabel.empty()
-            || std::find(view.labels.begin(), view.labels.end(), this->tasks->requiredLabel) != view.labels.end();
+        const bool hasLabel =
+            this->tasks->requiredLabel.empty() || std::find(view.labels.begin(), view.labels.end(), this->tasks->requiredLabel) != view.labels.end();
         const bool isAvoided = !this->tasks->avoided.empty() && this->tasks->avoided[worker];
         const auto isOver = [](std::int64_t before, std::int64_t now) { return before < 0 && now < 0; };
         if (!view.acceptsWork || view.isOnTrial || view.service != this->tasks->service || !hasLabel || isAvoided
@@ -410,7 +410,8 @@
         }
         auto order = *best;
         std::stable_sort(order.begin(), order.end(), [this](std::size_t left, std::size_t right) {
-            return std::tuple(this->free[left].accelerators, this->free[left].milliCores) > std::tuple(this->free[right].accelerators, this->free[right].milliCores);
+            return std::tuple(this->free[left].accelerators, this->free[left].milliCores)
+                > std::tuple(this->free[right].accelerators, this->free[right].milliCores);
         });
         Places places;
         for (const auto worker : order) {
