placer: Leave a job alone whose progress does not fit its steps

Cause: a progress row that could not be read counted as no progress, so that tasks that had run were started again; one with other steps than its submission was read out of bounds. Change: a new leader logs such a job with the remedy and starts nothing of it.

--- a/src/request/jobcache.cpp
+++ b/src/request/jobcache.cpp
@@ -3,6 +3,7 @@
 #include "waxwingloft/request/jobrows.h"
 
 #include <algorithm>
+#include <set>
 
 namespace waxwingloft {
 
@@ -11,10 +12,26 @@
     return isCancelled && !isFinal(progress.state) ? JobPhase::Cancelled : progress.state;
 }
 
+namespace {
+
+/** Whether @p progress has a place for each task of @p graph and no others. */
+bool matches(const JobProgress &progress, const JobGraph &graph)
+{
+    return progress.occurrences.size() == graph.occurrences
+        && std::all_of(progress.occurrences.begin(), progress.occurrences.end(), [&graph](const OccurrenceProgress &steps) {
+               return std::equal(steps.begin(), steps.end(), graph.steps.begin(), graph.steps.end(), [](const StepProgress &tasks, const JobStep &step) {
+                   return tasks.size() == step.count;
+               });
+           });
+}
+
+} // namespace
+
 std::vector<StoredJob> storedJobsOf(const RowList &rows, const Logger &log)
 {
     std::map<JobId, StoredJob> jobs;
     std::map<JobId, bool> hasSubmission;
+    std::set<JobId> damaged;
     for (const auto &row : rows.rows) {
         const auto name = parseJobKey(row.key);
         if (!name) {
@@ -38,6 +55,7 @@
             if (succeeded(progress)) {
                 job.progress = valueOf(progress);
             } else {
+                damaged.insert(name->job);
                 log.error("Row " + row.key + " skipped: " + toString(errorOf(progress)));
             }
         }
@@ -50,6 +68,11 @@
         if (job.progress.occurrences.empty()) {
             job.progress = initialProgress(job.submission.graph);
         }
+        // What has run of a job is not known without its progress, so nothing of it is started.
+        if (damaged.contains(id) || !matches(job.progress, job.submission.graph)) {
+            log.error("A job is left alone, as its progress does not fit its steps; remove its rows or upgrade this process.", {{"job", id.value}});
+            continue;
+        }
         stored.push_back(std::move(job));
     }
     return stored;
--- a/tests/request/jobservicetest.cpp
+++ b/tests/request/jobservicetest.cpp
@@ -110,6 +110,35 @@
     EXPECT_EQ(this->call(JobVerb::CountWaiting, "/a/").waiting, 1U);
 }
 
+TEST_F(JobServiceTest, TellsItsObserverOfEachRowThatItWrites)
+{
+    std::vector<std::string> keys;
+    this->jobService.setRowObserver([&keys](const Row &row) { keys.push_back(row.key); });
+    this->call(JobVerb::Submit, "/a/" + Id);
+    this->call(JobVerb::Submit, "/a/" + Id);
+    this->call(JobVerb::Cancel, "/a/" + Id);
+    EXPECT_EQ(keys, (std::vector<std::string>{submissionKey(JobId{Id}), cancellationKey(JobId{Id})}));
+}
+
+// Progress that cannot be read counted as none, so that tasks that ran were started again; one with other steps was read out of bounds.
+TEST(StoredJobs, AJobWhoseProgressDoesNotFitIsLeftAlone)
+{
+    JobSubmission job;
+    job.id = JobId{Id};
+    job.graph.steps.resize(2);
+    auto other = job.graph;
+    other.steps.resize(3);
+    const Row submission{submissionKey(job.id), encodeSubmission(job), 1, {}};
+    const auto storedWith = [&](const std::string &progress) {
+        return storedJobsOf(RowList{{submission, Row{progressKey(job.id), progress, 2, {}}}, 2}, Logger(LogPart::Placer)).size();
+    };
+    EXPECT_EQ(storedWith(encodeProgress(initialProgress(job.graph))), 1U);
+    EXPECT_EQ(storedWith(encodeProgress(initialProgress(other))), 0U);
+    EXPECT_EQ(storedWith("{\"state\":\"running\",\"tasks\":7}"), 0U);
+    EXPECT_EQ(storedWith("not a row"), 0U);
+    EXPECT_EQ(storedJobsOf(RowList{{submission}, 1}, Logger(LogPart::Placer)).size(), 1U) << "nothing has run yet";
+}
+
 TEST_F(JobServiceTest, TheSameIdAgainJoinsTheJob)
 {
     this->call(JobVerb::Submit, "/a/" + Id);
