placer: Tell the leader of a new job at once

Cause: an accepted job reached the leading placer only through the change feed of the table. Change: the entry that has written a submission or a cancellation sends the row to the leader, which takes it over if it is recent; the feed stays the authority. The leader's own accepted jobs are planned at once.

--- a/include/waxwingloft/connection/messages.h
+++ b/include/waxwingloft/connection/messages.h
@@ -253,7 +253,8 @@
                              AgentReport,
                              AssignmentSync,
                              RelayTableCall,
-                             RelayTableAnswer>;
+                             RelayTableAnswer,
+                             RowNotice>;
 
 /** Returns the index of an alternative of Message, for tables of handlers. */
 template<typename T, std::size_t Index = 0>
--- a/include/waxwingloft/connection/tablemessages.h
+++ b/include/waxwingloft/connection/tablemessages.h
@@ -36,6 +36,11 @@
     std::uint64_t revision = 0;
 };
 
+/** Tells the leading placer of a row that its sender has just written, ahead of the change feed. */
+struct RowNotice {
+    Row row;
+};
+
 } // namespace waxwingloft
 
 #endif
--- a/include/waxwingloft/request/jobservice.h
+++ b/include/waxwingloft/request/jobservice.h
@@ -48,6 +48,9 @@
                GraphParser parser,
                JobServiceOptions options);
 
+    /** Has @p observer called with each row that is written, on the thread of the call. Call before the first call is handled. */
+    void setRowObserver(std::function<void(const Row &)> observer);
+
     JobAnswer handle(const JobCall &call) override;
 
 private:
@@ -82,6 +85,7 @@
     const Published<RoutingTable> &routes;
     const GraphParser parser;
     const JobServiceOptions options;
+    std::function<void(const Row &)> rowObserver;
     const Logger log;
 };
 
--- a/include/waxwingloft/request/placerservice.h
+++ b/include/waxwingloft/request/placerservice.h
@@ -56,6 +56,9 @@
     /** Triggers a plan without waiting for the interval. */
     void nudge();
 
+    /** Tells the leading placer of a row of the job table that this process has just written, so that it need not wait for the change feed. */
+    void noticeRow(const Row &row);
+
     Message handle(const Header &header, const Message &message) override;
 
     /** Applies changes of the job table to the cache and triggers a plan. */
@@ -70,6 +73,7 @@
     void writeProgress();
     void pushAssignments();
     void push(const std::string &address);
+    bool isRecent(const Row &row) const;
 
     Clock &clock;
     IdSource &ids;
--- a/proto/node.capnp
+++ b/proto/node.capnp
@@ -105,6 +105,7 @@
     assignmentSync @24 :AssignmentSync;
     relayTableCall @25 :RelayTableCall;
     relayTableAnswer @26 :RelayTableAnswer;
+    rowNotice @27 :Row;
   }
 }
 
--- a/src/connection/messagecodec.cpp
+++ b/src/connection/messagecodec.cpp
@@ -43,6 +43,11 @@
         encode(message, this->builder.initRelayTableAnswer());
     }
 
+    void operator()(const RowNotice &message)
+    {
+        encode(message, this->builder.initRowNotice());
+    }
+
     void operator()(const AgentReport &message)
     {
         encode(message, this->builder.initAgentReport());
@@ -193,6 +198,7 @@
     [](wire::Message::Reader reader) -> Message { return decode(reader.getAssignmentSync()); },
     [](wire::Message::Reader reader) -> Message { return decode(reader.getRelayTableCall()); },
     [](wire::Message::Reader reader) -> Message { return decode(reader.getRelayTableAnswer()); },
+    [](wire::Message::Reader reader) -> Message { return codec::decodeRowNotice(reader.getRowNotice()); },
 };
 
 } // namespace
--- a/src/connection/private/node.capnp.h
+++ b/src/connection/private/node.capnp.h
@@ -720,6 +720,7 @@
     ASSIGNMENT_SYNC,
     RELAY_TABLE_CALL,
     RELAY_TABLE_ANSWER,
+    ROW_NOTICE,
   };
 
   struct _capnpPrivate {
@@ -5255,6 +5256,10 @@
   inline bool hasRelayTableAnswer() const;
   inline  ::waxwingloft::wire::RelayTableAnswer::Reader getRelayTableAnswer() const;
 
+  inline bool isRowNotice() const;
+  inline bool hasRowNotice() const;
+  inline  ::waxwingloft::wire::Row::Reader getRowNotice() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -5484,6 +5489,14 @@
   inline void adoptRelayTableAnswer(::capnp::Orphan< ::waxwingloft::wire::RelayTableAnswer>&& value);
   inline ::capnp::Orphan< ::waxwingloft::wire::RelayTableAnswer> disownRelayTableAnswer();
 
+  inline bool isRowNotice();
+  inline bool hasRowNotice();
+  inline  ::waxwingloft::wire::Row::Builder getRowNotice();
+  inline void setRowNotice( ::waxwingloft::wire::Row::Reader value);
+  inline  ::waxwingloft::wire::Row::Builder initRowNotice();
+  inline void adoptRowNotice(::capnp::Orphan< ::waxwingloft::wire::Row>&& value);
+  inline ::capnp::Orphan< ::waxwingloft::wire::Row> disownRowNotice();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -11785,6 +11798,60 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Message::Reader::isRowNotice() const {
+  return which() == Message::ROW_NOTICE;
+}
+inline bool Message::Builder::isRowNotice() {
+  return which() == Message::ROW_NOTICE;
+}
+inline bool Message::Reader::hasRowNotice() const {
+  if (which() != Message::ROW_NOTICE) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Message::Builder::hasRowNotice() {
+  if (which() != Message::ROW_NOTICE) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::waxwingloft::wire::Row::Reader Message::Reader::getRowNotice() const {
+  KJ_IREQUIRE((which() == Message::ROW_NOTICE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Row>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::waxwingloft::wire::Row::Builder Message::Builder::getRowNotice() {
+  KJ_IREQUIRE((which() == Message::ROW_NOTICE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Row>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setRowNotice( ::waxwingloft::wire::Row::Reader value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::ROW_NOTICE);
+  ::capnp::_::PointerHelpers< ::waxwingloft::wire::Row>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::waxwingloft::wire::Row::Builder Message::Builder::initRowNotice() {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::ROW_NOTICE);
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Row>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::adoptRowNotice(
+    ::capnp::Orphan< ::waxwingloft::wire::Row>&& value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::ROW_NOTICE);
+  ::capnp::_::PointerHelpers< ::waxwingloft::wire::Row>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::waxwingloft::wire::Row> Message::Builder::disownRowNotice() {
+  KJ_IREQUIRE((which() == Message::ROW_NOTICE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::waxwingloft::wire::Row>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 #if !CAPNP_LITE
 inline Node::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/src/connection/private/tablecodec.h
+++ b/src/connection/private/tablecodec.h
@@ -8,6 +8,8 @@
 
 void encode(const RelayTableCall &call, wire::RelayTableCall::Builder builder);
 RelayTableCall decode(wire::RelayTableCall::Reader reader);
+void encode(const RowNotice &notice, wire::Row::Builder builder);
+RowNotice decodeRowNotice(wire::Row::Reader reader);
 void encode(const RelayTableAnswer &answer, wire::RelayTableAnswer::Builder builder);
 RelayTableAnswer decode(wire::RelayTableAnswer::Reader reader);
 
--- a/src/connection/tablecodec.cpp
+++ b/src/connection/tablecodec.cpp
@@ -41,6 +41,20 @@
     return transaction;
 }
 
+void encode(const RowChange &change, wire::Row::Builder builder)
+{
+    builder.setKey(change.row.key);
+    builder.setValue(bytesOf(change.row.value));
+    builder.setRevision(change.row.revision);
+    builder.setOperation(change.row.operation);
+    builder.setRemoved(change.isRemoved);
+}
+
+RowChange decode(wire::Row::Reader reader)
+{
+    return {{textOf(reader.getKey()), stringOf(reader.getValue()), reader.getRevision(), textOf(reader.getOperation())}, reader.getRemoved()};
+}
+
 } // namespace
 
 void encode(const RelayTableCall &call, wire::RelayTableCall::Builder builder)
@@ -60,17 +74,22 @@
             decode(reader.getTransaction())};
 }
 
+void encode(const RowNotice &notice, wire::Row::Builder builder)
+{
+    encode(RowChange{notice.row, false}, builder);
+}
+
+RowNotice decodeRowNotice(wire::Row::Reader reader)
+{
+    return {decode(reader).row};
+}
+
 void encode(const RelayTableAnswer &answer, wire::RelayTableAnswer::Builder builder)
 {
     builder.setRevision(answer.revision);
     auto rows = builder.initRows(static_cast<unsigned>(answer.rows.size()));
     for (unsigned index = 0; index < rows.size(); ++index) {
-        const auto &change = answer.rows[index];
-        rows[index].setKey(change.row.key);
-        rows[index].setValue(bytesOf(change.row.value));
-        rows[index].setRevision(change.row.revision);
-        rows[index].setOperation(change.row.operation);
-        rows[index].setRemoved(change.isRemoved);
+        encode(answer.rows[index], rows[index]);
     }
 }
 
@@ -79,7 +98,7 @@
     RelayTableAnswer answer;
     answer.revision = reader.getRevision();
     for (const auto row : reader.getRows()) {
-        answer.rows.push_back({{textOf(row.getKey()), stringOf(row.getValue()), row.getRevision(), textOf(row.getOperation())}, row.getRemoved()});
+        answer.rows.push_back(decode(row));
     }
     return answer;
 }
--- a/src/request/jobservice.cpp
+++ b/src/request/jobservice.cpp
@@ -45,6 +45,11 @@
 {
 }
 
+void JobService::setRowObserver(std::function<void(const Row &)> observer)
+{
+    this->rowObserver = std::move(observer);
+}
+
 JobAnswer JobService::handle(const JobCall &call)
 {
     const auto startedAt = this->clock.now();
@@ -145,7 +150,11 @@
     while (true) {
         const auto committed = this->table.commit(Transaction{this->ids.next(), {{key, 0}}, {{key, value}}});
         if (succeeded(committed)) {
-            this->jobCache.applyRow(Row{key, value, valueOf(committed).revision, {}});
+            const Row row{key, value, valueOf(committed).revision, {}};
+            this->jobCache.applyRow(row);
+            if (this->rowObserver) {
+                this->rowObserver(row);
+            }
             return Done{};
         }
         if (errorOf(committed).kind == ErrorKind::Conflict) {
--- a/src/request/placerservice.cpp
+++ b/src/request/placerservice.cpp
@@ -2,11 +2,14 @@
 
 #include "waxwingloft/request/jobrows.h"
 
+#include <cstdlib>
+
 namespace waxwingloft {
 
 namespace {
 
 constexpr std::size_t MaxQueuedPushes = 10'000;
+constexpr std::int64_t LongestNoticeAgeMs = 10'000; ///< of a submission; a job's rows are kept for minutes, so no older notice brings back a removed job
 
 } // namespace
 
@@ -41,10 +44,10 @@
 
 void PlacerService::start()
 {
-    this->pushPool = std::make_unique<ThreadPool>(this->options.pushThreads, MaxQueuedPushes);
-    this->writeTicker = std::make_unique<Ticker>(this->options.planInterval, [this] { this->writeProgress(); });
-    this->planTicker = std::make_unique<Ticker>(this->options.planInterval, [this] { this->plan(); });
-    this->electionTicker = std::make_unique<Ticker>(this->options.electionInterval, [this] { this->pursueLeadership(); });
+    this->pushPool = std::make_unique<ThreadPool>("pushes of assignments", this->options.pushThreads, MaxQueuedPushes);
+    this->writeTicker = std::make_unique<Ticker>("writes of progress", this->options.planInterval, [this] { this->writeProgress(); });
+    this->planTicker = std::make_unique<Ticker>("plans", this->options.planInterval, [this] { this->plan(); });
+    this->electionTicker = std::make_unique<Ticker>("the election", this->options.electionInterval, [this] { this->pursueLeadership(); });
 }
 
 void PlacerService::stop()
@@ -188,8 +191,7 @@
     }
     const auto reply = this->nodes.call(address, sync, this->options.pushTimeout);
     if (!succeeded(reply)) {
-        this->log.warn("Assignments to " + address
-                       + " were not acknowledged; they are repeated in the answer to its next report: " + toString(errorOf(reply)));
+        this->log.warn("Assignments to " + address + " were not acknowledged; they are repeated in the answer to its next report: " + toString(errorOf(reply)));
     }
 }
 
@@ -207,11 +209,53 @@
     }
 }
 
+void PlacerService::noticeRow(const Row &row)
+{
+    const auto leader = this->election.lastKnown();
+    if (!leader || leader->holder.isEmpty()) {
+        return;
+    }
+    if (leader->holder == this->self) {
+        this->nudge();
+        return;
+    }
+    const bool isPosted = this->pushPool->post([this, row, address = leader->address] {
+        const auto reply = this->nodes.call(address, RowNotice{row}, this->options.pushTimeout);
+        if (!succeeded(reply)) {
+            this->log.info("The leading placer at " + address + " was not told of " + row.key + "; it follows the table: " + toString(errorOf(reply)));
+        }
+    });
+    if (!isPosted) {
+        this->log.info("The queue of outgoing messages is full; the leading placer finds " + row.key + " in the table.");
+    }
+}
+
+/** Whether a notice of @p row can be taken over: late ones may be of jobs that were removed meanwhile. */
+bool PlacerService::isRecent(const Row &row) const
+{
+    const auto name = parseJobKey(row.key);
+    if (!name || name->kind == JobRowKind::Progress) {
+        return false;
+    }
+    if (name->kind == JobRowKind::Cancellation) {
+        return this->jobCache.contains(name->job);
+    }
+    const auto submission = parseSubmission(row.value);
+    return succeeded(submission) && std::abs(this->clock.wallMillis() - valueOf(submission).acceptedAt) <= LongestNoticeAgeMs;
+}
+
 Message PlacerService::handle(const Header & /*header*/, const Message &message)
 {
+    if (const auto *const notice = std::get_if<RowNotice>(&message)) {
+        if (this->placer.isLeader() && this->isRecent(notice->row)) {
+            this->jobCache.applyRow(notice->row);
+            this->nudge();
+        }
+        return Ack{};
+    }
     const auto *const report = std::get_if<AgentReport>(&message);
     if (report == nullptr) {
-        return replyWith(makeError(ErrorKind::InvalidInput, "a placer accepts only reports of agents"));
+        return replyWith(makeError(ErrorKind::InvalidInput, "a placer accepts only reports of agents and notices of rows"));
     }
     auto sync = this->placer.report(*report);
     if (!succeeded(sync)) {
--- a/tests/request/placerservicetest.cpp
+++ b/tests/request/placerservicetest.cpp
@@ -1,7 +1,8 @@
+#include "waxwingloft/request/placerservice.h"
 #include "process/faketable.h"
 #include "waxwingloft/process/metrics.h"
 #include "waxwingloft/request/jobcache.h"
-#include "waxwingloft/request/placerservice.h"
+#include "waxwingloft/request/jobrows.h"
 
 #include <algorithm>
 #include <atomic>
@@ -175,6 +176,86 @@
     EXPECT_EQ(valueOf(answer).agentLease, Millis(0));
 }
 
+/** Keeps the notices that are sent. */
+class NoticeNodes : public NodePort
+{
+public:
+    Result<Message> call(const std::string &address, const Message &message, Millis /*timeout*/) override
+    {
+        if (const auto *const notice = std::get_if<RowNotice>(&message)) {
+            const std::lock_guard<std::mutex> guard(this->mutex);
+            this->sent.push_back(address + " " + notice->row.key);
+        }
+        return Message(Ack{});
+    }
+
+    std::vector<std::string> notices()
+    {
+        const std::lock_guard<std::mutex> guard(this->mutex);
+        return this->sent;
+    }
+
+private:
+    std::mutex mutex;
+    std::vector<std::string> sent;
+};
+
+// The leader learnt of a job only through the change feed, which can hear nothing for seconds.
+TEST(PlacerService, TheLeaderTakesOverARowThatAnEntryHasJustWritten)
+{
+    SharedClock clock;
+    EventLog events(clock, "e0", 10);
+    IdSource ids(1);
+    StoppableTable table;
+    NoticeNodes nodes;
+    TaskPlacer placer(clock, TaskPlacerOptions(), JobRankOptions());
+    JobCache cache(placer);
+    PlacerServiceOptions options;
+    options.electionInterval = Millis(1);
+    PlacerService service(clock, events, ids, table, nodes, NodeId{"e0"}, "e0:1", placer, cache, options);
+    service.start();
+    waitUntil([&placer] { return placer.isLeader(); });
+    JobSubmission job;
+    job.id = JobId{"0000000000000001"};
+    job.acceptedAt = clock.wallMillis();
+    job.graph.steps.resize(1);
+    const Row row{submissionKey(job.id), encodeSubmission(job), 5, {}};
+    EXPECT_TRUE(std::holds_alternative<Ack>(service.handle(Header(), RowNotice{row})));
+    EXPECT_EQ(placer.view().jobs, 1U);
+    EXPECT_TRUE(std::holds_alternative<Ack>(service.handle(Header(), RowNotice{{cancellationKey(job.id), "{}", 6, {}}})));
+    EXPECT_EQ(cache.stateOf(job.id), JobPhase::Cancelled);
+
+    job.id = JobId{"0000000000000002"};
+    job.acceptedAt = clock.wallMillis() - 60'000;
+    service.handle(Header(), RowNotice{{submissionKey(job.id), encodeSubmission(job), 7, {}}});
+    service.handle(Header(), RowNotice{{submissionKey(job.id), "not a submission", 7, {}}});
+    service.handle(Header(), RowNotice{{progressKey(job.id), "{}", 7, {}}});
+    EXPECT_EQ(placer.view().jobs, 1U) << "a notice that is late may be of a job that was removed meanwhile";
+    service.stop();
+}
+
+TEST(PlacerService, TellsTheLeaderOfTheRowsThatItWrites)
+{
+    SharedClock clock;
+    EventLog events(clock, "e1", 10);
+    IdSource ids(1);
+    StoppableTable table;
+    table.commit(Transaction{"op", {}, {{"duty/placer", encodeDuty({NodeId{"e0"}, "e0:1", 3, Millis(2500)})}}});
+    NoticeNodes nodes;
+    TaskPlacer placer(clock, TaskPlacerOptions(), JobRankOptions());
+    JobCache cache(placer);
+    PlacerServiceOptions options;
+    options.electionInterval = Millis(1);
+    PlacerService service(clock, events, ids, table, nodes, NodeId{"e1"}, "e1:1", placer, cache, options);
+    service.start();
+    waitUntil([&service, &nodes] {
+        service.noticeRow({"jobs/1", "{}", 5, {}});
+        return !nodes.notices().empty();
+    });
+    service.stop();
+    EXPECT_EQ(nodes.notices().front(), "e0:1 jobs/1");
+}
+
 // Assignments waited for seconds behind those of other agents, as only four were sent at a time.
 TEST(PlacerService, SendsTheAssignmentsOfAWideGangAtOnce)
 {
