placer: Hand leadership over when the table is reached only through peers

Cause: a leader that the table turned away went on through peers; each of its writes took some 0.3 s longer, for as long as that lasted.

--- a/include/waxwingloft/request/placerservice.h
+++ b/include/waxwingloft/request/placerservice.h
@@ -10,9 +10,11 @@
 #include "waxwingloft/request/placerdirectory.h"
 #include "waxwingloft/request/taskplacer.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 
 namespace waxwingloft {
@@ -24,6 +26,8 @@
     Millis planInterval = Millis(250); ///< between plans when no event triggers one earlier
     Millis writeRetry = Millis(60); ///< pause after a write that is known to have had no effect
     Millis pushTimeout = Millis(800); ///< for assignments; lost ones are repeated in the answer to the agent's next report
+    Millis handOverAfter = Millis(1500); ///< of reaching the table only through peers; longer than the interval of probes of the direct way
+    Millis yieldTime = Millis(6000); ///< in which an entry without a direct way leaves leadership to others; two terms of a lease and a start
     std::size_t pushThreads = 32; ///< assignments sent concurrently; an answer takes 60 ms across regions, one that does not come 800 ms
 };
 
@@ -48,6 +52,9 @@
                   PlacerServiceOptions options);
     ~PlacerService() override;
 
+    /** Has @p isIndirect say whether the table is reached only through peers now. Call before start(). */
+    void setTableWatch(std::function<bool()> isIndirect);
+
     void start();
 
     /** Releases leadership, so that another entry can lead without waiting for the lease, and ends the threads. */
@@ -67,6 +74,7 @@
 
 private:
     void pursueLeadership();
+    bool leavesLeadershipToOthers();
     void announceEntry();
     bool becomeLeader();
     void plan();
@@ -86,6 +94,9 @@
     const PlacerServiceOptions options;
     const Logger log;
     Duty election;
+    std::function<bool()> isTableIndirect;
+    std::optional<Instant> indirectSince;
+    bool hasYielded = false; ///< since then
     bool isAnnounced = false; ///< the row of this entry has been written to the placer table
     std::mutex pushMutex;
     std::map<std::string, AssignmentSync> queuedPushes; ///< by the agent's address; a newer one takes the place of what has not been sent yet
--- a/src/request/placerservice.cpp
+++ b/src/request/placerservice.cpp
@@ -42,6 +42,11 @@
     this->stop();
 }
 
+void PlacerService::setTableWatch(std::function<bool()> isIndirect)
+{
+    this->isTableIndirect = std::move(isIndirect);
+}
+
 void PlacerService::start()
 {
     this->pushPool = std::make_unique<ThreadPool>("pushes of assignments", this->options.pushThreads, MaxQueuedPushes);
@@ -85,6 +90,9 @@
     if (!this->isAnnounced) {
         this->announceEntry();
     }
+    if (this->leavesLeadershipToOthers()) {
+        return;
+    }
     this->election.pursue();
     const auto holder = this->election.lastKnown();
     const auto renewedAt = this->election.renewedAt();
@@ -101,6 +109,32 @@
     }
 }
 
+/**
+ * Whether another entry should lead, because each call on the table goes through a peer here. Gives leadership up if it is held.
+ *
+ * An entry yields once in such a time; if nobody else leads by the end of the yield time, it competes as before.
+ */
+bool PlacerService::leavesLeadershipToOthers()
+{
+    const auto now = this->clock.now();
+    if (!this->isTableIndirect || !this->isTableIndirect()) {
+        this->indirectSince.reset();
+        this->hasYielded = false;
+        return false;
+    }
+    this->indirectSince = this->indirectSince.value_or(now);
+    const bool isLeading = this->election.heldEpoch().has_value();
+    if (isLeading && !this->hasYielded && now - *this->indirectSince >= this->options.handOverAfter) {
+        this->log.warn("Leadership is handed over, as the table is reached only through peers.");
+        this->placer.stepDown("the table is reached only through peers");
+        this->election.release();
+        this->indirectSince = now;
+        this->hasYielded = true;
+        return true;
+    }
+    return !isLeading && now - *this->indirectSince < this->options.yieldTime;
+}
+
 /** Writes the placer row, which fences off all earlier placers, and only then reads the jobs: nobody else can change their progress any more. */
 bool PlacerService::becomeLeader()
 {
--- a/tests/request/placerservicetest.cpp
+++ b/tests/request/placerservicetest.cpp
@@ -256,6 +256,49 @@
     EXPECT_EQ(nodes.notices().front(), "e0:1 jobs/1");
 }
 
+// A leader that the table turned away went on through peers for as long as that lasted, with each start some 0.3 s later.
+TEST(PlacerService, ALeaderWithoutADirectWayToTheTableHandsOver)
+{
+    SharedClock clock;
+    EventLog events(clock, "e0", 10);
+    IdSource ids(1);
+    StoppableTable table;
+    NoticeNodes nodes;
+    TaskPlacer placer(clock, TaskPlacerOptions(), JobRankOptions());
+    JobCache cache(placer);
+    PlacerServiceOptions options;
+    options.electionInterval = Millis(1);
+    PlacerService service(clock, events, ids, table, nodes, NodeId{"e0"}, "e0:1", placer, cache, options);
+    std::atomic<bool> isIndirect = false;
+    std::atomic<int> looks = 0;
+    service.setTableWatch([&isIndirect, &looks] {
+        ++looks;
+        return isIndirect.load();
+    });
+    const auto pass = [&clock, &looks](Millis duration) {
+        clock.advance(duration);
+        const int before = looks;
+        waitUntil([&looks, before] { return looks >= before + 3; });
+    };
+    service.start();
+    waitUntil([&placer] { return placer.isLeader(); });
+    isIndirect = true;
+    pass(Millis(0));
+    pass(options.handOverAfter - Millis(100));
+    EXPECT_TRUE(placer.isLeader()) << "a short disturbance is no reason";
+    pass(Millis(200));
+    EXPECT_FALSE(placer.isLeader());
+    const auto row = table.get("duty/placer");
+    EXPECT_TRUE(valueOf(parseDuty(valueOf(row)->value)).holder.isEmpty()) << "another entry need not wait for the lease to lapse";
+    pass(options.yieldTime - Millis(100));
+    EXPECT_FALSE(placer.isLeader()) << "it leaves the others time to take over";
+    pass(Millis(200));
+    waitUntil([&placer] { return placer.isLeader(); });
+    pass(options.handOverAfter + Millis(100));
+    EXPECT_TRUE(placer.isLeader()) << "nobody else could lead";
+    service.stop();
+}
+
 // Assignments waited for seconds behind those of other agents, as only four were sent at a time.
 TEST(PlacerService, SendsTheAssignmentsOfAWideGangAtOnce)
 {
