--- a/tests/request/placerservicetest.cpp
+++ b/tests/request/placerservicetest.cpp
@@ -113,6 +113,30 @@
     std::size_t most = 0;
 };
 
+/** Keeps the notices that are sent. */
+class NoticeNodes : public NodePort
+{
+public:
+    Result<Message> call(const std::string &address, const Message &message, Millis /*timeout*/) override
+    {
+        if (const auto *const notice = std::get_if<RowNotice>(&message)) {
+            const std::lock_guard<std::mutex> guard(this->mutex);
+            this->sent.push_back(address + " " + notice->row.key);
+        }
+        return Message(Ack{});
+    }
+
+    std::vector<std::string> notices()
+    {
+        const std::lock_guard<std::mutex> guard(this->mutex);
+        return this->sent;
+    }
+
+private:
+    std::mutex mutex;
+    std::vector<std::string> sent;
+};
+
 /** Delivers nothing. */
 class SilentNodes : public NodePort
 {
@@ -123,6 +147,50 @@
     }
 };
 
+/** Waits in real time until @p isDone returns true. */
+void waitUntil(const std::function<bool()> &isDone)
+{
+    for (int step = 0; step < 5000 && !isDone(); ++step) {
+        std::this_thread::sleep_for(Millis(1));
+    }
+    ASSERT_TRUE(isDone());
+}
+
+/** The placer's service of an entry, which looks at its leadership each millisecond. */
+struct ServiceSite {
+    explicit ServiceSite(NodePort &nodes, const std::string &name = "e0")
+        : events(this->clock, name, 10)
+        , placer(this->clock, TaskPlacerOptions(), JobRankOptions())
+        , cache(this->placer)
+        , options(withShortInterval())
+        , service(this->clock, this->events, this->ids, this->table, nodes, NodeId{name}, name + ":1", this->placer, this->cache, this->options)
+    {
+    }
+
+    static PlacerServiceOptions withShortInterval()
+    {
+        PlacerServiceOptions options;
+        options.electionInterval = Millis(1);
+        return options;
+    }
+
+    /** Starts the service and waits until it leads. */
+    void lead()
+    {
+        this->service.start();
+        waitUntil([this] { return this->placer.isLeader(); });
+    }
+
+    SharedClock clock;
+    EventLog events;
+    IdSource ids{1};
+    StoppableTable table;
+    TaskPlacer placer;
+    JobCache cache;
+    const PlacerServiceOptions options;
+    PlacerService service;
+};
+
 /** Returns a report of agent @p index to the present term of @p placer. */
 AgentReport reportOf(const TaskPlacer &placer, std::size_t index)
 {
@@ -138,200 +206,123 @@
     return report;
 }
 
-/** Waits in real time until @p isDone returns true. */
-void waitUntil(const std::function<bool()> &isDone)
-{
-    for (int step = 0; step < 5000 && !isDone(); ++step) {
-        std::this_thread::sleep_for(Millis(1));
-    }
-    ASSERT_TRUE(isDone());
-}
-
 } // namespace
 
 // Grants were counted from the latest look at the leadership, also when that had not been renewed.
 TEST(PlacerService, GrantsAgentLeasesOnlyForTheGrantPeriodAfterItsLastRenewalWasSent)
 {
     const TaskPlacerOptions placerOptions;
-    SharedClock clock;
-    EventLog events(clock, "e0", 10);
-    IdSource ids(1);
-    StoppableTable table;
     SilentNodes nodes;
-    TaskPlacer placer(clock, placerOptions, JobRankOptions());
-    JobCache cache(placer);
-    PlacerServiceOptions options;
-    options.electionInterval = Millis(1);
-    PlacerService service(clock, events, ids, table, nodes, NodeId{"e0"}, "e0:1", placer, cache, options);
-    service.start();
-    waitUntil([&placer] { return placer.isLeader(); });
-
-    table.isDown = true;
-    clock.advance(options.lease.term - options.lease.safety - Millis(100));
-    waitUntil([&table] { return table.failedReads > 1; });
-    clock.advance(placerOptions.grantPeriod - (options.lease.term - options.lease.safety) + Millis(200));
-    ASSERT_TRUE(placer.isLeader());
-    const auto answer = placer.report(reportOf(placer, 0));
+    ServiceSite site(nodes);
+    site.lead();
+
+    site.table.isDown = true;
+    site.clock.advance(site.options.lease.term - site.options.lease.safety - Millis(100));
+    waitUntil([&site] { return site.table.failedReads > 1; });
+    site.clock.advance(placerOptions.grantPeriod - (site.options.lease.term - site.options.lease.safety) + Millis(200));
+    ASSERT_TRUE(site.placer.isLeader());
+    const auto answer = site.placer.report(reportOf(site.placer, 0));
     ASSERT_TRUE(succeeded(answer));
     EXPECT_EQ(valueOf(answer).agentLease, Millis(0));
 }
 
-/** Keeps the notices that are sent. */
-class NoticeNodes : public NodePort
-{
-public:
-    Result<Message> call(const std::string &address, const Message &message, Millis /*timeout*/) override
-    {
-        if (const auto *const notice = std::get_if<RowNotice>(&message)) {
-            const std::lock_guard<std::mutex> guard(this->mutex);
-            this->sent.push_back(address + " " + notice->row.key);
-        }
-        return Message(Ack{});
-    }
-
-    std::vector<std::string> notices()
-    {
-        const std::lock_guard<std::mutex> guard(this->mutex);
-        return this->sent;
-    }
-
-private:
-    std::mutex mutex;
-    std::vector<std::string> sent;
-};
-
 // The leader learnt of a job only through the change feed, which can hear nothing for seconds.
 TEST(PlacerService, TheLeaderTakesOverARowThatAnEntryHasJustWritten)
 {
-    SharedClock clock;
-    EventLog events(clock, "e0", 10);
-    IdSource ids(1);
-    StoppableTable table;
     NoticeNodes nodes;
-    TaskPlacer placer(clock, TaskPlacerOptions(), JobRankOptions());
-    JobCache cache(placer);
-    PlacerServiceOptions options;
-    options.electionInterval = Millis(1);
-    PlacerService service(clock, events, ids, table, nodes, NodeId{"e0"}, "e0:1", placer, cache, options);
-    service.start();
-    waitUntil([&placer] { return placer.isLeader(); });
+    ServiceSite site(nodes);
+    site.lead();
     JobSubmission job;
     job.id = JobId{"0000000000000001"};
-    job.acceptedAt = clock.wallMillis();
+    job.acceptedAt = site.clock.wallMillis();
     job.graph.steps.resize(1);
     const Row row{submissionKey(job.id), encodeSubmission(job), 5, {}};
-    EXPECT_TRUE(std::holds_alternative<Ack>(service.handle(Header(), RowNotice{row})));
-    EXPECT_EQ(placer.view().jobs, 1U);
-    EXPECT_TRUE(std::holds_alternative<Ack>(service.handle(Header(), RowNotice{{cancellationKey(job.id), "{}", 6, {}}})));
-    EXPECT_EQ(cache.stateOf(job.id), JobPhase::Cancelled);
+    EXPECT_TRUE(std::holds_alternative<Ack>(site.service.handle(Header(), RowNotice{row})));
+    EXPECT_EQ(site.placer.view().jobs, 1U);
+    EXPECT_TRUE(std::holds_alternative<Ack>(site.service.handle(Header(), RowNotice{{cancellationKey(job.id), "{}", 6, {}}})));
+    EXPECT_EQ(site.cache.stateOf(job.id), JobPhase::Cancelled);
 
     job.id = JobId{"0000000000000002"};
-    job.acceptedAt = clock.wallMillis() - 60'000;
-    service.handle(Header(), RowNotice{{submissionKey(job.id), encodeSubmission(job), 7, {}}});
-    service.handle(Header(), RowNotice{{submissionKey(job.id), "not a submission", 7, {}}});
-    service.handle(Header(), RowNotice{{progressKey(job.id), "{}", 7, {}}});
-    EXPECT_EQ(placer.view().jobs, 1U) << "a notice that is late may be of a job that was removed meanwhile";
-    service.stop();
+    job.acceptedAt = site.clock.wallMillis() - 60'000;
+    site.service.handle(Header(), RowNotice{{submissionKey(job.id), encodeSubmission(job), 7, {}}});
+    site.service.handle(Header(), RowNotice{{submissionKey(job.id), "not a submission", 7, {}}});
+    site.service.handle(Header(), RowNotice{{progressKey(job.id), "{}", 7, {}}});
+    EXPECT_EQ(site.placer.view().jobs, 1U) << "a notice that is late may be of a job that was removed meanwhile";
+    site.service.stop();
 }
 
 TEST(PlacerService, TellsTheLeaderOfTheRowsThatItWrites)
 {
-    SharedClock clock;
-    EventLog events(clock, "e1", 10);
-    IdSource ids(1);
-    StoppableTable table;
-    table.commit(Transaction{"op", {}, {{"duty/placer", encodeDuty({NodeId{"e0"}, "e0:1", 3, Millis(2500)})}}});
     NoticeNodes nodes;
-    TaskPlacer placer(clock, TaskPlacerOptions(), JobRankOptions());
-    JobCache cache(placer);
-    PlacerServiceOptions options;
-    options.electionInterval = Millis(1);
-    PlacerService service(clock, events, ids, table, nodes, NodeId{"e1"}, "e1:1", placer, cache, options);
-    service.start();
-    waitUntil([&service, &nodes] {
-        service.noticeRow({"jobs/1", "{}", 5, {}});
+    ServiceSite site(nodes, "e1");
+    site.table.commit(Transaction{"op", {}, {{"duty/placer", encodeDuty({NodeId{"e0"}, "e0:1", 3, Millis(2500)})}}});
+    site.service.start();
+    waitUntil([&site, &nodes] {
+        site.service.noticeRow({"jobs/1", "{}", 5, {}});
         return !nodes.notices().empty();
     });
-    service.stop();
+    site.service.stop();
     EXPECT_EQ(nodes.notices().front(), "e0:1 jobs/1");
 }
 
 // A leader that the table turned away went on through peers for as long as that lasted, with each start some 0.3 s later.
 TEST(PlacerService, ALeaderWithoutADirectWayToTheTableHandsOver)
 {
-    SharedClock clock;
-    EventLog events(clock, "e0", 10);
-    IdSource ids(1);
-    StoppableTable table;
     NoticeNodes nodes;
-    TaskPlacer placer(clock, TaskPlacerOptions(), JobRankOptions());
-    JobCache cache(placer);
-    PlacerServiceOptions options;
-    options.electionInterval = Millis(1);
-    PlacerService service(clock, events, ids, table, nodes, NodeId{"e0"}, "e0:1", placer, cache, options);
+    ServiceSite site(nodes);
     std::atomic<bool> isIndirect = false;
     std::atomic<int> looks = 0;
-    service.setTableWatch([&isIndirect, &looks] {
+    site.service.setTableWatch([&isIndirect, &looks] {
         ++looks;
         return isIndirect.load();
     });
-    const auto pass = [&clock, &looks](Millis duration) {
-        clock.advance(duration);
+    const auto pass = [&site, &looks](Millis duration) {
+        site.clock.advance(duration);
         const int before = looks;
         waitUntil([&looks, before] { return looks >= before + 3; });
     };
-    service.start();
-    waitUntil([&placer] { return placer.isLeader(); });
+    site.lead();
     isIndirect = true;
     pass(Millis(0));
-    pass(options.handOverAfter - Millis(100));
-    EXPECT_TRUE(placer.isLeader()) << "a short disturbance is no reason";
+    pass(site.options.handOverAfter - Millis(100));
+    EXPECT_TRUE(site.placer.isLeader()) << "a short disturbance is no reason";
     pass(Millis(200));
-    EXPECT_FALSE(placer.isLeader());
-    const auto row = table.get("duty/placer");
+    EXPECT_FALSE(site.placer.isLeader());
+    const auto row = site.table.get("duty/placer");
     EXPECT_TRUE(valueOf(parseDuty(valueOf(row)->value)).holder.isEmpty()) << "another entry need not wait for the lease to lapse";
-    pass(options.yieldTime - Millis(100));
-    EXPECT_FALSE(placer.isLeader()) << "it leaves the others time to take over";
+    pass(site.options.yieldTime - Millis(100));
+    EXPECT_FALSE(site.placer.isLeader()) << "it leaves the others time to take over";
     pass(Millis(200));
-    waitUntil([&placer] { return placer.isLeader(); });
-    pass(options.handOverAfter + Millis(100));
-    EXPECT_TRUE(placer.isLeader()) << "nobody else could lead";
-    service.stop();
+    waitUntil([&site] { return site.placer.isLeader(); });
+    pass(site.options.handOverAfter + Millis(100));
+    EXPECT_TRUE(site.placer.isLeader()) << "nobody else could lead";
+    site.service.stop();
 }
 
 // Assignments waited for seconds behind those of other agents, as only four were sent at a time.
 TEST(PlacerService, SendsTheAssignmentsOfAWideGangAtOnce)
 {
     constexpr std::size_t Members = 26; // the widest urgent gang of the users' sheets
-    SharedClock clock;
-    EventLog events(clock, "e0", 10);
-    IdSource ids(1);
-    StoppableTable table;
     GatheringNodes nodes(Members);
-    TaskPlacer placer(clock, TaskPlacerOptions(), JobRankOptions());
-    JobCache cache(placer);
-    PlacerServiceOptions options;
-    options.electionInterval = Millis(1);
-    PlacerService service(clock, events, ids, table, nodes, NodeId{"e0"}, "e0:1", placer, cache, options);
-    service.start();
-    waitUntil([&placer] { return placer.isLeader(); });
+    ServiceSite site(nodes);
+    site.lead();
     for (std::size_t index = 0; index < Members; ++index) {
-        ASSERT_TRUE(succeeded(placer.report(reportOf(placer, index))));
+        ASSERT_TRUE(succeeded(site.placer.report(reportOf(site.placer, index))));
     }
-    clock.advance(TaskPlacerOptions().settleTime);
+    site.clock.advance(TaskPlacerOptions().settleTime);
     JobSubmission job;
     job.id = JobId{"0000000000000001"};
     job.service = "tune";
-    job.acceptedAt = clock.wallMillis();
+    job.acceptedAt = site.clock.wallMillis();
     job.maxAttempts = 3;
     job.graph.steps.resize(1);
     job.graph.steps[0].count = Members;
     job.graph.steps[0].needs = {15'000, 61'000, 8};
     job.graph.steps[0].isGang = true;
-    placer.submit(job);
-    service.nudge();
+    site.placer.submit(job);
+    site.service.nudge();
     waitUntil([&nodes] { return nodes.mostAtOnce() > 0; });
-    service.stop();
+    site.service.stop();
     EXPECT_EQ(nodes.mostAtOnce(), Members);
 }
 
