placer: Hand over only while peers reach the table

Cause: the hand-over asked whether the direct way fails, which is so for all entries while the store is away from all. A leader would then have stepped down and granted no more agent leases, so that running work lapsed in an outage that it survives. Change: RelayTable::isRelaying() also asks whether the last relayed call reached the table. Test: RelayTableTest.TellsATableThatTurnsThisProcessAwayFromOneThatIsDown.

--- a/include/waxwingloft/connection/relaytable.h
+++ b/include/waxwingloft/connection/relaytable.h
@@ -49,6 +49,9 @@
     /** Whether the direct way has failed last. */
     bool isFailing() const;
 
+    /** Whether the direct way has failed last while a peer has reached the table. False while the table is away from all. */
+    bool isRelaying() const;
+
     /** Makes a call for a peer, on the direct way only. */
     Message serve(const RelayTableCall &call);
 
@@ -58,6 +61,7 @@
     template<typename T>
     Result<T> noted(Result<T> result);
     Result<RelayTableAnswer> relay(const RelayTableCall &call);
+    Result<RelayTableAnswer> askPeers(const RelayTableCall &call);
     std::vector<std::string> usablePeers();
     void leaveOut(const std::string &peer);
 
@@ -69,6 +73,7 @@
     const RelayTableOptions options;
     const Logger log;
     std::atomic<bool> isDirectFailing = false;
+    std::atomic<bool> hasPeerReachedTable = false; ///< with the last relayed call
     std::mutex mutex;
     std::map<std::string, Instant> leftOutUntil;
 };
--- a/src/connection/relaytable.cpp
+++ b/src/connection/relaytable.cpp
@@ -89,6 +89,7 @@
         if (isFailing) {
             this->log.warn("The table is not reached directly; peers are asked first: " + errorOf(result).message);
         } else {
+            this->hasPeerReachedTable.store(false, std::memory_order_release);
             this->log.info("The table is reached directly again.");
         }
     }
@@ -111,6 +112,14 @@
 }
 
 Result<RelayTableAnswer> RelayTable::relay(const RelayTableCall &call)
+{
+    auto answer = this->askPeers(call);
+    const bool hasReached = succeeded(answer) || isVerdict(errorOf(answer).kind, call.kind);
+    this->hasPeerReachedTable.store(hasReached, std::memory_order_release);
+    return answer;
+}
+
+Result<RelayTableAnswer> RelayTable::askPeers(const RelayTableCall &call)
 {
     Error last = makeError(ErrorKind::PlatformDown, "no peer is known that could reach the table");
     for (const auto &address : this->usablePeers()) {
@@ -219,6 +228,11 @@
     return this->isDirectFailing.load(std::memory_order_acquire);
 }
 
+bool RelayTable::isRelaying() const
+{
+    return this->isFailing() && this->hasPeerReachedTable.load(std::memory_order_acquire);
+}
+
 Message RelayTable::serve(const RelayTableCall &call)
 {
     if (this->isFailing()) {
--- a/src/process/daemon/jobentryrole.cpp
+++ b/src/process/daemon/jobentryrole.cpp
@@ -66,7 +66,7 @@
         , ready(config.jobs.readyAddress, [this] { return this->isReady(); })
     {
         this->placer.setMetrics(this->node.metrics);
-        this->office.setTableWatch([this] { return this->node.relay.isFailing(); });
+        this->office.setTableWatch([this] { return this->node.relay.isRelaying(); });
         this->gate.setRowObserver([this](const Row &row) { this->office.noticeRow(row); });
     }
 
--- a/tests/connection/relaytabletest.cpp
+++ b/tests/connection/relaytabletest.cpp
@@ -126,6 +126,23 @@
     EXPECT_FALSE(this->table.isFailing());
 }
 
+// A leader would hand over in an outage of the whole table, and its running work would lose its leases for nothing.
+TEST_F(RelayTableTest, TellsATableThatTurnsThisProcessAwayFromOneThatIsDown)
+{
+    EXPECT_FALSE(this->table.isRelaying());
+    this->own.isCut = true;
+    this->table.get("jobs/1");
+    EXPECT_TRUE(this->table.isRelaying());
+    this->others.isCut = true;
+    this->table.get("jobs/1");
+    EXPECT_FALSE(this->table.isRelaying());
+    this->others.isCut = false;
+    this->table.get("jobs/1");
+    this->own.isCut = false;
+    this->table.probe();
+    EXPECT_FALSE(this->table.isRelaying());
+}
+
 TEST_F(RelayTableTest, NeverRepeatsACommitThatMayHaveTakenEffect)
 {
     this->own.losesAnswers = true;
