--- a/include/waxwingloft/request/taskplaceroptions.h
+++ b/include/waxwingloft/request/taskplaceroptions.h
@@ -21,8 +21,7 @@
     Millis maxReportAge = Millis(2000); ///< an agent whose last report is older gets no new work
     Millis refusalPause = Millis(500); ///< without new work for a worker that refused a start because it was unhealthy or full
     Millis endsSoonTime = Millis(700); ///< a guaranteed job waits for runs expected to end within this rather than preempting others
-    Millis waitForEnds =
-        Millis(900); ///< after a guaranteed job arrives, for runs that end soon; leaves time for a stop and a start in the shortest reclaim bound
+    Millis waitForEnds = Millis(900); ///< of a guaranteed job, for runs that end soon; leaves time for a stop and a start in the shortest reclaim bound
     double worthPerCoreSecond = 0.001; ///< of work thrown away; the users' price, about 0.0014 of a day's worth for 1,000 core seconds
     Millis restartWait = Millis(3000); ///< until a stopped task is expected to run again in a full fleet, as patient work has waited on the users' days
     Millis longestWait = Millis(4000); ///< for runs that end, before a job that may preempt; twice the slack of the most urgent jobs
--- a/src/request/taskplanner.cpp
+++ b/src/request/taskplanner.cpp
@@ -13,7 +13,7 @@
 constexpr std::size_t MinKnownSpeeds = 3; ///< with fewer known worker speeds the median is not meaningful
 constexpr double WholePercent = 100.0;
 constexpr double RestoreSeconds = 0.1; ///< of work lost when a run resumes from the checkpoint taken at its stop; from the users' bounds
-constexpr StartWorth GuaranteedWorth = {1e6, 0.0, 5.0, 5.0, 0.0}; ///< outweighs all work, so that the cheapest is stopped at once; s of the users' bounds
+constexpr StartWorth GuaranteedWorth = {1e6, 0.0, 5.0, 5.0, 0.0}; ///< outweighs all work for a start within 5 s, so that the cheapest is stopped at once
 constexpr std::string_view RackLabelPrefix = "r"; ///< of labels such as "r1-3", which name the rack of a machine
 
 std::string rackOf(const std::vector<std::string> &labels)
