--- a/review/build.sh
+++ b/review/build.sh
@@ -4,6 +4,6 @@
 cd "$(dirname "$0")/.."
 mkdir -p target/review
 read -ra flags < <(pkg-config --cflags --libs cpp-httplib)
-for name in store executor proxy; do
+for name in store executor; do
     g++ -std=c++20 -O2 -o "target/review/$name" "review/standins/$name.cpp" -pthread "${flags[@]}"
 done
--- a/review/common.sh
+++ b/review/common.sh
@@ -35,6 +35,7 @@
     rm -rf "$RUN"
 }
 trap finish EXIT
+trap 'exit 2' TERM INT
 
 start() { # start NAME COMMAND...
     local name=$1
