placer: Let a job return to the executor that failed it when nothing else can run it

Cause: a failure excluded the pair of job and worker for good, and what counted as "elsewhere" was the whole known fleet, whether or not it may run the step. Evidence: with the new log line "Tasks of a step wait, ...", the next plan after the failure had tasks=1 avoided=1 others=0, and no start followed; a second job of the same shape ran there, so that a quarantine or a pause of the executor is ruled out.

Now a failure is remembered for 6.5 s, and excludes a worker only while the others that take work could hold the tasks (service, label, size, limit per executor, whole gangs, one rack where any rack could). Where they could not, the job pauses for 2.5 s: below the 3 s in which the users want a start, and long enough that four attempts outlast a failure period. On fleets of one or two executors all attempts were used up at once; the pause ends that too.

--- a/include/waxwingloft/process/workerhealth.h
+++ b/include/waxwingloft/process/workerhealth.h
@@ -52,8 +52,8 @@
     /** Returns the quarantined workers, for the status page. */
     std::vector<NodeId> quarantined() const;
 
-    /** Returns the workers that @p job failed on, as evidence. */
-    std::vector<NodeId> evidenceAgainst(const std::string &job) const;
+    /** Returns the workers that @p job has failed on since its last success, and when each did so last. */
+    std::map<NodeId, Instant> evidenceAgainst(const std::string &job) const;
 
     /** Drops what is known of a job that has ended. */
     void forgetJob(const std::string &job);
@@ -71,7 +71,7 @@
     Clock &clock;
     const WorkerHealthOptions options;
     std::map<NodeId, Record> workers;
-    std::map<std::string, std::set<NodeId>> failedOn;
+    std::map<std::string, std::map<NodeId, Instant>> failedOn; ///< by job, the time of the last failure on each worker
 };
 
 } // namespace waxwingloft
--- a/include/waxwingloft/request/livejob.h
+++ b/include/waxwingloft/request/livejob.h
@@ -17,6 +17,7 @@
     std::uint64_t revision = 0; ///< of the row
     bool isBeingWritten = false;
     Instant knownSince;
+    bool isHeldBack = false; ///< since its last start, workers have been avoided rather than used for its tasks
 
     /** Marks the progress as changed, so that it is written. */
     void markChanged();
--- a/include/waxwingloft/request/taskplacer.h
+++ b/include/waxwingloft/request/taskplacer.h
@@ -135,6 +135,7 @@
     bool isSettled(Instant now) const;
     void moveStalledRuns(const std::vector<PlacedRun> &stalled, Instant now);
     void assign(const StepStart &start, Instant now);
+    void logHeld(const std::vector<HeldStep> &held);
 
     Clock &clock;
     const TaskPlacerOptions options;
--- a/include/waxwingloft/request/taskplaceroptions.h
+++ b/include/waxwingloft/request/taskplaceroptions.h
@@ -33,6 +33,8 @@
     double slowShare = 0.4; ///< of the median speed, below which a worker counts as slow; the users' slow-downs are by factors of 4 to 6.5
     Millis minSpeedAge = Millis(1000); ///< age from which the speed of a run is derived from its progress
     WorkerHealthOptions health = {2, 3, Millis(4000), Millis(60'000)}; ///< quarantine of workers that fail what they start; such failure periods last about 6 s
+    Millis avoidTime = Millis(6500); ///< after a failure a job keeps away from the worker that long; by then the users' failure periods are over
+    Millis failurePause = Millis(2500); ///< the same when no other worker could run its tasks; the users want a start within 3 s
     std::uint32_t startCrashesToGiveUp = 3; ///< the users' rule allows no three further starts after three crashes
     std::uint32_t crashesToGiveUp = 5; ///< of any kind; bounds what a task costs that crashes its executors long after its start
     std::size_t silentStartsToWait = 2; ///< executors that fell silent at the start of a task, after which it waits for them: one more may be its third crash
--- a/include/waxwingloft/request/taskplanner.h
+++ b/include/waxwingloft/request/taskplanner.h
@@ -43,11 +43,21 @@
     bool isGuaranteed = false;
 };
 
+/** A step whose tasks could start now, were it not for the workers that its job keeps away from after a failure. */
+struct HeldStep {
+    JobId job;
+    std::uint32_t step = 0;
+    std::size_t tasks = 0;
+    std::size_t avoided = 0; ///< workers
+    std::size_t others = 0; ///< workers that may run the tasks besides
+};
+
 /** Runs to stop and tasks to start. */
 struct TaskPlan {
     std::vector<PlacedRun> stops;
     std::vector<PlacedRun> moves; ///< runs to stop because their executors leave before they can end
     std::vector<StepStart> starts;
+    std::vector<HeldStep> held;
 };
 
 /** Computes one plan over all jobs and executors from a snapshot, without changing it. Lives for one plan. */
@@ -110,13 +120,16 @@
     void addUnits(const LiveJob &job, std::uint32_t occurrence, const Unit &base, std::vector<Unit> &units) const;
     bool isOrphaned(const TaskKey &task) const;
     WaitingTasks waitingOf(const Unit &unit, const Fleet &fleet) const;
-    std::vector<bool> avoidedBy(const Unit &unit, const Fleet &fleet) const;
+    std::vector<bool> avoidedBy(const JobId &job, const WaitingTasks &waiting, const Fleet &fleet) const;
+    std::vector<bool> failedSince(const JobId &job, const Fleet &fleet, Instant since) const;
     std::set<JobId> guaranteedJobs() const;
     RunningSet collectRunning(const Fleet &fleet, const std::set<JobId> &guaranteed, const Ranks &ranks) const;
     void addRun(RunningSet &running, std::size_t entry, const LiveJob &job, const TaskRun &run, const LiveRun &live) const;
     void weighDelays(RunningSet &running) const;
     double endOfWaiting(const LiveJob &job, const std::vector<Millis> &chains) const;
     std::vector<Entry> collectMoves(const Fleet &fleet, const RunningSet &running) const;
+    std::vector<HeldStep>
+    heldSteps(const std::vector<Entry> &entries, const std::vector<WaitingTasks> &waiting, const StepPlan &steps, const Fleet &fleet) const;
     bool isCutShort(const Fleet &fleet, const RunningTasks &tasks) const;
 
     const PlannerInput &state;
--- a/src/process/workerhealth.cpp
+++ b/src/process/workerhealth.cpp
@@ -20,13 +20,14 @@
 {
     auto &record = this->workers[worker];
     auto &workersOfJob = this->failedOn[job];
-    workersOfJob.insert(worker);
+    workersOfJob[worker] = this->clock.now();
     record.failedJobs.insert(job);
 
     const auto isSuspect = [this](const NodeId &node) { return this->workers[node].onProbation || this->workers[node].failedJobs.size() > 1; };
-    const auto healthyWitnesses = std::count_if(workersOfJob.begin(), workersOfJob.end(), [&isSuspect](const NodeId &node) { return !isSuspect(node); });
+    const auto healthyWitnesses =
+        std::count_if(workersOfJob.begin(), workersOfJob.end(), [&isSuspect](const auto &failure) { return !isSuspect(failure.first); });
     if (healthyWitnesses >= this->options.workersToBlameJob) {
-        for (const auto &node : workersOfJob) {
+        for (const auto &[node, failedAt] : workersOfJob) {
             this->workers[node].failedJobs.erase(job);
         }
         return HealthVerdict::EndJob;
@@ -65,10 +66,10 @@
     return nodes;
 }
 
-std::vector<NodeId> WorkerHealth::evidenceAgainst(const std::string &job) const
+std::map<NodeId, Instant> WorkerHealth::evidenceAgainst(const std::string &job) const
 {
     const auto found = this->failedOn.find(job);
-    return found == this->failedOn.end() ? std::vector<NodeId>{} : std::vector<NodeId>(found->second.begin(), found->second.end());
+    return found == this->failedOn.end() ? std::map<NodeId, Instant>{} : found->second;
 }
 
 void WorkerHealth::forgetJob(const std::string &job)
--- a/src/request/private/demand.cpp
+++ b/src/request/private/demand.cpp
@@ -1,7 +1,9 @@
 #include "demand.h"
 
 #include <algorithm>
+#include <map>
 #include <optional>
+#include <string>
 #include <tuple>
 
 namespace waxwingloft {
@@ -26,6 +28,30 @@
     return most;
 }
 
+/** How many tasks fit into the fleet and into its roomiest rack. */
+struct Room {
+    std::uint64_t fleet = 0;
+    std::uint64_t rack = 0;
+};
+
+/** Returns the room for @p tasks on empty workers, without those that are @p avoided; an empty list avoids none. */
+Room roomFor(const std::vector<PlannerWorker> &workers, const WaitingTasks &tasks, const std::vector<bool> &avoided)
+{
+    std::map<std::string, std::uint64_t> racks;
+    Room room;
+    for (std::size_t worker = 0; worker < workers.size(); ++worker) {
+        if (!mayRun(workers[worker], tasks) || (!avoided.empty() && avoided[worker])) {
+            continue;
+        }
+        const auto present = tasks.present.empty() ? 0 : tasks.present[worker];
+        const auto limit = tasks.maxPerWorker == 0 ? tasks.count : tasks.maxPerWorker - std::min(tasks.maxPerWorker, present);
+        const auto times = timesIn(workers[worker].capacity, tasks.needs, std::min(tasks.count, limit));
+        room.fleet += times;
+        room.rack = std::max(room.rack, racks[workers[worker].rack] += times);
+    }
+    return room;
+}
+
 } // namespace
 
 std::uint32_t timesIn(const Capacity &available, const Capacity &needs, std::uint32_t limit)
@@ -42,6 +68,22 @@
     return static_cast<std::uint32_t>(times);
 }
 
+bool mayRun(const PlannerWorker &worker, const WaitingTasks &tasks)
+{
+    const bool hasLabel = tasks.requiredLabel.empty() || std::find(worker.labels.begin(), worker.labels.end(), tasks.requiredLabel) != worker.labels.end();
+    return worker.acceptsWork && worker.service == tasks.service && hasLabel;
+}
+
+bool couldHold(const std::vector<PlannerWorker> &workers, const WaitingTasks &tasks, const std::vector<bool> &avoided)
+{
+    const auto room = roomFor(workers, tasks, avoided);
+    if (!tasks.isGang) {
+        return room.fleet > 0;
+    }
+    const bool needsRack = tasks.prefersOneRack && roomFor(workers, tasks, {}).rack >= tasks.count;
+    return (needsRack ? room.rack : room.fleet) >= tasks.count;
+}
+
 bool isOverCapacity(const PlannerWorker &worker, const Capacity &available)
 {
     const auto isOver = [](std::int64_t free, std::int64_t left) { return free < 0 && left < 0; };
--- a/src/request/private/demand.h
+++ b/src/request/private/demand.h
@@ -16,6 +16,16 @@
 /** Returns how often @p needs fits into @p available, at most @p limit times. */
 std::uint32_t timesIn(const Capacity &available, const Capacity &needs, std::uint32_t limit);
 
+/** Whether @p worker takes work now and has the service and the label that @p tasks require. */
+bool mayRun(const PlannerWorker &worker, const WaitingTasks &tasks);
+
+/**
+ * Whether the workers that are not @p avoided could hold @p tasks if they were empty: a gang as a whole, of other tasks at least one.
+ *
+ * A gang that prefers one rack needs a rack of its own where any rack could hold it.
+ */
+bool couldHold(const std::vector<PlannerWorker> &workers, const WaitingTasks &tasks, const std::vector<bool> &avoided);
+
 /** Whether the runs of a worker hold more than its capacity. Reservations alone may bring @p available below zero too. */
 bool isOverCapacity(const PlannerWorker &worker, const Capacity &available);
 
--- a/src/request/private/plannerfleet.cpp
+++ b/src/request/private/plannerfleet.cpp
@@ -72,10 +72,7 @@
         auto &shape = this->shapes.emplace_back();
         shape.slots.resize(this->rackList.size());
         for (std::size_t index = 0; index < this->workers.size(); ++index) {
-            const auto &worker = this->workers[index];
-            const bool hasLabel =
-                tasks.requiredLabel.empty() || std::find(worker.labels.begin(), worker.labels.end(), tasks.requiredLabel) != worker.labels.end();
-            shape.isEligible.push_back(!this->isClosed[index] && worker.service == tasks.service && hasLabel);
+            shape.isEligible.push_back(!this->isClosed[index] && mayRun(this->workers[index], tasks));
         }
     }
     return item->second;
--- a/src/request/taskplacer.cpp
+++ b/src/request/taskplacer.cpp
@@ -507,6 +507,25 @@
     for (const auto &start : plan.starts) {
         this->assign(start, now);
     }
+    this->logHeld(plan.held);
+}
+
+/** Logs once for each wait of a job that its tasks do not start where it has failed. */
+void TaskPlacer::logHeld(const std::vector<HeldStep> &held)
+{
+    for (const auto &step : held) {
+        auto &job = this->jobs.at(step.job);
+        if (job.isHeldBack) {
+            continue;
+        }
+        job.isHeldBack = true;
+        this->log.info("Tasks of a step wait, as their job has failed on workers that could run them.",
+                       {{"job", step.job.value},
+                        {"step", std::to_string(step.step)},
+                        {"tasks", std::to_string(step.tasks)},
+                        {"avoided", std::to_string(step.avoided)},
+                        {"others", std::to_string(step.others)}});
+    }
 }
 
 /** Whether the settle time has passed since becoming leader, or half of it and all known agents have reported. */
@@ -543,6 +562,7 @@
         gangRun = std::max(gangRun, task.run);
     }
     job.markChanged();
+    job.isHeldBack = false;
     for (std::size_t place = 0; place < start.indices.size(); ++place) {
         const auto index = start.indices[place];
         auto &worker = this->workers.at(start.agents[place]);
--- a/src/request/taskplanner.cpp
+++ b/src/request/taskplanner.cpp
@@ -1,5 +1,6 @@
 #include "waxwingloft/request/taskplanner.h"
 
+#include "demand.h"
 #include "opentrials.h"
 
 #include <algorithm>
@@ -84,9 +85,36 @@
         }
         decided.starts.push_back(std::move(begun));
     }
+    decided.held = this->heldSteps(entries, waiting, steps, fleet);
     return decided;
 }
 
+/** Returns the steps of which nothing starts while workers are avoided for them. */
+std::vector<HeldStep>
+TaskPlanner::heldSteps(const std::vector<Entry> &entries, const std::vector<WaitingTasks> &waiting, const StepPlan &steps, const Fleet &fleet) const
+{
+    std::set<std::size_t> started;
+    for (const auto &start : steps.starts) {
+        started.insert(start.waiting);
+    }
+    std::vector<HeldStep> held;
+    for (std::size_t index = 0; index < entries.size(); ++index) {
+        const auto &tasks = waiting[index];
+        const auto *const unit = entries[index].unit;
+        if (unit == nullptr || tasks.avoided.empty() || started.contains(index)) {
+            continue;
+        }
+        HeldStep step{unit->job->submission.id, unit->step, unit->indices.size(), 0, 0};
+        for (std::size_t worker = 0; worker < fleet.workers.size(); ++worker) {
+            if (mayRun(fleet.workers[worker], tasks)) {
+                ++(tasks.avoided[worker] ? step.avoided : step.others);
+            }
+        }
+        held.push_back(std::move(step));
+    }
+    return held;
+}
+
 bool TaskPlanner::canTakeWork(const LiveWorker &worker) const
 {
     return worker.isKnown && worker.last.isReachable && !worker.last.isDraining && !worker.hasOrphans && this->now >= worker.pausedUntil
@@ -246,21 +274,34 @@
     }
 }
 
-/** Returns the workers that the job has failed on, or none when they are half of the fleet or more: then the job itself is at fault. */
-std::vector<bool> TaskPlanner::avoidedBy(const Unit &unit, const Fleet &fleet) const
+/**
+ * Returns the workers that the job keeps away from, as it has failed there; empty for none.
+ *
+ * A failure says little about the worker once the avoid time has passed. When no other worker could run the tasks, the job pauses before it
+ * tries again, so that not all its attempts fall into one failure period of the worker; it keeps away from all of them meanwhile.
+ */
+std::vector<bool> TaskPlanner::avoidedBy(const JobId &job, const WaitingTasks &waiting, const Fleet &fleet) const
 {
-    const auto evidence = this->state.health.evidenceAgainst(unit.job->submission.id.value);
-    if (evidence.empty() || evidence.size() * 2 >= fleet.workers.size()) {
-        return {};
+    auto avoided = this->failedSince(job, fleet, this->now - this->state.options.avoidTime);
+    if (avoided.empty() || couldHold(fleet.workers, waiting, avoided)) {
+        return avoided;
     }
-    std::vector<bool> avoided(fleet.workers.size(), false);
-    for (const auto &node : evidence) {
+    const bool isPausing = !this->failedSince(job, fleet, this->now - this->state.options.failurePause).empty();
+    return isPausing ? std::vector<bool>(fleet.workers.size(), true) : std::vector<bool>();
+}
+
+/** Returns the workers on which the job has failed after @p since; empty for none. */
+std::vector<bool> TaskPlanner::failedSince(const JobId &job, const Fleet &fleet, Instant since) const
+{
+    std::vector<bool> failed;
+    for (const auto &[node, failedAt] : this->state.health.evidenceAgainst(job.value)) {
         const auto worker = fleet.indexOf.find(node);
-        if (worker != fleet.indexOf.end()) {
-            avoided[worker->second] = true;
+        if (worker != fleet.indexOf.end() && failedAt > since) {
+            failed.resize(fleet.workers.size(), false);
+            failed[worker->second] = true;
         }
     }
-    return avoided;
+    return failed;
 }
 
 /** Whether an executor reports a run of the task that is not assigned to it. */
@@ -288,7 +329,6 @@
     waiting.priority = unit.job->submission.priority;
     waiting.rank = unit.rank;
     waiting.isGuaranteed = unit.isGuaranteed;
-    waiting.avoided = this->avoidedBy(unit, fleet);
     waiting.mayPreempt = unit.isGuaranteed || unit.isUrgent;
     if (unit.isGuaranteed) {
         waiting.worth = GuaranteedWorth;
@@ -307,6 +347,7 @@
             }
         }
     }
+    waiting.avoided = this->avoidedBy(unit.job->submission.id, waiting, fleet);
     return waiting;
 }
 
--- a/tests/connection/fakeexecutor.h
+++ b/tests/connection/fakeexecutor.h
@@ -106,7 +106,7 @@
         ExecutorHeartbeat heartbeat;
         heartbeat.incarnation = {this->id, this->startedAt};
         heartbeat.sequence = ++this->sequence;
-        heartbeat.service = "tune";
+        heartbeat.service = this->service;
         heartbeat.zone = "vejle-a";
         heartbeat.address = "127.0.0.1:1";
         heartbeat.isDraining = this->isDraining;
@@ -186,13 +186,20 @@
             makeError(ErrorKind::Unreachable, "unhealthy"));
     }
 
+    /** Returns how many runs have begun here, in all incarnations. */
+    std::size_t startedRuns() const
+    {
+        return this->started;
+    }
+
     bool isAbsent() override
     {
         return this->hasEnded || this->isDown();
     }
 
     Capacity capacity = {128'000, 262'144, 8};
-    std::string rack = "r1-1";
+    std::string service = "tune";
+    std::string rack = "r1-1"; ///< second label, after the kind "a"
     bool isDraining = false;
     std::optional<Instant> leavesAt; ///< told in its heartbeats
     bool isStalled = false; ///< what runs makes no progress and does not end
@@ -282,6 +289,7 @@
             run.startedAt = this->now();
             run.endsAt += this->now();
             this->running[order.run] = run;
+            ++this->started;
             this->observer.started(this->id, order.run, order.spec);
         }
         return answer;
@@ -351,6 +359,7 @@
     Clock &clock;
     RunObserver &observer;
     std::string id;
+    std::size_t started = 0;
     std::optional<Instant> backAt; ///< after a crash
     Instant bornAt;
     std::int64_t startedAt = 0;
