--- a/include/waxwingloft/process/workerhealth.h
+++ b/include/waxwingloft/process/workerhealth.h
@@ -5,6 +5,7 @@
 #include "waxwingloft/process/ids.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -49,6 +50,9 @@
     /** Returns the end of the worker's quarantine; in the past when there is none. */
     Instant quarantinedUntil(const NodeId &worker) const;
 
+    /** Returns when @p worker failed last since its last success; nothing when it did not. */
+    std::optional<Instant> lastFailureOn(const NodeId &worker) const;
+
     /** Returns the quarantined workers, for the status page. */
     std::vector<NodeId> quarantined() const;
 
@@ -62,6 +66,7 @@
     struct Record {
         std::set<std::string> failedJobs; ///< since the last success
         int failedProbes = 0;
+        Instant lastFailureAt;
         Instant quarantinedUntil;
         bool onProbation = false;
     };
--- a/include/waxwingloft/request/taskplanner.h
+++ b/include/waxwingloft/request/taskplanner.h
@@ -91,6 +91,7 @@
         std::vector<const LiveWorker *> byIndex;
         std::map<NodeId, std::size_t> indexOf;
         Capacity total;
+        std::vector<std::size_t> probes; ///< quarantined workers that could be tried again
     };
 
     using Ranks = std::map<JobId, double>; ///< of jobs that are not in a final state
@@ -128,6 +129,8 @@
     void weighDelays(RunningSet &running) const;
     double endOfWaiting(const LiveJob &job, const std::vector<Millis> &chains) const;
     std::vector<Entry> collectMoves(const Fleet &fleet, const RunningSet &running) const;
+    std::vector<Entry> collectEntries(const Fleet &fleet, const std::vector<Unit> &units, const RunningSet &running) const;
+    static bool admitProbes(Fleet &fleet, const std::vector<Entry> &entries);
     std::vector<HeldStep>
     heldSteps(const std::vector<Entry> &entries, const std::vector<WaitingTasks> &waiting, const StepPlan &steps, const Fleet &fleet) const;
     bool isCutShort(const Fleet &fleet, const RunningTasks &tasks) const;
--- a/src/process/workerhealth.cpp
+++ b/src/process/workerhealth.cpp
@@ -22,6 +22,7 @@
     auto &workersOfJob = this->failedOn[job];
     workersOfJob[worker] = this->clock.now();
     record.failedJobs.insert(job);
+    record.lastFailureAt = this->clock.now();
 
     const auto isSuspect = [this](const NodeId &node) { return this->workers[node].onProbation || this->workers[node].failedJobs.size() > 1; };
     const auto healthyWitnesses =
@@ -55,6 +56,12 @@
     return found == this->workers.end() ? Instant() : found->second.quarantinedUntil;
 }
 
+std::optional<Instant> WorkerHealth::lastFailureOn(const NodeId &worker) const
+{
+    const auto found = this->workers.find(worker);
+    return found == this->workers.end() ? std::nullopt : std::optional(found->second.lastFailureAt);
+}
+
 std::vector<NodeId> WorkerHealth::quarantined() const
 {
     std::vector<NodeId> nodes;
--- a/src/request/private/demand.cpp
+++ b/src/request/private/demand.cpp
@@ -68,10 +68,15 @@
     return static_cast<std::uint32_t>(times);
 }
 
-bool mayRun(const PlannerWorker &worker, const WaitingTasks &tasks)
+bool isOfKind(const PlannerWorker &worker, const WaitingTasks &tasks)
 {
     const bool hasLabel = tasks.requiredLabel.empty() || std::find(worker.labels.begin(), worker.labels.end(), tasks.requiredLabel) != worker.labels.end();
-    return worker.acceptsWork && worker.service == tasks.service && hasLabel;
+    return worker.service == tasks.service && hasLabel;
+}
+
+bool mayRun(const PlannerWorker &worker, const WaitingTasks &tasks)
+{
+    return worker.acceptsWork && isOfKind(worker, tasks);
 }
 
 bool couldHold(const std::vector<PlannerWorker> &workers, const WaitingTasks &tasks, const std::vector<bool> &avoided)
--- a/src/request/private/demand.h
+++ b/src/request/private/demand.h
@@ -16,7 +16,10 @@
 /** Returns how often @p needs fits into @p available, at most @p limit times. */
 std::uint32_t timesIn(const Capacity &available, const Capacity &needs, std::uint32_t limit);
 
-/** Whether @p worker takes work now and has the service and the label that @p tasks require. */
+/** Whether @p worker has the service and the label that @p tasks require. */
+bool isOfKind(const PlannerWorker &worker, const WaitingTasks &tasks);
+
+/** Whether @p worker also takes work now. */
 bool mayRun(const PlannerWorker &worker, const WaitingTasks &tasks);
 
 /**
--- a/src/request/taskplanner.cpp
+++ b/src/request/taskplanner.cpp
@@ -52,9 +52,9 @@
     const auto ranks = this->rankJobs(fleet);
     const auto units = this->collectUnits(guaranteed, ranks, trials);
     const auto running = this->collectRunning(fleet, guaranteed, ranks);
-    auto entries = this->collectMoves(fleet, running);
-    for (const auto &unit : units) {
-        entries.push_back({this->waitingOf(unit, fleet), &unit, 0});
+    auto entries = this->collectEntries(fleet, units, running);
+    if (admitProbes(fleet, entries)) {
+        entries = this->collectEntries(fleet, units, running);
     }
     if (entries.empty()) {
         return decided;
@@ -89,6 +89,36 @@
     return decided;
 }
 
+std::vector<TaskPlanner::Entry> TaskPlanner::collectEntries(const Fleet &fleet, const std::vector<Unit> &units, const RunningSet &running) const
+{
+    auto entries = this->collectMoves(fleet, running);
+    for (const auto &unit : units) {
+        entries.push_back({this->waitingOf(unit, fleet), &unit, 0});
+    }
+    return entries;
+}
+
+/** Lets the quarantined workers take work without which some entry could not be held. Returns whether there are any. */
+bool TaskPlanner::admitProbes(Fleet &fleet, const std::vector<Entry> &entries)
+{
+    bool isAnyAdmitted = false;
+    for (const auto &entry : entries) {
+        if (fleet.probes.empty()) {
+            break;
+        }
+        if (entry.unit == nullptr || couldHold(fleet.workers, entry.tasks, {})) {
+            continue;
+        }
+        std::erase_if(fleet.probes, [&](std::size_t worker) {
+            const bool isNeeded = isOfKind(fleet.workers[worker], entry.tasks);
+            fleet.workers[worker].acceptsWork = isNeeded;
+            isAnyAdmitted = isAnyAdmitted || isNeeded;
+            return isNeeded;
+        });
+    }
+    return isAnyAdmitted;
+}
+
 /** Returns the steps of which nothing starts while workers are avoided for them. */
 std::vector<HeldStep>
 TaskPlanner::heldSteps(const std::vector<Entry> &entries, const std::vector<WaitingTasks> &waiting, const StepPlan &steps, const Fleet &fleet) const
@@ -118,7 +148,7 @@
 bool TaskPlanner::canTakeWork(const LiveWorker &worker) const
 {
     return worker.isKnown && worker.last.isReachable && !worker.last.isDraining && !worker.hasOrphans && this->now >= worker.pausedUntil
-        && this->now - worker.lastReportAt < this->state.options.maxReportAge && !this->state.health.isQuarantined(worker.last.node);
+        && this->now - worker.lastReportAt < this->state.options.maxReportAge;
 }
 
 std::vector<PlacedRun> TaskPlanner::stalledRuns() const
@@ -168,7 +198,12 @@
         for (const auto &[run, live] : worker.runs) {
             view.free -= live.needs;
         }
-        view.acceptsWork = this->canTakeWork(worker);
+        const bool isUsable = this->canTakeWork(worker);
+        const bool isQuarantined = isUsable && this->state.health.isQuarantined(node);
+        view.acceptsWork = isUsable && !isQuarantined;
+        if (isQuarantined && this->now - this->state.health.lastFailureOn(node).value_or(this->now) >= this->state.options.failurePause) {
+            fleet.probes.push_back(fleet.workers.size());
+        }
         view.isOnTrial = trials.isAt(node);
         if (view.acceptsWork) {
             fleet.total += view.capacity;
--- a/tests/request/failuretest.cpp
+++ b/tests/request/failuretest.cpp
@@ -183,6 +183,24 @@
     EXPECT_EQ(site.finish(job, Millis(10'000)), JobPhase::Completed);
 }
 
+// The only executor of a label was quarantined for 4 s and then for 8 s, though nothing else could run what waited.
+TEST(JobSiteFailures, AQuarantineHoldsUpNoWorkThatNothingElseCanRun)
+{
+    JobSite site(11);
+    auto &executor = *site.agents[10].executor;
+    executor.rack = "b";
+    site.advance(Millis(2000));
+    setFailing(executor, true);
+    site.submit(labelled("b"));
+    site.advance(Millis(500));
+    site.submit(labelled("b"));
+    site.advance(FailurePeriod);
+    setFailing(executor, false);
+    const auto job = site.submit(labelled("b"));
+    EXPECT_LE(longestIdleTimeOf(site, job, Millis(20'000)), LongestIdleTime);
+    EXPECT_EQ(site.stateOf(job), JobPhase::Completed);
+}
+
 // With room elsewhere a job keeps away from the executor that failed it.
 TEST(JobSiteFailures, AJobIsTriedElsewhereFirst)
 {
