jobs: Accept no submission after its cancellation was acknowledged

Cause: the cancellation of an unknown job left nothing behind that a later submission would meet. Evidence, from the entries' log lines: cancel unknown-job at 58.635 s, submit done at another entry at 60.902 s.

Now such a cancellation writes a withdrawal on condition that there is no submission, and a submission is written on condition that there is no withdrawal, so that the table lets exactly one of them win. 410 is answered only once the withdrawal is written. A submission that finds one is answered 410 as well, with a remedy: it will never be accepted, so another try would not help.

--- a/include/waxwingloft/connection/jobcalls.h
+++ b/include/waxwingloft/connection/jobcalls.h
@@ -32,12 +32,13 @@
     UnknownJob, ///< there is surely no such job
     NotNow, ///< nothing was done and nothing will be; worth another try later
     Undecided, ///< it may have been done; asking again with the same id settles it
+    Withdrawn, ///< the job was cancelled before it was submitted; it is not accepted and never will be
 };
 
 template<>
 struct NameTable<JobCallOutcome> {
-    static constexpr std::array<std::string_view, 8> names = {
-        "done", "bad-request", "too-large", "unknown-key", "unknown-route", "unknown-job", "not-now", "undecided"};
+    static constexpr std::array<std::string_view, 9> names = {
+        "done", "bad-request", "too-large", "unknown-key", "unknown-route", "unknown-job", "not-now", "undecided", "withdrawn"};
 };
 
 /** A call as it came in. */
--- a/include/waxwingloft/request/jobrows.h
+++ b/include/waxwingloft/request/jobrows.h
@@ -25,6 +25,21 @@
 /** Table that holds all job rows. */
 constexpr std::string_view JobTable = "jobs";
 
+/** Table of the withdrawals; entries and placers do not follow it. */
+constexpr std::string_view WithdrawalTable = "withdrawals";
+
+/** A cancellation by @c workspace of a job that had not been submitted. */
+struct Withdrawal {
+    WorkspaceId workspace; ///< empty for routes that are open to all
+    std::int64_t withdrawnAt = 0; ///< Unix time in milliseconds
+};
+
+/** Returns the key of a withdrawal. Workspaces have rows of their own, so that none can bar the jobs of another. */
+std::string withdrawalKey(const JobId &job, const WorkspaceId &workspace);
+
+std::string encodeWithdrawal(const Withdrawal &withdrawal);
+Result<Withdrawal> parseWithdrawal(const std::string &value);
+
 std::string submissionKey(const JobId &job);
 std::string cancellationKey(const JobId &job);
 std::string progressKey(const JobId &job);
--- a/include/waxwingloft/request/jobservice.h
+++ b/include/waxwingloft/request/jobservice.h
@@ -15,6 +15,7 @@
 #include <array>
 #include <functional>
 #include <string>
+#include <vector>
 
 namespace waxwingloft {
 
@@ -34,7 +35,10 @@
  * Handles callers' requests on jobs at an entry: submit, show, cancel and count.
  *
  * A job is accepted once its row is written. A call is refused only when its write is known to have had no effect;
- * otherwise the answer is Undecided, and the caller can safely repeat the call with the same id. Thread safe.
+ * otherwise the answer is Undecided, and the caller can safely repeat the call with the same id.
+ *
+ * The cancellation of an unknown job is written as a withdrawal, in whose presence no submission of that job is written: one may
+ * still be under way, at another entry or at the table. Thread safe.
  */
 class JobService : public JobCallHandler
 {
@@ -62,6 +66,12 @@
         JobId job; ///< empty for calls that concern the whole route
         std::size_t bodyBytes = 0; ///< largest allowed body
         Instant retryUntil; ///< no retry after this time
+
+        /** Returns in whose name jobs of the route are withdrawn: the workspace, or nobody's where all may call. */
+        WorkspaceId withdrawalOwner() const
+        {
+            return this->route.isPublic ? WorkspaceId{} : this->workspace;
+        }
     };
 
     using VerbHandler = JobAnswer (JobService::*)(const JobCall &, const Admitted &);
@@ -72,7 +82,11 @@
     JobAnswer show(const JobCall &call, const Admitted &admitted);
     JobAnswer cancel(const JobCall &call, const Admitted &admitted);
     JobAnswer countWaiting(const JobCall &call, const Admitted &admitted);
-    Status writeOnce(const std::string &key, const std::string &value, Instant retryUntil);
+    JobAnswer withdraw(const Admitted &admitted);
+    JobAnswer writeCancellation(const Admitted &admitted);
+    Result<std::optional<Row>> writeOnce(const std::string &key, const std::string &value, const std::vector<std::string> &absent, Instant retryUntil);
+    void publish(const Row &row);
+    JobAnswer answerToFailure(const Error &error) const;
     Result<bool> exists(const JobId &job, Instant retryUntil);
     Status readIntoCache(const JobId &job);
     JobAnswer refusal(const std::string &reason) const;
--- a/src/process/daemon/jobentryrole.cpp
+++ b/src/process/daemon/jobentryrole.cpp
@@ -5,6 +5,7 @@
 #include "waxwingloft/request/jobrows.h"
 #include "waxwingloft/request/jobservice.h"
 #include "waxwingloft/request/placerservice.h"
+#include "waxwingloft/request/rowsweeper.h"
 
 namespace waxwingloft {
 
@@ -12,6 +13,7 @@
 
 constexpr auto RoutesWait = Millis(1000); ///< below the time in which a version must be in force, with a silent feed in between
 constexpr auto OfficeWait = Millis(5000); ///< the office changes hands rarely
+constexpr auto SweepInterval = Millis(10 * 60 * 1000); ///< rows are kept for a day, so that a few minutes more do not matter
 constexpr auto AnswerWriteTime = Millis(100); ///< for the last answers to leave
 constexpr double ClockDrift = 0.02; ///< an executor's clock may be this share slow; the platform's pages
 
@@ -45,6 +47,7 @@
         , placer(this->node.clock, officeTermsOf(config), JobRankOptions())
         , board(this->placer)
         , gate(this->node.clock, this->node.ids, this->node.metrics, this->node.table, this->board, this->routes, &parseGraph, JobServiceOptions())
+        , sweeper(this->node.table, this->node.clock, this->node.ids, {SweptRows::Withdrawals}, RowSweeperOptions())
         , office(this->node.clock,
                  this->node.events,
                  this->node.ids,
@@ -79,6 +82,7 @@
             this->node.table, this->node.relay, this->node.clock, std::string(OperatorTable), this->operatorRoutes, routesFollowing());
         this->jobsFollower =
             std::make_unique<TableFollower>(this->node.table, this->node.relay, this->node.clock, std::string(JobTable), this->office, TableFollowerOptions());
+        this->sweepTicker = std::make_unique<Ticker>("the removal of old rows", SweepInterval, [this] { this->sweep(); });
         this->ready.start();
         this->front.start();
         this->node.http.run();
@@ -120,6 +124,13 @@
         RelayTable &relay;
     };
 
+    void sweep()
+    {
+        if (this->placer.isLeader()) {
+            this->sweeper.sweep();
+        }
+    }
+
     bool isReady() const
     {
         const ReadSection section;
@@ -131,6 +142,7 @@
     TaskPlacer placer;
     JobCache board;
     JobService gate;
+    RowSweeper sweeper;
     PlacerService office;
     OperatorRoutes operatorRoutes;
     MessageSwitch messages;
@@ -138,6 +150,7 @@
     ReadyFront ready;
     std::unique_ptr<TableFollower> routesFollower;
     std::unique_ptr<TableFollower> jobsFollower;
+    std::unique_ptr<Ticker> sweepTicker;
 };
 
 } // namespace
--- a/src/request/entryservice.cpp
+++ b/src/request/entryservice.cpp
@@ -99,7 +99,7 @@
                 [this] { this->wakePlacer(); },
                 context.location.region,
                 options.callTimeout})
-    , sweeper(context.table, context.clock, context.ids, RowSweeperOptions{})
+    , sweeper(context.table, context.clock, context.ids, {SweptRows::Jobs, SweptRows::Claims}, RowSweeperOptions{})
 {
     this->members.setListener([this](const Member &member) { this->servers.update(member); });
 }
--- a/src/request/jobrows.cpp
+++ b/src/request/jobrows.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <xxhash.h>
 
 namespace waxwingloft {
 
@@ -153,6 +154,11 @@
     return progress;
 }
 
+Withdrawal withdrawalOf(const Json &json)
+{
+    return {WorkspaceId{json.at("workspace").get<std::string>()}, json.at("withdrawn_at").get<std::int64_t>()};
+}
+
 /** Parses a row with @p read; returns Damaged when the row is invalid or was written in an incompatible format. */
 template<typename T>
 Result<T> parseRow(const std::string &value, const char *what, T (*read)(const Json &))
@@ -166,6 +172,22 @@
 
 } // namespace
 
+std::string withdrawalKey(const JobId &job, const WorkspaceId &workspace)
+{
+    // Names of workspaces may be longer than the table's keys.
+    return std::string(WithdrawalTable) + "/" + job.value + "/" + std::to_string(XXH3_64bits(workspace.value.data(), workspace.value.size()));
+}
+
+std::string encodeWithdrawal(const Withdrawal &withdrawal)
+{
+    return Json{{"workspace", withdrawal.workspace.value}, {"withdrawn_at", withdrawal.withdrawnAt}}.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+Result<Withdrawal> parseWithdrawal(const std::string &value)
+{
+    return parseRow<Withdrawal>(value, "a withdrawal", &withdrawalOf);
+}
+
 std::string submissionKey(const JobId &job)
 {
     return std::string(Prefix) + job.value;
--- a/src/request/jobservice.cpp
+++ b/src/request/jobservice.cpp
@@ -133,32 +133,38 @@
     submission.latencySlack = admitted.route.latencySlack;
     submission.acceptedAt = this->clock.wallMillis();
     submission.graph = std::move(valueOf(graph));
-    const auto written = this->writeOnce(submissionKey(submission.id), encodeSubmission(submission), admitted.retryUntil);
-    if (succeeded(written)) {
+    const auto withdrawal = withdrawalKey(submission.id, admitted.withdrawalOwner());
+    const auto written = this->writeOnce(submissionKey(submission.id), encodeSubmission(submission), {withdrawal}, admitted.retryUntil);
+    if (!succeeded(written)) {
+        return this->answerToFailure(errorOf(written));
+    }
+    if (valueOf(written)) {
+        this->publish(*valueOf(written));
         this->metrics.add(Count::JobsSubmitted);
         return answer(JobCallOutcome::Done);
     }
-    if (errorOf(written).kind == ErrorKind::Ambiguous) {
-        return answer(JobCallOutcome::Undecided, toString(errorOf(written)));
+    const auto known = this->exists(submission.id, admitted.retryUntil);
+    if (!succeeded(known)) {
+        return answer(JobCallOutcome::Undecided, toString(errorOf(known)));
     }
-    return this->refusal(toString(errorOf(written)));
+    return valueOf(known) ? answer(JobCallOutcome::Done, "a job with this id exists already; it is not submitted again")
+                          : answer(JobCallOutcome::Withdrawn, "the job was cancelled before it was submitted; use a new id to submit it after all");
 }
 
-/** Writes a row that is never overwritten; succeeds also when the row exists already. */
-Status JobService::writeOnce(const std::string &key, const std::string &value, Instant retryUntil)
+/** Writes a row that is never overwritten, if none of @p absent exists. Returns the row; nothing when it or one of @p absent exists already. */
+Result<std::optional<Row>> JobService::writeOnce(const std::string &key, const std::string &value, const std::vector<std::string> &absent, Instant retryUntil)
 {
+    std::vector<Condition> conditions{{key, 0}};
+    for (const auto &other : absent) {
+        conditions.push_back({other, 0});
+    }
     while (true) {
-        const auto committed = this->table.commit(Transaction{this->ids.next(), {{key, 0}}, {{key, value}}});
+        const auto committed = this->table.commit(Transaction{this->ids.next(), conditions, {{key, value}}});
         if (succeeded(committed)) {
-            const Row row{key, value, valueOf(committed).revision, {}};
-            this->jobCache.applyRow(row);
-            if (this->rowObserver) {
-                this->rowObserver(row);
-            }
-            return Done{};
+            return std::optional<Row>({key, value, valueOf(committed).revision, {}});
         }
         if (errorOf(committed).kind == ErrorKind::Conflict) {
-            return Done{};
+            return std::optional<Row>();
         }
         if (errorOf(committed).kind != ErrorKind::PlatformDown || this->clock.now() >= retryUntil) {
             return errorOf(committed);
@@ -167,6 +173,15 @@
     }
 }
 
+/** Makes a row of the job table known here and to the observer, ahead of the change feed. */
+void JobService::publish(const Row &row)
+{
+    this->jobCache.applyRow(row);
+    if (this->rowObserver) {
+        this->rowObserver(row);
+    }
+}
+
 JobAnswer JobService::show(const JobCall & /*call*/, const Admitted &admitted)
 {
     const auto known = this->exists(admitted.job, admitted.retryUntil);
@@ -188,17 +203,40 @@
     if (!succeeded(known)) {
         return this->refusal(toString(errorOf(known)));
     }
-    if (!valueOf(known)) {
-        return answer(JobCallOutcome::UnknownJob, "there is no job with this id");
+    return valueOf(known) ? this->writeCancellation(admitted) : this->withdraw(admitted);
+}
+
+/** Bars a submission that may still be under way, so that the caller can rely on the answer that there is no such job. */
+JobAnswer JobService::withdraw(const Admitted &admitted)
+{
+    const auto owner = admitted.withdrawalOwner();
+    const auto value = encodeWithdrawal({owner, this->clock.wallMillis()});
+    const auto written = this->writeOnce(withdrawalKey(admitted.job, owner), value, {submissionKey(admitted.job)}, admitted.retryUntil);
+    if (!succeeded(written)) {
+        return this->answerToFailure(errorOf(written));
     }
-    const auto written = this->writeOnce(cancellationKey(admitted.job), "{}", admitted.retryUntil);
-    if (succeeded(written)) {
-        return answer(JobCallOutcome::Done);
+    if (!valueOf(written)) {
+        const auto known = this->exists(admitted.job, admitted.retryUntil);
+        if (!succeeded(known)) {
+            return this->refusal(toString(errorOf(known)));
+        }
+        if (valueOf(known)) {
+            return this->writeCancellation(admitted);
+        }
+    }
+    return answer(JobCallOutcome::UnknownJob, "there is no job with this id, and none will be accepted under it");
+}
+
+JobAnswer JobService::writeCancellation(const Admitted &admitted)
+{
+    const auto written = this->writeOnce(cancellationKey(admitted.job), "{}", {}, admitted.retryUntil);
+    if (!succeeded(written)) {
+        return this->answerToFailure(errorOf(written));
     }
-    if (errorOf(written).kind == ErrorKind::Ambiguous) {
-        return answer(JobCallOutcome::Undecided, toString(errorOf(written)));
+    if (valueOf(written)) {
+        this->publish(*valueOf(written));
     }
-    return this->refusal(toString(errorOf(written)));
+    return answer(JobCallOutcome::Done);
 }
 
 JobAnswer JobService::countWaiting(const JobCall & /*call*/, const Admitted &admitted)
@@ -246,6 +284,12 @@
     return Done{};
 }
 
+/** Returns the answer to a call whose write failed. */
+JobAnswer JobService::answerToFailure(const Error &error) const
+{
+    return error.kind == ErrorKind::Ambiguous ? answer(JobCallOutcome::Undecided, toString(error)) : this->refusal(toString(error));
+}
+
 JobAnswer JobService::refusal(const std::string &reason) const
 {
     auto refused = answer(JobCallOutcome::NotNow, reason);
--- a/src/request/rowsweeper.cpp
+++ b/src/request/rowsweeper.cpp
@@ -1,22 +1,32 @@
 #include "waxwingloft/request/rowsweeper.h"
 
 #include "waxwingloft/request/claimstore.h"
+#include "waxwingloft/request/jobrows.h"
 #include "waxwingloft/request/jobstore.h"
 
+#include <utility>
+
 namespace waxwingloft {
 
-RowSweeper::RowSweeper(TableStore &table, Clock &clock, IdSource &ids, RowSweeperOptions options)
+const std::array<RowSweeper::Rule, NameTable<SweptRows>::names.size()> RowSweeper::rules = {
+    {{"job/", &RowSweeper::isExpiredJob}, {"claim/", &RowSweeper::isExpiredClaim}, {"withdrawals/", &RowSweeper::isExpiredWithdrawal}}};
+
+RowSweeper::RowSweeper(TableStore &table, Clock &clock, IdSource &ids, std::vector<SweptRows> kinds, RowSweeperOptions options)
     : table(table)
     , clock(clock)
     , ids(ids)
+    , kinds(std::move(kinds))
     , options(options)
 {
 }
 
 std::size_t RowSweeper::sweep()
 {
-    const auto jobs = this->deleteExpired("job/", &RowSweeper::isExpiredJob, this->options.maxDeletes);
-    return jobs + this->deleteExpired("claim/", &RowSweeper::isExpiredClaim, this->options.maxDeletes - jobs);
+    std::size_t deleted = 0;
+    for (const auto kind : this->kinds) {
+        deleted += this->deleteExpired(rules.at(static_cast<std::size_t>(kind)), this->options.maxDeletes - deleted);
+    }
+    return deleted;
 }
 
 bool RowSweeper::isExpiredJob(const Row &row) const
@@ -32,9 +42,15 @@
     return succeeded(claim) && this->clock.wallMillis() - valueOf(claim).claimedAtWallMillis >= this->options.claimRetention.count();
 }
 
-std::size_t RowSweeper::deleteExpired(const std::string &prefix, IsExpired isExpired, std::size_t limit)
+bool RowSweeper::isExpiredWithdrawal(const Row &row) const
+{
+    const auto withdrawal = parseWithdrawal(row.value);
+    return succeeded(withdrawal) && this->clock.wallMillis() - valueOf(withdrawal).withdrawnAt >= this->options.withdrawalRetention.count();
+}
+
+std::size_t RowSweeper::deleteExpired(const Rule &rule, std::size_t limit)
 {
-    const auto listed = this->table.list(prefix, 0);
+    const auto listed = this->table.list(std::string(rule.prefix), 0);
     std::size_t deleted = 0;
     if (!succeeded(listed)) {
         return deleted;
@@ -43,7 +59,7 @@
         if (deleted >= limit) {
             break;
         }
-        if ((this->*isExpired)(row)) {
+        if ((this->*rule.isExpired)(row)) {
             deleted += succeeded(this->table.commit({this->ids.next(), {{row.key, row.revision}}, {{row.key, std::nullopt}}})) ? 1 : 0;
         }
     }
--- a/tests/platform/jobfronttest.cpp
+++ b/tests/platform/jobfronttest.cpp
@@ -89,7 +89,8 @@
                                           std::pair(JobCallOutcome::UnknownRoute, 404),
                                           std::pair(JobCallOutcome::UnknownJob, 410),
                                           std::pair(JobCallOutcome::NotNow, 503),
-                                          std::pair(JobCallOutcome::Undecided, 504)}) {
+                                          std::pair(JobCallOutcome::Undecided, 504),
+                                          std::pair(JobCallOutcome::Withdrawn, 410)}) {
         handler.answer = {outcome, "why", {}, 0, outcome == JobCallOutcome::NotNow ? Millis(1000) : Millis(0)};
         const auto answered = client.Get("/a/5c0e7a21d94b36f8", callerHeaders());
         ASSERT_TRUE(answered);
--- a/tests/request/jobservicetest.cpp
+++ b/tests/request/jobservicetest.cpp
@@ -3,7 +3,10 @@
 #include "process/manualclock.h"
 #include "waxwingloft/request/jobrows.h"
 
+#include <functional>
 #include <gtest/gtest.h>
+#include <utility>
+#include <vector>
 
 namespace waxwingloft::tests {
 
@@ -11,7 +14,7 @@
 
 const std::string Id = "5c0e7a21d94b36f8";
 
-/** Forwards calls to another table, and can leave commits without an answer. */
+/** Forwards calls to another table, and can leave commits without an answer or keep them back. */
 class AmbiguousTable : public TableStore
 {
 public:
@@ -34,14 +37,30 @@
     {
         ++this->commits;
         if (this->isAmbiguous) {
+            this->kept.push_back(transaction);
             return makeError(ErrorKind::Ambiguous, "no answer");
         }
+        if (this->beforeCommit) {
+            std::exchange(this->beforeCommit, nullptr)();
+        }
         return this->rows.commit(transaction);
     }
 
+    /** Carries out the commits that had no answer. Returns how many took effect. */
+    int commitKept()
+    {
+        int done = 0;
+        for (const auto &transaction : std::exchange(this->kept, {})) {
+            done += succeeded(this->rows.commit(transaction)) ? 1 : 0;
+        }
+        return done;
+    }
+
     FakeRows &rows;
     bool isAmbiguous = false;
     int commits = 0;
+    std::vector<Transaction> kept; ///< without an answer, in order
+    std::function<void()> beforeCommit; ///< called once, before the next commit
 };
 
 class JobServiceTest : public testing::Test
@@ -63,6 +82,7 @@
         route.isPublic = true;
         routing.routes.push_back(route);
         routing.quotaByKey["k1"] = {WorkspaceId{"plant"}, 8};
+        routing.quotaByKey["k2"] = {WorkspaceId{"stranger"}, 8};
         this->routes.replaceIf(routing, [](const RoutingTable &) { return true; });
         this->jobCache.reset({});
     }
@@ -219,6 +239,79 @@
     EXPECT_EQ(this->call(JobVerb::CountWaiting, "/a/").waiting, 0U);
 }
 
+// A submission that lay at a frozen entry was accepted after another entry had acknowledged its cancellation.
+TEST_F(JobServiceTest, ASubmissionThatArrivesAfterItsCancellationIsNotAccepted)
+{
+    EXPECT_EQ(this->call(JobVerb::Cancel, "/a/" + Id).outcome, JobCallOutcome::UnknownJob);
+    EXPECT_EQ(this->call(JobVerb::Cancel, "/a/" + Id).outcome, JobCallOutcome::UnknownJob) << "again";
+    JobCache otherCache(this->placer);
+    JobService other(this->clock, this->ids, this->metrics, this->table, otherCache, this->routes, &JobServiceTest::parse, JobServiceOptions());
+    const auto refused = other.handle({JobVerb::Submit, "h", "/a/" + Id, "k1", Millis(2000), "job"});
+    EXPECT_EQ(refused.outcome, JobCallOutcome::Withdrawn);
+    EXPECT_NE(refused.message.find("new id"), std::string::npos) << refused.message;
+    EXPECT_FALSE(this->rows.rows.contains(submissionKey(JobId{Id})));
+    EXPECT_EQ(this->call(JobVerb::Show, "/a/" + Id).outcome, JobCallOutcome::UnknownJob);
+    EXPECT_EQ(this->call(JobVerb::CountWaiting, "/a/").waiting, 0U);
+}
+
+// The same for a submission whose write was without an answer and is carried out late.
+TEST_F(JobServiceTest, ASubmissionInDoubtTakesNoEffectAfterItsCancellation)
+{
+    this->table.isAmbiguous = true;
+    EXPECT_EQ(this->call(JobVerb::Submit, "/a/" + Id).outcome, JobCallOutcome::Undecided);
+    this->table.isAmbiguous = false;
+    EXPECT_EQ(this->call(JobVerb::Cancel, "/a/" + Id).outcome, JobCallOutcome::UnknownJob);
+    EXPECT_EQ(this->table.commitKept(), 0);
+    EXPECT_FALSE(this->rows.rows.contains(submissionKey(JobId{Id})));
+}
+
+// A cancellation read that there was no such job just before the submission was written.
+TEST_F(JobServiceTest, ACancellationThatMeetsItsSubmissionCancelsTheJob)
+{
+    JobCache otherCache(this->placer);
+    JobService other(this->clock, this->ids, this->metrics, this->table, otherCache, this->routes, &JobServiceTest::parse, JobServiceOptions());
+    this->table.beforeCommit = [&other] { other.handle({JobVerb::Submit, "h", "/a/" + Id, "k1", Millis(2000), "job"}); };
+    EXPECT_EQ(this->call(JobVerb::Cancel, "/a/" + Id).outcome, JobCallOutcome::Done);
+    EXPECT_EQ(this->call(JobVerb::Show, "/a/" + Id).state, "cancelled");
+}
+
+// An acknowledgement is given only once the withdrawal is known to be written.
+TEST_F(JobServiceTest, AWithdrawalInDoubtIsNotAcknowledged)
+{
+    this->table.isAmbiguous = true;
+    EXPECT_EQ(this->call(JobVerb::Cancel, "/a/" + Id).outcome, JobCallOutcome::Undecided);
+    this->table.isAmbiguous = false;
+    EXPECT_EQ(this->call(JobVerb::Submit, "/a/" + Id).outcome, JobCallOutcome::Done);
+    EXPECT_EQ(this->table.commitKept(), 0) << "the late withdrawal";
+    EXPECT_EQ(this->call(JobVerb::Show, "/a/" + Id).state, "pending");
+}
+
+// Whoever guessed an id could otherwise keep its owner from using it.
+TEST_F(JobServiceTest, AStrangersCancellationBarsNoJob)
+{
+    EXPECT_EQ(this->call(JobVerb::Cancel, "/a/" + Id, "k2").outcome, JobCallOutcome::UnknownJob);
+    EXPECT_EQ(this->call(JobVerb::Submit, "/a/" + Id, "k1").outcome, JobCallOutcome::Done);
+    EXPECT_EQ(this->call(JobVerb::Show, "/a/" + Id).state, "pending");
+    EXPECT_EQ(this->call(JobVerb::Cancel, "/a/" + Id, "k1").outcome, JobCallOutcome::Done);
+}
+
+TEST_F(JobServiceTest, OnARouteOpenToAllAnyoneMayWithdrawAJob)
+{
+    EXPECT_EQ(this->call(JobVerb::Cancel, "/open/" + Id, "").outcome, JobCallOutcome::UnknownJob);
+    EXPECT_EQ(this->call(JobVerb::Submit, "/open/" + Id, "k1").outcome, JobCallOutcome::Withdrawn);
+}
+
+TEST_F(JobServiceTest, WithdrawalsAreNoRowsOfTheJobTable)
+{
+    std::vector<std::string> keys;
+    this->jobService.setRowObserver([&keys](const Row &row) { keys.push_back(row.key); });
+    this->call(JobVerb::Cancel, "/a/" + Id);
+    EXPECT_TRUE(keys.empty());
+    ASSERT_EQ(this->rows.rows.size(), 1U);
+    EXPECT_TRUE(this->rows.rows.begin()->first.starts_with("withdrawals/"));
+    EXPECT_LE(withdrawalKey(JobId{Id}, WorkspaceId{std::string(500, 'w')}).size(), 200U) << "the table's longest key";
+}
+
 TEST(VisibleState, AnEndIsNotTakenBackByACancellation)
 {
     JobProgress progress;
