gangs: Let a job that was cancelled before it is submitted run nothing

Test: SiteTest.aJobThatWasCancelledBeforeItIsSubmittedNeverRuns; it failed with the branch taken out.

--- a/include/waxwingloft/request/gangjobservice.h
+++ b/include/waxwingloft/request/gangjobservice.h
@@ -55,6 +55,7 @@
     };
 
     Result<Caller> callerOf(const std::string &token) const;
+    Status withdrawJob(const std::string &token, const JobId &id, const Error &notFound);
     Result<JobRecord> findOwn(const std::string &token, const JobId &id);
     Result<std::string> chooseRegion(const JobRequest &question) const;
     JobView viewOf(const JobRecord &record) const;
--- a/src/request/gangjobservice.cpp
+++ b/src/request/gangjobservice.cpp
@@ -78,13 +78,37 @@
 {
     const auto record = this->findOwn(token, id);
     if (!succeeded(record)) {
-        return errorOf(record);
+        return errorOf(record).kind == ErrorKind::NotFound ? this->withdrawJob(token, id, errorOf(record)) : errorOf(record);
     }
     auto cancelled = this->context.jobs.requestCancel(id);
     this->notifyPlacer(valueOf(record).region);
     return cancelled;
 }
 
+/** Writes an unknown job of the caller's own workspace as cancelled, so that a submission which is still under way starts nothing. */
+Status GangJobService::withdrawJob(const std::string &token, const JobId &id, const Error &notFound)
+{
+    const auto caller = this->callerOf(token);
+    if (!succeeded(caller)) {
+        return errorOf(caller);
+    }
+    if (!id.value.starts_with(valueOf(caller).workspace.value + ".")) {
+        return notFound;
+    }
+    JobRecord record;
+    record.id = id;
+    record.workspace = valueOf(caller).workspace;
+    record.team = valueOf(caller).team;
+    const auto now = this->context.clock.wallMillis();
+    record.submittedAtWallMillis = now;
+    endJob(record, Outcome::Cancelled, "cancelled before it was submitted", now);
+    const auto written = this->context.jobs.create(record);
+    if (succeeded(written)) {
+        return notFound;
+    }
+    return errorOf(written).kind == ErrorKind::Conflict ? this->context.jobs.requestCancel(id) : Status(errorOf(written));
+}
+
 Result<GangJobService::Caller> GangJobService::callerOf(const std::string &token) const
 {
     const ReadSection section;
--- a/tests/request/sitetest.cpp
+++ b/tests/request/sitetest.cpp
@@ -115,6 +115,27 @@
     }
 }
 
+// A submission that lay at a frozen entry was accepted after its cancellation had been told that there is no such job.
+TEST(SiteTest, aJobThatWasCancelledBeforeItIsSubmittedNeverRuns)
+{
+    Site site;
+    const JobId id{"plant.late"};
+    EXPECT_FALSE(succeeded(site.entry("entry-1").cancelJob(Site::callerToken, id)));
+    ASSERT_TRUE(succeeded(submit(site, "entry-2", Site::callerToken, "probe", "late")));
+    site.advance(UrgentStartLimit);
+    EXPECT_FALSE(startOf(site, "plant.late").has_value());
+    const auto shown = site.entry("entry-2").showJob(Site::callerToken, id);
+    ASSERT_TRUE(succeeded(shown));
+    EXPECT_EQ(valueOf(shown).outcome, Outcome::Cancelled);
+}
+
+TEST(SiteTest, nobodyCancelsAJobOfAnotherWorkspaceBeforeItIsSubmitted)
+{
+    Site site;
+    EXPECT_FALSE(succeeded(site.entry("entry-1").cancelJob(Site::callerToken, JobId{"other.late"})));
+    EXPECT_FALSE(site.rows.rows.contains("job/other.late"));
+}
+
 TEST(SiteTest, anUrgentOwnerStartsInTimeWithReclaim)
 {
     Site site;
