jobs: Let a workspace cancel its own jobs only

Any valid key could cancel any job whose id its caller knew: JobService::cancel looked at the job alone. It is answered 410, as for an unknown job, and writes nothing. Jobs of routes that are open to all, and jobs without a workspace, remain everyone's.

Test: JobServiceTest.AStrangerCancelsNoJob. It was written with the change and not run without it.

--- a/include/waxwingloft/request/jobcache.h
+++ b/include/waxwingloft/request/jobcache.h
@@ -42,6 +42,9 @@
     /** Returns the state of a job. Empty when it is not cached; the job may still exist in the table. */
     std::optional<JobPhase> stateOf(const JobId &job) const;
 
+    /** Returns the workspace that submitted a job; empty when the job is not cached. */
+    std::optional<WorkspaceId> workspaceOf(const JobId &job) const;
+
     /** Returns how many accepted jobs of @p route have not started. */
     std::size_t pendingCount(const std::string &route) const;
 
--- a/include/waxwingloft/request/jobservice.h
+++ b/include/waxwingloft/request/jobservice.h
@@ -83,6 +83,7 @@
     JobAnswer cancel(const JobCall &call, const Admitted &admitted);
     JobAnswer countWaiting(const JobCall &call, const Admitted &admitted);
     JobAnswer withdraw(const Admitted &admitted);
+    bool mayCancel(const Admitted &admitted) const;
     JobAnswer writeCancellation(const Admitted &admitted);
     Result<std::optional<Row>> writeOnce(const std::string &key, const std::string &value, const std::vector<std::string> &absent, Instant retryUntil);
     void publish(const Row &row);
--- a/src/request/jobcache.cpp
+++ b/src/request/jobcache.cpp
@@ -184,6 +184,13 @@
     return visibleState(found->second.progress, found->second.isCancelled);
 }
 
+std::optional<WorkspaceId> JobCache::workspaceOf(const JobId &job) const
+{
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    const auto found = this->jobs.find(job);
+    return found == this->jobs.end() || !found->second.submission ? std::nullopt : std::optional(found->second.submission->workspace);
+}
+
 std::size_t JobCache::pendingCount(const std::string &route) const
 {
     const std::lock_guard<std::mutex> guard(this->mutex);
--- a/src/request/jobservice.cpp
+++ b/src/request/jobservice.cpp
@@ -227,8 +227,18 @@
     return answer(JobCallOutcome::UnknownJob, "there is no job with this id, and none will be accepted under it");
 }
 
+/** Whether the job is the caller's own. Jobs of routes that are open to all are everyone's. */
+bool JobService::mayCancel(const Admitted &admitted) const
+{
+    const auto owner = this->jobCache.workspaceOf(admitted.job);
+    return admitted.route.isPublic || !owner || owner->isEmpty() || *owner == admitted.workspace;
+}
+
 JobAnswer JobService::writeCancellation(const Admitted &admitted)
 {
+    if (!this->mayCancel(admitted)) {
+        return answer(JobCallOutcome::UnknownJob, "there is no job with this id in this workspace; use a key of the one that submitted it");
+    }
     const auto written = this->writeOnce(cancellationKey(admitted.job), "{}", {}, admitted.retryUntil);
     if (!succeeded(written)) {
         return this->answerToFailure(errorOf(written));
--- a/tests/request/jobservicetest.cpp
+++ b/tests/request/jobservicetest.cpp
@@ -295,6 +295,18 @@
     EXPECT_EQ(this->call(JobVerb::Cancel, "/a/" + Id, "k1").outcome, JobCallOutcome::Done);
 }
 
+// Any valid key cancelled any job.
+TEST_F(JobServiceTest, AStrangerCancelsNoJob)
+{
+    this->call(JobVerb::Submit, "/a/" + Id);
+    EXPECT_EQ(this->call(JobVerb::Cancel, "/a/" + Id, "k2").outcome, JobCallOutcome::UnknownJob);
+    EXPECT_EQ(this->call(JobVerb::Show, "/a/" + Id).state, "pending");
+    EXPECT_EQ(this->rows.rows.size(), 1U);
+    const std::string open = "0123456789abcdef";
+    this->call(JobVerb::Submit, "/open/" + open);
+    EXPECT_EQ(this->call(JobVerb::Cancel, "/open/" + open, "").outcome, JobCallOutcome::Done) << "the route is open to all";
+}
+
 TEST_F(JobServiceTest, OnARouteOpenToAllAnyoneMayWithdrawAJob)
 {
     EXPECT_EQ(this->call(JobVerb::Cancel, "/open/" + Id, "").outcome, JobCallOutcome::UnknownJob);
