placer: Carry the bounds of silent agents over to the next placer

Cause: what bounds the runs of an agent lived in the placer's process only, so that a successor waited 27.3 s for the worst case from when it became leader. Evidence on: Became leader at 52.2 s, Lost 1 runs at 79.8 s; no executor joined for that agent in between, and the next start followed at once. New log line: what a leader waits for, and why.

Now the rows say which runs have begun (one write for a run that lasts over 1.5 s), and the row bounds/agents says which agents may have open calls and for how long the runs of silent ones can last; the term that has passed without a renewal counts against the grant period. A lease that the row does not allow for is granted only once it is written, and a write in doubt counts as possible until a later one bars it.

Tests: JobSiteTakeover, AgentBounds, 60 seeds of JobSiteTakeovers, PlacerService.WritesThatAnAgentHasOpenCallsBeforeItGetsALease.

--- a/include/waxwingloft/request/jobprogress.h
+++ b/include/waxwingloft/request/jobprogress.h
@@ -52,6 +52,7 @@
     std::string checkpoint; ///< to resume from; empty to start from the beginning
     NodeId worker; ///< agent of the latest run, while assigned
     ExecutorIncarnation incarnation; ///< executor of the latest run, while assigned
+    bool hasBegun = false; ///< the latest run was reported as begun, while assigned; noted late or never
     std::uint32_t startCrashes = 0; ///< executors that crashed under it and are not known to have outlived its start
     std::uint32_t crashes = 0; ///< executors that crashed under it
 
--- a/include/waxwingloft/request/placerservice.h
+++ b/include/waxwingloft/request/placerservice.h
@@ -78,7 +78,9 @@
     void announceEntry();
     bool becomeLeader();
     void plan();
+    void write();
     void writeProgress();
+    void writeBounds();
     void pushAssignments();
     void push(const std::string &address);
     bool isRecent(const Row &row) const;
--- a/include/waxwingloft/request/taskplacer.h
+++ b/include/waxwingloft/request/taskplacer.h
@@ -5,6 +5,7 @@
 #include "waxwingloft/process/clock.h"
 #include "waxwingloft/process/error.h"
 #include "waxwingloft/process/logger.h"
+#include "waxwingloft/request/boundsledger.h"
 #include "waxwingloft/request/crashledger.h"
 #include "waxwingloft/request/jobprogress.h"
 #include "waxwingloft/request/jobrank.h"
@@ -16,6 +17,7 @@
 #include <atomic>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -29,6 +31,12 @@
     std::uint64_t progressRevision = 0; ///< zero when no progress row exists
 };
 
+/** What a new leader knows of the terms before its own. */
+struct Takeover {
+    StoredBounds bounds; ///< read after its own term had begun
+    Millis sinceRenewal = Millis(0); ///< every earlier placer last renewed its leadership at least so long ago, or has given it up
+};
+
 /** A conditional write of the progress of one job. */
 struct ProgressWrite {
     Epoch epoch = 0; ///< of the term that decided it; the write must fail once another one has begun
@@ -69,7 +77,7 @@
     void setMetrics(Metrics &metrics);
 
     /** Becomes leader under @p epoch. @p jobs must have been read after the epoch was written. */
-    void becomeLeader(Epoch epoch, std::vector<StoredJob> jobs);
+    void becomeLeader(Epoch epoch, std::vector<StoredJob> jobs, const Takeover &takeover = {});
     void stepDown(const std::string &reason);
     bool isLeader() const;
 
@@ -109,6 +117,21 @@
     /** Whether @p writes belong to the current term. */
     bool isCurrent(const std::vector<ProgressWrite> &writes) const;
 
+    /** Returns the write of the agents' bounds that is due; nothing otherwise. Each one that is taken must be answered by one of the next three. */
+    std::optional<BoundsWrite> takeBoundsWrite();
+
+    /** Records that @p write was committed at @p revision. Ignored, as the next two are, when it belongs to an earlier term. */
+    void boundsWritten(const BoundsWrite &write, std::uint64_t revision);
+
+    /** Records that @p write had no effect and never will. */
+    void boundsNotWritten(const BoundsWrite &write);
+
+    /** Records that @p write may take effect yet; @p stored is the row as read since, or nothing. */
+    void boundsInDoubt(const BoundsWrite &write, const std::optional<StoredBounds> &stored);
+
+    /** Whether an agent waits for a lease until the bounds are written. */
+    bool isBoundsWriteUrgent() const;
+
     /** Returns the assignments that have changed since they were last sent. */
     std::vector<OutgoingSync> takeSyncs();
 
@@ -125,11 +148,16 @@
     void applyEnd(LiveJob &job, const TaskRun &run, TaskProgress &task, RunEnd how, const std::string &checkpoint);
     void stopGangMembers(LiveJob &job, const TaskRun &run, const std::string &checkpoint);
 
+    AssignmentSync announcement() const;
     void handleEnds(LiveWorker &worker, const AgentReport &report);
     void endUnknownRuns(LiveWorker &worker, const AgentReport &report);
     void rebindRuns(LiveWorker &worker, const AgentReport &report);
     void loseRuns(LiveWorker &worker, const std::string &reason, bool onlyBegun = false);
     Millis runsLastAfter(Millis lateness) const;
+    void boundUnreportedRuns(const Takeover &takeover);
+    void boundRuns(LiveWorker &worker, const AgentReport &report, bool isFirst);
+    AgentBounds wantedBounds(Instant now) const;
+    void noteBegunRuns(Instant now);
     void expireUnresponsive(Instant now);
 
     bool isSettled(Instant now) const;
@@ -150,6 +178,7 @@
     std::map<JobId, LiveJob> jobs;
     std::map<NodeId, LiveWorker> workers;
     CrashLedger crashes;
+    BoundsLedger bounds;
     std::atomic<bool> hasChanges{false}; ///< since the last plan; read without the mutex
 };
 
--- a/src/request/jobrows.cpp
+++ b/src/request/jobrows.cpp
@@ -14,6 +14,8 @@
 constexpr std::string_view CancellationSuffix = "/cancel";
 constexpr std::string_view ProgressSuffix = "/progress";
 
+constexpr char BegunMark = '1'; ///< in the text that has a character for each task of a job in order
+
 /** Positions of a task's fields in a progress row. Trailing fields may be absent. */
 enum TaskField : std::size_t { StateField, RunField, FailuresField, CheckpointField, ExecutorField, StartCrashesField, CrashesField, TaskFields };
 
@@ -136,6 +138,16 @@
     return task;
 }
 
+template<typename Progress, typename Visit>
+void forEachTask(Progress &progress, Visit visit)
+{
+    for (auto &occurrence : progress.occurrences) {
+        for (auto &step : occurrence) {
+            std::for_each(step.begin(), step.end(), visit);
+        }
+    }
+}
+
 JobProgress progressOf(const Json &json)
 {
     JobProgress progress;
@@ -151,6 +163,12 @@
         }
         progress.occurrences.push_back(std::move(occurrence));
     }
+    const auto begun = json.value("begun", std::string());
+    std::size_t place = 0;
+    forEachTask(progress, [&begun, &place](TaskProgress &task) {
+        task.hasBegun = place < begun.size() && begun[place] == BegunMark;
+        ++place;
+    });
     return progress;
 }
 
@@ -252,6 +270,9 @@
 std::string encodeProgress(const JobProgress &progress)
 {
     ExecutorList executors;
+    std::string begun;
+    forEachTask(progress, [&begun](const TaskProgress &task) { begun += task.state == TaskPhase::Assigned && task.hasBegun ? BegunMark : '0'; });
+    begun.erase(begun.find_last_of(BegunMark) + 1);
     auto occurrences = Json::array();
     for (const auto &occurrence : progress.occurrences) {
         auto steps = Json::array();
@@ -264,7 +285,9 @@
         }
         occurrences.push_back(std::move(steps));
     }
-    return Json{{"state", std::string(nameOf(progress.state))}, {"tasks", std::move(occurrences)}, {"executors", std::move(executors.executors)}}.dump();
+    return Json{
+        {"state", std::string(nameOf(progress.state))}, {"tasks", std::move(occurrences)}, {"executors", std::move(executors.executors)}, {"begun", begun}}
+        .dump();
 }
 
 Result<JobProgress> parseProgress(const std::string &value)
--- a/src/request/liveworker.cpp
+++ b/src/request/liveworker.cpp
@@ -45,6 +45,7 @@
         auto &live = found->second;
         const bool hasBegun = !live.isRunning && reported.phase != RunPhase::Ordered;
         live.isRunning = live.isRunning || hasBegun;
+        live.hasBegun = live.hasBegun || reported.phase == RunPhase::Running;
         live.startEffect = live.startEffect == StartEffect::Outlived ? live.startEffect : reported.startEffect;
         if (hasBegun || reported.percent > live.percent) {
             live.percent = std::max(live.percent, reported.percent);
--- a/src/request/placerservice.cpp
+++ b/src/request/placerservice.cpp
@@ -50,7 +50,7 @@
 void PlacerService::start()
 {
     this->pushPool = std::make_unique<ThreadPool>("pushes of assignments", this->options.pushThreads, MaxQueuedPushes);
-    this->writeTicker = std::make_unique<Ticker>("writes of progress", this->options.planInterval, [this] { this->writeProgress(); });
+    this->writeTicker = std::make_unique<Ticker>("writes of progress", this->options.planInterval, [this] { this->write(); });
     this->planTicker = std::make_unique<Ticker>("plans", this->options.planInterval, [this] { this->plan(); });
     this->electionTicker = std::make_unique<Ticker>("the election", this->options.electionInterval, [this] { this->pursueLeadership(); });
 }
@@ -155,7 +155,14 @@
         this->log.warn("The jobs cannot be read: " + toString(errorOf(rows)));
         return false;
     }
-    this->placer.becomeLeader(valueOf(written).revision, storedJobsOf(valueOf(rows), this->log));
+    const auto bounds = this->table.get(std::string(AgentBoundsKey));
+    if (!succeeded(bounds)) {
+        this->log.warn("The bounds of agents cannot be read: " + toString(errorOf(bounds)));
+        return false;
+    }
+    // Leadership is taken over when it has not been renewed for its whole term, or has been given up.
+    this->placer.becomeLeader(
+        valueOf(written).revision, storedJobsOf(valueOf(rows), this->log), {storedBoundsOf(valueOf(bounds), this->log), this->options.lease.term});
     return true;
 }
 
@@ -169,6 +176,33 @@
     this->writeTicker->nudge();
 }
 
+void PlacerService::write()
+{
+    this->writeProgress();
+    this->writeBounds();
+}
+
+/** Writes the bounds of the agents' runs when that is due, on condition that the term lasts and that no other write came between. */
+void PlacerService::writeBounds()
+{
+    const auto write = this->placer.takeBoundsWrite();
+    if (!write) {
+        return;
+    }
+    const std::string key(AgentBoundsKey);
+    const auto committed = this->table.commit(
+        Transaction{this->ids.next(), {{std::string(PlacerKey), write->epoch}, {key, write->revision}}, {{key, encodeAgentBounds(write->bounds)}}});
+    if (succeeded(committed)) {
+        this->placer.boundsWritten(*write, valueOf(committed).revision);
+    } else if (errorOf(committed).kind == ErrorKind::PlatformDown) {
+        this->placer.boundsNotWritten(*write);
+    } else {
+        this->log.warn("The bounds of agents may not have been written: " + toString(errorOf(committed)));
+        const auto row = this->table.get(key);
+        this->placer.boundsInDoubt(*write, succeeded(row) ? std::optional(storedBoundsOf(valueOf(row), this->log)) : std::nullopt);
+    }
+}
+
 /** Writes all pending progress, one transaction at a time, each on condition that its term lasts; steps down when a write is rejected. */
 void PlacerService::writeProgress()
 {
@@ -298,6 +332,9 @@
     if (this->placer.isPlanDue()) {
         this->planTicker->nudge();
     }
+    if (this->placer.isBoundsWriteUrgent()) {
+        this->writeTicker->nudge();
+    }
     return std::move(valueOf(sync));
 }
 
--- a/src/request/taskplacer.cpp
+++ b/src/request/taskplacer.cpp
@@ -17,7 +17,8 @@
 auto usabilityOf(const LiveWorker &worker)
 {
     const auto &last = worker.last;
-    return std::tuple(worker.isKnown, worker.hasOrphans, last.incarnation, last.isReachable, last.isDraining, last.capacity, last.labels);
+    return std::tuple(
+        worker.isKnown, worker.hasOrphans, last.incarnation, last.isReachable, last.isDraining, last.capacity, last.labels, worker.isLeaseWithheld);
 }
 
 } // namespace
@@ -38,7 +39,7 @@
     this->crashes.setMetrics(metrics);
 }
 
-void TaskPlacer::becomeLeader(Epoch epoch, std::vector<StoredJob> jobs)
+void TaskPlacer::becomeLeader(Epoch epoch, std::vector<StoredJob> jobs, const Takeover &takeover)
 {
     const std::lock_guard<std::mutex> guard(this->mutex);
     this->epoch = epoch;
@@ -48,6 +49,8 @@
     for (auto &job : jobs) {
         this->addJob(std::move(job));
     }
+    this->bounds.begin(takeover.bounds);
+    this->boundUnreportedRuns(takeover);
     this->log.info("Became leader under epoch " + std::to_string(epoch) + " with " + std::to_string(this->jobs.size()) + " jobs and "
                    + std::to_string(this->workers.size()) + " executors that may have active runs.");
 }
@@ -75,6 +78,8 @@
                 const TaskRun run{{id, occurrence, step, index}, task.run};
                 auto live = liveRunOf(job, step, this->clock.now());
                 live.isSent = true;
+                live.isRunning = task.hasBegun;
+                live.isBegunNoted = task.hasBegun;
                 worker.runs[run] = live;
             }
         }
@@ -283,9 +288,7 @@
     const bool isFirst = known == this->workers.end() || !known->second.isKnown;
     // A report to an earlier term may be late, and only the agent's next one, which names this term, shows what is there now.
     if (isFirst && report.epoch != this->epoch) {
-        AssignmentSync announcement;
-        announcement.epoch = this->epoch;
-        return announcement;
+        return this->announcement();
     }
     const auto now = this->clock.now();
     auto &worker = this->workers[report.node];
@@ -316,8 +319,7 @@
     worker.syncSequence = std::max(worker.syncSequence, report.epoch == this->epoch ? report.syncSequence : 0);
     worker.isKnown = true;
     worker.lastReportAt = now;
-    const auto granted = this->runsLastAfter(report.hasOpenCalls ? this->options.longestLateness : Millis(0));
-    worker.begunRunsEndBy = std::max(worker.begunRunsEndBy, now + std::max(granted, report.budgetLeft + this->options.margin));
+    this->boundRuns(worker, report, isFirst);
     worker.last = report;
     worker.leavesAt = report.drainTimeLeft ? std::optional(now + *report.drainTimeLeft) : std::nullopt;
     CrashLedger::keepLapsedRuns(worker, report, now);
@@ -327,11 +329,41 @@
     if (usabilityOf(worker) != usability || jobsOnTrial(this->jobs, worker) != trials) {
         this->hasChanges.store(true, std::memory_order_release);
     }
+    if (worker.isLeaseWithheld) {
+        this->bounds.requestWrite();
+        return this->announcement();
+    }
     auto sync = AssignmentBuilder(this->jobs, this->epoch).makeSync(worker);
     sync.agentLease = now < this->grantsUntil ? this->options.agentLease : Millis(0);
     return sync;
 }
 
+/** Returns an answer that names the term and nothing else, after which the agent counts its report as not applied. */
+AssignmentSync TaskPlacer::announcement() const
+{
+    AssignmentSync sync;
+    sync.epoch = this->epoch;
+    return sync;
+}
+
+/** Sets until when the runs of a worker may be live if this report is its last. The first report tells what earlier placers have allowed, too. */
+void TaskPlacer::boundRuns(LiveWorker &worker, const AgentReport &report, bool isFirst)
+{
+    const auto now = this->clock.now();
+    const auto granted = this->runsLastAfter(report.hasOpenCalls ? this->options.longestLateness : Millis(0));
+    const auto begunEndBy = now + std::max(granted, report.budgetLeft + this->options.margin);
+    worker.begunRunsEndBy = isFirst ? begunEndBy : std::max(worker.begunRunsEndBy, begunEndBy);
+    worker.allRunsEndBy = std::max(worker.begunRunsEndBy, now + this->runsLastAfter(this->options.longestLateness));
+    // The margin was added to what the agent reported, whose own limit is at most that of a usual lease.
+    worker.mayHaveOpenCalls = worker.begunRunsEndBy > now + this->runsLastAfter(Millis(0)) + this->options.margin;
+    const bool isAllowed = this->bounds.allowsLease(report.node, worker.mayHaveOpenCalls);
+    if (!isAllowed && !worker.isLeaseWithheld) {
+        this->log.info("An agent gets no lease until the bounds of its runs are written.",
+                       {{"agent", report.node.value}, {"open_calls", worker.mayHaveOpenCalls ? "yes" : "no"}});
+    }
+    worker.isLeaseWithheld = !isAllowed;
+}
+
 void TaskPlacer::handleEnds(LiveWorker &worker, const AgentReport &report)
 {
     for (const auto &end : report.ends) {
@@ -435,23 +467,119 @@
 }
 
 /**
- * Ends the runs of unresponsive agents when they are certain to be over, and removes agents without any.
+ * Bounds the runs that are known from rows only, whose agents have not reported to this leader.
  *
- * An agent that has not reported to this leader may hold an agent lease from the previous one, which can grant them until
- * the end of its grant period, and what it reported there is not known.
+ * Such an agent may hold a lease from the previous leader, which could grant them until the end of its grant period, unless that one had
+ * listed it as silent.
  */
+void TaskPlacer::boundUnreportedRuns(const Takeover &takeover)
+{
+    const auto &stored = takeover.bounds.bounds;
+    const auto lastGrant = this->leaderSince + std::max(Millis(0), this->options.grantPeriod - takeover.sinceRenewal);
+    for (auto &[node, worker] : this->workers) {
+        const auto silent = stored.silent.find(node);
+        worker.mayHaveOpenCalls = stored.mayHaveOpenCalls(node);
+        if (silent != stored.silent.end()) {
+            worker.begunRunsEndBy = this->leaderSince + silent->second.begun;
+            worker.allRunsEndBy = this->leaderSince + silent->second.all;
+        } else {
+            worker.begunRunsEndBy = lastGrant + this->runsLastAfter(worker.mayHaveOpenCalls ? this->options.longestLateness : Millis(0));
+            worker.allRunsEndBy = lastGrant + this->runsLastAfter(this->options.longestLateness);
+        }
+        this->log.info("Runs known from rows count as over if their agent does not report.",
+                       {{"agent", node.value},
+                        {"runs", std::to_string(worker.runs.size())},
+                        {"begun_after_ms", std::to_string(std::chrono::duration_cast<Millis>(worker.begunRunsEndBy - this->leaderSince).count())},
+                        {"all_after_ms", std::to_string(std::chrono::duration_cast<Millis>(worker.allRunsEndBy - this->leaderSince).count())},
+                        {"silent_before", silent == stored.silent.end() ? "no" : "yes"},
+                        {"open_calls", worker.mayHaveOpenCalls ? "possible" : "no"}});
+    }
+}
+
+/** Returns the bounds that a successor should find. An agent is listed as silent from the age at which it gets no new work either. */
+AgentBounds TaskPlacer::wantedBounds(Instant now) const
+{
+    AgentBounds wanted;
+    wanted.isComplete = true;
+    for (const auto &[node, worker] : this->workers) {
+        if (worker.mayHaveOpenCalls) {
+            wanted.open.insert(node);
+        }
+        const auto lastHeardAt = worker.isKnown ? worker.lastReportAt : this->leaderSince;
+        if (!worker.runs.empty() && now - lastHeardAt >= this->options.maxReportAge) {
+            const auto until = [now](Instant end) { return std::max(Millis(0), std::chrono::ceil<Millis>(end - now)); };
+            wanted.silent[node] = {until(worker.begunRunsEndBy), until(worker.allRunsEndBy)};
+        }
+    }
+    return wanted;
+}
+
+std::optional<BoundsWrite> TaskPlacer::takeBoundsWrite()
+{
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    const auto now = this->clock.now();
+    return this->epoch == 0 ? std::nullopt : this->bounds.takeWrite(this->epoch, this->wantedBounds(now), now);
+}
+
+void TaskPlacer::boundsWritten(const BoundsWrite &write, std::uint64_t revision)
+{
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    if (write.epoch == this->epoch) {
+        this->bounds.written(write, revision);
+    }
+}
+
+void TaskPlacer::boundsNotWritten(const BoundsWrite &write)
+{
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    if (write.epoch == this->epoch) {
+        this->bounds.notWritten(write);
+    }
+}
+
+void TaskPlacer::boundsInDoubt(const BoundsWrite &write, const std::optional<StoredBounds> &stored)
+{
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    if (write.epoch == this->epoch) {
+        this->bounds.inDoubt(write, stored);
+    }
+}
+
+bool TaskPlacer::isBoundsWriteUrgent() const
+{
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    return this->epoch != 0 && this->bounds.isWriteRequested();
+}
+
+/** Notes in the jobs' progress which runs have begun, because a successor need not wait for late starts of these. */
+void TaskPlacer::noteBegunRuns(Instant now)
+{
+    for (auto &[node, worker] : this->workers) {
+        for (auto &[run, live] : worker.runs) {
+            const auto job = this->jobs.find(run.task.job);
+            if (live.isBegunNoted || !live.hasBegun || now - live.assignedAt < this->options.begunNoteAfter || job == this->jobs.end()) {
+                continue;
+            }
+            live.isBegunNoted = true;
+            auto *const task = findTask(job->second.progress, run.task);
+            if (task != nullptr && task->state == TaskPhase::Assigned && task->run == run.run) {
+                task->hasBegun = true;
+                job->second.markChanged();
+            }
+        }
+    }
+}
+
+/** Ends the runs of unresponsive agents when they are certain to be over, and removes agents without any. */
 void TaskPlacer::expireUnresponsive(Instant now)
 {
-    const auto afterLateCalls = this->runsLastAfter(this->options.longestLateness);
     for (auto item = this->workers.begin(); item != this->workers.end();) {
         auto &worker = item->second;
-        const auto lastGrant = worker.isKnown ? worker.lastReportAt : this->leaderSince + this->options.grantPeriod;
-        const auto allEndBy = std::max(worker.begunRunsEndBy, lastGrant + afterLateCalls);
-        const auto begunEndBy = worker.isKnown ? worker.begunRunsEndBy : allEndBy;
-        if (now >= begunEndBy && !worker.runs.empty()) {
-            this->loseRuns(worker, "agent " + item->first.value + " has not reported within its agent lease and executor lease", now < allEndBy);
+        const bool isAllOver = now >= worker.allRunsEndBy;
+        if (now >= worker.begunRunsEndBy && !worker.runs.empty()) {
+            this->loseRuns(worker, "agent " + item->first.value + " has not reported within its agent lease and executor lease", !isAllOver);
         }
-        const bool isOver = now >= begunEndBy && (worker.runs.empty() || now >= allEndBy);
+        const bool isOver = now >= worker.begunRunsEndBy && (worker.runs.empty() || isAllOver);
         if (!isOver) {
             ++item;
             continue;
@@ -480,6 +608,7 @@
         return;
     }
     this->expireUnresponsive(now);
+    this->noteBegunRuns(now);
     if (!this->isSettled(now)) {
         return;
     }
@@ -569,6 +698,7 @@
         auto &task = step[index];
         task.state = TaskPhase::Assigned;
         task.run = (isGang ? gangRun : task.run) + 1;
+        task.hasBegun = false;
         task.worker = worker.last.node;
         task.incarnation = worker.last.incarnation;
         worker.runs[{{start.job, start.occurrence, start.step, index}, task.run}] = liveRunOf(job, start.step, now);
--- a/src/request/taskplanner.cpp
+++ b/src/request/taskplanner.cpp
@@ -147,8 +147,8 @@
 
 bool TaskPlanner::canTakeWork(const LiveWorker &worker) const
 {
-    return worker.isKnown && worker.last.isReachable && !worker.last.isDraining && !worker.hasOrphans && this->now >= worker.pausedUntil
-        && this->now - worker.lastReportAt < this->state.options.maxReportAge;
+    return worker.isKnown && !worker.isLeaseWithheld && worker.last.isReachable && !worker.last.isDraining && !worker.hasOrphans
+        && this->now >= worker.pausedUntil && this->now - worker.lastReportAt < this->state.options.maxReportAge;
 }
 
 std::vector<PlacedRun> TaskPlanner::stalledRuns() const
--- a/tests/request/crashtest.cpp
+++ b/tests/request/crashtest.cpp
@@ -516,7 +516,8 @@
             site.checker.crashesUnder.begin(), site.checker.crashesUnder.end(), [&job](const auto &item) { return item.first.job == job && item.second > 2; });
     };
     for (const auto &job : innocent) {
-        EXPECT_TRUE(site.stateOf(job) == JobPhase::Completed || (site.stateOf(job) == JobPhase::Failed && isWorn(job))) << job.value;
+        EXPECT_TRUE(site.stateOf(job) == JobPhase::Completed || (site.stateOf(job) == JobPhase::Failed && isWorn(job)))
+            << job.value << " is " << nameOf(site.stateOf(job));
     }
     expectNoViolations(site);
 }
--- a/tests/request/jobsite.cpp
+++ b/tests/request/jobsite.cpp
@@ -244,7 +244,9 @@
     const auto written = this->rows.commit({"op", {{key, known == this->rows.rows.end() ? 0 : known->second.revision}}, {{key, "{}"}}});
     const auto rows = this->rows.list("jobs/", 0);
     auto &placer = this->placers[index];
-    placer.placer->becomeLeader(valueOf(written).revision, storedJobsOf(valueOf(rows), Logger(LogPart::Placer)));
+    const Logger log(LogPart::Placer);
+    placer.placer->becomeLeader(
+        valueOf(written).revision, storedJobsOf(valueOf(rows), log), {storedBoundsOf(valueOf(this->rows.get(std::string(AgentBoundsKey))), log), Millis(0)});
     placer.placer->setRoutes(this->routes);
     placer.cache->reset(valueOf(rows));
     placer.cache->forwardAll();
@@ -349,6 +351,23 @@
     }
 }
 
+void JobSite::writeBounds(SitePlacer &site)
+{
+    const auto write = site.reachesTable ? site.placer->takeBoundsWrite() : std::nullopt;
+    if (!write) {
+        return;
+    }
+    const std::string key(AgentBoundsKey);
+    const auto committed = this->rows.commit({"op", {{"office/placer", write->epoch}, {key, write->revision}}, {{key, encodeAgentBounds(write->bounds)}}});
+    if (succeeded(committed)) {
+        site.placer->boundsWritten(*write, valueOf(committed).revision);
+    } else if (errorOf(committed).kind == ErrorKind::PlatformDown) {
+        site.placer->boundsNotWritten(*write);
+    } else {
+        site.placer->boundsInDoubt(*write, storedBoundsOf(valueOf(this->rows.get(key)), Logger(LogPart::Placer)));
+    }
+}
+
 void JobSite::stepPlacer(SitePlacer &site)
 {
     if (!site.isAlive) {
@@ -381,6 +400,7 @@
             site.writing.clear();
         }
     }
+    this->writeBounds(site);
     for (const auto &outgoing : site.placer->takeSyncs()) {
         for (auto &agent : this->agents) {
             const auto report = agent.isAlive && !agent.isCut ? agent.controller->report() : std::nullopt;
--- a/tests/request/jobsite.h
+++ b/tests/request/jobsite.h
@@ -118,6 +118,7 @@
     void step();
     void stepAgent(SiteAgent &agent);
     void stepPlacer(SitePlacer &site);
+    void writeBounds(SitePlacer &site);
     void report(SiteAgent &agent);
     void drawGeneration(SiteAgent &agent);
     void startController(SiteAgent &agent, std::size_t index);
--- a/tests/request/placerservicetest.cpp
+++ b/tests/request/placerservicetest.cpp
@@ -49,7 +49,7 @@
     std::atomic<std::int64_t> elapsed = 1'000'000;
 };
 
-/** A table that can stop answering; counts the reads that it fails. */
+/** A table that can stop answering; counts the reads that it fails. Called on several threads. */
 class StoppableTable : public TableStore
 {
 public:
@@ -59,16 +59,19 @@
             ++this->failedReads;
             return makeError(ErrorKind::PlatformDown, "down");
         }
+        const std::lock_guard<std::mutex> guard(this->mutex);
         return this->rows.get(key);
     }
 
     Result<RowList> list(const std::string &prefix, std::uint64_t since) override
     {
+        const std::lock_guard<std::mutex> guard(this->mutex);
         return this->rows.list(prefix, since);
     }
 
     Result<Commit> commit(const Transaction &transaction) override
     {
+        const std::lock_guard<std::mutex> guard(this->mutex);
         return this->isDown ? Result<Commit>(makeError(ErrorKind::PlatformDown, "down")) : this->rows.commit(transaction);
     }
 
@@ -76,6 +79,7 @@
     std::atomic<int> failedReads = 0;
 
 private:
+    std::mutex mutex;
     FakeRows rows;
 };
 
@@ -226,6 +230,26 @@
     EXPECT_EQ(valueOf(answer).agentLease, Millis(0));
 }
 
+// A successor relies on the row, so that a lease which outlasts it must not be granted before.
+TEST(PlacerService, WritesThatAnAgentHasOpenCallsBeforeItGetsALease)
+{
+    SilentNodes nodes;
+    ServiceSite site(nodes);
+    site.lead();
+    const std::string key(AgentBoundsKey);
+    waitUntil([&] { return valueOf(site.table.get(key)).has_value(); });
+    auto report = reportOf(site.placer, 0);
+    report.hasOpenCalls = true;
+    const auto leaseOfReport = [&] {
+        ++report.sequence;
+        return std::get<AssignmentSync>(site.service.handle(Header(), report)).agentLease;
+    };
+    ASSERT_EQ(leaseOfReport(), Millis(0));
+    const auto isListed = [&] { return valueOf(parseAgentBounds(valueOf(site.table.get(key))->value)).open.contains(report.node); };
+    waitUntil(isListed);
+    waitUntil([&] { return leaseOfReport() > Millis(0); });
+}
+
 // The leader learnt of a job only through the change feed, which can hear nothing for seconds.
 TEST(PlacerService, TheLeaderTakesOverARowThatAnEntryHasJustWritten)
 {
