placer: Write the bounds of agents between writes of progress

Found while reading the change: an agent that waits for a lease until the bounds are written waited for all pending progress, which under load and with a slow store can take longer than its lease. Now the bounds, when due, go first and between the transactions.

--- a/src/request/placerservice.cpp
+++ b/src/request/placerservice.cpp
@@ -178,8 +178,8 @@
 
 void PlacerService::write()
 {
-    this->writeProgress();
     this->writeBounds();
+    this->writeProgress();
 }
 
 /** Writes the bounds of the agents' runs when that is due, on condition that the term lasts and that no other write came between. */
@@ -217,6 +217,7 @@
         if (succeeded(committed)) {
             this->placer.written(writes, valueOf(committed).revision);
             this->pushAssignments();
+            this->writeBounds();
             writes = this->placer.takeWrites();
         } else if (errorOf(committed).kind == ErrorKind::PlatformDown) {
             this->clock.sleepFor(this->options.writeRetry);
--- a/tests/request/capacitychangetest.cpp
+++ b/tests/request/capacitychangetest.cpp
@@ -288,13 +288,6 @@
     return graph;
 }
 
-void expectNoViolations(const JobSite &site)
-{
-    for (const auto &text : site.checker.violations) {
-        ADD_FAILURE() << text;
-    }
-}
-
 } // namespace
 
 TEST(CapacitySiteTest, StartsThatGotLostAreNotRepeatedOnceTheCapacityHasShrunk)
--- a/tests/request/crashtest.cpp
+++ b/tests/request/crashtest.cpp
@@ -23,13 +23,6 @@
     return crashes;
 }
 
-void expectNoViolations(const JobSite &site)
-{
-    for (const auto &text : site.checker.violations) {
-        ADD_FAILURE() << text;
-    }
-}
-
 /** Makes executors come back from a crash under another id. */
 void changeIdsAfterCrash(JobSite &site)
 {
--- a/tests/request/jobsite.cpp
+++ b/tests/request/jobsite.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <gtest/gtest.h>
 #include <iterator>
 
 namespace waxwingloft::tests {
@@ -41,6 +42,24 @@
     return graph;
 }
 
+void makeRunsLastFor(JobSite &site, Millis time)
+{
+    for (auto &agent : site.agents) {
+        agent.executor->runOf = [time](const StartOrder &) {
+            FakeRun run;
+            run.endsAt = time;
+            return run;
+        };
+    }
+}
+
+void expectNoViolations(const JobSite &site)
+{
+    for (const auto &text : site.checker.violations) {
+        ADD_FAILURE() << text;
+    }
+}
+
 void InvariantChecker::expect(const JobSubmission &job)
 {
     this->jobs[job.id] = job;
--- a/tests/request/jobsite.h
+++ b/tests/request/jobsite.h
@@ -126,6 +126,12 @@
     std::uint64_t nextJob = 1;
 };
 
+/** Makes all runs that start from now on take @p time. */
+void makeRunsLastFor(JobSite &site, Millis time);
+
+/** Fails the test with each violation that the checker has seen. */
+void expectNoViolations(const JobSite &site);
+
 /** Returns a job graph with a single step. */
 JobGraph oneStep(std::uint32_t count, Capacity needs, bool isGang = false);
 
--- a/tests/request/jobsitetest.cpp
+++ b/tests/request/jobsitetest.cpp
@@ -17,13 +17,6 @@
 const Capacity Whole{128'000, 262'144, 8};
 const Capacity Small{10'000, 10'000, 1};
 
-void expectNoViolations(const JobSite &site)
-{
-    for (const auto &text : site.checker.violations) {
-        ADD_FAILURE() << text;
-    }
-}
-
 /** Expects exactly one run of every started task. */
 void expectStartedOnce(const JobSite &site)
 {
@@ -32,18 +25,6 @@
     }
 }
 
-/** Makes all runs take @p time. */
-void makeRunsLastFor(JobSite &site, Millis time)
-{
-    for (auto &agent : site.agents) {
-        agent.executor->runOf = [time](const StartOrder &) {
-            FakeRun run;
-            run.endsAt = time;
-            return run;
-        };
-    }
-}
-
 /** Makes all runs take so long that only a stop or the expiry of their lease ends them. */
 void makeRunsLast(JobSite &site)
 {
--- a/tests/request/loadreplaytest.cpp
+++ b/tests/request/loadreplaytest.cpp
@@ -121,13 +121,6 @@
     Millis played = Millis(0);
 };
 
-void expectNoViolations(const JobSite &site)
-{
-    for (const auto &text : site.checker.violations) {
-        ADD_FAILURE() << text;
-    }
-}
-
 } // namespace
 
 // Patient work filled the fleet, and urgent gangs waited for ends or might stop next to nothing.
--- a/tests/request/takeovertest.cpp
+++ b/tests/request/takeovertest.cpp
@@ -14,17 +14,6 @@
 const Capacity Small{10'000, 10'000, 1};
 constexpr auto LongestWait = Millis(17'000); ///< the users' rule: 14 s after all is over they look for 3 s whether something runs
 
-void makeRunsLastFor(JobSite &site, Millis time)
-{
-    for (auto &agent : site.agents) {
-        agent.executor->runOf = [time](const StartOrder &) {
-            FakeRun run;
-            run.endsAt = time;
-            return run;
-        };
-    }
-}
-
 /** Submits a long task, lets it run for 3 s, and loses its host for good. Returns the job. */
 JobId loseHostOfATask(JobSite &site)
 {
@@ -57,13 +46,6 @@
     return waited;
 }
 
-void expectNoViolations(const JobSite &site)
-{
-    for (const auto &text : site.checker.violations) {
-        ADD_FAILURE() << text;
-    }
-}
-
 /** A task that is assigned to an agent, as a new placer finds it in the rows. */
 class Successor
 {
