tests: Draw the random jobs of a seed in a fixed order

Cause: several values were drawn in the arguments of one call. Their order of evaluation is unspecified, and GCC evaluates them from right to left for x86-64 and from left to right for arm64, so that a seed meant another run on each. Change: drawStep() and submitDrawn() draw one value a statement, in the order in which arm64 has drawn them so far; the two other such calls likewise. No seed, check or bound changes.

--- a/tests/request/crashtest.cpp
+++ b/tests/request/crashtest.cpp
@@ -467,7 +467,7 @@
     std::vector<JobId> innocent;
     for (int round = 0; round < 60; ++round) {
         auto &agent = site.agents[draw(site.agents.size())];
-        const JobGraph graph = oneStep(1 + static_cast<std::uint32_t>(draw(5)), draw(2) == 0 ? Half : Small, draw(3) == 0);
+        const auto graph = drawStep(draw, 5, {Half, Small});
         switch (draw(12)) {
         case 0:
             agent.executor->crash();
--- a/tests/request/jobsite.cpp
+++ b/tests/request/jobsite.cpp
@@ -42,6 +42,14 @@
     return graph;
 }
 
+JobGraph drawStep(const Draw &draw, std::uint64_t mostTasks, const std::array<Capacity, 2> &needs)
+{
+    const auto count = 1 + static_cast<std::uint32_t>(draw(mostTasks));
+    const auto &chosen = needs.at(draw(needs.size()));
+    const bool isGang = draw(3) == 0;
+    return oneStep(count, chosen, isGang);
+}
+
 void makeRunsLastFor(JobSite &site, Millis time)
 {
     for (auto &agent : site.agents) {
--- a/tests/request/jobsite.h
+++ b/tests/request/jobsite.h
@@ -9,6 +9,8 @@
 #include "waxwingloft/request/jobrows.h"
 #include "waxwingloft/request/taskplacer.h"
 
+#include <array>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -135,6 +137,16 @@
 /** Returns a job graph with a single step. */
 JobGraph oneStep(std::uint32_t count, Capacity needs, bool isGang = false);
 
+/** Returns a number below the given one. */
+using Draw = std::function<std::uint64_t(std::uint64_t)>;
+
+/**
+ * Draws a job of one step: up to @p mostTasks tasks, of the first or the second of @p needs, a gang in one of three.
+ *
+ * Draws one value a statement, as compilers for x86-64 and arm64 evaluate the arguments of a call in different orders and a seed must mean the same on both.
+ */
+JobGraph drawStep(const Draw &draw, std::uint64_t mostTasks, const std::array<Capacity, 2> &needs);
+
 } // namespace waxwingloft::tests
 
 #endif
--- a/tests/request/jobsitetest.cpp
+++ b/tests/request/jobsitetest.cpp
@@ -38,6 +38,13 @@
     return *std::find_if(site.agents.begin(), site.agents.end(), [&worker](const SiteAgent &agent) { return agent.name == worker.value; });
 }
 
+/** Submits a drawn job of a drawn priority. */
+JobId submitDrawn(JobSite &site, const Draw &draw)
+{
+    const auto graph = drawStep(draw, 6, {Half, Small});
+    return site.submit(graph, static_cast<int>(draw(3)));
+}
+
 std::size_t runningIn(const JobSite &site)
 {
     std::size_t count = 0;
@@ -949,7 +956,7 @@
             }
             break;
         default:
-            jobs.push_back(site.submit(oneStep(1 + static_cast<std::uint32_t>(draw(6)), draw(2) == 0 ? Half : Small, draw(3) == 0), static_cast<int>(draw(3))));
+            jobs.push_back(submitDrawn(site, draw));
             break;
         }
         site.advance(Millis(draw(1500)));
@@ -1020,7 +1027,7 @@
             agent.executor->isUnreachable = !agent.executor->isUnreachable;
             break;
         default:
-            jobs.push_back(site.submit(oneStep(1 + static_cast<std::uint32_t>(draw(6)), draw(2) == 0 ? Half : Small, draw(3) == 0), static_cast<int>(draw(3))));
+            jobs.push_back(submitDrawn(site, draw));
             break;
         }
         site.advance(Millis(draw(1500)));
@@ -1104,11 +1111,12 @@
             }
             break;
         default:
-            jobs.push_back(site.submit(oneStep(1 + static_cast<std::uint32_t>(draw(6)), draw(2) == 0 ? Half : Small, draw(3) == 0), static_cast<int>(draw(3))));
+            jobs.push_back(submitDrawn(site, draw));
             break;
         }
         site.advance(Millis(draw(1000)));
-        site.reportTo(site.agents[draw(site.agents.size())], site.placers[draw(site.placers.size())]);
+        auto &reporting = site.agents[draw(site.agents.size())];
+        site.reportTo(reporting, site.placers[draw(site.placers.size())]);
     }
     for (auto &agent : site.agents) {
         agent.executor->drawFate = nullptr;
@@ -1159,7 +1167,8 @@
         if (draw(4) == 0) {
             site.elect(draw(site.placers.size()));
         }
-        site.advance(Millis(draw(2) * draw(2900)));
+        const auto isDelayed = draw(2);
+        site.advance(Millis(isDelayed * draw(2900)));
         loseExecutor();
         site.advance(Millis(30'000));
         agent.executor->drawFate = nullptr;
