placer: Blame no task for a crash after a start that had no answer

Cause: a start that was sent and not answered was reported as 'unproven', like one that had begun. Starts that reach an executor which has just crashed get no answer, so each of them counted as a crash at the start of its task, and three of those give the task up. Change: StartEffect::Unanswered for a start that the executor may have carried out but has neither answered nor listed. It counts towards the limit of five crashes of any kind, no longer towards that of three at the start. Waiting for silent executors treats it as before.

--- a/include/waxwingloft/connection/taskmessages.h
+++ b/include/waxwingloft/connection/taskmessages.h
@@ -27,14 +27,21 @@
 
 /** What an agent knows of the effect that the start of a run had on its executor. */
 enum class StartEffect {
-    Unproven, ///< it may have begun, and nothing shows that its executor outlived that
+    Unproven, ///< it has begun, and nothing shows that its executor outlived that
     NotStarted, ///< no start of it can have been carried out
     Outlived, ///< its executor was live for the start period after it had begun
+    Unanswered, ///< its executor may have carried out a start, and has neither answered one nor listed it
 };
 
+/** Whether an executor that falls silent or crashes may have done so because it carried out the start. */
+constexpr bool mayBeCause(StartEffect effect)
+{
+    return effect == StartEffect::Unproven || effect == StartEffect::Unanswered;
+}
+
 template<>
 struct NameTable<StartEffect> {
-    static constexpr std::array<std::string_view, 3> names = {"unproven", "not-started", "outlived"};
+    static constexpr std::array<std::string_view, 4> names = {"unproven", "not-started", "outlived", "unanswered"};
 };
 
 /** How a run ended. */
--- a/include/waxwingloft/request/jobprogress.h
+++ b/include/waxwingloft/request/jobprogress.h
@@ -53,7 +53,7 @@
     NodeId worker; ///< agent of the latest run, while assigned
     ExecutorIncarnation incarnation; ///< executor of the latest run, while assigned
     bool hasBegun = false; ///< the latest run was reported as begun, while assigned; noted late or never
-    std::uint32_t startCrashes = 0; ///< executors that crashed under it and are not known to have outlived its start
+    std::uint32_t startCrashes = 0; ///< executors that crashed after they had begun it and are not known to have outlived that
     std::uint32_t crashes = 0; ///< executors that crashed under it
 
     bool operator==(const TaskProgress &) const = default;
--- a/src/request/agentrun.cpp
+++ b/src/request/agentrun.cpp
@@ -148,7 +148,10 @@
     if (this->hasOutlivedStart) {
         return StartEffect::Outlived;
     }
-    return this->mayHaveStarted() ? StartEffect::Unproven : StartEffect::NotStarted;
+    if (this->closedFrom != 0) {
+        return StartEffect::Unproven;
+    }
+    return this->mayHaveStarted() ? StartEffect::Unanswered : StartEffect::NotStarted;
 }
 
 bool AgentRun::mayBeginLate() const
--- a/src/request/crashledger.cpp
+++ b/src/request/crashledger.cpp
@@ -76,7 +76,8 @@
         }
         tasks.push_back(run.task);
         ++task->crashes;
-        // Of a run that was never reported to this leader nothing is known; blaming it would put all tasks on trial after a loss of power.
+        // Of a run that was never reported to this leader nothing is known; blaming it would put all tasks on trial after a loss of power. A start
+        // without an answer was often sent to an executor that had crashed before, so it counts as a crash of any kind only.
         task->startCrashes += startEffect == StartEffect::Unproven ? 1 : 0;
         job->second.markChanged();
         this->log.warn("An executor crashed under a task.",
