entry: Refuse calls at once while the table is away from it and its peers

Cause: while the store gave no answers, each submission was sent to it all the same, waited for a time-out of 800 ms directly and up to 900 ms at each peer, and was then settled in five tries, so that callers had no answer within their time though the entry had known for seconds. Change: StoreOutlook learns from all calls of the process that RelayTable makes, directly and through peers, whether the table is away: no answer for 500 ms while one was due, and none through peers. JobService then refuses submissions, cancellations and reads that need the table before anything is sent, with a Retry-After of 1 to 3 s. A call that was answered as undecided stays so when it is repeated at this entry. Entries probe both ways each 150 to 300 ms while no direct answer comes. Agents and deployments with a table that answers behave as before. Result: unit tests on a manual clock (refusal after 0 ms of the caller's time, a slow or lossy table is not away, one that only peers reach serves).

--- a/include/waxwingloft/connection/relaytable.h
+++ b/include/waxwingloft/connection/relaytable.h
@@ -2,6 +2,7 @@
 #define WAXWINGLOFT_CONNECTION_RELAYTABLE_H
 
 #include "waxwingloft/connection/nodeport.h"
+#include "waxwingloft/connection/storeoutlook.h"
 #include "waxwingloft/process/clock.h"
 #include "waxwingloft/process/logger.h"
 #include "waxwingloft/process/tablefeed.h"
@@ -43,9 +44,15 @@
     Result<Commit> commit(const Transaction &transaction) override;
     Result<ChangeBatch> changes(const std::string &table, std::uint64_t after, Millis wait) override;
 
+    /** Has @p outlook told of the outcome of all calls. Call before the first call on the table. */
+    void setOutlook(StoreOutlook &outlook);
+
     /** Looks whether the direct way works again. Call about once a second. */
     void probe();
 
+    /** Looks whether peers reach the table. For the time in which the direct way fails. */
+    void probePeers();
+
     /** Whether the direct way has failed last. */
     bool isFailing() const;
 
@@ -57,9 +64,9 @@
 
 private:
     template<typename T, typename Direct, typename Relayed>
-    Result<T> through(Direct direct, Relayed relayed);
-    template<typename T>
-    Result<T> noted(Result<T> result);
+    Result<T> through(Direct direct, Relayed relayed, Millis wait = Millis(0));
+    template<typename T, typename Direct>
+    Result<T> noted(Direct direct, Millis wait = Millis(0));
     Result<RelayTableAnswer> relay(const RelayTableCall &call);
     Result<RelayTableAnswer> askPeers(const RelayTableCall &call);
     std::vector<std::string> usablePeers();
@@ -72,6 +79,7 @@
     const PeerSource peers;
     const RelayTableOptions options;
     const Logger log;
+    StoreOutlook *outlook = nullptr;
     std::atomic<bool> isDirectFailing = false;
     std::atomic<bool> hasPeerReachedTable = false; ///< with the last relayed call
     std::mutex mutex;
--- a/include/waxwingloft/process/metrics.h
+++ b/include/waxwingloft/process/metrics.h
@@ -34,11 +34,12 @@
     RunsListedUnexpectedly, ///< runs that an executor listed though they were not ordered or counted as over
     ExecutorCrashes, ///< executors that were replaced without having drained
     TasksGivenUp, ///< tasks that start no more because the executors that start them crash
+    CallsWithoutTable, ///< callers' calls that were ended early because the table was known to be away
 };
 
 template<>
 struct NameTable<Count> {
-    static constexpr std::array<std::string_view, 17> names = {"waxwingloft_requests_accepted_total",
+    static constexpr std::array<std::string_view, 18> names = {"waxwingloft_requests_accepted_total",
                                                                "waxwingloft_requests_refused_total",
                                                                "waxwingloft_retries_total",
                                                                "waxwingloft_late_answers_total",
@@ -54,7 +55,8 @@
                                                                "waxwingloft_starts_unanswered_total",
                                                                "waxwingloft_runs_listed_unexpectedly_total",
                                                                "waxwingloft_executor_crashes_total",
-                                                               "waxwingloft_tasks_given_up_total"};
+                                                               "waxwingloft_tasks_given_up_total",
+                                                               "waxwingloft_calls_without_table_total"};
 };
 
 /** What a process shows the present value of. */
--- a/include/waxwingloft/request/jobservice.h
+++ b/include/waxwingloft/request/jobservice.h
@@ -2,6 +2,7 @@
 #define WAXWINGLOFT_REQUEST_JOBSERVICE_H
 
 #include "waxwingloft/connection/jobcalls.h"
+#include "waxwingloft/connection/storeoutlook.h"
 #include "waxwingloft/process/clock.h"
 #include "waxwingloft/process/eventlog.h"
 #include "waxwingloft/process/ids.h"
@@ -9,6 +10,7 @@
 #include "waxwingloft/process/metrics.h"
 #include "waxwingloft/process/published.h"
 #include "waxwingloft/process/tablestore.h"
+#include "waxwingloft/request/doubtfulcalls.h"
 #include "waxwingloft/request/jobcache.h"
 #include "waxwingloft/version/routingtable.h"
 
@@ -26,6 +28,7 @@
     double retryShare = 0.25; ///< share of a call's timeout in which writes and reads of an unreachable table are retried
     Millis retryPause = Millis(60); ///< between retries
     Millis retryAfter = Millis(1000); ///< suggested to a refused caller
+    Millis doubtWait = Millis(300); ///< for peers to say whether they reach the table; above the interval between looks and the answer of a slow table
 };
 
 /** Parses the body of a submission; the platform's adapter provides it. */
@@ -35,7 +38,8 @@
  * Handles callers' requests on jobs at an entry: submit, show, cancel and count.
  *
  * A job is accepted once its row is written. A call is refused only when its write is known to have had no effect;
- * otherwise the answer is Undecided, and the caller can safely repeat the call with the same id.
+ * otherwise the answer is Undecided, and the caller can safely repeat the call with the same id. While the table is away, calls that
+ * need it are refused before anything is sent for them.
  *
  * The cancellation of an unknown job is written as a withdrawal, in whose presence no submission of that job is written: one may
  * still be under way, at another entry or at the table. Thread safe.
@@ -55,6 +59,9 @@
     /** Has @p observer called with each row that is written, on the thread of the call. Call before the first call is handled. */
     void setRowObserver(std::function<void(const Row &)> observer);
 
+    /** Has calls that need the table refused at once while @p outlook says that it is away. Call before the first call is handled. */
+    void setOutlook(StoreOutlook &outlook);
+
     JobAnswer handle(const JobCall &call) override;
 
 private:
@@ -87,6 +94,8 @@
     JobAnswer writeCancellation(const Admitted &admitted);
     Result<std::optional<Row>> writeOnce(const std::string &key, const std::string &value, const std::vector<std::string> &absent, Instant retryUntil);
     void publish(const Row &row);
+    bool isStoreAway() const;
+    void keepDoubt(const JobCall &call, const JobId &job, JobAnswer &result);
     JobAnswer answerToFailure(const Error &error) const;
     Result<bool> exists(const JobId &job, Instant retryUntil);
     Status readIntoCache(const JobId &job);
@@ -101,6 +110,8 @@
     const GraphParser parser;
     const JobServiceOptions options;
     std::function<void(const Row &)> rowObserver;
+    StoreOutlook *outlook = nullptr;
+    DoubtfulCalls doubtfulCalls;
     const Logger log;
 };
 
--- a/src/connection/relaytable.cpp
+++ b/src/connection/relaytable.cpp
@@ -81,10 +81,21 @@
 {
 }
 
-template<typename T>
-Result<T> RelayTable::noted(Result<T> result)
+void RelayTable::setOutlook(StoreOutlook &outlook)
 {
+    this->outlook = &outlook;
+}
+
+/** Makes a direct call and takes note of its outcome. The table may withhold the answer for @p wait. */
+template<typename T, typename Direct>
+Result<T> RelayTable::noted(Direct direct, Millis wait)
+{
+    const auto dueAt = this->clock.now() + wait;
+    Result<T> result = direct();
     const bool isFailing = !succeeded(result) && isFailure(errorOf(result));
+    if (this->outlook != nullptr) {
+        this->outlook->noteDirect(!isFailing, dueAt);
+    }
     if (this->isDirectFailing.exchange(isFailing, std::memory_order_acq_rel) != isFailing) {
         if (isFailing) {
             this->log.warn("The table is not reached directly; peers are asked first: " + errorOf(result).message);
@@ -97,16 +108,16 @@
 }
 
 template<typename T, typename Direct, typename Relayed>
-Result<T> RelayTable::through(Direct direct, Relayed relayed)
+Result<T> RelayTable::through(Direct direct, Relayed relayed, Millis wait)
 {
     if (this->isFailing()) {
         Result<T> answer = relayed();
         if (succeeded(answer) || errorOf(answer).kind != ErrorKind::PlatformDown) {
             return answer;
         }
-        return this->noted<T>(direct());
+        return this->noted<T>(direct);
     }
-    auto answer = this->noted<T>(direct());
+    auto answer = this->noted<T>(direct, wait);
     const bool hadNoEffect = !succeeded(answer) && errorOf(answer).kind == ErrorKind::PlatformDown;
     return hadNoEffect ? Result<T>(relayed()) : answer;
 }
@@ -116,6 +127,9 @@
     auto answer = this->askPeers(call);
     const bool hasReached = succeeded(answer) || isVerdict(errorOf(answer).kind, call.kind);
     this->hasPeerReachedTable.store(hasReached, std::memory_order_release);
+    if (this->outlook != nullptr) {
+        this->outlook->notePeers(hasReached);
+    }
     return answer;
 }
 
@@ -208,7 +222,8 @@
                                                 }
                                                 isRelayed = true;
                                                 return ChangeBatch{valueOf(answer).rows, valueOf(answer).revision};
-                                            });
+                                            },
+                                            wait);
     // A peer answers at once, so that nobody's threads are held by the wait.
     if (isRelayed && succeeded(batch) && valueOf(batch).changes.empty()) {
         this->clock.sleepFor(std::min(wait, this->options.pollInterval));
@@ -218,11 +233,17 @@
 
 void RelayTable::probe()
 {
-    if (this->isFailing()) {
-        this->noted<std::optional<Row>>(this->direct.get(ProbedKey));
+    const bool isExpectedAway = this->outlook != nullptr && this->outlook->state() != StoreState::Reachable;
+    if (this->isFailing() || isExpectedAway) {
+        this->noted<std::optional<Row>>([this] { return this->direct.get(ProbedKey); });
     }
 }
 
+void RelayTable::probePeers()
+{
+    this->relay({TableCallKind::Get, ProbedKey, 0, {}});
+}
+
 bool RelayTable::isFailing() const
 {
     return this->isDirectFailing.load(std::memory_order_acquire);
@@ -240,13 +261,13 @@
     }
     switch (call.kind) {
     case TableCallKind::Get:
-        return messageOf(this->noted<std::optional<Row>>(this->direct.get(call.key)));
+        return messageOf(this->noted<std::optional<Row>>([&] { return this->direct.get(call.key); }));
     case TableCallKind::List:
-        return messageOf(this->noted<RowList>(this->direct.list(call.key, call.since)));
+        return messageOf(this->noted<RowList>([&] { return this->direct.list(call.key, call.since); }));
     case TableCallKind::Commit:
-        return messageOf(this->noted<Commit>(this->direct.commit(call.transaction)));
+        return messageOf(this->noted<Commit>([&] { return this->direct.commit(call.transaction); }));
     case TableCallKind::Changes:
-        return messageOf(this->noted<ChangeBatch>(this->directFeed.changes(call.key, call.since, Millis(0))));
+        return messageOf(this->noted<ChangeBatch>([&] { return this->directFeed.changes(call.key, call.since, Millis(0)); }));
     }
     return replyWith(makeError(ErrorKind::InvalidInput, "a call of an unknown kind on the table"));
 }
--- a/src/process/daemon/jobentryrole.cpp
+++ b/src/process/daemon/jobentryrole.cpp
@@ -70,6 +70,7 @@
     {
         this->placer.setMetrics(this->node.metrics);
         this->office.setTableWatch([this] { return this->node.relay.isRelaying(); });
+        this->gate.setOutlook(this->node.outlook);
         this->gate.setRowObserver([this](const Row &row) { this->office.noticeRow(row); });
     }
 
--- a/src/process/daemon/jobnode.cpp
+++ b/src/process/daemon/jobnode.cpp
@@ -6,6 +6,7 @@
 
 constexpr auto StoreTimeout = Millis(800); ///< above the slowest answers that the platform announces, 60 times 4 ms and a queue
 constexpr auto ProbeInterval = Millis(1000);
+constexpr auto ProbeCheckInterval = Millis(50); ///< between looks whether a probe of an entry is due; a fraction of the pause between probes
 constexpr auto LongestBackoff = Millis(400); ///< after an outage of the store work goes on within half a second
 constexpr int FailuresToOpen = 4;
 constexpr int SettleTries = 5; ///< a lost answer is settled within about a second
@@ -29,6 +30,7 @@
     , store(config.jobs.storeAddress, StoreTimeout, this->metrics)
     , office(NodeId{config.node})
     , rpc(config.rpcAddress, *this, this->metrics, RpcOptions{RequestThreads, ControlThreads, 1024, Millis(1000), Millis(800), Millis(800), Millis(60000)})
+    , outlook(this->clock, StoreOutlookOptions(), IdSource::entropySeed())
     , relay(
           this->store, this->store, this->rpc, this->clock, [this] { return this->office.peers(); }, RelayTableOptions())
     , table(this->relay,
@@ -37,6 +39,9 @@
             IdSource::entropySeed())
     , http(config.httpAddress, *this, HttpFrontOptions{HealthThreads, LargestHealthBody, Millis(5000), Millis(5000), Millis(5000)})
 {
+    if (config.role == NodeRole::JobEntry) {
+        this->relay.setOutlook(this->outlook);
+    }
     this->events.record(EventKind::Started, config.node, {}, std::string(nameOf(config.role)));
 }
 
@@ -57,13 +62,36 @@
     TableFollowerOptions options;
     options.wait = wait;
     this->officeFollower = std::make_unique<TableFollower>(this->table, this->relay, this->clock, std::string(PlacerTable), this->office, options);
-    this->probing = std::make_unique<Ticker>("probes of the table", ProbeInterval, [this] { this->relay.probe(); });
+    this->startProbing();
+}
+
+/** Entries serve callers, who wait for the end of an outage; for agents a look a second is enough. */
+void JobNode::startProbing()
+{
+    if (this->config.role != NodeRole::JobEntry) {
+        this->probing = std::make_unique<Ticker>("probes of the table", ProbeInterval, [this] { this->relay.probe(); });
+        return;
+    }
+    this->probing = std::make_unique<Ticker>("probes of the table", ProbeCheckInterval, [this] {
+        if (this->outlook.takeProbe(StorePath::Direct)) {
+            this->relay.probe();
+        }
+        this->metrics.set(Level::TableDown, this->outlook.state() == StoreState::Unavailable ? 1.0 : 0.0);
+    });
+    this->peerProbing = std::make_unique<Ticker>("probes of the table through peers", ProbeCheckInterval, [this] {
+        if (this->outlook.takeProbe(StorePath::Peers)) {
+            this->relay.probePeers();
+        }
+    });
 }
 
 void JobNode::stopOffice()
 {
     this->officeFollower->stop();
     this->probing->stop();
+    if (this->peerProbing) {
+        this->peerProbing->stop();
+    }
 }
 
 Header JobNode::outgoing()
--- a/src/process/daemon/jobnode.h
+++ b/src/process/daemon/jobnode.h
@@ -6,6 +6,7 @@
 #include "waxwingloft/connection/httpfront.h"
 #include "waxwingloft/connection/relaytable.h"
 #include "waxwingloft/connection/rpcnode.h"
+#include "waxwingloft/connection/storeoutlook.h"
 #include "waxwingloft/process/eventlog.h"
 #include "waxwingloft/process/tableclient.h"
 #include "waxwingloft/process/ticker.h"
@@ -38,12 +39,17 @@
     PlatformStore store;
     PlacerDirectory office;
     RpcNode rpc;
+    StoreOutlook outlook; ///< used by entries only
     RelayTable relay;
     TableClient table;
     HttpFront http; ///< health and metrics
     std::atomic<bool> isLeaving = false;
     std::unique_ptr<TableFollower> officeFollower;
     std::unique_ptr<Ticker> probing;
+    std::unique_ptr<Ticker> peerProbing; ///< of an entry; apart from the direct one, as each may wait for a time-out
+
+private:
+    void startProbing();
 };
 
 } // namespace waxwingloft
--- a/src/request/jobservice.cpp
+++ b/src/request/jobservice.cpp
@@ -20,6 +20,11 @@
     return {outcome, std::move(message), {}, 0, Millis(0)};
 }
 
+Error awayError()
+{
+    return makeError(ErrorKind::PlatformDown, "neither this entry nor its peers reach the table; nothing was written", "retry after the time in Retry-After");
+}
+
 } // namespace
 
 const std::array<JobService::VerbHandler, NameTable<JobVerb>::names.size()> JobService::verbHandlers = {
@@ -41,6 +46,7 @@
     , routes(routes)
     , parser(std::move(parser))
     , options(options)
+    , doubtfulCalls(clock)
     , log(LogPart::Requests)
 {
 }
@@ -50,6 +56,11 @@
     this->rowObserver = std::move(observer);
 }
 
+void JobService::setOutlook(StoreOutlook &outlook)
+{
+    this->outlook = &outlook;
+}
+
 JobAnswer JobService::handle(const JobCall &call)
 {
     const auto startedAt = this->clock.now();
@@ -58,6 +69,7 @@
     if (result.outcome == JobCallOutcome::Done) {
         result = (this->*verbHandlers.at(static_cast<std::size_t>(call.verb)))(call, admitted);
     }
+    this->keepDoubt(call, admitted.job, result);
     const bool isRead = call.verb == JobVerb::Show || call.verb == JobVerb::CountWaiting;
     if (!isRead || result.outcome != JobCallOutcome::Done) {
         this->log.info("A call was answered.",
@@ -159,6 +171,9 @@
         conditions.push_back({other, 0});
     }
     while (true) {
+        if (this->isStoreAway()) {
+            return awayError();
+        }
         const auto committed = this->table.commit(Transaction{this->ids.next(), conditions, {{key, value}}});
         if (succeeded(committed)) {
             return std::optional<Row>({key, value, valueOf(committed).revision, {}});
@@ -266,6 +281,9 @@
         if (this->jobCache.contains(job)) {
             return true;
         }
+        if (this->isStoreAway()) {
+            return awayError();
+        }
         const auto read = this->readIntoCache(job);
         if (succeeded(read)) {
             return this->jobCache.contains(job);
@@ -294,6 +312,38 @@
     return Done{};
 }
 
+/** Whether the table is known to be away. Waits shortly when only peers can tell. */
+bool JobService::isStoreAway() const
+{
+    if (this->outlook == nullptr) {
+        return false;
+    }
+    const auto until = this->clock.now() + this->options.doubtWait;
+    auto state = this->outlook->state();
+    while (state == StoreState::InDoubt && this->clock.now() < until) {
+        this->clock.sleepFor(this->options.retryPause);
+        state = this->outlook->state();
+    }
+    if (state == StoreState::Reachable) {
+        return false;
+    }
+    this->metrics.add(Count::CallsWithoutTable);
+    return true;
+}
+
+/** An earlier try of the same call may have had an effect, so that its repetition must not be answered as if nothing had been done. */
+void JobService::keepDoubt(const JobCall &call, const JobId &job, JobAnswer &result)
+{
+    const auto name = std::string(nameOf(call.verb)) + "/" + job.value;
+    if (result.outcome == JobCallOutcome::Undecided) {
+        this->doubtfulCalls.add(name);
+    } else if (result.outcome == JobCallOutcome::NotNow && this->doubtfulCalls.contains(name)) {
+        result.outcome = JobCallOutcome::Undecided;
+        result.retryAfter = Millis(0);
+        result.message = "an earlier try of this call is still in doubt; " + result.message;
+    }
+}
+
 /** Returns the answer to a call whose write failed. */
 JobAnswer JobService::answerToFailure(const Error &error) const
 {
@@ -303,7 +353,8 @@
 JobAnswer JobService::refusal(const std::string &reason) const
 {
     auto refused = answer(JobCallOutcome::NotNow, reason);
-    refused.retryAfter = this->options.retryAfter;
+    const bool isAway = this->outlook != nullptr && this->outlook->state() != StoreState::Reachable;
+    refused.retryAfter = isAway ? this->outlook->retryAfter() : this->options.retryAfter;
     return refused;
 }
 
--- a/tests/connection/relaytabletest.cpp
+++ b/tests/connection/relaytabletest.cpp
@@ -2,6 +2,7 @@
 #include "process/faketable.h"
 #include "process/manualclock.h"
 
+#include <functional>
 #include <gtest/gtest.h>
 
 namespace waxwingloft::tests {
@@ -19,19 +20,19 @@
 
     Result<std::optional<Row>> get(const std::string &key) override
     {
-        ++this->calls;
+        this->noteCall();
         return this->isCut ? Result<std::optional<Row>>(makeError(ErrorKind::PlatformDown, "cut")) : this->rows.get(key);
     }
 
     Result<RowList> list(const std::string &prefix, std::uint64_t since) override
     {
-        ++this->calls;
+        this->noteCall();
         return this->isCut ? Result<RowList>(makeError(ErrorKind::PlatformDown, "cut")) : this->rows.list(prefix, since);
     }
 
     Result<Commit> commit(const Transaction &transaction) override
     {
-        ++this->calls;
+        this->noteCall();
         if (this->losesAnswers) {
             this->rows.commit(transaction);
             return makeError(ErrorKind::Ambiguous, "lost");
@@ -41,7 +42,7 @@
 
     Result<ChangeBatch> changes(const std::string &table, std::uint64_t after, Millis /*wait*/) override
     {
-        ++this->calls;
+        this->noteCall();
         if (this->isCut) {
             return makeError(ErrorKind::PlatformDown, "cut");
         }
@@ -53,9 +54,18 @@
         return batch;
     }
 
+    void noteCall()
+    {
+        ++this->calls;
+        if (this->onCall) {
+            this->onCall();
+        }
+    }
+
     FakeRows &rows;
     bool isCut = false;
     bool losesAnswers = false;
+    std::function<void()> onCall;
     int calls = 0;
 };
 
@@ -97,8 +107,125 @@
     RelayTable peer{this->others, this->others, this->net, this->clock, [] { return std::vector<std::string>(); }, RelayTableOptions()};
 };
 
+/** A relay table whose calls an outlook learns from. */
+class OutlookOfRelayTest : public RelayTableTest
+{
+protected:
+    OutlookOfRelayTest()
+    {
+        this->table.setOutlook(this->outlook);
+        this->own.onCall = [this] { this->clock.advance(this->ownTakes); };
+    }
+
+    /** Makes calls for @p duration, 50 ms after one another. */
+    void callFor(Millis duration)
+    {
+        const auto until = this->clock.now() + duration;
+        while (this->clock.now() < until) {
+            this->table.get("jobs/1");
+            this->clock.advance(Millis(50));
+        }
+    }
+
+    Millis ownTakes = Millis(4);
+    StoreOutlook outlook{this->clock, StoreOutlookOptions(), 1};
+};
+
 } // namespace
 
+// Each submission held its thread until its caller's time was over, though the entry knew that the table did not answer.
+TEST_F(OutlookOfRelayTest, ASilentTableIsAwayAfterOneCall)
+{
+    this->own.isCut = true;
+    this->others.isCut = true;
+    this->ownTakes = Millis(800);
+    EXPECT_FALSE(succeeded(this->table.get("jobs/1")));
+    EXPECT_EQ(this->outlook.state(), StoreState::Unavailable);
+}
+
+// An entry whose own path alone is cut would turn callers away for nothing.
+TEST_F(OutlookOfRelayTest, APeerThatReachesTheTableKeepsItReachable)
+{
+    this->own.isCut = true;
+    this->ownTakes = Millis(800);
+    this->callFor(Millis(5000));
+    EXPECT_EQ(this->outlook.state(), StoreState::Reachable);
+    this->others.isCut = true;
+    this->callFor(Millis(1000));
+    EXPECT_EQ(this->outlook.state(), StoreState::Unavailable);
+    this->others.isCut = false;
+    this->peer.probe();
+    this->table.probePeers();
+    EXPECT_EQ(this->outlook.state(), StoreState::Reachable);
+}
+
+TEST_F(OutlookOfRelayTest, ASilentCommitLeavesTheOutlookInDoubtUntilPeersWereAsked)
+{
+    this->own.losesAnswers = true;
+    this->ownTakes = Millis(800);
+    this->table.commit({"op", {}, {{"jobs/1", "a"}}});
+    EXPECT_EQ(this->outlook.state(), StoreState::InDoubt);
+    EXPECT_TRUE(this->outlook.takeProbe(StorePath::Peers));
+    this->table.probePeers();
+    EXPECT_EQ(this->outlook.state(), StoreState::Reachable);
+}
+
+// A table that is 60 times as slow as usual, or that loses the answers to some calls, still serves.
+TEST_F(OutlookOfRelayTest, ASlowTableOrOneThatLosesSomeAnswersIsNotAway)
+{
+    this->others.isCut = true;
+    this->ownTakes = Millis(240);
+    this->callFor(Millis(3000));
+    EXPECT_EQ(this->outlook.state(), StoreState::Reachable);
+    this->ownTakes = Millis(4);
+    for (int call = 0; call < 60; ++call) {
+        this->own.isCut = call % 3 != 0;
+        this->callFor(Millis(40));
+        EXPECT_EQ(this->outlook.state(), StoreState::Reachable) << call;
+    }
+}
+
+// The last feed call before an outage began long before it, and ended with it.
+TEST_F(OutlookOfRelayTest, TheWaitOfAFeedIsNoSilence)
+{
+    this->others.isCut = true;
+    this->own.isCut = true;
+    this->ownTakes = Millis(2000);
+    this->table.changes("jobs", 0, Millis(2000));
+    EXPECT_EQ(this->outlook.state(), StoreState::Reachable);
+}
+
+// Refused calls end at once: one of them, or two within moments, is no outage.
+TEST_F(OutlookOfRelayTest, ATableThatRefusesIsAwayAfterHalfASecond)
+{
+    this->own.isCut = true;
+    this->others.isCut = true;
+    this->callFor(Millis(400));
+    EXPECT_EQ(this->outlook.state(), StoreState::Reachable);
+    this->callFor(Millis(200));
+    EXPECT_EQ(this->outlook.state(), StoreState::Unavailable);
+    this->own.isCut = false;
+    this->table.probe();
+    EXPECT_EQ(this->outlook.state(), StoreState::Reachable);
+}
+
+TEST_F(OutlookOfRelayTest, ProbesAndRetriesAreBounded)
+{
+    EXPECT_FALSE(this->outlook.takeProbe(StorePath::Direct)) << "the table answers";
+    this->own.isCut = true;
+    this->others.isCut = true;
+    this->callFor(Millis(600));
+    int probes = 0;
+    for (int tick = 0; tick < 300; ++tick) {
+        probes += this->outlook.takeProbe(StorePath::Direct) ? 1 : 0;
+        this->clock.advance(Millis(10));
+        EXPECT_GE(this->outlook.retryAfter(), Millis(1000));
+        EXPECT_LE(this->outlook.retryAfter(), Millis(3000));
+    }
+    EXPECT_GE(probes, 10);
+    EXPECT_LE(probes, 20);
+}
+
 TEST_F(RelayTableTest, GoesDirectlyWhileThatWorks)
 {
     ASSERT_TRUE(succeeded(this->table.commit({"op", {}, {{"jobs/1", "a"}}})));
--- a/tests/request/jobservicetest.cpp
+++ b/tests/request/jobservicetest.cpp
@@ -114,8 +114,98 @@
     JobService jobService{this->clock, this->ids, this->metrics, this->table, this->jobCache, this->routes, &JobServiceTest::parse, JobServiceOptions()};
 };
 
+/** Calls while the outlook on the table is set by the test. */
+class JobServiceOutlookTest : public JobServiceTest
+{
+protected:
+    JobServiceOutlookTest()
+    {
+        this->jobService.setOutlook(this->outlook);
+        this->clock.advance(Millis(5000));
+        this->startedAt = this->clock.now();
+    }
+
+    /** Makes the table away from this entry; @p arePeersAsked makes it known that it is from peers as well. */
+    void loseTable(bool arePeersAsked = true)
+    {
+        this->outlook.noteDirect(false, this->clock.now() - Millis(800));
+        if (arePeersAsked) {
+            this->outlook.notePeers(false);
+        }
+    }
+
+    StoreOutlook outlook{this->clock, StoreOutlookOptions(), 1};
+    Instant startedAt;
+};
+
 } // namespace
 
+// A submission held its thread until the caller's time was over, though the entry knew that the table did not answer.
+TEST_F(JobServiceOutlookTest, CallsThatNeedATableThatIsAwayAreRefusedAtOnce)
+{
+    this->call(JobVerb::Submit, "/a/" + Id);
+    this->loseTable();
+    const auto before = this->clock.now();
+    const auto commits = this->table.commits;
+    const std::string other = "0123456789abcdef";
+    for (const auto verb : {JobVerb::Submit, JobVerb::Show, JobVerb::Cancel}) {
+        const auto refused = this->call(verb, "/a/" + other);
+        EXPECT_EQ(refused.outcome, JobCallOutcome::NotNow) << nameOf(verb);
+        EXPECT_GE(refused.retryAfter, Millis(1000)) << nameOf(verb);
+        EXPECT_LE(refused.retryAfter, Millis(3000)) << nameOf(verb);
+    }
+    EXPECT_EQ(this->call(JobVerb::Cancel, "/a/" + Id).outcome, JobCallOutcome::NotNow);
+    EXPECT_EQ(this->table.commits, commits) << "nothing is sent";
+    EXPECT_EQ(this->clock.now(), before);
+    EXPECT_EQ(this->call(JobVerb::Submit, "/a/" + Id).outcome, JobCallOutcome::Done) << "known already";
+    EXPECT_EQ(this->call(JobVerb::Show, "/a/" + Id).outcome, JobCallOutcome::Done);
+    EXPECT_EQ(this->call(JobVerb::CountWaiting, "/a/").outcome, JobCallOutcome::Done);
+    this->outlook.noteDirect(true, this->clock.now());
+    EXPECT_EQ(this->call(JobVerb::Submit, "/a/" + other).outcome, JobCallOutcome::Done);
+}
+
+TEST_F(JobServiceOutlookTest, WaitsShortlyForThePeersWordOnTheTable)
+{
+    this->loseTable(false);
+    this->clock.onSleep = [this](Millis duration) {
+        this->clock.advance(duration);
+        this->outlook.notePeers(true);
+    };
+    EXPECT_EQ(this->call(JobVerb::Submit, "/a/" + Id).outcome, JobCallOutcome::Done) << "a peer reaches it";
+    this->outlook.noteDirect(true, this->clock.now());
+    this->clock.advance(Millis(5000));
+    this->loseTable(false);
+    this->clock.onSleep = nullptr;
+    const auto before = this->clock.now();
+    EXPECT_EQ(this->call(JobVerb::Submit, "/a/0123456789abcdef").outcome, JobCallOutcome::NotNow);
+    EXPECT_LE(this->clock.now() - before, Millis(400));
+}
+
+// The repetition of a call whose write may have taken effect would be told that the job does not run.
+TEST_F(JobServiceOutlookTest, ARepetitionOfACallInDoubtIsNotRefused)
+{
+    this->table.isAmbiguous = true;
+    EXPECT_EQ(this->call(JobVerb::Submit, "/a/" + Id).outcome, JobCallOutcome::Undecided);
+    this->loseTable();
+    EXPECT_EQ(this->call(JobVerb::Submit, "/a/" + Id).outcome, JobCallOutcome::Undecided);
+    EXPECT_EQ(this->call(JobVerb::Submit, "/a/0123456789abcdef").outcome, JobCallOutcome::NotNow) << "nothing was sent for it";
+    EXPECT_EQ(this->table.commitKept(), 1);
+    this->table.isAmbiguous = false;
+    this->outlook.noteDirect(true, this->clock.now());
+    EXPECT_EQ(this->call(JobVerb::Submit, "/a/" + Id).outcome, JobCallOutcome::Done) << "the row settles it";
+}
+
+TEST_F(JobServiceOutlookTest, RetriesEndAsSoonAsTheTableIsKnownToBeAway)
+{
+    this->rows.isDown = true;
+    this->clock.onSleep = [this](Millis duration) {
+        this->clock.advance(duration);
+        this->loseTable();
+    };
+    EXPECT_EQ(this->call(JobVerb::Submit, "/a/" + Id).outcome, JobCallOutcome::NotNow);
+    EXPECT_LE(this->clock.now() - this->startedAt, Millis(100));
+}
+
 TEST_F(JobServiceTest, AcceptsAJobOnceItsRowIsWritten)
 {
     EXPECT_EQ(this->call(JobVerb::Submit, "/a/" + Id).outcome, JobCallOutcome::Done);
