table: Tell observers as of when the rows are known

An observer could not tell a fresh view from one that an outage or a paused process had made old. TableFollower now passes on when the question was sent whose answer it has applied, empty batches included. TableObservers passes one followed table on to several observers. With listsAfterFailure the follower reads the table whole after an unanswered question to the feed; the feed may be silent while rows can be read. Off by default.

--- a/include/waxwingloft/process/tablefollower.h
+++ b/include/waxwingloft/process/tablefollower.h
@@ -9,6 +9,7 @@
 #include <random>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace waxwingloft {
 
@@ -23,6 +24,29 @@
 
     /** Changes since the last call. May be empty: the table was looked at and is unchanged. */
     virtual void apply(const ChangeBatch &batch) = 0;
+
+    /**
+     * All rows as of @p askedAt are known, possibly later ones too. Called after each successful reset() or apply().
+     *
+     * @p askedAt is the time before the question was sent, on the follower's clock, so that a slow answer or a paused process makes the view no fresher.
+     */
+    virtual void seenAt(Instant /*askedAt*/)
+    {
+    }
+};
+
+/** Passes the contents of one table on to several observers, in their order. */
+class TableObservers : public TableObserver
+{
+public:
+    explicit TableObservers(std::vector<TableObserver *> observers);
+
+    void reset(const RowList &rows) override;
+    void apply(const ChangeBatch &batch) override;
+    void seenAt(Instant askedAt) override;
+
+private:
+    const std::vector<TableObserver *> observers;
 };
 
 /** Times of a follower. */
@@ -30,6 +54,7 @@
     Millis wait = Millis(2000); ///< how long one question to the feed stays open
     Millis retryBase = Millis(50); ///< first pause after a failure
     Millis retryLimit = Millis(400); ///< longest pause after failures; bounds how long a change goes unseen after an outage
+    bool listsAfterFailure = false; ///< reads the whole table after an unanswered question to the feed, which may be silent while rows can be read
 };
 
 /**
--- a/src/process/tablefollower.cpp
+++ b/src/process/tablefollower.cpp
@@ -13,6 +13,32 @@
 
 } // namespace
 
+TableObservers::TableObservers(std::vector<TableObserver *> observers)
+    : observers(std::move(observers))
+{
+}
+
+void TableObservers::reset(const RowList &rows)
+{
+    for (auto *const observer : this->observers) {
+        observer->reset(rows);
+    }
+}
+
+void TableObservers::apply(const ChangeBatch &batch)
+{
+    for (auto *const observer : this->observers) {
+        observer->apply(batch);
+    }
+}
+
+void TableObservers::seenAt(Instant askedAt)
+{
+    for (auto *const observer : this->observers) {
+        observer->seenAt(askedAt);
+    }
+}
+
 TableFollower::TableFollower(TableStore &store, TableFeed &feed, Clock &clock, std::string table, TableObserver &observer, TableFollowerOptions options)
     : store(store)
     , feed(feed)
@@ -55,6 +81,7 @@
 
 bool TableFollower::list()
 {
+    const auto askedAt = this->clock.now();
     const auto rows = this->store.list(this->table + "/", 0);
     if (!succeeded(rows)) {
         this->noteReachable(false, toString(errorOf(rows)));
@@ -64,16 +91,19 @@
     this->revision = valueOf(rows).revision;
     this->isListed = true;
     this->observer.reset(valueOf(rows));
+    this->observer.seenAt(askedAt);
     return true;
 }
 
 bool TableFollower::follow()
 {
+    const auto askedAt = this->clock.now();
     const auto batch = this->feed.changes(this->table, this->revision, this->options.wait);
     if (succeeded(batch)) {
         this->noteReachable(true, {});
         this->revision = std::max(this->revision, valueOf(batch).revision);
         this->observer.apply(valueOf(batch));
+        this->observer.seenAt(askedAt);
         return true;
     }
     if (errorOf(batch).kind == ErrorKind::Stale) {
@@ -81,6 +111,9 @@
         this->isListed = false;
         return this->list();
     }
+    if (this->options.listsAfterFailure) {
+        return this->list();
+    }
     this->noteReachable(false, toString(errorOf(batch)));
     return false;
 }
--- a/tests/process/tablefollowertest.cpp
+++ b/tests/process/tablefollowertest.cpp
@@ -42,6 +42,7 @@
             std::this_thread::sleep_for(Millis(5));
             return ChangeBatch{{}, after};
         }
+        std::this_thread::sleep_for(this->answerTime);
         this->askedAfter.push_back(after);
         auto next = this->script.front();
         this->script.erase(this->script.begin());
@@ -51,6 +52,7 @@
     std::mutex mutex;
     int lists = 0;
     int listFailures = 0;
+    Millis answerTime = Millis(0); ///< of the feed
     std::vector<std::uint64_t> askedAfter; ///< of the answers that were written down
     std::vector<Result<ChangeBatch>> script;
 };
@@ -71,6 +73,19 @@
         }
     }
 
+    void seenAt(Instant askedAt) override
+    {
+        const std::lock_guard<std::mutex> guard(this->mutex);
+        this->asked.push_back(askedAt);
+    }
+
+    /** Returns as of when the rows were known after each reset and batch. */
+    std::vector<Instant> askedTimes()
+    {
+        const std::lock_guard<std::mutex> guard(this->mutex);
+        return this->asked;
+    }
+
     std::vector<std::string> waitFor(std::size_t count)
     {
         constexpr auto Patience = std::chrono::seconds(30);
@@ -90,6 +105,7 @@
     std::mutex mutex;
     std::condition_variable wakeUp;
     std::vector<std::string> notes;
+    std::vector<Instant> asked;
 };
 
 ChangeBatch changeTo(const std::string &value, std::uint64_t revision)
@@ -115,4 +131,38 @@
     EXPECT_EQ(table.askedAfter, (std::vector<std::uint64_t>{5, 6, 6, 7, 5}));
 }
 
+/** Guards against a view that counts as fresh as of its answer, which a slow store or a paused process may make much later than what it shows. */
+TEST(TableFollower, TheRowsAreKnownAsOfWhenTheQuestionWasSent)
+{
+    constexpr auto AnswerTime = Millis(300);
+    ScriptedTable table;
+    table.answerTime = AnswerTime;
+    table.script = {changeTo("one", 6), makeError(ErrorKind::PlatformDown, "cut"), changeTo("two", 7)};
+    RecordingObserver observer;
+    SystemClock clock;
+    const auto before = clock.now();
+    TableFollower follower(table, table, clock, "t", observer, TableFollowerOptions{Millis(10), Millis(1), Millis(5)});
+    observer.waitFor(3);
+    follower.stop();
+    const auto asked = observer.askedTimes();
+    ASSERT_GE(asked.size(), 3U) << "the list, and the two batches that were answered";
+    EXPECT_GE(asked[0], before);
+    EXPECT_GE(asked[2] - asked[1], 2 * AnswerTime) << "one answered and one unanswered question lie between";
+    EXPECT_LE(asked[1] + AnswerTime, clock.now());
+}
+
+TEST(TableFollower, ReadsTheTableWhenTheFeedIsSilentAndThatIsWanted)
+{
+    ScriptedTable table;
+    table.script = {makeError(ErrorKind::PlatformDown, "silent"), changeTo("one", 6)};
+    RecordingObserver observer;
+    SystemClock clock;
+    TableFollowerOptions options{Millis(10), Millis(1), Millis(5)};
+    options.listsAfterFailure = true;
+    TableFollower follower(table, table, clock, "t", observer, options);
+    const std::vector<std::string> expected = {"reset listed", "reset listed", "one"};
+    EXPECT_EQ(observer.waitFor(expected.size()), expected);
+    follower.stop();
+}
+
 } // namespace waxwingloft::tests
