--- a/include/waxwingloft/connection/executorport.h
+++ b/include/waxwingloft/connection/executorport.h
@@ -89,6 +89,7 @@
     std::string address;
     bool isDraining = false;
     std::optional<Millis> drainTimeLeft; ///< for which it stays at least while it drains, if it says so
+    Millis coldTimeLeft = Millis(0); ///< for which it expects to be slow
     Capacity capacity;
     std::vector<std::string> labels;
 };
--- a/include/waxwingloft/connection/taskmessages.h
+++ b/include/waxwingloft/connection/taskmessages.h
@@ -63,11 +63,13 @@
     NoTicket, ///< the adviser's ticket is missing or no longer valid
     Malformed,
     Unhealthy, ///< it takes nothing at the moment
+    ZoneClosed, ///< the operator has closed its zone; given by the agent, which does not send the start
 };
 
 template<>
 struct NameTable<RefusalReason> {
-    static constexpr std::array<std::string_view, 8> names = {"none", "fenced", "old-run", "too-late", "no-room", "no-ticket", "malformed", "unhealthy"};
+    static constexpr std::array<std::string_view, 9> names = {
+        "none", "fenced", "old-run", "too-late", "no-room", "no-ticket", "malformed", "unhealthy", "zone-closed"};
 };
 
 /** A run that holds room on an executor. */
@@ -100,6 +102,7 @@
     std::string zone;
     bool isDraining = false;
     std::optional<Millis> drainTimeLeft; ///< for which a draining executor stays at least, if it said so
+    Millis coldTimeLeft = Millis(0); ///< for which the executor expects to be slow, as its zone was just closed or opened
     bool isReachable = true; ///< the executor answers
     Capacity capacity;
     std::vector<std::string> labels; ///< kind and rack of the machine, among others
@@ -122,8 +125,8 @@
 /**
  * Every run that an executor is to have, in full. The agent starts what it lacks and stops what is not named.
  *
- * Sent by the placer on its own, and as the answer to a report; only an answer carries an agent lease, as the
- * agent counts it from before it sent the report.
+ * Sent by the placer on its own, and as the answer to a report; only an answer carries an agent lease and a start permission, as
+ * the agent counts them from before it sent the report.
  */
 struct AssignmentSync {
     Epoch epoch = 0;
@@ -131,6 +134,9 @@
     ExecutorIncarnation incarnation; ///< that is meant; any other takes nothing from it
     std::uint64_t acknowledgedEnds = 0; ///< ends up to this number are stored and may be forgotten
     Millis agentLease = Millis(0); ///< how long the agent may prolong its executor's lease
+    bool needsStartPermission = false; ///< the agent sends starts only while it has a start permission
+    Millis startPermission = Millis(0); ///< how long the agent may send starts, from when it sent the report; only in answers
+    bool isZoneClosed = false; ///< the operator has closed the zone of the agent's executor
     std::vector<Assignment> assignments;
 };
 
--- a/include/waxwingloft/process/metrics.h
+++ b/include/waxwingloft/process/metrics.h
@@ -65,16 +65,20 @@
     KnownMembers,
     WaitingJobs,
     TableDown,
+    ClosedZones, ///< that the operator keeps closed; only on the leading placer
+    RunsInClosedZones, ///< that are left there; only on the leading placer
 };
 
 template<>
 struct NameTable<Level> {
-    static constexpr std::array<std::string_view, 6> names = {"waxwingloft_settings_version",
+    static constexpr std::array<std::string_view, 8> names = {"waxwingloft_settings_version",
                                                               "waxwingloft_queued_requests",
                                                               "waxwingloft_running_requests",
                                                               "waxwingloft_known_members",
                                                               "waxwingloft_waiting_jobs",
-                                                              "waxwingloft_table_down"};
+                                                              "waxwingloft_table_down",
+                                                              "waxwingloft_closed_zones",
+                                                              "waxwingloft_runs_in_closed_zones"};
 };
 
 /** The process's metrics. Thread safe; updates are atomic additions. */
--- a/include/waxwingloft/process/nodeconfig.h
+++ b/include/waxwingloft/process/nodeconfig.h
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -41,6 +42,7 @@
     Millis longestLease = Millis(6000); ///< that executors grant
     Millis wantedLease = Millis(6000); ///< bridges 4 s without the agent and its start; what dies with its executor counts as running so long
 
+    std::optional<Millis> zoneCloseTime; ///< from the acknowledgement of a closed zone's row until nothing starts there; left out, zones are not closed
     double storeWritesPerSecond = 100.0; ///< that the store takes from all processes together
 
     /** Returns the calls on the store that an entry may make a second; only the placer in office comes near it. */
--- a/include/waxwingloft/request/executorcontroller.h
+++ b/include/waxwingloft/request/executorcontroller.h
@@ -11,6 +11,7 @@
 #include "waxwingloft/request/heldcapacity.h"
 #include "waxwingloft/request/incarnationcandidate.h"
 #include "waxwingloft/request/leasegranter.h"
+#include "waxwingloft/request/startpermission.h"
 
 #include <functional>
 #include <map>
@@ -44,7 +45,8 @@
  * The agent's state of its executor: runs that were assigned, runs that are active and runs that ended.
  *
  * It makes the final checks before a start: the placer's epoch, the executor's incarnation, whether the executor
- * drains, that the run has not ended, and that the executor's capacity covers it beside the other runs that may be live there. It renews the executor's lease
+ * drains, whether starts are permitted in its zone, that the run has not ended, and that the executor's capacity covers it beside the other runs that may
+ * be live there. It renews the executor's lease
  * only while it holds an agent lease from the placer. It makes no calls itself; its owner sends what is due and passes the answers back. Thread safe.
  */
 class ExecutorController
@@ -77,11 +79,15 @@
     /** Applies the assignments of a placer unless newer ones have been applied. */
     void apply(const AssignmentSync &sync);
 
-    /** Applies the answer to a report. Its agent lease counts from @p sentAt, when the report was sent, so it ends no later than the placer assumes. */
+    /** Applies the answer to a report. Its agent lease and start permission count from @p sentAt, when the report was sent, so they end no later than the
+     * placer assumes. */
     void applyAnswer(const AssignmentSync &sync, Instant sentAt);
 
     /** Returns the orders that are due and marks them as in flight. Returns starts for which there is no room to the placer. */
     std::vector<DueOrder> takeDueOrders();
+
+    /** Whether starts may be sent now. Asked again just before each is sent, as it may have waited for other orders or a paused process. */
+    bool maySendStarts() const;
     void startAnswered(const DueOrder &order, const Result<StartAnswer> &answer);
     void stopAnswered(const DueOrder &order, const Result<ExecutorStamp> &answer);
 
@@ -102,10 +108,12 @@
 
 private:
     bool refresh(const ExecutorHeartbeat &heartbeat);
+    void take(const ExecutorHeartbeat &heartbeat);
     std::optional<ExecutorIncarnation> incarnationInUse() const;
     void beginIncarnation(const ExecutorHeartbeat &heartbeat);
     bool candidateAnswered(const DueRunListQuery &poll, const Result<RunListAnswer> &answer);
     bool applyAssignments(const AssignmentSync &sync);
+    bool isStartPermitted(Instant now);
     void addAssignment(const Assignment &assignment);
     bool hasEnded(const TaskRun &run) const;
     std::vector<DueOrder> collectDueOrders();
@@ -142,6 +150,7 @@
     std::uint64_t changeCount = 0;
     std::optional<ExecutorHeartbeat> latest; ///< of the incarnation in use
     std::optional<Instant> leavesAt; ///< while it drains: it stays until then at least
+    Instant coldUntil; ///< as its zone was closed or opened; it expects to be slow until then
     IncarnationCandidate candidate;
     bool hasRunLists = false; ///< the run lists of this incarnation have been read
     bool hasLeft = false; ///< the incarnation in use said that it is about to end
@@ -152,6 +161,8 @@
     std::uint64_t firstListedEnd = 0; ///< in the lists that were read last; zero when they had none
     std::uint64_t pollSerial = 0;
     LeaseGranter leases;
+    StartPermission permission;
+    bool isWaitingForPermission = false; ///< a start is due, for which there is no permission at the moment
     bool hasStartWithoutLease = false; ///< a start is due, for which no lease may be asked at the moment
     std::map<TaskRun, AgentRun> runs;
     std::vector<EndReport> ends;
--- a/include/waxwingloft/request/executorcontrolleroptions.h
+++ b/include/waxwingloft/request/executorcontrolleroptions.h
@@ -20,6 +20,7 @@
     Millis resendAfter = Millis(50); ///< pause before an unanswered order is sent again
     Millis unknownNeedsWait = Millis(1000); ///< for which a start waits for a run of unknown needs to end; then it returns to the placer
     Millis startPeriod = Millis(500); ///< on the executor's clock, after which a run that it still lists did not crash it by its start
+    bool needsStartPermission = false; ///< starts are sent only within a start permission, whatever the leading placer says
     int unansweredPollsToUnreachable = 2; ///< consecutive unanswered polls after which the executor gets no new work
 };
 
--- a/include/waxwingloft/request/livejob.h
+++ b/include/waxwingloft/request/livejob.h
@@ -18,6 +18,7 @@
     bool isBeingWritten = false;
     Instant knownSince;
     bool isHeldBack = false; ///< since its last start, workers have been avoided rather than used for its tasks
+    bool isClosedOut = false; ///< tasks wait that executors in closed zones could run, which was logged
 
     /** Marks the progress as changed, so that it is written. */
     void markChanged();
--- a/include/waxwingloft/request/liveworker.h
+++ b/include/waxwingloft/request/liveworker.h
@@ -58,7 +58,9 @@
     Instant allRunsEndBy; ///< also those that may begin late
     bool mayHaveOpenCalls = false; ///< they were allowed for in begunRunsEndBy
     bool isLeaseWithheld = false; ///< the last report got no lease, as the stored bounds do not allow for it
+    bool isZoneClosed = false; ///< as of the last plan or report
     Instant pausedUntil; ///< gets no new work until then
+    Instant coldUntil; ///< its executor expects to be slow until then
     std::optional<Instant> leavesAt; ///< while its executor drains: it stays until then at least
     std::uint64_t syncSequence = 0;
     std::uint64_t seenEnds = 0;
--- a/include/waxwingloft/request/taskplacer.h
+++ b/include/waxwingloft/request/taskplacer.h
@@ -6,12 +6,14 @@
 #include "waxwingloft/process/error.h"
 #include "waxwingloft/process/logger.h"
 #include "waxwingloft/request/boundsledger.h"
+#include "waxwingloft/request/closedzonewatch.h"
 #include "waxwingloft/request/crashledger.h"
 #include "waxwingloft/request/jobprogress.h"
 #include "waxwingloft/request/jobrank.h"
 #include "waxwingloft/request/liveworker.h"
 #include "waxwingloft/request/taskplaceroptions.h"
 #include "waxwingloft/request/taskplanner.h"
+#include "waxwingloft/request/zonegate.h"
 #include "waxwingloft/version/routingtable.h"
 
 #include <atomic>
@@ -76,6 +78,9 @@
     /** Counts crashes of executors into @p metrics from now on, which must outlive this object. */
     void setMetrics(Metrics &metrics);
 
+    /** Decides by the closed zones in @p zones from now on, which must outlive this object. Call before becomeLeader(). */
+    void followZones(const ZoneView &zones);
+
     /** Becomes leader under @p epoch. @p jobs must have been read after the epoch was written. */
     void becomeLeader(Epoch epoch, std::vector<StoredJob> jobs, const Takeover &takeover = {});
     void stepDown(const std::string &reason);
@@ -163,7 +168,10 @@
     bool isSettled(Instant now) const;
     void moveStalledRuns(const std::vector<PlacedRun> &stalled, Instant now);
     void assign(const StepStart &start, Instant now);
+    bool applyZone(LiveWorker &worker);
+    void applyZones(Instant now);
     void logHeld(const std::vector<HeldStep> &held);
+    void logClosedOut(const std::vector<JobId> &jobs);
 
     Clock &clock;
     const TaskPlacerOptions options;
@@ -179,6 +187,9 @@
     std::map<NodeId, LiveWorker> workers;
     CrashLedger crashes;
     BoundsLedger bounds;
+    ZoneGate zones;
+    ClosedZoneWatch zoneWatch;
+    bool areZonesKnown = true; ///< as of the last plan
     std::atomic<bool> hasChanges{false}; ///< since the last plan; read without the mutex
 };
 
--- a/include/waxwingloft/request/taskplaceroptions.h
+++ b/include/waxwingloft/request/taskplaceroptions.h
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 
 namespace waxwingloft {
 
@@ -40,6 +41,9 @@
     std::uint32_t crashesToGiveUp = 5; ///< of any kind; bounds what a task costs that crashes its executors long after its start
     std::size_t silentStartsToWait = 2; ///< executors that fell silent at the start of a task, after which it waits for them: one more may be its third crash
     Millis silentStartWait = Millis(30'000); ///< after a lapse, for the executor to come back; one that is lost for good must not hold up its task for ever
+    std::optional<Millis> zoneCloseTime; ///< after the acknowledgement of a zone's closing, in which the last start there must have been carried out; left out,
+                                         ///< zones are not closed
+    Millis zoneCloseMargin = Millis(500); ///< of that for rounding and the delivery of a start to its executor, which takes up to 300 ms
     std::size_t batchRows = 40; ///< rows per transaction; each takes one condition and one write of the 100 operations allowed
 };
 
--- a/include/waxwingloft/request/taskplanner.h
+++ b/include/waxwingloft/request/taskplanner.h
@@ -26,6 +26,7 @@
     const WorkerHealth &health;
     const JobRank &rank;
     const TaskPlacerOptions &options;
+    bool mayStart = true; ///< the closed zones are known well enough to start tasks
 };
 
 /** A run and the agent that it is assigned to. */
@@ -58,6 +59,7 @@
     std::vector<PlacedRun> moves; ///< runs to stop because their executors leave before they can end
     std::vector<StepStart> starts;
     std::vector<HeldStep> held;
+    std::vector<JobId> closedOut; ///< jobs with tasks that wait and that executors in closed zones could run
 };
 
 /** Computes one plan over all jobs and executors from a snapshot, without changing it. Lives for one plan. */
@@ -92,6 +94,7 @@
         std::map<NodeId, std::size_t> indexOf;
         Capacity total;
         std::vector<std::size_t> probes; ///< quarantined workers that could be tried again
+        std::vector<std::size_t> closed; ///< workers in closed zones
     };
 
     using Ranks = std::map<JobId, double>; ///< of jobs that are not in a final state
@@ -133,6 +136,8 @@
     static bool admitProbes(Fleet &fleet, const std::vector<Entry> &entries);
     std::vector<HeldStep>
     heldSteps(const std::vector<Entry> &entries, const std::vector<WaitingTasks> &waiting, const StepPlan &steps, const Fleet &fleet) const;
+    static std::vector<JobId>
+    closedOutJobs(const std::vector<Entry> &entries, const std::vector<WaitingTasks> &waiting, const StepPlan &steps, const Fleet &fleet);
     bool isCutShort(const Fleet &fleet, const RunningTasks &tasks) const;
 
     const PlannerInput &state;
--- a/src/connection/private/node.capnp.h
+++ b/src/connection/private/node.capnp.h
@@ -559,7 +559,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c2873ed4eee4c1a4, 7, 9)
+    CAPNP_DECLARE_STRUCT_HEADER(c2873ed4eee4c1a4, 8, 9)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -589,7 +589,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fce35736e5d8778d, 4, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(fce35736e5d8778d, 6, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -4175,6 +4175,8 @@
 
   inline  ::int64_t getDrainLeftMs() const;
 
+  inline  ::int64_t getColdLeftMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4294,6 +4296,9 @@
   inline  ::int64_t getDrainLeftMs();
   inline void setDrainLeftMs( ::int64_t value);
 
+  inline  ::int64_t getColdLeftMs();
+  inline void setColdLeftMs( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4471,6 +4476,12 @@
   inline bool hasAssignments() const;
   inline  ::capnp::List< ::waxwingloft::wire::Assignment,  ::capnp::Kind::STRUCT>::Reader getAssignments() const;
 
+  inline bool getNeedsStartPermission() const;
+
+  inline  ::int64_t getStartPermissionMs() const;
+
+  inline bool getZoneClosed() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4525,6 +4536,15 @@
   inline void adoptAssignments(::capnp::Orphan< ::capnp::List< ::waxwingloft::wire::Assignment,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::waxwingloft::wire::Assignment,  ::capnp::Kind::STRUCT>> disownAssignments();
 
+  inline bool getNeedsStartPermission();
+  inline void setNeedsStartPermission(bool value);
+
+  inline  ::int64_t getStartPermissionMs();
+  inline void setStartPermissionMs( ::int64_t value);
+
+  inline bool getZoneClosed();
+  inline void setZoneClosed(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -9643,6 +9663,20 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value, -1ll);
 }
 
+inline  ::int64_t AgentReport::Reader::getColdLeftMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t AgentReport::Builder::getColdLeftMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void AgentReport::Builder::setColdLeftMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Assignment::Reader::hasRun() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -9932,6 +9966,48 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool AssignmentSync::Reader::getNeedsStartPermission() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<256>() * ::capnp::ELEMENTS);
+}
+
+inline bool AssignmentSync::Builder::getNeedsStartPermission() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<256>() * ::capnp::ELEMENTS);
+}
+inline void AssignmentSync::Builder::setNeedsStartPermission(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<256>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t AssignmentSync::Reader::getStartPermissionMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t AssignmentSync::Builder::getStartPermissionMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void AssignmentSync::Builder::setStartPermissionMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool AssignmentSync::Reader::getZoneClosed() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<257>() * ::capnp::ELEMENTS);
+}
+
+inline bool AssignmentSync::Builder::getZoneClosed() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<257>() * ::capnp::ELEMENTS);
+}
+inline void AssignmentSync::Builder::setZoneClosed(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<257>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Row::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/connection/taskcodec.cpp
+++ b/src/connection/taskcodec.cpp
@@ -136,6 +136,7 @@
     if (report.drainTimeLeft) {
         builder.setDrainLeftMs(report.drainTimeLeft->count());
     }
+    builder.setColdLeftMs(report.coldTimeLeft.count());
 }
 
 AgentReport decode(wire::AgentReport::Reader reader)
@@ -163,6 +164,7 @@
     if (reader.getDrainLeftMs() >= 0) {
         report.drainTimeLeft = Millis(reader.getDrainLeftMs());
     }
+    report.coldTimeLeft = Millis(reader.getColdLeftMs());
     return report;
 }
 
@@ -174,6 +176,9 @@
     builder.setNotedEnds(sync.acknowledgedEnds);
     builder.setLicenceMs(sync.agentLease.count());
     encodeList(sync.assignments, builder.initAssignments(static_cast<unsigned>(sync.assignments.size())));
+    builder.setNeedsStartPermission(sync.needsStartPermission);
+    builder.setStartPermissionMs(sync.startPermission.count());
+    builder.setZoneClosed(sync.isZoneClosed);
 }
 
 AssignmentSync decode(wire::AssignmentSync::Reader reader)
@@ -185,6 +190,9 @@
     sync.acknowledgedEnds = reader.getNotedEnds();
     sync.agentLease = Millis(reader.getLicenceMs());
     sync.assignments = decodeList<Assignment>(reader.getAssignments());
+    sync.needsStartPermission = reader.getNeedsStartPermission();
+    sync.startPermission = Millis(reader.getStartPermissionMs());
+    sync.isZoneClosed = reader.getZoneClosed();
     return sync;
 }
 
--- a/src/process/daemon/jobagentrole.cpp
+++ b/src/process/daemon/jobagentrole.cpp
@@ -17,6 +17,7 @@
     ExecutorControllerOptions options;
     options.lease = config.jobs.lease() - options.leaseReserve;
     options.longestLease = config.jobs.longestLease;
+    options.needsStartPermission = config.jobs.zoneCloseTime.has_value();
     return options;
 }
 
--- a/src/process/daemon/jobentryrole.cpp
+++ b/src/process/daemon/jobentryrole.cpp
@@ -1,6 +1,7 @@
 #include "jobfront.h"
 #include "jobnode.h"
 #include "operatorroutes.h"
+#include "operatorzones.h"
 
 #include "waxwingloft/request/jobrows.h"
 #include "waxwingloft/request/jobservice.h"
@@ -12,15 +13,22 @@
 namespace {
 
 constexpr auto RoutesWait = Millis(1000); ///< below the time in which a version must be in force, with a silent feed in between
+constexpr int QuestionsWithinZoneClose =
+    5; ///< to the feed, within the zone close time; a permission to start is valid for what is left of that after one or two
 constexpr auto OfficeWait = Millis(5000); ///< the office changes hands rarely
 constexpr auto SweepInterval = Millis(10 * 60 * 1000); ///< rows are kept for a day, so that a few minutes more do not matter
 constexpr auto AnswerWriteTime = Millis(100); ///< for the last answers to leave
 constexpr double ClockDrift = 0.02; ///< an executor's clock may be this share slow; the platform's pages
 
-TableFollowerOptions routesFollowing()
+TableFollowerOptions routesFollowing(const NodeConfig &config)
 {
     TableFollowerOptions options;
     options.wait = RoutesWait;
+    if (config.jobs.zoneCloseTime) {
+        options.wait = std::min(options.wait, *config.jobs.zoneCloseTime / QuestionsWithinZoneClose);
+        // Nothing starts while the closed zones are not known, and the feed may be silent while rows can be read.
+        options.listsAfterFailure = true;
+    }
     return options;
 }
 
@@ -28,6 +36,7 @@
 {
     TaskPlacerOptions options;
     options.longestLease = Millis(static_cast<std::int64_t>(static_cast<double>(config.jobs.lease().count()) / (1.0 - ClockDrift)));
+    options.zoneCloseTime = config.jobs.zoneCloseTime;
     return options;
 }
 
@@ -64,11 +73,14 @@
                              this->placer.setRoutes(book);
                              this->office.nudge();
                          })
+        , operatorZones(this->zones, this->node.clock, [this] { this->office.nudge(); })
+        , operatorRows(this->observersOfOperator())
         , messages(this->office, this->node.relay)
         , front(config.jobs.frontAddress, frontTermsOf(config), this->gate)
         , ready(config.jobs.readyAddress, [this] { return this->isReady(); })
     {
         this->placer.setMetrics(this->node.metrics);
+        this->placer.followZones(this->zones);
         this->office.setTableWatch([this] { return this->node.relay.isRelaying(); });
         this->gate.setRowObserver([this](const Row &row) { this->office.noticeRow(row); });
     }
@@ -79,7 +91,7 @@
         this->node.startOffice(OfficeWait);
         this->office.start();
         this->routesFollower = std::make_unique<TableFollower>(
-            this->node.table, this->node.relay, this->node.clock, std::string(OperatorTable), this->operatorRoutes, routesFollowing());
+            this->node.table, this->node.relay, this->node.clock, std::string(OperatorTable), this->operatorRows, routesFollowing(this->node.config));
         this->jobsFollower =
             std::make_unique<TableFollower>(this->node.table, this->node.relay, this->node.clock, std::string(JobTable), this->office, TableFollowerOptions());
         this->sweepTicker = std::make_unique<Ticker>("the removal of old rows", SweepInterval, [this] { this->sweep(); });
@@ -124,6 +136,17 @@
         RelayTable &relay;
     };
 
+    /** Closed zones come first, as no fault in the other rows may keep them from being known. */
+    std::vector<TableObserver *> observersOfOperator()
+    {
+        std::vector<TableObserver *> observers;
+        if (this->node.config.jobs.zoneCloseTime) {
+            observers.push_back(&this->operatorZones);
+        }
+        observers.push_back(&this->operatorRoutes);
+        return observers;
+    }
+
     void sweep()
     {
         if (this->placer.isLeader()) {
@@ -139,12 +162,15 @@
 
     JobNode node;
     Published<RoutingTable> routes{RoutingTable()};
+    ZoneView zones;
     TaskPlacer placer;
     JobCache board;
     JobService gate;
     RowSweeper sweeper;
     PlacerService office;
     OperatorRoutes operatorRoutes;
+    OperatorZones operatorZones;
+    TableObservers operatorRows;
     MessageSwitch messages;
     JobFront front;
     ReadyFront ready;
--- a/src/process/nodeconfig.cpp
+++ b/src/process/nodeconfig.cpp
@@ -203,6 +203,8 @@
     config.jobs.longestLease = Millis(jobs.whole("longest_lease_ms", config.jobs.longestLease.count(), 1000, 600'000));
     config.jobs.storeWritesPerSecond = jobs.rate("store_writes_per_s", config.jobs.storeWritesPerSecond, 1.0, 1e6);
     config.jobs.wantedLease = Millis(jobs.whole("lease_ms", config.jobs.wantedLease.count(), 1000, 600'000));
+    const auto zoneCloseMs = jobs.whole("zone_close_ms", 0, 2000, 600'000);
+    config.jobs.zoneCloseTime = zoneCloseMs > 0 ? std::optional(Millis(zoneCloseMs)) : std::nullopt;
     jobs.finish();
 }
 
--- a/src/request/assignmentbuilder.cpp
+++ b/src/request/assignmentbuilder.cpp
@@ -60,6 +60,7 @@
     sync.sequence = ++worker.syncSequence;
     sync.incarnation = worker.last.incarnation;
     sync.acknowledgedEnds = worker.acknowledgedEnds;
+    sync.isZoneClosed = worker.isZoneClosed;
     for (auto &[run, live] : worker.runs) {
         if (this->isWanted(worker, run, live)) {
             if (this->isStored(run, live)) {
--- a/src/request/executoragent.cpp
+++ b/src/request/executoragent.cpp
@@ -191,6 +191,8 @@
 {
     if (order.isStop) {
         this->controller.stopAnswered(order, this->executor.stop(order.incarnation, order.start.run, order.start.fencingToken));
+    } else if (!this->controller.maySendStarts()) {
+        this->controller.startAnswered(order, makeError(ErrorKind::Unreachable, "the permission to start has expired before the start was sent"));
     } else {
         this->controller.startAnswered(order, this->executor.start(order.incarnation, order.start));
     }
--- a/src/request/executorcontroller.cpp
+++ b/src/request/executorcontroller.cpp
@@ -5,6 +5,23 @@
 
 namespace waxwingloft {
 
+namespace {
+
+/** Returns the log line for a start that is given up for @p reason. */
+std::string describe(RefusalReason reason)
+{
+    switch (reason) {
+    case RefusalReason::NoRoom:
+        return "An executor has no room for a run any more.";
+    case RefusalReason::ZoneClosed:
+        return "A zone is closed before a run has started.";
+    default:
+        return "An executor drains before a run has started.";
+    }
+}
+
+} // namespace
+
 ExecutorController::ExecutorController(Clock &clock, Metrics &metrics, NodeId node, std::string address, ExecutorControllerOptions options)
     : clock(clock)
     , metrics(metrics)
@@ -14,6 +31,7 @@
     , options(options)
     , log(LogPart::Gangs)
     , leases(options, clock.now())
+    , permission(options.needsStartPermission)
 {
 }
 
@@ -63,9 +81,9 @@
         return false;
     }
     const bool drains = !this->latest->isDraining && heartbeat.isDraining;
-    const bool isChange = this->latest->isDraining != heartbeat.isDraining || this->latest->capacity != heartbeat.capacity;
-    this->latest = heartbeat;
-    this->leavesAt = heartbeat.drainTimeLeft ? std::optional(this->clock.now() + *heartbeat.drainTimeLeft) : std::nullopt;
+    const bool isChange = this->latest->isDraining != heartbeat.isDraining || this->latest->capacity != heartbeat.capacity
+        || this->latest->zone != heartbeat.zone || (this->latest->coldTimeLeft == Millis(0)) != (heartbeat.coldTimeLeft == Millis(0));
+    this->take(heartbeat);
     // A deregister that does not say which incarnation it is from may be a late one of an earlier incarnation.
     this->hasLeft = this->hasLeft && heartbeat.isDraining;
     if (drains) {
@@ -97,11 +115,20 @@
     this->acknowledgedEnds = 0;
     this->firstListedEnd = 0;
     this->leases.beginIncarnation(this->clock.now());
-    this->latest = heartbeat;
-    this->leavesAt = heartbeat.drainTimeLeft ? std::optional(this->clock.now() + *heartbeat.drainTimeLeft) : std::nullopt;
+    this->take(heartbeat);
     ++this->changeCount;
 }
 
+/** Takes over what the incarnation in use says of itself. */
+void ExecutorController::take(const ExecutorHeartbeat &heartbeat)
+{
+    const auto now = this->clock.now();
+    this->latest = heartbeat;
+    this->leavesAt = heartbeat.drainTimeLeft ? std::optional(now + *heartbeat.drainTimeLeft) : std::nullopt;
+    this->coldUntil = now + heartbeat.coldTimeLeft;
+    this->permission.setZone(heartbeat.zone);
+}
+
 void ExecutorController::deregister(const ExecutorIncarnation &incarnation)
 {
     {
@@ -140,10 +167,11 @@
             // A placer that only announces its term has not applied the report.
             this->leases.prolongAgentLease(sentAt + sync.agentLease, sync.incarnation.isKnown() && this->openCallsReported);
             this->answeredEnds = sync.incarnation.isKnown() ? this->reportedEnds : this->answeredEnds;
+            hasChanges = this->permission.answered(sync, sentAt) && this->isWaitingForPermission;
         }
         // The new placer waits for a report that names its term.
         this->changeCount += isNewTerm ? 1 : 0;
-        hasChanges = this->applyAssignments(sync) || isNewTerm;
+        hasChanges = this->applyAssignments(sync) || isNewTerm || hasChanges;
     }
     if (hasChanges) {
         this->wake();
@@ -166,6 +194,13 @@
         return false;
     }
     this->syncSequence = sync.sequence;
+    const bool hasZoneChanged = this->permission.applied(sync);
+    if (hasZoneChanged) {
+        this->log.info(this->permission.isZoneClosed() ? "The zone of the executor is closed; nothing starts." : "The zone of the executor is open again.",
+                       {{"executor", this->latest->incarnation.id}, {"zone", this->latest->zone}, {"sequence", std::to_string(sync.sequence)}});
+        // The next report brings a permission at once.
+        ++this->changeCount;
+    }
     this->acknowledgedEnds = std::max(this->acknowledgedEnds, sync.acknowledgedEnds);
     const auto runsBefore = this->runs.size();
     const auto endsBefore = this->ends.size();
@@ -192,7 +227,7 @@
                             {"sequence", std::to_string(sync.sequence)}});
         }
     }
-    return hasChanges || hasStops;
+    return hasChanges || hasStops || hasZoneChanged;
 }
 
 void ExecutorController::addAssignment(const Assignment &assignment)
@@ -256,7 +291,7 @@
             }
             continue;
         }
-        if (isStart && this->fitOf(entry, held) != StartFit::Fits) {
+        if (isStart && (!this->isStartPermitted(now) || this->fitOf(entry, held) != StartFit::Fits)) {
             continue;
         }
         // Without a lease a run would have no bounded end, so a start waits for an agent lease and for a responsive executor.
@@ -281,6 +316,24 @@
     return orders;
 }
 
+/** Whether a start that is due may be sent at @p now. Logs once when it has to wait for a permission. */
+bool ExecutorController::isStartPermitted(Instant now)
+{
+    const bool isPermitted = this->permission.isValid(now);
+    if (!isPermitted && !this->isWaitingForPermission) {
+        this->log.warn("Starts wait, as the leading placer has given no valid permission to start in this zone.",
+                       {{"executor", this->latest->incarnation.id}, {"zone", this->latest->zone}, {"epoch", std::to_string(this->highestEpoch)}});
+    }
+    this->isWaitingForPermission = !isPermitted;
+    return isPermitted;
+}
+
+bool ExecutorController::maySendStarts() const
+{
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    return this->permission.isValid(this->clock.now());
+}
+
 /** Returns whether the start of @p entry that is due fits; needs that stay unknown count as too much. */
 StartFit ExecutorController::fitOf(const AgentRun &entry, const HeldCapacity &held) const
 {
@@ -292,6 +345,9 @@
 /** Returns why the executor must not get the start of @p entry any more; None when nothing is against it. */
 RefusalReason ExecutorController::obstacleTo(const AgentRun &entry, const HeldCapacity &held) const
 {
+    if (this->permission.isZoneClosed()) {
+        return RefusalReason::ZoneClosed;
+    }
     if (this->latest->isDraining) {
         return RefusalReason::Unhealthy;
     }
@@ -303,7 +359,7 @@
 {
     const bool isOver = entry.withdrawStart(reason, this->clock.now());
     ++this->changeCount;
-    this->log.warn(reason == RefusalReason::NoRoom ? "An executor has no room for a run any more." : "An executor drains before a run has started.",
+    this->log.warn(describe(reason),
                    {{"job", run.task.job.value},
                     {"task", toString(run.task)},
                     {"run", std::to_string(run.run)},
@@ -670,6 +726,7 @@
     if (report.isDraining && this->leavesAt) {
         report.drainTimeLeft = std::max(Millis(0), *this->leavesAt - this->clock.now());
     }
+    report.coldTimeLeft = std::max(Millis(0), this->coldUntil - this->clock.now());
     report.isReachable = !this->isUnresponsive();
     report.capacity = this->latest->capacity;
     report.labels = this->latest->labels;
@@ -681,6 +738,7 @@
     report.hasOpenCalls = this->leases.hasOpenCalls(this->clock.now());
     report.budgetLeft = this->leases.budgetLeft(this->clock.now());
     this->openCallsReported = report.hasOpenCalls;
+    this->permission.reported();
     this->reportedEnds.clear();
     for (const auto &end : this->ends) {
         this->reportedEnds.insert(end.run);
--- a/src/request/taskplacer.cpp
+++ b/src/request/taskplacer.cpp
@@ -17,8 +17,15 @@
 auto usabilityOf(const LiveWorker &worker)
 {
     const auto &last = worker.last;
-    return std::tuple(
-        worker.isKnown, worker.hasOrphans, last.incarnation, last.isReachable, last.isDraining, last.capacity, last.labels, worker.isLeaseWithheld);
+    return std::tuple(worker.isKnown,
+                      worker.hasOrphans,
+                      last.incarnation,
+                      last.isReachable,
+                      last.isDraining,
+                      last.capacity,
+                      last.labels,
+                      worker.isLeaseWithheld,
+                      worker.isZoneClosed);
 }
 
 } // namespace
@@ -30,6 +37,7 @@
     , rank(rankOptions)
     , health(clock, options.health)
     , crashes(this->jobs, this->options)
+    , zones(options.zoneCloseTime, options.zoneCloseMargin)
 {
 }
 
@@ -37,6 +45,13 @@
 {
     const std::lock_guard<std::mutex> guard(this->mutex);
     this->crashes.setMetrics(metrics);
+    this->zoneWatch.setMetrics(metrics);
+}
+
+void TaskPlacer::followZones(const ZoneView &zones)
+{
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    this->zones.follow(zones);
 }
 
 void TaskPlacer::becomeLeader(Epoch epoch, std::vector<StoredJob> jobs, const Takeover &takeover)
@@ -105,6 +120,7 @@
     this->epoch = 0;
     this->jobs.clear();
     this->workers.clear();
+    this->zoneWatch.clear();
 }
 
 bool TaskPlacer::isLeader() const
@@ -321,6 +337,8 @@
     worker.lastReportAt = now;
     this->boundRuns(worker, report, isFirst);
     worker.last = report;
+    this->applyZone(worker);
+    worker.coldUntil = now + report.coldTimeLeft;
     worker.leavesAt = report.drainTimeLeft ? std::optional(now + *report.drainTimeLeft) : std::nullopt;
     CrashLedger::keepLapsedRuns(worker, report, now);
     this->handleEnds(worker, report);
@@ -335,9 +353,50 @@
     }
     auto sync = AssignmentBuilder(this->jobs, this->epoch).makeSync(worker);
     sync.agentLease = now < this->grantsUntil ? this->options.agentLease : Millis(0);
+    sync.needsStartPermission = this->zones.isActive();
+    sync.startPermission = this->zones.permission(report.zone, now);
     return sync;
 }
 
+/** Takes over whether the zone of @p worker is closed. Returns whether that has changed. */
+bool TaskPlacer::applyZone(LiveWorker &worker)
+{
+    const bool isClosed = this->zones.isClosed(worker.last.zone);
+    const bool hasChanged = worker.isZoneClosed != isClosed;
+    worker.isZoneClosed = isClosed;
+    return hasChanged;
+}
+
+/** Takes over which zones are closed. Takes back the runs there that were not sent, and has the agents there told at once. */
+void TaskPlacer::applyZones(Instant now)
+{
+    const bool areKnown = this->zones.isFresh(now);
+    if (areKnown != this->areZonesKnown) {
+        this->areZonesKnown = areKnown;
+        areKnown ? this->log.info("The closed zones are known again; tasks may start.")
+                 : this->log.warn("Nothing starts, as the closed zones have not been read for too long.");
+    }
+    for (auto &[node, worker] : this->workers) {
+        if (this->applyZone(worker)) {
+            worker.needsSync = true;
+        }
+        if (!worker.isZoneClosed) {
+            continue;
+        }
+        std::vector<TaskRun> unsent;
+        for (const auto &[run, live] : worker.runs) {
+            if (!live.isSent) {
+                unsent.push_back(run);
+            }
+        }
+        for (const auto &run : unsent) {
+            this->log.info("A run that was not sent is taken back, as its zone is closed.",
+                           {{"job", run.task.job.value}, {"task", toString(run.task)}, {"run", std::to_string(run.run)}, {"zone", worker.last.zone}});
+            this->stopRun(worker, run);
+        }
+    }
+}
+
 /** Returns an answer that names the term and nothing else, after which the agent counts its report as not applied. */
 AssignmentSync TaskPlacer::announcement() const
 {
@@ -608,11 +667,15 @@
         return;
     }
     this->expireUnresponsive(now);
+    this->applyZones(now);
     this->noteBegunRuns(now);
     if (!this->isSettled(now)) {
         return;
     }
-    const PlannerInput state{this->jobs, this->workers, this->routes, this->health, this->rank, this->options};
+    if (this->zones.isActive()) {
+        this->zoneWatch.update(this->zones.closures(), this->workers, now);
+    }
+    const PlannerInput state{this->jobs, this->workers, this->routes, this->health, this->rank, this->options, this->areZonesKnown};
     const TaskPlanner planner(state, now, this->clock.wallMillis());
     this->moveStalledRuns(planner.stalledRuns(), now);
     const auto plan = planner.plan();
@@ -637,6 +700,19 @@
         this->assign(start, now);
     }
     this->logHeld(plan.held);
+    this->logClosedOut(plan.closedOut);
+}
+
+/** Logs once for each wait of a job that executors that could run its tasks are in closed zones. */
+void TaskPlacer::logClosedOut(const std::vector<JobId> &jobs)
+{
+    for (const auto &id : jobs) {
+        auto &job = this->jobs.at(id);
+        if (!job.isClosedOut) {
+            job.isClosedOut = true;
+            this->log.info("Tasks wait, as executors that could run them are in closed zones.", {{"job", id.value}});
+        }
+    }
 }
 
 /** Logs once for each wait of a job that its tasks do not start where it has failed. */
@@ -692,6 +768,7 @@
     }
     job.markChanged();
     job.isHeldBack = false;
+    job.isClosedOut = false;
     for (std::size_t place = 0; place < start.indices.size(); ++place) {
         const auto index = start.indices[place];
         auto &worker = this->workers.at(start.agents[place]);
@@ -774,6 +851,7 @@
     for (auto &[node, worker] : this->workers) {
         if (worker.needsSync && worker.isKnown) {
             syncs.push_back({worker.last.address, AssignmentBuilder(this->jobs, this->epoch).makeSync(worker)});
+            syncs.back().sync.needsStartPermission = this->zones.isActive();
         }
     }
     return syncs;
--- a/src/request/taskplanner.cpp
+++ b/src/request/taskplanner.cpp
@@ -86,6 +86,7 @@
         decided.starts.push_back(std::move(begun));
     }
     decided.held = this->heldSteps(entries, waiting, steps, fleet);
+    decided.closedOut = closedOutJobs(entries, waiting, steps, fleet);
     return decided;
 }
 
@@ -145,10 +146,32 @@
     return held;
 }
 
+/** Returns the jobs that have tasks of which none starts though executors of their kind are in closed zones. */
+std::vector<JobId>
+TaskPlanner::closedOutJobs(const std::vector<Entry> &entries, const std::vector<WaitingTasks> &waiting, const StepPlan &steps, const Fleet &fleet)
+{
+    std::vector<JobId> jobs;
+    if (fleet.closed.empty()) {
+        return jobs;
+    }
+    std::set<std::size_t> started;
+    for (const auto &start : steps.starts) {
+        started.insert(start.waiting);
+    }
+    for (std::size_t index = 0; index < entries.size(); ++index) {
+        const auto isOfUse = [&fleet, &tasks = waiting[index]](std::size_t worker) { return isOfKind(fleet.workers[worker], tasks); };
+        const bool isWaiting = entries[index].unit != nullptr && !started.contains(index);
+        if (isWaiting && std::any_of(fleet.closed.begin(), fleet.closed.end(), isOfUse)) {
+            jobs.push_back(entries[index].unit->job->submission.id);
+        }
+    }
+    return jobs;
+}
+
 bool TaskPlanner::canTakeWork(const LiveWorker &worker) const
 {
-    return worker.isKnown && !worker.isLeaseWithheld && worker.last.isReachable && !worker.last.isDraining && !worker.hasOrphans
-        && this->now >= worker.pausedUntil && this->now - worker.lastReportAt < this->state.options.maxReportAge;
+    return this->state.mayStart && !worker.isZoneClosed && worker.isKnown && !worker.isLeaseWithheld && worker.last.isReachable && !worker.last.isDraining
+        && !worker.hasOrphans && this->now >= worker.pausedUntil && this->now - worker.lastReportAt < this->state.options.maxReportAge;
 }
 
 std::vector<PlacedRun> TaskPlanner::stalledRuns() const
@@ -169,6 +192,9 @@
 
 void TaskPlanner::markSlow(Fleet &fleet) const
 {
+    for (std::size_t index = 0; index < fleet.byIndex.size(); ++index) {
+        fleet.workers[index].isSlow = this->now < fleet.byIndex[index]->coldUntil;
+    }
     std::vector<std::optional<double>> speeds;
     std::vector<double> known;
     for (const auto *const worker : fleet.byIndex) {
@@ -183,7 +209,7 @@
     const auto middle = known.begin() + static_cast<std::ptrdiff_t>(known.size() / 2);
     std::nth_element(known.begin(), middle, known.end());
     for (std::size_t index = 0; index < speeds.size(); ++index) {
-        fleet.workers[index].isSlow = speeds[index] && *speeds[index] < this->state.options.slowShare * *middle;
+        fleet.workers[index].isSlow |= speeds[index] && *speeds[index] < this->state.options.slowShare * *middle;
     }
 }
 
@@ -208,6 +234,9 @@
         if (view.acceptsWork) {
             fleet.total += view.capacity;
         }
+        if (worker.isZoneClosed) {
+            fleet.closed.push_back(fleet.workers.size());
+        }
         fleet.indexOf[node] = fleet.workers.size();
         fleet.workers.push_back(std::move(view));
         fleet.byIndex.push_back(&worker);
--- a/tests/connection/fakeexecutor.h
+++ b/tests/connection/fakeexecutor.h
@@ -107,7 +107,8 @@
         heartbeat.incarnation = {this->id, this->startedAt};
         heartbeat.sequence = ++this->sequence;
         heartbeat.service = this->service;
-        heartbeat.zone = "vejle-a";
+        heartbeat.zone = this->zone;
+        heartbeat.coldTimeLeft = this->coldTimeLeft;
         heartbeat.address = "127.0.0.1:1";
         heartbeat.isDraining = this->isDraining;
         if (this->leavesAt) {
@@ -199,6 +200,8 @@
 
     Capacity capacity = {128'000, 262'144, 8};
     std::string service = "tune";
+    std::string zone = "vejle-a";
+    Millis coldTimeLeft = Millis(0); ///< told in its heartbeats
     std::string rack = "r1-1"; ///< second label, after the kind "a"
     bool isDraining = false;
     std::optional<Instant> leavesAt; ///< told in its heartbeats
--- a/tests/platform/jobpathtest.cpp
+++ b/tests/platform/jobpathtest.cpp
@@ -1,5 +1,6 @@
 #include "connection/fakeexecutor.h"
 #include "fakestore.h"
+#include "operatorzones.h"
 #include "platformstore.h"
 
 #include "waxwingloft/connection/rpcnode.h"
@@ -141,9 +142,9 @@
 }
 
 struct Entry {
-    Entry(const FakeStore &fake, const std::string &name)
+    Entry(const FakeStore &fake, const std::string &name, std::optional<Millis> zoneCloseTime = std::nullopt)
         : process(fake, name)
-        , placer(this->process.clock, TaskPlacerOptions(), JobRankOptions())
+        , placer(this->process.clock, placerOptions(zoneCloseTime), JobRankOptions())
         , board(this->placer)
         , office(this->process.clock,
                  this->process.events,
@@ -155,15 +156,20 @@
                  this->placer,
                  this->board,
                  options())
+        , operatorZones(this->zones, this->process.clock, [this] { this->office.nudge(); })
     {
+        this->placer.followZones(this->zones);
         this->process.rpc.serve(this->office);
         this->office.start();
         this->follower = std::make_unique<TableFollower>(
             this->process.table, this->process.store, this->process.clock, std::string(JobTable), this->office, quickFollowing());
+        this->zoneFollower =
+            std::make_unique<TableFollower>(this->process.table, this->process.store, this->process.clock, "op", this->operatorZones, quickFollowing());
     }
 
     ~Entry()
     {
+        this->zoneFollower->stop();
         this->follower->stop();
         this->office.stop();
         this->process.rpc.close();
@@ -172,6 +178,13 @@
     Entry(const Entry &) = delete;
     Entry &operator=(const Entry &) = delete;
 
+    static TaskPlacerOptions placerOptions(std::optional<Millis> zoneCloseTime)
+    {
+        TaskPlacerOptions options;
+        options.zoneCloseTime = zoneCloseTime;
+        return options;
+    }
+
     static PlacerServiceOptions options()
     {
         PlacerServiceOptions options;
@@ -183,7 +196,10 @@
     TaskPlacer placer;
     JobCache board;
     PlacerService office;
+    ZoneView zones;
+    OperatorZones operatorZones;
     std::unique_ptr<TableFollower> follower;
+    std::unique_ptr<TableFollower> zoneFollower;
 };
 
 struct Agent {
@@ -294,4 +310,29 @@
     ASSERT_TRUE(eventually([&] { return entry.board.stateOf(job) == JobPhase::Cancelled && agent.executor.running() == 0; }));
 }
 
+/** Guards against a permission or a closing that is lost between the store, the placer, the messages and the agent. */
+TEST(JobPath, NothingStartsInAClosedZoneUntilItIsOpened)
+{
+    constexpr auto CloseTime = Millis(2500);
+    constexpr auto Quiet = Millis(700); ///< in which a start would have come
+    const std::string key = "op/evacuate/vejle-a";
+    FakeStore fake;
+    Agent agent(fake, "agent-1");
+    Entry entry(fake, "entry-1", CloseTime);
+    const auto job = submit(entry.process, "0000000000000004", 2);
+    ASSERT_TRUE(eventually([&] { return isCompleted(entry, job); }));
+    ASSERT_TRUE(succeeded(entry.process.table.commit({"close", {}, {{key, "{}"}}})));
+    std::this_thread::sleep_for(CloseTime);
+    const auto next = submit(entry.process, "0000000000000005", 2);
+    std::this_thread::sleep_for(Quiet);
+    EXPECT_EQ(agent.executor.starts, 2);
+    EXPECT_FALSE(isCompleted(entry, next));
+    ASSERT_TRUE(succeeded(entry.process.table.commit({"open", {}, {{key, std::nullopt}}})));
+    // The feed of this store omits removals, so the history is lost for a moment.
+    fake.mood = StoreMood::ForgotHistory;
+    ASSERT_TRUE(eventually([&] { return entry.zones.closures().zones.empty(); }));
+    fake.mood = StoreMood::Fine;
+    EXPECT_TRUE(eventually([&] { return isCompleted(entry, next); }));
+}
+
 } // namespace waxwingloft::tests
--- a/tests/platform/parserstest.cpp
+++ b/tests/platform/parserstest.cpp
@@ -37,6 +37,9 @@
     const auto unreadable = parseHeartbeat("i-7", replaced(Heartbeat, "\"ready\"", "\"draining\",\"remaining_ms\":\"soon\""));
     ASSERT_TRUE(succeeded(unreadable)) << "that it drains matters more than for how long";
     EXPECT_EQ(valueOf(unreadable).drainTimeLeft, std::nullopt);
+    EXPECT_EQ(valueOf(parseHeartbeat("i-7", replaced(Heartbeat, "\"cold_remaining_ms\":0", "\"cold_remaining_ms\":1200"))).coldTimeLeft, Millis(1200));
+    EXPECT_EQ(valueOf(parseHeartbeat("i-7", replaced(Heartbeat, "\"cold_remaining_ms\":0", "\"cold_remaining_ms\":1e300"))).coldTimeLeft, Millis(600'000));
+    EXPECT_EQ(valueOf(parseHeartbeat("i-7", replaced(Heartbeat, "\"cold_remaining_ms\":0", "\"cold_remaining_ms\":\"soon\""))).coldTimeLeft, Millis(0));
 }
 
 TEST(ParseHeartbeat, RefusesThoseOfAnotherWriter)
--- a/tests/process/shardbooktest.cpp
+++ b/tests/process/shardbooktest.cpp
@@ -122,6 +122,9 @@
         EXPECT_DOUBLE_EQ(parsed.config.jobs.entryCallsPerSecond(), 320.0);
     }
     EXPECT_EQ(parseNodeConfig(head + "store_writes_per_s = 0\n").mistakes.size(), 1U);
+    EXPECT_EQ(parseNodeConfig(head).config.jobs.zoneCloseTime, std::nullopt);
+    EXPECT_EQ(parseNodeConfig(head + "\nzone_close_ms = 5000\n\n").config.jobs.zoneCloseTime, Millis(5000));
+    EXPECT_EQ(parseNodeConfig(head + "zone_close_ms = 0\n").mistakes.size(), 1U);
 }
 
 TEST(NodeConfigTest, holdsNoLongerLeaseThanWantedOrGranted)
--- a/tests/request/jobsite.cpp
+++ b/tests/request/jobsite.cpp
@@ -13,6 +13,7 @@
 constexpr auto ReportInterval = Millis(800);
 constexpr auto PollInterval = Millis(100);
 constexpr auto HeartbeatInterval = Millis(1500);
+constexpr auto FeedWait = Millis(1000); ///< for which a question to the operator's feed stays open
 constexpr auto TaskTime = Millis(2000);
 constexpr auto CrashTime = Millis(10); ///< from the start of a deadly task to the crash of its executor
 constexpr std::uint32_t CrashLimit = 3; ///< the users' rule: as many starts after so many crashes break it
@@ -134,6 +135,7 @@
         });
     }
     this->checkCrashes(run);
+    this->checkZone(executor, run);
     Logger(LogPart::Main).info("STARTED " + describe(run) + " at " + executor);
     this->checkOrder(run);
     this->running[executor].insert(run);
@@ -153,6 +155,26 @@
     }
 }
 
+void InvariantChecker::closeZone(const std::string &zone, Instant from)
+{
+    // A row that is written again while it exists opens nothing.
+    this->closedFrom.emplace(zone, from);
+}
+
+void InvariantChecker::openZone(const std::string &zone)
+{
+    this->closedFrom.erase(zone);
+}
+
+void InvariantChecker::checkZone(const std::string &executor, const TaskRun &run)
+{
+    const auto zone = this->zones.find(executor);
+    const auto closed = zone == this->zones.end() ? this->closedFrom.end() : this->closedFrom.find(zone->second);
+    if (closed != this->closedFrom.end() && this->clock->now() >= closed->second) {
+        this->violations.push_back("started in a closed zone: " + describe(run) + " at " + executor + " in " + zone->second);
+    }
+}
+
 void InvariantChecker::crashed(const std::string &executor, const std::string &successor, const TaskRun *culprit)
 {
     Logger(LogPart::Main).info("CRASHED " + executor + (culprit == nullptr ? "" : " by " + describe(*culprit)));
@@ -163,6 +185,9 @@
         ++this->crashesUnder[run.task];
     }
     this->capacities[successor] = this->capacities.at(executor);
+    if (this->zones.contains(executor)) {
+        this->zones[successor] = this->zones.at(executor);
+    }
 }
 
 void InvariantChecker::ended(const std::string &executor, const TaskRun &run, RunEnd how)
@@ -186,8 +211,15 @@
     }
 }
 
-JobSite::JobSite(std::size_t agents, std::size_t placers)
+SiteZones::SiteZones(Clock &clock)
+    : observer(this->view, clock, [] {})
+{
+}
+
+JobSite::JobSite(std::size_t agents, std::size_t placers, std::optional<Millis> zoneCloseTime)
+    : zoneCloseTime(zoneCloseTime)
 {
+    this->checker.clock = &this->clock;
     for (std::size_t index = 0; index < agents; ++index) {
         SiteAgent agent;
         const auto id = "executor-" + std::to_string(index);
@@ -207,7 +239,11 @@
     }
     for (std::size_t index = 0; index < placers; ++index) {
         SitePlacer placer;
-        placer.placer = std::make_unique<TaskPlacer>(this->clock, TaskPlacerOptions(), JobRankOptions());
+        TaskPlacerOptions options;
+        options.zoneCloseTime = zoneCloseTime;
+        placer.placer = std::make_unique<TaskPlacer>(this->clock, options, JobRankOptions());
+        placer.zones = std::make_unique<SiteZones>(this->clock);
+        placer.placer->followZones(placer.zones->view);
         placer.placer->setMetrics(*placer.metrics);
         placer.cache = std::make_unique<JobCache>(*placer.placer);
         this->placers.push_back(std::move(placer));
@@ -219,7 +255,9 @@
 void JobSite::startController(SiteAgent &agent, std::size_t index)
 {
     agent.name = agentName(index);
-    agent.controller = std::make_unique<ExecutorController>(this->clock, *agent.metrics, NodeId{agent.name}, agent.name, ExecutorControllerOptions());
+    ExecutorControllerOptions options;
+    options.needsStartPermission = this->zoneCloseTime.has_value();
+    agent.controller = std::make_unique<ExecutorController>(this->clock, *agent.metrics, NodeId{agent.name}, agent.name, options);
     agent.nextReport = agent.nextRunListQuery = agent.nextHeartbeat = this->clock.now();
 }
 
@@ -264,6 +302,48 @@
     this->rows.commit({"op", {{cancellationKey(job), 0}}, {{cancellationKey(job), "{}"}}});
 }
 
+void JobSite::closeZone(const std::string &zone)
+{
+    const auto key = "op/evacuate/" + zone;
+    const auto known = this->rows.rows.find(key);
+    this->rows.commit({"op", {{key, known == this->rows.rows.end() ? 0 : known->second.revision}}, {{key, "{}"}}});
+    this->checker.closeZone(zone, this->clock.now() + *this->zoneCloseTime);
+}
+
+void JobSite::placeInZone(std::size_t index, const std::string &zone)
+{
+    this->agents[index].executor->zone = zone;
+    this->checker.zones["executor-" + std::to_string(index)] = zone;
+}
+
+void JobSite::openZone(const std::string &zone)
+{
+    this->rows.commit({"op", {}, {{"op/evacuate/" + zone, std::nullopt}}});
+    this->checker.openZone(zone);
+}
+
+/** Reads the operator's rows as a follower does: a change comes at once, and without one the question stays open for a while. */
+void JobSite::readZones(SiteZones &zones)
+{
+    const auto now = this->clock.now();
+    const auto rows = this->rows.list("op/", 0);
+    if (!succeeded(rows)) {
+        return;
+    }
+    std::vector<std::uint64_t> revisions;
+    for (const auto &row : valueOf(rows).rows) {
+        revisions.push_back(row.revision);
+    }
+    const bool isAnswered = !zones.askedAt || revisions != zones.revisions || now - *zones.askedAt >= FeedWait;
+    if (!isAnswered) {
+        return;
+    }
+    zones.revisions = std::move(revisions);
+    zones.observer.reset(valueOf(rows));
+    zones.observer.seenAt(zones.askedAt.value_or(now));
+    zones.askedAt = now;
+}
+
 void JobSite::elect(std::size_t index)
 {
     const std::string key = "office/placer";
@@ -407,6 +487,9 @@
             site.cacheRevision = valueOf(rows).revision;
             site.placer->leadershipRenewed(this->clock.now());
         }
+        if (this->zoneCloseTime) {
+            this->readZones(*site.zones);
+        }
     }
     site.placer->plan();
     if (site.writing.empty()) {
--- a/tests/request/jobsite.h
+++ b/tests/request/jobsite.h
@@ -2,6 +2,7 @@
 #define WAXWINGLOFT_TESTS_REQUEST_JOBSITE_H
 
 #include "connection/fakeexecutor.h"
+#include "operatorzones.h"
 #include "process/faketable.h"
 #include "process/manualclock.h"
 #include "waxwingloft/request/executorcontroller.h"
@@ -35,7 +36,13 @@
     /** Reports every later start of a run of the job as a violation. */
     void forbid(const JobId &job);
 
+    /** Reports each start in @p zone as a violation from @p from on. */
+    void closeZone(const std::string &zone, Instant from);
+    void openZone(const std::string &zone);
+
     std::map<std::string, Capacity> capacities; ///< by executor
+    std::map<std::string, std::string> zones; ///< by executor; left out, it is in none
+    Clock *clock = nullptr; ///< needed where zones close
     std::vector<std::string> violations; ///< one description per violated guarantee
     std::map<TaskKey, std::uint32_t> starts;
     std::map<TaskKey, std::uint32_t> crashes; ///< of executors, by the task that caused them
@@ -46,7 +53,9 @@
     Capacity heldBy(const std::string &executor) const;
     void checkOrder(const TaskRun &run);
     void checkCrashes(const TaskRun &run);
+    void checkZone(const std::string &executor, const TaskRun &run);
 
+    std::map<std::string, Instant> closedFrom; ///< by zone
     std::map<JobId, JobSubmission> jobs;
     std::set<JobId> forbidden;
     std::map<TaskKey, std::uint32_t> startsDespiteCrashes;
@@ -70,11 +79,22 @@
     Instant nextHeartbeat;
 };
 
+/** A placer's view of the closed zones, read as a TableFollower reads it. */
+struct SiteZones {
+    explicit SiteZones(Clock &clock);
+
+    ZoneView view;
+    OperatorZones observer;
+    std::optional<Instant> askedAt; ///< of the open question to the feed; nothing before the first list
+    std::vector<std::uint64_t> revisions; ///< of the rows that were read last
+};
+
 /** A placer with its job cache and the writes it has in flight. */
 struct SitePlacer {
     std::unique_ptr<Metrics> metrics = std::make_unique<Metrics>();
     std::unique_ptr<TaskPlacer> placer;
     std::unique_ptr<JobCache> cache;
+    std::unique_ptr<SiteZones> zones;
     bool isAlive = true;
     bool reachesTable = true;
     std::vector<ProgressWrite> writing;
@@ -85,12 +105,19 @@
 class JobSite
 {
 public:
-    explicit JobSite(std::size_t agents, std::size_t placers = 2);
+    explicit JobSite(std::size_t agents, std::size_t placers = 2, std::optional<Millis> zoneCloseTime = std::nullopt);
 
     /** Submits a job by writing it to the table, as an entry does. */
     JobId submit(const JobGraph &graph, int priority = 1, const std::string &workspace = "plant");
     void cancel(const JobId &job);
 
+    /** Puts the executor of agent @p index into @p zone; its next heartbeat says so. */
+    void placeInZone(std::size_t index, const std::string &zone);
+
+    /** Closes the zone as the operator does; the checker reports starts there after the close time. */
+    void closeZone(const std::string &zone);
+    void openZone(const std::string &zone);
+
     void advance(Millis duration);
 
     /** Advances until the job reaches a final state or @p limit has passed. Returns its state. */
@@ -120,11 +147,13 @@
     void step();
     void stepAgent(SiteAgent &agent);
     void stepPlacer(SitePlacer &site);
+    void readZones(SiteZones &zones);
     void writeBounds(SitePlacer &site);
     void report(SiteAgent &agent);
     void drawGeneration(SiteAgent &agent);
     void startController(SiteAgent &agent, std::size_t index);
 
+    const std::optional<Millis> zoneCloseTime;
     std::uint64_t nextJob = 1;
 };
 
