entry: Bound the settling of a caller's write by the caller's time

Cause: a write without an answer was settled in five tries, each of up to two calls of 800 ms directly and 900 ms at each of two peers, whatever time the caller had, and also once the table was known to be away. A read that the table left without an answer waited for the same time-out at the peers. Change: TableClient::commitWhile settles while its caller wants; JobService lets it until half of the caller's time is over and the table is not known to be away, and answers Undecided then. commit() keeps its tries, so that the placer's writes are settled as before. While the peers' word is outstanding, a call that the table left without an answer is not repeated at peers; the probe finds out for all calls. Result: unit tests on a manual clock: 1,000 to 1,050 ms of 2,000 ms for a write that stays in doubt, 50 ms once the table is known to be away.

--- a/include/waxwingloft/process/tableclient.h
+++ b/include/waxwingloft/process/tableclient.h
@@ -2,7 +2,7 @@
 #define WAXWINGLOFT_PROCESS_TABLECLIENT_H
 
 #include "waxwingloft/process/clock.h"
-#include "waxwingloft/process/tablestore.h"
+#include "waxwingloft/process/settlingstore.h"
 #include "waxwingloft/process/tokenbucket.h"
 
 #include <cstdint>
@@ -25,9 +25,9 @@
  * The only way of this process to the table service: budget, backoff, breaker and settled commits.
  *
  * A commit whose answer was lost is settled by reading back the operation id on the first written
- * row. When it is still undecided after all tries, the error is Ambiguous. Thread safe.
+ * row. When it is still undecided after all tries, or when its caller has no more time, the error is Ambiguous. Thread safe.
  */
-class TableClient : public TableStore
+class TableClient : public SettlingStore
 {
 public:
     TableClient(TableStore &store, Clock &clock, TableBudget budget, std::uint64_t seed);
@@ -35,6 +35,7 @@
     Result<std::optional<Row>> get(const std::string &key) override;
     Result<RowList> list(const std::string &prefix, std::uint64_t since) override;
     Result<Commit> commit(const Transaction &transaction) override;
+    Result<Commit> commitWhile(const Transaction &transaction, const SettleCheck &mayGoOn) override;
 
     /** Returns since when the service has been failing, or nothing while it answers. */
     std::optional<Instant> downSince() const;
@@ -42,7 +43,7 @@
 private:
     template<typename T, typename Call>
     Result<T> guarded(Call call);
-    Result<Commit> settle(const Transaction &transaction);
+    Result<Commit> settle(const Transaction &transaction, const SettleCheck &mayGoOn);
     std::optional<Commit> findOwnWrite(const std::string &key, const std::string &operation);
     Status enter();
     void noteResult(bool answered);
--- a/include/waxwingloft/request/jobservice.h
+++ b/include/waxwingloft/request/jobservice.h
@@ -9,7 +9,7 @@
 #include "waxwingloft/process/logger.h"
 #include "waxwingloft/process/metrics.h"
 #include "waxwingloft/process/published.h"
-#include "waxwingloft/process/tablestore.h"
+#include "waxwingloft/process/settlingstore.h"
 #include "waxwingloft/request/doubtfulcalls.h"
 #include "waxwingloft/request/jobcache.h"
 #include "waxwingloft/version/routingtable.h"
@@ -26,6 +26,7 @@
     JobBounds bounds;
     Millis defaultTimeout = Millis(3000); ///< for calls without a timeout of their own
     double retryShare = 0.25; ///< share of a call's timeout in which writes and reads of an unreachable table are retried
+    double settleShare = 0.5; ///< share of a call's timeout after which a write in doubt is settled no further; the rest is for a try at another entry
     Millis retryPause = Millis(60); ///< between retries
     Millis retryAfter = Millis(1000); ///< suggested to a refused caller
     Millis doubtWait = Millis(300); ///< for peers to say whether they reach the table; above the interval between looks and the answer of a slow table
@@ -50,7 +51,7 @@
     JobService(Clock &clock,
                IdSource &ids,
                Metrics &metrics,
-               TableStore &table,
+               SettlingStore &table,
                JobCache &jobCache,
                const Published<RoutingTable> &routes,
                GraphParser parser,
@@ -73,6 +74,7 @@
         JobId job; ///< empty for calls that concern the whole route
         std::size_t bodyBytes = 0; ///< largest allowed body
         Instant retryUntil; ///< no retry after this time
+        Instant settleUntil; ///< no settling of a write after this time
 
         /** Returns in whose name jobs of the route are withdrawn: the workspace, or nobody's where all may call. */
         WorkspaceId withdrawalOwner() const
@@ -92,7 +94,7 @@
     JobAnswer withdraw(const Admitted &admitted);
     bool mayCancel(const Admitted &admitted) const;
     JobAnswer writeCancellation(const Admitted &admitted);
-    Result<std::optional<Row>> writeOnce(const std::string &key, const std::string &value, const std::vector<std::string> &absent, Instant retryUntil);
+    Result<std::optional<Row>> writeOnce(const std::string &key, const std::string &value, const std::vector<std::string> &absent, const Admitted &admitted);
     void publish(const Row &row);
     bool isStoreAway() const;
     void keepDoubt(const JobCall &call, const JobId &job, JobAnswer &result);
@@ -104,7 +106,7 @@
     Clock &clock;
     IdSource &ids;
     Metrics &metrics;
-    TableStore &table;
+    SettlingStore &table;
     JobCache &jobCache;
     const Published<RoutingTable> &routes;
     const GraphParser parser;
--- a/src/connection/relaytable.cpp
+++ b/src/connection/relaytable.cpp
@@ -119,7 +119,9 @@
     }
     auto answer = this->noted<T>(direct, wait);
     const bool hadNoEffect = !succeeded(answer) && errorOf(answer).kind == ErrorKind::PlatformDown;
-    return hadNoEffect ? Result<T>(relayed()) : answer;
+    // A silent table has taken a time-out already and may take as long at each peer; the probe of the peers finds out for all calls.
+    const bool isLeftToProbe = this->outlook != nullptr && this->outlook->state() == StoreState::InDoubt;
+    return hadNoEffect && !isLeftToProbe ? Result<T>(relayed()) : answer;
 }
 
 Result<RelayTableAnswer> RelayTable::relay(const RelayTableCall &call)
--- a/src/process/tableclient.cpp
+++ b/src/process/tableclient.cpp
@@ -34,12 +34,18 @@
 }
 
 Result<Commit> TableClient::commit(const Transaction &transaction)
+{
+    int triesLeft = this->budget.settleTries;
+    return this->commitWhile(transaction, [&triesLeft] { return triesLeft-- > 0; });
+}
+
+Result<Commit> TableClient::commitWhile(const Transaction &transaction, const SettleCheck &mayGoOn)
 {
     auto result = this->guarded<Commit>([this, &transaction] { return this->store.commit(transaction); });
     if (succeeded(result) || errorOf(result).kind != ErrorKind::Ambiguous) {
         return result;
     }
-    return this->settle(transaction);
+    return this->settle(transaction, mayGoOn);
 }
 
 std::optional<Instant> TableClient::downSince() const
@@ -68,10 +74,10 @@
  * sent again. When it conflicts with a row of another operation, that one may have replaced ours,
  * so the end stays ambiguous.
  */
-Result<Commit> TableClient::settle(const Transaction &transaction)
+Result<Commit> TableClient::settle(const Transaction &transaction, const SettleCheck &mayGoOn)
 {
     const auto &key = transaction.writes.front().key;
-    for (int tryNumber = 0; tryNumber < this->budget.settleTries; ++tryNumber) {
+    for (int tryNumber = 0; mayGoOn(); ++tryNumber) {
         this->clock.sleepFor(this->jitteredPause(tryNumber));
         const auto written = this->findOwnWrite(key, transaction.operation);
         if (written) {
--- a/src/request/jobservice.cpp
+++ b/src/request/jobservice.cpp
@@ -20,6 +20,11 @@
     return {outcome, std::move(message), {}, 0, Millis(0)};
 }
 
+Millis shareOf(Millis time, double share)
+{
+    return Millis(static_cast<std::int64_t>(static_cast<double>(time.count()) * share));
+}
+
 Error awayError()
 {
     return makeError(ErrorKind::PlatformDown, "neither this entry nor its peers reach the table; nothing was written", "retry after the time in Retry-After");
@@ -33,7 +38,7 @@
 JobService::JobService(Clock &clock,
                        IdSource &ids,
                        Metrics &metrics,
-                       TableStore &table,
+                       SettlingStore &table,
                        JobCache &jobCache,
                        const Published<RoutingTable> &routes,
                        GraphParser parser,
@@ -89,7 +94,8 @@
 JobAnswer JobService::admit(const JobCall &call, Admitted &admitted) const
 {
     const auto time = call.timeLeft.count() > 0 ? call.timeLeft : this->options.defaultTimeout;
-    admitted.retryUntil = this->clock.now() + Millis(static_cast<std::int64_t>(static_cast<double>(time.count()) * this->options.retryShare));
+    admitted.retryUntil = this->clock.now() + shareOf(time, this->options.retryShare);
+    admitted.settleUntil = this->clock.now() + shareOf(time, this->options.settleShare);
     const ReadSection section;
     const auto &routing = this->routes.read(section);
     admitted.routesVersion = routing.version;
@@ -146,7 +152,7 @@
     submission.acceptedAt = this->clock.wallMillis();
     submission.graph = std::move(valueOf(graph));
     const auto withdrawal = withdrawalKey(submission.id, admitted.withdrawalOwner());
-    const auto written = this->writeOnce(submissionKey(submission.id), encodeSubmission(submission), {withdrawal}, admitted.retryUntil);
+    const auto written = this->writeOnce(submissionKey(submission.id), encodeSubmission(submission), {withdrawal}, admitted);
     if (!succeeded(written)) {
         return this->answerToFailure(errorOf(written));
     }
@@ -164,24 +170,26 @@
 }
 
 /** Writes a row that is never overwritten, if none of @p absent exists. Returns the row; nothing when it or one of @p absent exists already. */
-Result<std::optional<Row>> JobService::writeOnce(const std::string &key, const std::string &value, const std::vector<std::string> &absent, Instant retryUntil)
+Result<std::optional<Row>>
+JobService::writeOnce(const std::string &key, const std::string &value, const std::vector<std::string> &absent, const Admitted &admitted)
 {
     std::vector<Condition> conditions{{key, 0}};
     for (const auto &other : absent) {
         conditions.push_back({other, 0});
     }
+    const auto mayGoOn = [this, &admitted] { return this->clock.now() < admitted.settleUntil && !this->isStoreAway(); };
     while (true) {
         if (this->isStoreAway()) {
             return awayError();
         }
-        const auto committed = this->table.commit(Transaction{this->ids.next(), conditions, {{key, value}}});
+        const auto committed = this->table.commitWhile(Transaction{this->ids.next(), conditions, {{key, value}}}, mayGoOn);
         if (succeeded(committed)) {
             return std::optional<Row>({key, value, valueOf(committed).revision, {}});
         }
         if (errorOf(committed).kind == ErrorKind::Conflict) {
             return std::optional<Row>();
         }
-        if (errorOf(committed).kind != ErrorKind::PlatformDown || this->clock.now() >= retryUntil) {
+        if (errorOf(committed).kind != ErrorKind::PlatformDown || this->clock.now() >= admitted.retryUntil) {
             return errorOf(committed);
         }
         this->clock.sleepFor(this->options.retryPause);
@@ -226,7 +234,7 @@
 {
     const auto owner = admitted.withdrawalOwner();
     const auto value = encodeWithdrawal({owner, this->clock.wallMillis()});
-    const auto written = this->writeOnce(withdrawalKey(admitted.job, owner), value, {submissionKey(admitted.job)}, admitted.retryUntil);
+    const auto written = this->writeOnce(withdrawalKey(admitted.job, owner), value, {submissionKey(admitted.job)}, admitted);
     if (!succeeded(written)) {
         return this->answerToFailure(errorOf(written));
     }
@@ -254,7 +262,7 @@
     if (!this->mayCancel(admitted)) {
         return answer(JobCallOutcome::UnknownJob, "there is no job with this id in this workspace; use a key of the one that submitted it");
     }
-    const auto written = this->writeOnce(cancellationKey(admitted.job), "{}", {}, admitted.retryUntil);
+    const auto written = this->writeOnce(cancellationKey(admitted.job), "{}", {}, admitted);
     if (!succeeded(written)) {
         return this->answerToFailure(errorOf(written));
     }
--- a/tests/connection/relaytabletest.cpp
+++ b/tests/connection/relaytabletest.cpp
@@ -139,7 +139,12 @@
     this->own.isCut = true;
     this->others.isCut = true;
     this->ownTakes = Millis(800);
+    const auto before = this->clock.now();
     EXPECT_FALSE(succeeded(this->table.get("jobs/1")));
+    EXPECT_EQ(this->clock.now() - before, Millis(800)) << "no further time-out at peers";
+    EXPECT_EQ(this->net.calls, 0);
+    EXPECT_EQ(this->outlook.state(), StoreState::InDoubt);
+    this->table.probePeers();
     EXPECT_EQ(this->outlook.state(), StoreState::Unavailable);
 }
 
--- a/tests/process/tableclienttest.cpp
+++ b/tests/process/tableclienttest.cpp
@@ -41,6 +41,24 @@
     EXPECT_EQ(errorOf(this->table.commit({"op-1", {{"job/a", 0}}, {{"job/a", "1"}}})).kind, ErrorKind::Ambiguous);
 }
 
+// Five tries at a table without answers took several seconds, in which the caller could have asked elsewhere.
+TEST_F(TableClientTest, settlesOnlyAsLongAsTheCallerHasTime)
+{
+    this->plan.injectAt(0, [this](const Point &) {
+        this->rows.commit({"op-1", {{"job/a", 0}}, {{"job/a", "1"}}});
+        this->rows.isDown = true;
+        return Transport::LoseReply;
+    });
+    this->plan.start();
+    const auto before = this->clock.now();
+    const auto mayGoOn = [this, before] { return this->clock.now() - before < Millis(20); };
+    EXPECT_EQ(errorOf(this->table.commitWhile({"op-1", {{"job/a", 0}}, {{"job/a", "1"}}}, mayGoOn)).kind, ErrorKind::Ambiguous);
+    EXPECT_LE(this->clock.now() - before, Millis(20 + 1000)) << "one pause beyond its time at most";
+    this->rows.isDown = false;
+    this->clock.advance(Millis(2000));
+    EXPECT_EQ(errorOf(this->table.commitWhile({"op-2", {{"job/a", 0}}, {{"job/a", "2"}}}, mayGoOn)).kind, ErrorKind::Conflict) << "the row settles it";
+}
+
 TEST_F(TableClientTest, staysWithinItsBudgetAndLeavesAFailingServiceAlone)
 {
     int refusedByBudget = 0;
--- a/tests/request/jobservicetest.cpp
+++ b/tests/request/jobservicetest.cpp
@@ -15,11 +15,12 @@
 const std::string Id = "5c0e7a21d94b36f8";
 
 /** Forwards calls to another table, and can leave commits without an answer or keep them back. */
-class AmbiguousTable : public TableStore
+class AmbiguousTable : public SettlingStore
 {
 public:
-    explicit AmbiguousTable(FakeRows &rows)
+    AmbiguousTable(FakeRows &rows, ManualClock &clock)
         : rows(rows)
+        , clock(clock)
     {
     }
 
@@ -46,6 +47,18 @@
         return this->rows.commit(transaction);
     }
 
+    Result<Commit> commitWhile(const Transaction &transaction, const SettleCheck &mayGoOn) override
+    {
+        auto committed = this->commit(transaction);
+        while (this->settlesForever && !succeeded(committed) && errorOf(committed).kind == ErrorKind::Ambiguous && mayGoOn()) {
+            this->clock.advance(Millis(50));
+            if (this->onSettle) {
+                this->onSettle();
+            }
+        }
+        return committed;
+    }
+
     /** Carries out the commits that had no answer. Returns how many took effect. */
     int commitKept()
     {
@@ -57,7 +70,10 @@
     }
 
     FakeRows &rows;
+    ManualClock &clock;
     bool isAmbiguous = false;
+    bool settlesForever = false; ///< settles commits without an answer in vain for as long as the caller wants
+    std::function<void()> onSettle; ///< called after each try
     int commits = 0;
     std::vector<Transaction> kept; ///< without an answer, in order
     std::function<void()> beforeCommit; ///< called once, before the next commit
@@ -107,7 +123,7 @@
     IdSource ids{1};
     Metrics metrics;
     FakeRows rows;
-    AmbiguousTable table{this->rows};
+    AmbiguousTable table{this->rows, this->clock};
     TaskPlacer placer{this->clock, TaskPlacerOptions(), JobRankOptions()};
     JobCache jobCache{this->placer};
     Published<RoutingTable> routes{RoutingTable()};
@@ -195,6 +211,20 @@
     EXPECT_EQ(this->call(JobVerb::Submit, "/a/" + Id).outcome, JobCallOutcome::Done) << "the row settles it";
 }
 
+// A write in doubt was settled until its caller's time was over, so that the caller could not ask at another entry.
+TEST_F(JobServiceOutlookTest, AWriteInDoubtIsAnsweredWhileTheCallerHasTimeLeft)
+{
+    this->table.isAmbiguous = true;
+    this->table.settlesForever = true;
+    EXPECT_EQ(this->call(JobVerb::Submit, "/a/" + Id).outcome, JobCallOutcome::Undecided);
+    EXPECT_GE(this->clock.now() - this->startedAt, Millis(1000)) << "half of the caller's time";
+    EXPECT_LE(this->clock.now() - this->startedAt, Millis(1050));
+    const auto before = this->clock.now();
+    this->table.onSettle = [this] { this->loseTable(); };
+    EXPECT_EQ(this->call(JobVerb::Submit, "/a/0123456789abcdef").outcome, JobCallOutcome::Undecided);
+    EXPECT_EQ(this->clock.now() - before, Millis(50)) << "the table is known to be away";
+}
+
 TEST_F(JobServiceOutlookTest, RetriesEndAsSoonAsTheTableIsKnownToBeAway)
 {
     this->rows.isDown = true;
