request: Learn the speed of executors and place work by it

A fleet in which a quarter of the executors takes twice as long as the others was packed by capacity alone, and a gang with one slow member missed its objective. LiveWorker::speed compares progress with the estimates of callers, which are off by more than the executors differ.

ExecutorSpeeds compares the pace of a run with other runs of the same step on other executors, and reports two classes of speed once executors clearly fall into two. Gangs go to executors of like speed, urgent ones to the faster class; an urgent gang waits for it within the present limits where that is worth more than a start on slower executors. Patient work and work that keeps its objective anyway tries slower executors first. Without two classes nothing changes.

--- a/include/waxwingloft/request/liveworker.h
+++ b/include/waxwingloft/request/liveworker.h
@@ -26,6 +26,8 @@
     std::optional<StartEffect> startEffect; ///< as last reported to this leader, or nothing; stays Outlived
     Instant lastProgressAt; ///< when it was first reported as running or its percentage last rose
     Millis estimate = Millis(0);
+    std::optional<Instant> paceSince; ///< when the present measurement of its pace began
+    std::uint32_t paceFrom = 0; ///< its percentage then
     std::uint64_t omittedSince = 0; ///< sequence number of the first assignments that omit it; zero while it should run
     Capacity needs;
 
--- a/include/waxwingloft/request/stepplanner.h
+++ b/include/waxwingloft/request/stepplanner.h
@@ -24,6 +24,7 @@
     bool acceptsWork = false;
     bool isSlow = false; ///< gets tasks only when they fit on no other worker
     bool isOnTrial = false; ///< starts suspect tasks and gets nothing else meanwhile
+    double speed = 1.0; ///< relative to the faster class of executors; 1.0 for all while they do not clearly differ
 };
 
 /** Waiting tasks of a step. The tasks of a gang start together or not at all, others one by one. */
@@ -44,6 +45,8 @@
     StartWorth worth; ///< of its job, by how long the start of these tasks takes; only for tasks that may preempt
     double longestWait = 0.0; ///< seconds that runs may be waited for rather than stopping others
     bool isMove = false; ///< tasks that still run, on an executor that leaves; their start here says that they may be stopped there
+    double runTime = 0.0; ///< estimate of one task in seconds; only matters where executors differ in speed
+    bool prefersSlower = false; ///< leaves the faster executors to work that gains more by them
     std::uint32_t maxPerWorker = 0; ///< zero means no limit
     std::vector<std::uint32_t> present; ///< tasks of the step that each worker already runs; empty for none
 };
@@ -87,6 +90,9 @@
  * stay free for large gangs. A gang goes to a single rack if it fits there now; one that prefers one rack waits for
  * any rack that could hold it. While at least half of the fleet is in use, a gang that does not fit reserves capacity
  * against the entries after it. Work is preempted where that gains clearly more worth than it loses.
+ *
+ * Where executors differ in speed, the members of a gang go to executors of like speed, and a gang that may preempt waits
+ * briefly for faster ones where that is worth more than a start on slower ones now.
  */
 StepPlan planSteps(const std::vector<PlannerWorker> &workers, const std::vector<WaitingTasks> &waiting, const std::vector<RunningTasks> &running);
 
--- a/include/waxwingloft/request/taskplacer.h
+++ b/include/waxwingloft/request/taskplacer.h
@@ -7,6 +7,7 @@
 #include "waxwingloft/process/logger.h"
 #include "waxwingloft/request/boundsledger.h"
 #include "waxwingloft/request/crashledger.h"
+#include "waxwingloft/request/executorspeeds.h"
 #include "waxwingloft/request/jobprogress.h"
 #include "waxwingloft/request/jobrank.h"
 #include "waxwingloft/request/liveworker.h"
@@ -163,6 +164,7 @@
     bool isSettled(Instant now) const;
     void moveStalledRuns(const std::vector<PlacedRun> &stalled, Instant now);
     void assign(const StepStart &start, Instant now);
+    void refreshSpeeds(Instant now);
     void logHeld(const std::vector<HeldStep> &held);
 
     Clock &clock;
@@ -174,6 +176,7 @@
     Instant grantsUntil;
     JobRank rank;
     WorkerHealth health;
+    ExecutorSpeeds speeds; ///< kept from term to term, as machines keep their speed
     RoutingTable routes;
     std::map<JobId, LiveJob> jobs;
     std::map<NodeId, LiveWorker> workers;
--- a/include/waxwingloft/request/taskplanner.h
+++ b/include/waxwingloft/request/taskplanner.h
@@ -2,6 +2,7 @@
 #define WAXWINGLOFT_REQUEST_TASKPLANNER_H
 
 #include "waxwingloft/process/workerhealth.h"
+#include "waxwingloft/request/executorspeeds.h"
 #include "waxwingloft/request/jobrank.h"
 #include "waxwingloft/request/liveworker.h"
 #include "waxwingloft/request/stepplanner.h"
@@ -25,6 +26,7 @@
     const RoutingTable &routes;
     const WorkerHealth &health;
     const JobRank &rank;
+    const ExecutorSpeeds &speeds;
     const TaskPlacerOptions &options;
 };
 
@@ -121,6 +123,7 @@
     void addUnits(const LiveJob &job, std::uint32_t occurrence, const Unit &base, std::vector<Unit> &units) const;
     bool isOrphaned(const TaskKey &task) const;
     WaitingTasks waitingOf(const Unit &unit, const Fleet &fleet) const;
+    bool keepsObjectiveOnSlower(const Unit &unit) const;
     std::vector<bool> avoidedBy(const JobId &job, const WaitingTasks &waiting, const Fleet &fleet) const;
     std::vector<bool> failedSince(const JobId &job, const Fleet &fleet, Instant since) const;
     std::set<JobId> guaranteedJobs() const;
--- a/src/request/private/demand.cpp
+++ b/src/request/private/demand.cpp
@@ -68,6 +68,11 @@
     return static_cast<std::uint32_t>(times);
 }
 
+Pace paceOf(const PlannerWorker &worker)
+{
+    return worker.isSlow ? Pace::Slow : (worker.speed < 1.0 ? Pace::Slower : Pace::Usual);
+}
+
 bool isOfKind(const PlannerWorker &worker, const WaitingTasks &tasks)
 {
     const bool hasLabel = tasks.requiredLabel.empty() || std::find(worker.labels.begin(), worker.labels.end(), tasks.requiredLabel) != worker.labels.end();
@@ -141,9 +146,14 @@
 std::vector<std::size_t> fillGroup(const Group &group, const Demand &demand, const std::vector<Capacity> &available)
 {
     auto order = group;
-    std::stable_sort(order.begin(), order.end(), [&demand, &available](std::size_t left, std::size_t right) {
-        return std::tuple(demand.workers[left].isSlow, available[left].accelerators, available[left].milliCores)
-            < std::tuple(demand.workers[right].isSlow, available[right].accelerators, available[right].milliCores);
+    // A gang is as fast as its slowest member, so one that needs slower workers leaves the faster ones to others.
+    const auto paceRank = [&demand](std::size_t worker) {
+        const auto pace = paceOf(demand.workers[worker]);
+        return pace == Pace::Slow ? 2 : static_cast<int>((pace == Pace::Usual) == demand.tasks.isGang);
+    };
+    std::stable_sort(order.begin(), order.end(), [&paceRank, &available](std::size_t left, std::size_t right) {
+        return std::tuple(paceRank(left), available[left].accelerators, available[left].milliCores)
+            < std::tuple(paceRank(right), available[right].accelerators, available[right].milliCores);
     });
     // Prefers the fullest worker that fits all remaining tasks, which keeps the gang together.
     std::vector<std::size_t> places;
--- a/src/request/private/demand.h
+++ b/src/request/private/demand.h
@@ -1,6 +1,7 @@
 #ifndef WAXWINGLOFT_REQUEST_DEMAND_H
 #define WAXWINGLOFT_REQUEST_DEMAND_H
 
+#include "waxwingloft/process/nametable.h"
 #include "waxwingloft/request/stepplanner.h"
 
 #include <cstddef>
@@ -16,6 +17,20 @@
 /** Returns how often @p needs fits into @p available, at most @p limit times. */
 std::uint32_t timesIn(const Capacity &available, const Capacity &needs, std::uint32_t limit);
 
+/** How soon a worker is chosen by its speed. */
+enum class Pace {
+    Usual,
+    Slower, ///< in the slower class of a fleet whose executors differ in speed
+    Slow, ///< nearly stands still; last for all work
+};
+
+template<>
+struct NameTable<Pace> {
+    static constexpr std::array<std::string_view, 3> names = {"usual", "slower", "slow"};
+};
+
+Pace paceOf(const PlannerWorker &worker);
+
 /** Whether @p worker has the service and the label that @p tasks require. */
 bool isOfKind(const PlannerWorker &worker, const WaitingTasks &tasks);
 
--- a/src/request/private/plannerfleet.cpp
+++ b/src/request/private/plannerfleet.cpp
@@ -52,27 +52,36 @@
         rack.members.push_back(index);
         rack.freeAccelerators += std::max<std::int64_t>(worker.free.accelerators, 0);
         this->all.push_back(index);
+        if (worker.speed < 1.0) {
+            this->slowest = std::min(this->slowest.value_or(worker.speed), worker.speed);
+        }
         if (!this->isClosed[index]) {
             this->orderOf(index).insert(this->placeOf(index));
         }
     }
 }
 
-Demand PlannerFleet::demandOf(const WaitingTasks &tasks)
+Demand PlannerFleet::demandOf(const WaitingTasks &tasks, std::optional<Pace> pace)
 {
-    const auto shape = this->shapeOf(tasks);
+    const auto shape = this->shapeOf(tasks, pace);
     return Demand(tasks, this->workers, this->shapes[shape].isEligible, shape);
 }
 
-std::size_t PlannerFleet::shapeOf(const WaitingTasks &tasks)
+std::optional<double> PlannerFleet::slowerSpeed() const
+{
+    return this->slowest;
+}
+
+std::size_t PlannerFleet::shapeOf(const WaitingTasks &tasks, std::optional<Pace> pace)
 {
     const auto [item, isNew] = this->shapeByKey.try_emplace(
-        {tasks.service, tasks.requiredLabel, tasks.needs.milliCores, tasks.needs.memoryMb, tasks.needs.accelerators}, this->shapes.size());
+        {tasks.service, tasks.requiredLabel, tasks.needs.milliCores, tasks.needs.memoryMb, tasks.needs.accelerators, pace}, this->shapes.size());
     if (isNew) {
         auto &shape = this->shapes.emplace_back();
         shape.slots.resize(this->rackList.size());
         for (std::size_t index = 0; index < this->workers.size(); ++index) {
-            shape.isEligible.push_back(!this->isClosed[index] && mayRun(this->workers[index], tasks));
+            const auto &worker = this->workers[index];
+            shape.isEligible.push_back(!this->isClosed[index] && mayRun(worker, tasks) && (!pace || paceOf(worker) == *pace));
         }
     }
     return item->second;
@@ -195,14 +204,14 @@
     const auto ofData = this->rackByName.find(demand.tasks.dataRack);
     std::optional<std::size_t> found;
     if (demand.tasks.dataRack.empty()) {
-        found = this->firstFit(this->usual, demand);
-        found = found ? found : this->firstFit(this->slow, demand);
+        found = this->firstFitByPace(demand);
+        found = found ? found : this->firstFit(Pace::Slow, demand);
     } else {
         found = ofData == this->rackByName.end() ? std::nullopt : this->tightestIn(this->rackList[ofData->second].members, demand);
         if (!found) {
-            const auto far = this->firstFit(this->usual, demand);
-            const auto slowest = this->firstFit(this->slow, demand);
-            found = !slowest || (far && this->placeOf(*far) < this->placeOf(*slowest)) ? far : slowest;
+            const auto far = this->firstFitByPace(demand);
+            const auto slow = this->firstFit(Pace::Slow, demand);
+            found = !slow || (far && this->placeOf(*far) < this->placeOf(*slow)) ? far : slow;
         }
     }
     shape.fitsNowhere = demand.isUniform() && !found;
@@ -222,8 +231,17 @@
     return best;
 }
 
-std::optional<std::size_t> PlannerFleet::firstFit(const Order &order, const Demand &demand) const
+/** Returns the tightest worker that is not slow and fits one task, of the speed that the tasks prefer if there is one. */
+std::optional<std::size_t> PlannerFleet::firstFitByPace(const Demand &demand) const
+{
+    const bool isSlowerFirst = this->slowest && demand.tasks.prefersSlower;
+    const auto found = this->firstFit(isSlowerFirst ? Pace::Slower : Pace::Usual, demand);
+    return found || !this->slowest ? found : this->firstFit(isSlowerFirst ? Pace::Usual : Pace::Slower, demand);
+}
+
+std::optional<std::size_t> PlannerFleet::firstFit(Pace pace, const Demand &demand) const
 {
+    const auto &order = this->orders.at(static_cast<std::size_t>(pace));
     const auto needed = demand.tasks.needs.accelerators;
     // Reservations may bring free accelerators below zero, which matters only to tasks that need some.
     for (auto item = needed > 0 ? order.lower_bound({needed, std::numeric_limits<std::int64_t>::min(), 0}) : order.begin(); item != order.end(); ++item) {
@@ -242,7 +260,7 @@
 
 PlannerFleet::Order &PlannerFleet::orderOf(std::size_t worker)
 {
-    return this->workers[worker].isSlow ? this->slow : this->usual;
+    return this->orders.at(static_cast<std::size_t>(paceOf(this->workers[worker])));
 }
 
 void PlannerFleet::take(std::size_t worker, const Capacity &needs)
--- a/src/request/private/plannerfleet.h
+++ b/src/request/private/plannerfleet.h
@@ -3,6 +3,7 @@
 
 #include "demand.h"
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -32,8 +33,11 @@
     /** @p workers must outlive this object. */
     explicit PlannerFleet(const std::vector<PlannerWorker> &workers);
 
-    /** @p tasks must outlive the demand. */
-    Demand demandOf(const WaitingTasks &tasks);
+    /** Returns the demand of @p tasks, which must outlive it; on workers of @p pace only, if that is given. */
+    Demand demandOf(const WaitingTasks &tasks, std::optional<Pace> pace = std::nullopt);
+
+    /** Returns the speed of the slower workers; nothing where the workers do not differ. */
+    std::optional<double> slowerSpeed() const;
 
     const std::vector<Rack> &racks() const;
     const Group &everyone() const;
@@ -58,7 +62,8 @@
     bool couldFitIntoFleet(const Demand &demand);
     std::int64_t freeAccelerators() const;
 
-    /** Returns the worker with the fewest free accelerators that fits one task. Workers that are slow or outside the rack of its data come last. */
+    /** Returns the worker with the fewest free accelerators that fits one task. Workers that are slow, outside the rack of its data or not of the speed that it
+     * prefers come last. */
     std::optional<std::size_t> tightest(const Demand &demand);
 
     void take(std::size_t worker, const Capacity &needs);
@@ -87,14 +92,15 @@
         bool fitsNowhere = false;
     };
 
-    using ShapeKey = std::tuple<std::string, std::string, std::int64_t, std::int64_t, std::int64_t>; ///< service, label and needs
+    using ShapeKey = std::tuple<std::string, std::string, std::int64_t, std::int64_t, std::int64_t, std::optional<Pace>>; ///< service, label, needs, pace
     using Order = std::set<std::tuple<std::int64_t, std::int64_t, std::size_t>>; ///< free accelerators and cores, and the worker
 
-    std::size_t shapeOf(const WaitingTasks &tasks);
+    std::size_t shapeOf(const WaitingTasks &tasks, std::optional<Pace> pace);
     const RackSlots &slotsOf(std::size_t rack, const Demand &demand);
     std::uint64_t slotsIn(std::size_t rack, const Demand &demand, bool isWhole);
     std::uint64_t slotsInFleet(const Demand &demand, bool isWhole);
-    std::optional<std::size_t> firstFit(const Order &order, const Demand &demand) const;
+    std::optional<std::size_t> firstFit(Pace pace, const Demand &demand) const;
+    std::optional<std::size_t> firstFitByPace(const Demand &demand) const;
     std::optional<std::size_t> tightestIn(const Group &group, const Demand &demand) const;
     std::tuple<std::int64_t, std::int64_t, std::size_t> placeOf(std::size_t worker) const;
     Order &orderOf(std::size_t worker);
@@ -107,8 +113,8 @@
     std::vector<std::size_t> rackByWorker;
     std::map<std::string, std::size_t> rackByName;
     Group all;
-    Order usual;
-    Order slow;
+    std::array<Order, NameTable<Pace>::names.size()> orders; ///< by pace
+    std::optional<double> slowest; ///< speed below 1.0
     std::map<ShapeKey, std::size_t> shapeByKey;
     std::deque<Shape> shapes; ///< demands refer to them
     bool isHalfUsed = false;
--- a/src/request/private/reclaimplanner.cpp
+++ b/src/request/private/reclaimplanner.cpp
@@ -368,10 +368,10 @@
     return *estimate;
 }
 
-std::optional<Reclaim> ReclaimPlanner::plan(const Demand &demand, const std::vector<std::size_t> &racks)
+std::optional<Reclaim> ReclaimPlanner::plan(const Demand &demand, const std::vector<std::size_t> &racks, std::optional<double> otherwise)
 {
     const auto &worth = demand.tasks.worth;
-    double bestNet = worth.after(LeftAloneSeconds);
+    double bestNet = otherwise.value_or(worth.after(LeftAloneSeconds));
     if (worth.after(0.0) <= bestNet) {
         return std::nullopt;
     }
@@ -380,7 +380,7 @@
     // Returns whether longer horizons can still be better.
     const auto consider = [&](const Estimate &found, const Group &group, double horizon) {
         const auto net = worth.after(found.delay) - MinGainRatio * found.cost;
-        const bool isBetter = found.hasStops || bestGroup != nullptr ? net > bestNet : net >= bestNet;
+        const bool isBetter = found.hasStops || bestGroup != nullptr || otherwise ? net > bestNet : net >= bestNet;
         if (found.isPossible && isBetter) {
             bestGroup = &group;
             bestHorizon = horizon;
--- a/src/request/private/reclaimplanner.h
+++ b/src/request/private/reclaimplanner.h
@@ -37,9 +37,10 @@
     /**
      * Returns the way with the highest expected worth; nothing when leaving the tasks to wait is better than any stop.
      *
-     * @p racks are those that could hold @p demand.
+     * @p racks are those that could hold @p demand. @p otherwise is the worth of what is done instead when that is not to
+     * leave the tasks to wait; then a way must be worth more.
      */
-    std::optional<Reclaim> plan(const Demand &demand, const std::vector<std::size_t> &racks);
+    std::optional<Reclaim> plan(const Demand &demand, const std::vector<std::size_t> &racks, std::optional<double> otherwise = std::nullopt);
 
     /** Keeps the runs of @p reclaim from being counted on again, and its places from other tasks. */
     void take(const Reclaim &reclaim, const WaitingTasks &tasks);
--- a/src/request/stepplanner.cpp
+++ b/src/request/stepplanner.cpp
@@ -5,6 +5,7 @@
 #include "suspectplacement.h"
 
 #include <algorithm>
+#include <array>
 #include <limits>
 #include <optional>
 #include <tuple>
@@ -31,6 +32,9 @@
             this->placeSuspects(index, demand);
             return;
         }
+        if (tasks.isGang && this->fleet.slowerSpeed() && this->placeByPace(index, demand)) {
+            return;
+        }
         auto racks = tasks.isGang ? this->fleet.racksFor(demand) : Group();
         auto places = tasks.isGang ? this->gangPlaces(demand, racks) : this->taskPlaces(demand);
         const bool isWhole = places.size() == tasks.count;
@@ -62,6 +66,48 @@
         }
     }
 
+    /**
+     * Places a gang on workers of like speed, or lets it wait for faster ones.
+     *
+     * Returns whether it starts or waits; otherwise only workers of different speed can take it. One that prefers one rack is not
+     * spread over racks for the sake of speed.
+     */
+    bool placeByPace(std::size_t index, const Demand &demand)
+    {
+        const auto &tasks = demand.tasks;
+        const bool mustShareRack = !PlannerFleet::maySpread(demand, this->fleet.racksFor(demand));
+        const std::array<Pace, 2> order = tasks.prefersSlower ? std::array{Pace::Slower, Pace::Usual} : std::array{Pace::Usual, Pace::Slower};
+        for (const auto pace : order) {
+            const auto alike = this->fleet.demandOf(tasks, pace);
+            const auto racks = this->fleet.racksFor(alike);
+            if (racks.empty() && mustShareRack) {
+                continue;
+            }
+            auto places = this->gangPlaces(alike, racks);
+            if (!places.empty()) {
+                this->suspects.othersStart(places);
+                this->plan.starts.push_back({index, std::move(places)});
+                return true;
+            }
+            if (pace == Pace::Usual && tasks.mayPreempt && !tasks.isMove && this->reclaim(alike, racks, this->worthOnSlower(demand))) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Returns what the job of a gang earns when it starts now on workers that include slower ones; nothing when it does not fit now. */
+    std::optional<double> worthOnSlower(const Demand &demand)
+    {
+        bool fits = this->fleet.fitsIntoFleet(demand);
+        if (demand.tasks.prefersOneRack) {
+            const auto whole = this->fleet.racksFor(demand);
+            fits = whole.empty() ? fits : std::any_of(whole.begin(), whole.end(), [&](std::size_t rack) { return this->fleet.fitsInto(rack, demand); });
+        }
+        const auto more = demand.tasks.runTime * (1.0 / this->fleet.slowerSpeed().value_or(1.0) - 1.0);
+        return fits ? std::optional(demand.tasks.worth.after(more)) : std::nullopt;
+    }
+
     /** Places a gang on the rack of its data or else on the fullest rack that fits it now; spreads it only if no rack does. */
     std::vector<std::size_t> gangPlaces(const Demand &demand, const std::vector<std::size_t> &racks)
     {
@@ -112,9 +158,9 @@
     }
 
     /** Makes room for @p demand by stops and ends, and reserves it. Returns false when it is better left to wait. */
-    bool reclaim(const Demand &demand, const std::vector<std::size_t> &racks)
+    bool reclaim(const Demand &demand, const std::vector<std::size_t> &racks, std::optional<double> otherwise = std::nullopt)
     {
-        const auto chosen = this->reclaims.plan(demand, racks);
+        const auto chosen = this->reclaims.plan(demand, racks, otherwise);
         if (!chosen) {
             return false;
         }
--- a/src/request/taskplacer.cpp
+++ b/src/request/taskplacer.cpp
@@ -21,6 +21,12 @@
         worker.isKnown, worker.hasOrphans, last.incarnation, last.isReachable, last.isDraining, last.capacity, last.labels, worker.isLeaseWithheld);
 }
 
+/** Whether the machine of an agent that had reported before has changed, and with it perhaps its speed. */
+bool isOtherMachine(const AgentReport &before, const AgentReport &now)
+{
+    return !before.node.value.empty() && (before.capacity != now.capacity || before.labels != now.labels);
+}
+
 } // namespace
 
 TaskPlacer::TaskPlacer(Clock &clock, TaskPlacerOptions options, JobRankOptions rankOptions)
@@ -320,11 +326,15 @@
     worker.isKnown = true;
     worker.lastReportAt = now;
     this->boundRuns(worker, report, isFirst);
+    if (isOtherMachine(worker.last, report)) {
+        this->speeds.forget(report.node);
+    }
     worker.last = report;
     worker.leavesAt = report.drainTimeLeft ? std::optional(now + *report.drainTimeLeft) : std::nullopt;
     CrashLedger::keepLapsedRuns(worker, report, now);
     this->handleEnds(worker, report);
     worker.applyProgress(report, now);
+    this->speeds.learn(worker, this->jobs, now);
     this->endUnknownRuns(worker, report);
     if (usabilityOf(worker) != usability || jobsOnTrial(this->jobs, worker) != trials) {
         this->hasChanges.store(true, std::memory_order_release);
@@ -612,7 +622,8 @@
     if (!this->isSettled(now)) {
         return;
     }
-    const PlannerInput state{this->jobs, this->workers, this->routes, this->health, this->rank, this->options};
+    this->refreshSpeeds(now);
+    const PlannerInput state{this->jobs, this->workers, this->routes, this->health, this->rank, this->speeds, this->options};
     const TaskPlanner planner(state, now, this->clock.wallMillis());
     this->moveStalledRuns(planner.stalledRuns(), now);
     const auto plan = planner.plan();
@@ -639,6 +650,19 @@
     this->logHeld(plan.held);
 }
 
+/** Learns which executors are slower than others, and logs when that changes. */
+void TaskPlacer::refreshSpeeds(Instant now)
+{
+    const auto before = this->speeds.slowerSpeed();
+    this->speeds.refresh(now, this->workers.size());
+    const auto after = this->speeds.slowerSpeed();
+    if (before.has_value() == after.has_value()) {
+        return;
+    }
+    this->log.info(after ? "Executors fall into two classes of speed; urgent work prefers the faster one." : "Executors no longer differ clearly in speed.",
+                   {{"slower_share_of_speed", std::to_string(after.value_or(1.0))}, {"slower_executors", std::to_string(this->speeds.slowerCount())}});
+}
+
 /** Logs once for each wait of a job that its tasks do not start where it has failed. */
 void TaskPlacer::logHeld(const std::vector<HeldStep> &held)
 {
--- a/src/request/taskplanner.cpp
+++ b/src/request/taskplanner.cpp
@@ -13,6 +13,8 @@
 
 constexpr std::size_t MinKnownSpeeds = 3; ///< with fewer known worker speeds the median is not meaningful
 constexpr double WholePercent = 100.0;
+constexpr int PatientPriority = 2; ///< from which on work leaves the faster executors to others, also when it may miss its objective
+constexpr double SlowerMargin = 1.5; ///< of the time that a slower executor costs, which must be left; estimates are commonly off by that
 constexpr double RestoreSeconds = 0.1; ///< of work lost when a run resumes from the checkpoint taken at its stop; from the users' bounds
 constexpr StartWorth GuaranteedWorth = {1e6, 0.0, 5.0, 5.0, 0.0}; ///< outweighs all work for a start within 5 s, so that the cheapest is stopped at once
 constexpr std::string_view RackLabelPrefix = "r"; ///< of labels such as "r1-3", which name the rack of a machine
@@ -195,6 +197,7 @@
             continue;
         }
         PlannerWorker view{node, worker.last.service, rackOf(worker.last.labels), worker.last.labels, worker.last.capacity, worker.last.capacity, false};
+        view.speed = this->state.speeds.of(node);
         for (const auto &[run, live] : worker.runs) {
             view.free -= live.needs;
         }
@@ -372,6 +375,8 @@
         waiting.worth = this->state.rank.worthByStart(unit.job->submission, unit.job->progress, this->wallNow);
         waiting.longestWait = secondsOf(this->state.options.longestWait);
     }
+    waiting.runTime = secondsOf(step.estimate);
+    waiting.prefersSlower = !waiting.mayPreempt && this->keepsObjectiveOnSlower(unit);
     waiting.maxPerWorker = step.maxPerExecutor;
     if (step.maxPerExecutor > 0) {
         waiting.present.assign(fleet.workers.size(), 0);
@@ -386,6 +391,19 @@
     return waiting;
 }
 
+/** Whether executors differ in speed and the job of @p unit is patient or is expected to keep its objective on slower ones. */
+bool TaskPlanner::keepsObjectiveOnSlower(const Unit &unit) const
+{
+    const auto speed = this->state.speeds.slowerSpeed();
+    if (!speed) {
+        return false;
+    }
+    const auto &submission = unit.job->submission;
+    const auto more = secondsOf(submission.graph.steps[unit.step].estimate) * (1.0 / *speed - 1.0);
+    return submission.priority >= PatientPriority
+        || this->state.rank.worthByStart(submission, unit.job->progress, this->wallNow).inTimeFor >= more * SlowerMargin;
+}
+
 /** Collects the runs as units that can be stopped: a gang as a whole, every other task by itself. */
 TaskPlanner::RunningSet TaskPlanner::collectRunning(const Fleet &fleet, const std::set<JobId> &guaranteed, const Ranks &ranks) const
 {
