--- a/include/waxwingloft/request/taskplacer.h
+++ b/include/waxwingloft/request/taskplacer.h
@@ -8,6 +8,7 @@
 #include "waxwingloft/request/boundsledger.h"
 #include "waxwingloft/request/closedzonewatch.h"
 #include "waxwingloft/request/crashledger.h"
+#include "waxwingloft/request/executorspeeds.h"
 #include "waxwingloft/request/jobprogress.h"
 #include "waxwingloft/request/jobrank.h"
 #include "waxwingloft/request/liveworker.h"
@@ -170,6 +171,7 @@
     void assign(const StepStart &start, Instant now);
     bool applyZone(LiveWorker &worker);
     void applyZones(Instant now);
+    void refreshSpeeds(Instant now);
     void logHeld(const std::vector<HeldStep> &held);
     void logClosedOut(const std::vector<JobId> &jobs);
 
@@ -182,6 +184,7 @@
     Instant grantsUntil;
     JobRank rank;
     WorkerHealth health;
+    ExecutorSpeeds speeds; ///< kept from term to term, as machines keep their speed
     RoutingTable routes;
     std::map<JobId, LiveJob> jobs;
     std::map<NodeId, LiveWorker> workers;
--- a/src/request/taskplacer.cpp
+++ b/src/request/taskplacer.cpp
@@ -28,6 +28,12 @@
                       worker.isZoneClosed);
 }
 
+/** Whether the machine of an agent that had reported before has changed, and with it perhaps its speed. */
+bool isOtherMachine(const AgentReport &before, const AgentReport &now)
+{
+    return !before.node.value.empty() && (before.capacity != now.capacity || before.labels != now.labels);
+}
+
 } // namespace
 
 TaskPlacer::TaskPlacer(Clock &clock, TaskPlacerOptions options, JobRankOptions rankOptions)
@@ -336,6 +342,9 @@
     worker.isKnown = true;
     worker.lastReportAt = now;
     this->boundRuns(worker, report, isFirst);
+    if (isOtherMachine(worker.last, report)) {
+        this->speeds.forget(report.node);
+    }
     worker.last = report;
     this->applyZone(worker);
     worker.coldUntil = now + report.coldTimeLeft;
@@ -343,6 +352,7 @@
     CrashLedger::keepLapsedRuns(worker, report, now);
     this->handleEnds(worker, report);
     worker.applyProgress(report, now);
+    this->speeds.learn(worker, this->jobs, now);
     this->endUnknownRuns(worker, report);
     if (usabilityOf(worker) != usability || jobsOnTrial(this->jobs, worker) != trials) {
         this->hasChanges.store(true, std::memory_order_release);
@@ -675,7 +685,8 @@
     if (this->zones.isActive()) {
         this->zoneWatch.update(this->zones.closures(), this->workers, now);
     }
-    const PlannerInput state{this->jobs, this->workers, this->routes, this->health, this->rank, this->options, this->areZonesKnown};
+    this->refreshSpeeds(now);
+    const PlannerInput state{this->jobs, this->workers, this->routes, this->health, this->rank, this->speeds, this->options, this->areZonesKnown};
     const TaskPlanner planner(state, now, this->clock.wallMillis());
     this->moveStalledRuns(planner.stalledRuns(), now);
     const auto plan = planner.plan();
@@ -715,6 +726,19 @@
     }
 }
 
+/** Learns which executors are slower than others, and logs when that changes. */
+void TaskPlacer::refreshSpeeds(Instant now)
+{
+    const auto before = this->speeds.slowerSpeed();
+    this->speeds.refresh(now, this->workers.size());
+    const auto after = this->speeds.slowerSpeed();
+    if (before.has_value() == after.has_value()) {
+        return;
+    }
+    this->log.info(after ? "Executors fall into two classes of speed; urgent work prefers the faster one." : "Executors no longer differ clearly in speed.",
+                   {{"slower_share_of_speed", std::to_string(after.value_or(1.0))}, {"slower_executors", std::to_string(this->speeds.slowerCount())}});
+}
+
 /** Logs once for each wait of a job that its tasks do not start where it has failed. */
 void TaskPlacer::logHeld(const std::vector<HeldStep> &held)
 {
