tests: Take the operator's rows alone away from the leading placer

A placer that leads on without these rows grants leases, and an unanswered start is repeated until after the close time.

--- a/tests/request/closedzonestest.cpp
+++ b/tests/request/closedzonestest.cpp
@@ -159,6 +159,33 @@
     expectNoViolations(site);
 }
 
+/** Guards against a placer that leads on while only the operator's rows do not reach it: it goes on granting agent leases, and starts are repeated. */
+TEST(ClosedZones, AStartIsNotRepeatedOnceTheOperatorsRowsAreUnknown)
+{
+    TwoZones site(2);
+    for (auto &agent : site.agents) {
+        agent.executor->fate = OrderFate::Lost;
+    }
+    site.placers[0].seesZones = false;
+    site.closeZone(ZoneA);
+    site.closeZone(ZoneB);
+    // Still within what the placer knows, and so late that the run is not moved as a stalled one before the close time is over.
+    site.advance(Millis(2500));
+    const auto job = site.submit(oneStep(2, Whole));
+    site.advance(CloseTime - Millis(2500));
+    ASSERT_EQ(site.agents[0].controller->report()->runs.size(), 1U);
+    for (auto &agent : site.agents) {
+        agent.executor->fate = OrderFate::Answered;
+    }
+    site.advance(Millis(3000));
+    EXPECT_EQ(site.checker.starts.size(), 0U);
+    site.openZone(ZoneA);
+    site.openZone(ZoneB);
+    site.placers[0].seesZones = true;
+    EXPECT_EQ(site.finish(job, Millis(15'000)), JobPhase::Completed);
+    expectNoViolations(site);
+}
+
 TEST(ClosedZones, APausedAgentStartsNothingOnAnOldPermission)
 {
     TwoZones site(2);
@@ -275,7 +302,7 @@
         auto &agent = site.agents[draw(site.agents.size())];
         auto &placer = site.placers[draw(site.placers.size())];
         const auto &zone = zones.at(draw(zones.size()));
-        switch (draw(14)) {
+        switch (draw(16)) {
         case 0:
         case 1:
             site.closeZone(zone);
@@ -307,6 +334,9 @@
         case 10:
             placer.reachesTable = !placer.reachesTable;
             break;
+        case 12:
+            placer.seesZones = !placer.seesZones;
+            break;
         case 11:
             agent.executor->restart();
             break;
@@ -323,6 +353,7 @@
     }
     for (auto &placer : site.placers) {
         placer.reachesTable = true;
+        placer.seesZones = true;
     }
     for (std::size_t index = 0; index < site.agents.size(); ++index) {
         auto &agent = site.agents[index];
--- a/tests/request/jobsite.cpp
+++ b/tests/request/jobsite.cpp
@@ -487,7 +487,7 @@
             site.cacheRevision = valueOf(rows).revision;
             site.placer->leadershipRenewed(this->clock.now());
         }
-        if (this->zoneCloseTime) {
+        if (this->zoneCloseTime && site.seesZones) {
             this->readZones(*site.zones);
         }
     }
--- a/tests/request/jobsite.h
+++ b/tests/request/jobsite.h
@@ -97,6 +97,7 @@
     std::unique_ptr<SiteZones> zones;
     bool isAlive = true;
     bool reachesTable = true;
+    bool seesZones = true; ///< its questions on the operator's rows are answered
     std::vector<ProgressWrite> writing;
     std::uint64_t cacheRevision = 0;
 };
