--- a/tests/platform/fakestore.h
+++ b/tests/platform/fakestore.h
@@ -1,7 +1,9 @@
 #ifndef WAXWINGLOFT_TESTS_PLATFORM_FAKESTORE_H
 #define WAXWINGLOFT_TESTS_PLATFORM_FAKESTORE_H
 
+#include <algorithm>
 #include <atomic>
+#include <condition_variable>
 #include <httplib.h>
 #include <latch>
 #include <map>
@@ -24,14 +26,15 @@
 class FakeStore
 {
 public:
-    FakeStore()
+    /** @p threads bounds the connections that are served at once. */
+    explicit FakeStore(std::size_t threads = CPPHTTPLIB_THREAD_POOL_COUNT)
     {
         this->server.Post("/waxwingloft/rows-tx", [this](const httplib::Request &request, httplib::Response &response) { this->transact(request, response); });
         this->server.Get("/waxwingloft/rows-get", [this](const httplib::Request &request, httplib::Response &response) { this->read(request, response); });
         this->server.Get("/waxwingloft/rows-feed", [this](const httplib::Request &request, httplib::Response &response) { this->feed(request, response); });
-        this->server.new_task_queue = [this] {
+        this->server.new_task_queue = [this, threads] {
             this->isListening.count_down();
-            return new httplib::ThreadPool(CPPHTTPLIB_THREAD_POOL_COUNT);
+            return new httplib::ThreadPool(threads);
         };
         this->port = this->server.bind_to_any_port("127.0.0.1");
         this->thread = std::thread([this] { this->server.listen_after_bind(); });
@@ -57,11 +60,13 @@
     {
         const std::lock_guard<std::mutex> guard(this->mutex);
         this->rows[{table, key}] = {value, ++this->version};
+        this->changed.notify_all();
     }
 
     std::atomic<StoreMood> mood = StoreMood::Fine;
     std::atomic<int> transactions = 0;
     int pageRows = 500;
+    bool feedWaits = false; ///< answers of the feed wait for a change, as the platform's do
 
 private:
     struct StoredRow {
@@ -100,6 +105,7 @@
         for (const auto &entry : body.at("remove")) {
             this->rows.erase(placeOf(entry));
         }
+        this->changed.notify_all();
         const auto answer = nlohmann::json{{"ver", this->version}, {"now_ms", 1}};
         response.set_content(this->mood == StoreMood::LosesAnswers ? "rubbish" : answer.dump(), "application/json");
     }
@@ -133,7 +139,12 @@
             response.status = 410;
             return;
         }
-        const std::lock_guard<std::mutex> guard(this->mutex);
+        std::unique_lock<std::mutex> lock(this->mutex);
+        if (this->feedWaits) {
+            const auto after = std::stoull(request.get_param_value("after"));
+            const auto wait = std::chrono::milliseconds(std::stol(request.get_param_value("wait_ms")));
+            this->changed.wait_for(lock, wait, [this, &request, after] { return this->hasNewer(request.get_param_value("table"), after); });
+        }
         auto list = nlohmann::json::array();
         for (const auto &[place, row] : this->rows) {
             if (place.first == request.get_param_value("table") && row.version > std::stoull(request.get_param_value("after"))) {
@@ -143,6 +154,11 @@
         response.set_content(nlohmann::json{{"rows", list}, {"ver", this->version}, {"now_ms", 1}}.dump(), "application/json");
     }
 
+    bool hasNewer(const std::string &table, std::uint64_t after) const
+    {
+        return std::any_of(this->rows.begin(), this->rows.end(), [&](const auto &item) { return item.first.first == table && item.second.version > after; });
+    }
+
     nlohmann::json toJson(const Place &place, const StoredRow &row) const
     {
         return {{"table", place.first}, {"part", ""}, {"key", place.second}, {"value", row.value}, {"ver", row.version}};
@@ -153,6 +169,7 @@
     int port = 0;
     std::thread thread;
     std::mutex mutex;
+    std::condition_variable changed; ///< when a row has been written or removed
     std::uint64_t version = 0;
     std::map<Place, StoredRow> rows;
 };
