platform: Put the listeners for clients on the event loop

Cause: misbehaving clients take the threads of the listeners for callers, readiness and heartbeats, and grow the process beyond its machine. Change: HttpListener uses HttpServer; an entry's two listeners and an agent's one share the loop of their process. Readiness is a reserved listener.

--- a/include/waxwingloft/process/nodeconfig.h
+++ b/include/waxwingloft/process/nodeconfig.h
@@ -57,6 +57,20 @@
     }
 };
 
+/** What clients of a process may take. No client within the platform's limits reaches these bounds. */
+struct IngressConfig {
+    std::size_t memoryMb = 160; ///< of the machine; requests that are not answered hold at most an eighth of it
+    std::size_t connections = 2000; ///< of one listener
+    std::size_t headerBytes = 16'384; ///< of one request
+    std::size_t headerFields = 100; ///< of one request
+    std::size_t waitingRequests = 512; ///< whole requests of one listener that wait for a worker
+    Millis headerTime = Millis(3000); ///< from the first byte of a request to the end of its headers
+    Millis bodyTime = Millis(3000); ///< for a body in addition to the time at the lowest rate
+    std::size_t bodyBytesPerSecond = 16'384; ///< lowest rate of a body
+    Millis answerTime = Millis(5000); ///< for a client to read an answer
+    Millis idleTime = Millis(15'000); ///< of a connection without requests
+};
+
 /** The settings file of one process. */
 struct NodeConfig {
     NodeRole role = NodeRole::Agent;
@@ -78,6 +92,7 @@
     Millis taskLease = Millis(3000); ///< of an entry: tasks end when they are not renewed for this long
     Millis checkpointInterval = Millis(60000); ///< of an agent: time between two periodic checkpoints of a gang
     JobNodeConfig jobs;
+    IngressConfig ingress;
     std::uint32_t eventCapacity = 20000; ///< events kept for the time line
 };
 
--- a/src/process/daemon/jobagentrole.cpp
+++ b/src/process/daemon/jobagentrole.cpp
@@ -37,7 +37,7 @@
                 config.rpcAddress,
                 keeperTermsOf(config),
                 ExecutorAgentOptions())
-        , heartbeats(config.jobs.heartbeatAddress, ListenerOptions{HeartbeatThreads}, this->agent)
+        , heartbeats(config.jobs.heartbeatAddress, ListenerOptions{{HeartbeatThreads}, this->node.ingress}, this->agent)
     {
     }
 
--- a/src/process/daemon/jobentryrole.cpp
+++ b/src/process/daemon/jobentryrole.cpp
@@ -31,10 +31,11 @@
     return options;
 }
 
-ListenerOptions frontTermsOf(const NodeConfig &config)
+ListenerOptions frontTermsOf(const NodeConfig &config, std::shared_ptr<HttpServer> server)
 {
     ListenerOptions options;
     options.threads = config.httpThreads;
+    options.server = std::move(server);
     return options;
 }
 
@@ -65,8 +66,9 @@
                              this->office.nudge();
                          })
         , messages(this->office, this->node.relay)
-        , front(config.jobs.frontAddress, frontTermsOf(config), this->gate)
-        , ready(config.jobs.readyAddress, [this] { return this->isReady(); })
+        , front(config.jobs.frontAddress, frontTermsOf(config, this->node.ingress), this->gate)
+        , ready(
+              config.jobs.readyAddress, [this] { return this->isReady(); }, this->node.ingress)
     {
         this->placer.setMetrics(this->node.metrics);
         this->office.setTableWatch([this] { return this->node.relay.isRelaying(); });
--- a/src/process/daemon/jobnode.cpp
+++ b/src/process/daemon/jobnode.cpp
@@ -13,6 +13,7 @@
 constexpr std::size_t ControlThreads = 2;
 constexpr std::size_t HealthThreads = 2;
 constexpr std::size_t EventsKept = 2000; ///< hosts have little memory; the log has all of them
+constexpr std::size_t IngressMemoryShare = 8; ///< the machine's memory divided by what unanswered requests may hold of it
 constexpr std::size_t LargestHealthBody = 4096;
 
 double callsPerSecond(const NodeConfig &config)
@@ -20,6 +21,22 @@
     return config.role == NodeRole::JobEntry ? config.jobs.entryCallsPerSecond() : config.tableCallsPerSecond;
 }
 
+IngressLimits ingressLimitsOf(const IngressConfig &config)
+{
+    IngressLimits limits;
+    limits.memoryBytes = (config.memoryMb << 20U) / IngressMemoryShare;
+    limits.connections = config.connections;
+    limits.headerBytes = config.headerBytes;
+    limits.headerFields = config.headerFields;
+    limits.waitingRequests = config.waitingRequests;
+    limits.headerTime = config.headerTime;
+    limits.bodyTime = config.bodyTime;
+    limits.bodyBytesPerSecond = config.bodyBytesPerSecond;
+    limits.answerTime = config.answerTime;
+    limits.idleTime = config.idleTime;
+    return limits;
+}
+
 } // namespace
 
 JobNode::JobNode(const NodeConfig &config)
@@ -35,6 +52,7 @@
             this->clock,
             TableBudget{callsPerSecond(config), callsPerSecond(config) * 2, SettleTries, Millis(50), LongestBackoff, FailuresToOpen},
             IdSource::entropySeed())
+    , ingress(std::make_shared<HttpServer>(ingressLimitsOf(config.ingress), &this->metrics))
     , http(config.httpAddress, *this, HttpFrontOptions{HealthThreads, LargestHealthBody, Millis(5000), Millis(5000), Millis(5000)})
 {
     this->events.record(EventKind::Started, config.node, {}, std::string(nameOf(config.role)));
--- a/src/process/daemon/jobnode.h
+++ b/src/process/daemon/jobnode.h
@@ -4,6 +4,7 @@
 #include "platformstore.h"
 #include "role.h"
 #include "waxwingloft/connection/httpfront.h"
+#include "waxwingloft/connection/httpserver.h"
 #include "waxwingloft/connection/relaytable.h"
 #include "waxwingloft/connection/rpcnode.h"
 #include "waxwingloft/process/eventlog.h"
@@ -40,6 +41,7 @@
     RpcNode rpc;
     RelayTable relay;
     TableClient table;
+    const std::shared_ptr<HttpServer> ingress; ///< serves the listeners for untrusted clients
     HttpFront http; ///< health and metrics
     std::atomic<bool> isLeaving = false;
     std::unique_ptr<TableFollower> officeFollower;
--- a/src/process/nodeconfig.cpp
+++ b/src/process/nodeconfig.cpp
@@ -223,6 +223,29 @@
     limits.finish();
 }
 
+void readIngress(TableReader &root, IngressConfig &config, std::vector<ConfigMistake> &mistakes)
+{
+    const auto *const table = root.child("ingress");
+    if (table == nullptr) {
+        return;
+    }
+    TableReader ingress(*table, "ingress.", mistakes);
+    const auto size = [&ingress](std::string_view key, std::size_t fallback, std::int64_t lowest, std::int64_t highest) {
+        return static_cast<std::size_t>(ingress.whole(key, static_cast<std::int64_t>(fallback), lowest, highest));
+    };
+    config.memoryMb = size("memory_mb", config.memoryMb, 16, 1'000'000);
+    config.connections = size("connections", config.connections, 16, 100'000);
+    config.headerBytes = size("header_bytes", config.headerBytes, 1024, 1'000'000);
+    config.headerFields = size("header_fields", config.headerFields, 16, 10'000);
+    config.waitingRequests = size("waiting_requests", config.waitingRequests, 1, 100'000);
+    config.headerTime = Millis(ingress.whole("header_ms", config.headerTime.count(), 100, 600'000));
+    config.bodyTime = Millis(ingress.whole("body_ms", config.bodyTime.count(), 100, 600'000));
+    config.bodyBytesPerSecond = size("body_bytes_per_s", config.bodyBytesPerSecond, 1, 1'000'000'000);
+    config.answerTime = Millis(ingress.whole("answer_ms", config.answerTime.count(), 100, 600'000));
+    config.idleTime = Millis(ingress.whole("idle_ms", config.idleTime.count(), 100, 86'400'000));
+    ingress.finish();
+}
+
 } // namespace
 
 ParsedNodeConfig parseNodeConfig(const std::string &text)
@@ -248,6 +271,7 @@
     readPlatform(root, config, parsed.mistakes);
     readJobs(root, config, parsed.mistakes);
     readLimits(root, config, parsed.mistakes);
+    readIngress(root, config.ingress, parsed.mistakes);
     root.finish();
     if (config.shard.empty()) {
         config.shard = config.location.dataCentre;
