--- a/src/process/daemon/jobentryrole.cpp
+++ b/src/process/daemon/jobentryrole.cpp
@@ -40,10 +40,11 @@
     return options;
 }
 
-ListenerOptions frontTermsOf(const NodeConfig &config)
+ListenerOptions frontTermsOf(const NodeConfig &config, std::shared_ptr<HttpServer> server)
 {
     ListenerOptions options;
     options.threads = config.httpThreads;
+    options.server = std::move(server);
     return options;
 }
 
@@ -76,8 +77,9 @@
         , operatorZones(this->zones, this->node.clock, [this] { this->office.nudge(); })
         , operatorRows(this->observersOfOperator())
         , messages(this->office, this->node.relay)
-        , front(config.jobs.frontAddress, frontTermsOf(config), this->gate)
-        , ready(config.jobs.readyAddress, [this] { return this->isReady(); })
+        , front(config.jobs.frontAddress, frontTermsOf(config, this->node.ingress), this->gate)
+        , ready(
+              config.jobs.readyAddress, [this] { return this->isReady(); }, this->node.ingress)
     {
         this->placer.setMetrics(this->node.metrics);
         this->placer.followZones(this->zones);
--- a/src/process/daemon/jobnode.h
+++ b/src/process/daemon/jobnode.h
@@ -4,6 +4,7 @@
 #include "platformstore.h"
 #include "role.h"
 #include "waxwingloft/connection/httpfront.h"
+#include "waxwingloft/connection/httpserver.h"
 #include "waxwingloft/connection/relaytable.h"
 #include "waxwingloft/connection/rpcnode.h"
 #include "waxwingloft/connection/storeoutlook.h"
@@ -42,6 +43,7 @@
     StoreOutlook outlook; ///< used by entries only
     RelayTable relay;
     TableClient table;
+    const std::shared_ptr<HttpServer> ingress; ///< serves the listeners for untrusted clients
     HttpFront http; ///< health and metrics
     std::atomic<bool> isLeaving = false;
     std::unique_ptr<TableFollower> officeFollower;
