table: See the end of an outage soon where the feed's age matters

Change: with listsAfterFailure the question after an unanswered one does not stay open, so that only the time-out remains. Other followers ask as before.

--- a/include/waxwingloft/process/tablefollower.h
+++ b/include/waxwingloft/process/tablefollower.h
@@ -54,7 +54,7 @@
     Millis wait = Millis(2000); ///< how long one question to the feed stays open
     Millis retryBase = Millis(50); ///< first pause after a failure
     Millis retryLimit = Millis(400); ///< longest pause after failures; bounds how long a change goes unseen after an outage
-    bool listsAfterFailure = false; ///< reads the whole table after an unanswered question to the feed, which may be silent while rows can be read
+    bool listsAfterFailure = false; ///< reads the whole table after an unanswered question to the feed; the next one is answered at once
 };
 
 /**
@@ -91,6 +91,7 @@
     std::uint64_t revision = 0;
     bool isListed = false;
     bool isReachable = true;
+    bool isFeedSilent = false; ///< the last question to the feed had no answer
     int failures = 0;
     std::atomic<bool> isStopping = false;
     std::thread thread;
--- a/src/process/tablefollower.cpp
+++ b/src/process/tablefollower.cpp
@@ -98,7 +98,9 @@
 bool TableFollower::follow()
 {
     const auto askedAt = this->clock.now();
-    const auto batch = this->feed.changes(this->table, this->revision, this->options.wait);
+    const auto wait = this->isFeedSilent && this->options.listsAfterFailure ? Millis(0) : this->options.wait;
+    const auto batch = this->feed.changes(this->table, this->revision, wait);
+    this->isFeedSilent = !succeeded(batch) && errorOf(batch).kind != ErrorKind::Stale;
     if (succeeded(batch)) {
         this->noteReachable(true, {});
         this->revision = std::max(this->revision, valueOf(batch).revision);
--- a/tests/process/tablefollowertest.cpp
+++ b/tests/process/tablefollowertest.cpp
@@ -34,7 +34,7 @@
         return Commit{};
     }
 
-    Result<ChangeBatch> changes(const std::string & /*table*/, std::uint64_t after, Millis /*wait*/) override
+    Result<ChangeBatch> changes(const std::string & /*table*/, std::uint64_t after, Millis wait) override
     {
         std::unique_lock<std::mutex> lock(this->mutex);
         if (this->script.empty()) {
@@ -44,6 +44,7 @@
         }
         std::this_thread::sleep_for(this->answerTime);
         this->askedAfter.push_back(after);
+        this->waits.push_back(wait);
         auto next = this->script.front();
         this->script.erase(this->script.begin());
         return next;
@@ -54,6 +55,7 @@
     int listFailures = 0;
     Millis answerTime = Millis(0); ///< of the feed
     std::vector<std::uint64_t> askedAfter; ///< of the answers that were written down
+    std::vector<Millis> waits; ///< of the same
     std::vector<Result<ChangeBatch>> script;
 };
 
@@ -154,15 +156,16 @@
 TEST(TableFollower, ReadsTheTableWhenTheFeedIsSilentAndThatIsWanted)
 {
     ScriptedTable table;
-    table.script = {makeError(ErrorKind::PlatformDown, "silent"), changeTo("one", 6)};
+    table.script = {makeError(ErrorKind::PlatformDown, "silent"), changeTo("one", 6), changeTo("two", 7)};
     RecordingObserver observer;
     SystemClock clock;
     TableFollowerOptions options{Millis(10), Millis(1), Millis(5)};
     options.listsAfterFailure = true;
     TableFollower follower(table, table, clock, "t", observer, options);
-    const std::vector<std::string> expected = {"reset listed", "reset listed", "one"};
+    const std::vector<std::string> expected = {"reset listed", "reset listed", "one", "two"};
     EXPECT_EQ(observer.waitFor(expected.size()), expected);
     follower.stop();
+    EXPECT_EQ(table.waits, (std::vector<Millis>{options.wait, Millis(0), options.wait}));
 }
 
 } // namespace waxwingloft::tests
