table: Pause while a feed fails at once

Cause: with listsAfterFailure a successful read of the table counted as success of the question to the feed, so that a feed that is refused at once, beside a table that can be read, would have been asked without a pause. Change: the follower pauses as after other failures until the feed answers.

Tests: TableFollower.PausesWhileTheFeedFailsThoughTheTableCanBeRead is new; TableFollower.*, JobPath.*, *ClosedZones* and *Guard* (65) pass.

--- a/src/process/tablefollower.cpp
+++ b/src/process/tablefollower.cpp
@@ -72,8 +72,10 @@
         const bool isNormal = runGuarded("changes of table " + this->table, [this, &succeeded] { succeeded = this->isListed ? this->follow() : this->list(); });
         // What an observer missed is in the next list.
         this->isListed = this->isListed && isNormal;
-        this->failures = succeeded ? 0 : this->failures + 1;
-        if (!succeeded) {
+        // A feed that fails at once must not make the follower read the table without a pause.
+        const bool isInOrder = succeeded && !this->isFeedSilent;
+        this->failures = isInOrder ? 0 : this->failures + 1;
+        if (!isInOrder) {
             this->pause();
         }
     }
--- a/tests/process/tablefollowertest.cpp
+++ b/tests/process/tablefollowertest.cpp
@@ -168,4 +168,23 @@
     EXPECT_EQ(table.waits, (std::vector<Millis>{options.wait, Millis(0), options.wait}));
 }
 
+/** Guards against a follower that reads the table over and over while the feed fails at once. */
+TEST(TableFollower, PausesWhileTheFeedFailsThoughTheTableCanBeRead)
+{
+    constexpr auto Pause = Millis(40);
+    constexpr int Failures = 5;
+    ScriptedTable table;
+    table.script.assign(Failures, makeError(ErrorKind::PlatformDown, "down"));
+    table.script.push_back(changeTo("one", 6));
+    RecordingObserver observer;
+    SystemClock clock;
+    TableFollowerOptions options{Millis(10), Pause, Pause};
+    options.listsAfterFailure = true;
+    const auto before = clock.now();
+    TableFollower follower(table, table, clock, "t", observer, options);
+    observer.waitFor(Failures + 2);
+    EXPECT_GE(clock.now() - before, Failures * Pause / 2) << "a pause takes at least half of what is set";
+    follower.stop();
+}
+
 } // namespace waxwingloft::tests
