--- a/src/process/tablefollower.cpp
+++ b/src/process/tablefollower.cpp
@@ -72,8 +72,10 @@
         const bool isNormal = runGuarded("changes of table " + this->table, [this, &succeeded] { succeeded = this->isListed ? this->follow() : this->list(); });
         // What an observer missed is in the next list.
         this->isListed = this->isListed && isNormal;
-        this->failures = succeeded ? 0 : this->failures + 1;
-        if (!succeeded) {
+        // A feed that fails at once must not make the follower read the table without a pause.
+        const bool isInOrder = succeeded && !this->isFeedSilent;
+        this->failures = isInOrder ? 0 : this->failures + 1;
+        if (!isInOrder) {
             this->pause();
         }
     }
@@ -98,7 +100,9 @@
 bool TableFollower::follow()
 {
     const auto askedAt = this->clock.now();
-    const auto batch = this->feed.changes(this->table, this->revision, this->options.wait);
+    const auto wait = this->isFeedSilent && this->options.listsAfterFailure ? Millis(0) : this->options.wait;
+    const auto batch = this->feed.changes(this->table, this->revision, wait);
+    this->isFeedSilent = !succeeded(batch) && errorOf(batch).kind != ErrorKind::Stale;
     if (succeeded(batch)) {
         this->noteReachable(true, {});
         this->revision = std::max(this->revision, valueOf(batch).revision);
