entry: Tell the other entries of calls in doubt

Cause: a caller whose submission was answered as undecided tries again at another entry. While the table is away, that one refused the repetition as not run, though the first write may have taken effect. Seen with two entries as processes and a silent store of our own: 504 at one entry, then 503 for the same id at the other. A repetition is undecided there as well. The notice is a kind of RelayTableCall, so that the messages stay as they are.

--- a/include/waxwingloft/connection/tablemessages.h
+++ b/include/waxwingloft/connection/tablemessages.h
@@ -15,17 +15,18 @@
     List,
     Commit,
     Changes,
+    NoteDoubt, ///< no call on the table: tells an entry that a caller's call is in doubt after a call on the table without an answer
 };
 
 template<>
 struct NameTable<TableCallKind> {
-    static constexpr std::array<std::string_view, 4> names = {"get", "list", "commit", "changes"};
+    static constexpr std::array<std::string_view, 5> names = {"get", "list", "commit", "changes", "note-doubt"};
 };
 
 /** Asks a process that reaches the table to make a call for one that does not. */
 struct RelayTableCall {
     TableCallKind kind = TableCallKind::Get;
-    std::string key; ///< of Get; the prefix of List; the table of Changes
+    std::string key; ///< of Get; the prefix of List; the table of Changes; names the call of NoteDoubt
     std::uint64_t since = 0; ///< of List and Changes
     Transaction transaction; ///< of Commit
 };
--- a/include/waxwingloft/request/jobservice.h
+++ b/include/waxwingloft/request/jobservice.h
@@ -63,6 +63,12 @@
     /** Has calls that need the table refused at once while @p outlook says that it is away. Call before the first call is handled. */
     void setOutlook(StoreOutlook &outlook);
 
+    /** Has @p observer called with the name of each call that is answered as undecided, before the answer. Call before the first call is handled. */
+    void setDoubtObserver(std::function<void(const std::string &)> observer);
+
+    /** Takes note that a call is in doubt at another entry; @p call is the name that its observer was given. */
+    void noteDoubt(const std::string &call);
+
     JobAnswer handle(const JobCall &call) override;
 
 private:
@@ -112,6 +118,7 @@
     const GraphParser parser;
     const JobServiceOptions options;
     std::function<void(const Row &)> rowObserver;
+    std::function<void(const std::string &)> doubtObserver;
     StoreOutlook *outlook = nullptr;
     DoubtfulCalls doubtfulCalls;
     const Logger log;
--- a/src/connection/relaytable.cpp
+++ b/src/connection/relaytable.cpp
@@ -270,6 +270,8 @@
         return messageOf(this->noted<Commit>([&] { return this->direct.commit(call.transaction); }));
     case TableCallKind::Changes:
         return messageOf(this->noted<ChangeBatch>([&] { return this->directFeed.changes(call.key, call.since, Millis(0)); }));
+    case TableCallKind::NoteDoubt:
+        break;
     }
     return replyWith(makeError(ErrorKind::InvalidInput, "a call of an unknown kind on the table"));
 }
--- a/src/process/daemon/jobentryrole.cpp
+++ b/src/process/daemon/jobentryrole.cpp
@@ -2,6 +2,7 @@
 #include "jobnode.h"
 #include "operatorroutes.h"
 
+#include "waxwingloft/connection/doubtnotifier.h"
 #include "waxwingloft/request/jobrows.h"
 #include "waxwingloft/request/jobservice.h"
 #include "waxwingloft/request/placerservice.h"
@@ -64,13 +65,16 @@
                              this->placer.setRoutes(book);
                              this->office.nudge();
                          })
-        , messages(this->office, this->node.relay)
+        , doubts(
+              this->node.rpc, this->node.clock, [this] { return this->node.office.peers(); }, DoubtNotifierOptions())
+        , messages(this->office, this->node.relay, this->gate)
         , front(config.jobs.frontAddress, frontTermsOf(config), this->gate)
         , ready(config.jobs.readyAddress, [this] { return this->isReady(); })
     {
         this->placer.setMetrics(this->node.metrics);
         this->office.setTableWatch([this] { return this->node.relay.isRelaying(); });
         this->gate.setOutlook(this->node.outlook);
+        this->gate.setDoubtObserver([this](const std::string &call) { this->doubts.notify(call); });
         this->gate.setRowObserver([this](const Row &row) { this->office.noticeRow(row); });
     }
 
@@ -104,25 +108,34 @@
     }
 
 private:
-    /** Messages of peers: reports of agents, and calls on the store for peers that do not reach it. */
+    /** Messages of peers: reports of agents, calls on the store for peers that do not reach it, and notices of calls in doubt. */
     class MessageSwitch : public MessageHandler
     {
     public:
-        MessageSwitch(PlacerService &office, RelayTable &relay)
+        MessageSwitch(PlacerService &office, RelayTable &relay, JobService &gate)
             : office(office)
             , relay(relay)
+            , gate(gate)
         {
         }
 
         Message handle(const Header &header, const Message &message) override
         {
             const auto *const call = std::get_if<RelayTableCall>(&message);
-            return call == nullptr ? this->office.handle(header, message) : this->relay.serve(*call);
+            if (call == nullptr) {
+                return this->office.handle(header, message);
+            }
+            if (call->kind == TableCallKind::NoteDoubt) {
+                this->gate.noteDoubt(call->key);
+                return RelayTableAnswer{};
+            }
+            return this->relay.serve(*call);
         }
 
     private:
         PlacerService &office;
         RelayTable &relay;
+        JobService &gate;
     };
 
     void sweep()
@@ -146,6 +159,7 @@
     RowSweeper sweeper;
     PlacerService office;
     OperatorRoutes operatorRoutes;
+    DoubtNotifier doubts;
     MessageSwitch messages;
     JobFront front;
     ReadyFront ready;
--- a/src/request/jobservice.cpp
+++ b/src/request/jobservice.cpp
@@ -66,6 +66,16 @@
     this->outlook = &outlook;
 }
 
+void JobService::setDoubtObserver(std::function<void(const std::string &)> observer)
+{
+    this->doubtObserver = std::move(observer);
+}
+
+void JobService::noteDoubt(const std::string &call)
+{
+    this->doubtfulCalls.add(call);
+}
+
 JobAnswer JobService::handle(const JobCall &call)
 {
     const auto startedAt = this->clock.now();
@@ -345,6 +355,9 @@
     const auto name = std::string(nameOf(call.verb)) + "/" + job.value;
     if (result.outcome == JobCallOutcome::Undecided) {
         this->doubtfulCalls.add(name);
+        if (this->doubtObserver) {
+            this->doubtObserver(name);
+        }
     } else if (result.outcome == JobCallOutcome::NotNow && this->doubtfulCalls.contains(name)) {
         result.outcome = JobCallOutcome::Undecided;
         result.retryAfter = Millis(0);
--- a/tests/request/jobservicetest.cpp
+++ b/tests/request/jobservicetest.cpp
@@ -225,6 +225,19 @@
     EXPECT_EQ(this->clock.now() - before, Millis(50)) << "the table is known to be away";
 }
 
+// A caller whose write was in doubt at one entry was told by the next one that its job does not run.
+TEST_F(JobServiceOutlookTest, ARepetitionAtAnotherEntryIsNotRefusedEither)
+{
+    JobCache otherCache(this->placer);
+    JobService other(this->clock, this->ids, this->metrics, this->table, otherCache, this->routes, &JobServiceTest::parse, JobServiceOptions());
+    other.setDoubtObserver([this](const std::string &call) { this->jobService.noteDoubt(call); });
+    this->table.isAmbiguous = true;
+    EXPECT_EQ(other.handle({JobVerb::Submit, "h", "/a/" + Id, "k1", Millis(2000), "job"}).outcome, JobCallOutcome::Undecided);
+    this->loseTable();
+    EXPECT_EQ(this->call(JobVerb::Submit, "/a/" + Id).outcome, JobCallOutcome::Undecided);
+    EXPECT_EQ(this->call(JobVerb::Submit, "/a/0123456789abcdef").outcome, JobCallOutcome::NotNow) << "another job";
+}
+
 TEST_F(JobServiceOutlookTest, RetriesEndAsSoonAsTheTableIsKnownToBeAway)
 {
     this->rows.isDown = true;
