tests: Add misbehaving clients at the operator's address

Cause: health, readiness and metrics of a process on the users' platform have an address of their own, which the cases leave out. Change: thirteen cases with the target Operator, and a check in all cases that an operator is answered. Crowds, bounds and the two mixtures stay.

--- a/tests/ingress/ingresssite.cpp
+++ b/tests/ingress/ingresssite.cpp
@@ -32,6 +32,7 @@
 constexpr auto FrontPort = "8521";
 constexpr auto ReadyPort = "8523";
 constexpr auto ControlPort = "8526";
+constexpr auto OperatorPort = "7001";
 constexpr auto LoweredThreads = "http_threads = 8"; ///< so that a small crowd takes what a large one takes in production
 
 /** Returns a loopback address of this test process; tests of other processes have others. */
@@ -182,7 +183,7 @@
                                {{"{{node_name}}", name},
                                 {"{{ip}}", host},
                                 {"{{port_range.0}}", "7000"},
-                                {"{{port_range.1}}", "7001"},
+                                {"{{port_range.1}}", OperatorPort},
                                 {"{{region}}", "region-a"},
                                 {"{{zone}}", "zone-a"},
                                 {"{{platform.address}}", this->store.address()},
@@ -233,6 +234,19 @@
     return eventually(patience, [&] { return this->executor.sendHeartbeat(TryTime); });
 }
 
+bool IngressSite::answersOperator(Millis patience)
+{
+    return eventually(patience, [&] {
+        const auto answer = clientOf(this->operatorAddress(), TryTime).Get("/readyz");
+        return answer && answer->status == StatusOk;
+    });
+}
+
+std::string IngressSite::operatorAddress() const
+{
+    return this->entryHost + ":" + OperatorPort;
+}
+
 std::string IngressSite::frontAddress() const
 {
     return this->entryHost + ":" + FrontPort;
--- a/tests/ingress/ingresssite.h
+++ b/tests/ingress/ingresssite.h
@@ -55,9 +55,13 @@
     /** Whether a heartbeat of the executor is accepted within @p patience. */
     bool takesHeartbeat(Millis patience);
 
+    /** Whether the entry tells operators that it is ready, within @p patience. */
+    bool answersOperator(Millis patience);
+
     std::string frontAddress() const;
     std::string readyAddress() const;
     std::string heartbeatAddress() const;
+    std::string operatorAddress() const;
 
     /** Header lines with which the entry accepts a call. */
     static std::string callerHeaders();
--- a/tests/ingress/ingresstest.cpp
+++ b/tests/ingress/ingresstest.cpp
@@ -1,6 +1,7 @@
 #include "ingresssite.h"
 #include "misbehaviour.h"
 
+#include <array>
 #include <gtest/gtest.h>
 #include <tuple>
 
@@ -21,6 +22,8 @@
 constexpr std::size_t EntryDescriptors = 4100;
 constexpr std::size_t AgentDescriptors = 4096;
 
+constexpr std::array<Target, 4> MixedTargets = {Target::Route, Target::NoRoute, Target::Readiness, Target::Heartbeats};
+
 std::string addressOf(const IngressSite &site, Target target)
 {
     switch (target) {
@@ -28,6 +31,8 @@
         return site.readyAddress();
     case Target::Heartbeats:
         return site.heartbeatAddress();
+    case Target::Operator:
+        return site.operatorAddress();
     default:
         return site.frontAddress();
     }
@@ -50,6 +55,7 @@
 {
     expectInBounds(site);
     EXPECT_TRUE(site.isReady(Patience)) << "readiness is not answered";
+    EXPECT_TRUE(site.answersOperator(Patience)) << "an operator is not answered";
     ASSERT_TRUE(site.takesHeartbeat(Patience)) << "a heartbeat is not accepted";
     ASSERT_TRUE(site.submit(job, Patience)) << "an ordinary submission is not accepted";
     ASSERT_TRUE(site.waitUntilDone(FirstJob, Patience + WorkTime)) << "a job that was accepted before does not end";
@@ -103,7 +109,7 @@
                                                               Misbehaviour::SlowReader,
                                                               Misbehaviour::HalfClosed,
                                                               Misbehaviour::IdleConnections),
-                                            ::testing::Values(Target::Route, Target::NoRoute, Target::Readiness, Target::Heartbeats)),
+                                            ::testing::Values(Target::Route, Target::NoRoute, Target::Readiness, Target::Heartbeats, Target::Operator)),
                          nameOfCase);
 
 /** Guards against kinds that each pass alone and together do not: 50 clients of each, at each address, at the same time. */
@@ -114,8 +120,7 @@
     ASSERT_NO_FATAL_FAILURE(prepare(site));
     std::vector<std::unique_ptr<Crowd>> crowds;
     for (std::size_t kind = 0; kind < NameTable<Misbehaviour>::names.size(); ++kind) {
-        for (std::size_t place = 0; place < NameTable<Target>::names.size(); ++place) {
-            const auto target = static_cast<Target>(place);
+        for (const auto target : MixedTargets) {
             crowds.push_back(std::make_unique<Crowd>(addressOf(site, target), ClientsOfEach, scriptOf(static_cast<Misbehaviour>(kind), target)));
         }
     }
@@ -132,8 +137,7 @@
     IngressSite site(WorkTime);
     ASSERT_NO_FATAL_FAILURE(prepare(site));
     for (std::size_t kind = 0; kind < NameTable<Misbehaviour>::names.size(); ++kind) {
-        for (std::size_t place = 0; place < NameTable<Target>::names.size(); ++place) {
-            const auto target = static_cast<Target>(place);
+        for (const auto target : MixedTargets) {
             Crowd crowd(addressOf(site, target), ClientsOfEach, scriptOf(static_cast<Misbehaviour>(kind), target));
             crowd.waitUntilQuiet(Millis(500));
             ASSERT_NO_FATAL_FAILURE(expectInBounds(site));
--- a/tests/ingress/misbehaviour.cpp
+++ b/tests/ingress/misbehaviour.cpp
@@ -30,6 +30,8 @@
         return {"/waxwingloft/readyz", SubmissionBytes};
     case Target::Heartbeats:
         return {"/waxwingloft/instances/i-9/heartbeat", HeartbeatBytes};
+    case Target::Operator:
+        return {"/metrics", SubmissionBytes};
     }
     return {};
 }
--- a/tests/ingress/misbehaviour.h
+++ b/tests/ingress/misbehaviour.h
@@ -30,6 +30,7 @@
     NoRoute, ///< a path that no route has
     Readiness,
     Heartbeats, ///< of an agent
+    Operator, ///< health and metrics of an entry
 };
 
 } // namespace waxwingloft::tests
@@ -53,7 +54,7 @@
 
 template<>
 struct waxwingloft::NameTable<waxwingloft::tests::Target> {
-    static constexpr std::array<std::string_view, 4> names = {"Route", "NoRoute", "Readiness", "Heartbeats"};
+    static constexpr std::array<std::string_view, 5> names = {"Route", "NoRoute", "Readiness", "Heartbeats", "Operator"};
 };
 
 namespace waxwingloft::tests {
