connection: Put the operator's address on the event loop

Cause: health, readiness and metrics of a process on the users' platform have two threads, which clients that stop half-way take. Change: HealthFront serves them as a reserved listener of the process's HttpServer, with the same paths and answers. HttpFront stays for the roles entry and agent.

--- a/src/process/daemon/jobnode.cpp
+++ b/src/process/daemon/jobnode.cpp
@@ -11,10 +11,8 @@
 constexpr int SettleTries = 5; ///< a lost answer is settled within about a second
 constexpr std::size_t RequestThreads = 2; ///< for calls on the store that are made for peers
 constexpr std::size_t ControlThreads = 2;
-constexpr std::size_t HealthThreads = 2;
 constexpr std::size_t EventsKept = 2000; ///< hosts have little memory; the log has all of them
 constexpr std::size_t IngressMemoryShare = 8; ///< the machine's memory divided by what unanswered requests may hold of it
-constexpr std::size_t LargestHealthBody = 4096;
 
 double callsPerSecond(const NodeConfig &config)
 {
@@ -53,7 +51,7 @@
             TableBudget{callsPerSecond(config), callsPerSecond(config) * 2, SettleTries, Millis(50), LongestBackoff, FailuresToOpen},
             IdSource::entropySeed())
     , ingress(std::make_shared<HttpServer>(ingressLimitsOf(config.ingress), &this->metrics))
-    , http(config.httpAddress, *this, HttpFrontOptions{HealthThreads, LargestHealthBody, Millis(5000), Millis(5000), Millis(5000)})
+    , http(config.httpAddress, *this, this->ingress)
 {
     this->events.record(EventKind::Started, config.node, {}, std::string(nameOf(config.role)));
 }
--- a/src/process/daemon/jobnode.h
+++ b/src/process/daemon/jobnode.h
@@ -3,7 +3,7 @@
 
 #include "platformstore.h"
 #include "role.h"
-#include "waxwingloft/connection/httpfront.h"
+#include "waxwingloft/connection/healthfront.h"
 #include "waxwingloft/connection/httpserver.h"
 #include "waxwingloft/connection/relaytable.h"
 #include "waxwingloft/connection/rpcnode.h"
@@ -42,7 +42,7 @@
     RelayTable relay;
     TableClient table;
     const std::shared_ptr<HttpServer> ingress; ///< serves the listeners for untrusted clients
-    HttpFront http; ///< health and metrics
+    HealthFront http;
     std::atomic<bool> isLeaving = false;
     std::unique_ptr<TableFollower> officeFollower;
     std::unique_ptr<Ticker> probing;
