--- a/include/waxwingloft/request/executorspeeds.h
+++ b/include/waxwingloft/request/executorspeeds.h
@@ -58,9 +58,9 @@
     /** Forgets what is known of @p node, as its machine has changed. */
     void forget(const NodeId &node);
 
-    /** Computes the classes anew when the refresh interval has passed; @p fleet is the number of executors. Returns whether the speed of an executor changed.
+    /** Computes the classes anew when the refresh interval has passed; @p fleet is the number of executors.
      */
-    bool refresh(Instant now, std::size_t fleet);
+    void refresh(Instant now, std::size_t fleet);
 
     /**
      * Returns the speed of @p node: 1.0 for the faster class, and for all while there is one class.
--- a/src/request/executorspeeds.cpp
+++ b/src/request/executorspeeds.cpp
@@ -149,17 +149,15 @@
     }
 }
 
-bool ExecutorSpeeds::refresh(Instant now, std::size_t fleet)
+void ExecutorSpeeds::refresh(Instant now, std::size_t fleet)
 {
     if (this->refreshedAt && now - *this->refreshedAt < this->options.refreshInterval) {
-        return false;
+        return;
     }
     this->refreshedAt = now;
-    const auto before = this->judged;
     this->dropOld(now);
     this->centre();
     this->classify(fleet);
-    return this->judged != before;
 }
 
 void ExecutorSpeeds::dropOld(Instant now)
