request: Scale the time to a stall by what a run takes for a percent

A run counted as stalled when its percentage had not risen for 3 s, which is always so for runs longer than 300 s: they were stopped again and again and never ended. The time is now at least that of three percents at the measured pace of the run, and of eight percents by its estimate before the pace is known. Short runs are treated as before.

--- a/include/waxwingloft/request/liveworker.h
+++ b/include/waxwingloft/request/liveworker.h
@@ -33,6 +33,9 @@
 
     /** Returns the seconds until it is expected to end; infinity when that is not known or was longer than @p overdueTime ago. */
     double endsIn(Instant now, Millis overdueTime) const;
+
+    /** Returns the time after which it counts as stalled when its percentage has not risen: @p least, or longer for a run that takes long for a percent. */
+    Millis stallTime(Millis least) const;
 };
 
 /** Returns a run of a step of @p job, assigned at @p now. */
--- a/include/waxwingloft/request/taskplaceroptions.h
+++ b/include/waxwingloft/request/taskplaceroptions.h
@@ -29,7 +29,8 @@
     Millis overdueTime = Millis(1000); ///< after which a run that should have ended is not waited for any more
     Millis leaveMargin = Millis(300); ///< a run must be expected to end so long before its executor leaves, or it is moved
     Millis dueMargin = Millis(100); ///< added to a due time because host clocks differ; too short for callers to notice
-    Millis stallTime = Millis(3000); ///< without progress; covers two polls of 1 s by the agent, the report interval of 0.8 s and the transfer
+    Millis stallTime = Millis(3000); ///< without progress, for runs that do a percent in less than a second; covers two polls of 1 s by the agent, the report
+                                     ///< interval of 0.8 s and the transfer
     std::uint32_t movePercent = 50; ///< a stalled run is started elsewhere only below this progress
     double slowShare = 0.4; ///< of the median speed, below which a worker counts as slow; the users' slow-downs are by factors of 4 to 6.5
     Millis minSpeedAge = Millis(1000); ///< age from which the speed of a run is derived from its progress
--- a/include/waxwingloft/request/taskplanner.h
+++ b/include/waxwingloft/request/taskplanner.h
@@ -68,7 +68,7 @@
 public:
     TaskPlanner(const PlannerInput &state, Instant now, std::int64_t wallNow);
 
-    /** Returns the runs below movePercent that have made no progress for the stall time although their executor responds. */
+    /** Returns the runs below movePercent that have made no progress for their stall time although their executor responds. */
     std::vector<PlacedRun> stalledRuns() const;
 
     TaskPlan plan() const;
--- a/src/request/liveworker.cpp
+++ b/src/request/liveworker.cpp
@@ -10,6 +10,9 @@
 constexpr std::int64_t WholePercent = 100;
 constexpr std::uint32_t MinPercentForEstimate = 20; ///< below it the expected end of a run is too uncertain
 
+constexpr std::int64_t PercentsToStall = 3; ///< a run that has stood still for the time of so many percents counts as stalled
+constexpr std::int64_t LongestToEstimate = 8; ///< ratio of a run time to its estimate; one task in 33 takes seven times as long as its estimate
+
 } // namespace
 
 LiveRun liveRunOf(const LiveJob &job, std::uint32_t step, Instant now)
@@ -33,6 +36,15 @@
     return isKnown ? std::max(0.0, std::chrono::duration<double>(end - now).count()) : std::numeric_limits<double>::infinity();
 }
 
+Millis LiveRun::stallTime(Millis least) const
+{
+    const bool isMeasured = this->paceSince && this->percent > this->paceFrom;
+    const auto expected = this->estimate * (isMeasured ? PercentsToStall : LongestToEstimate) / WholePercent;
+    const auto measured =
+        isMeasured ? (this->lastProgressAt - *this->paceSince) * PercentsToStall / static_cast<std::int64_t>(this->percent - this->paceFrom) : Millis(0);
+    return std::max({least, expected, measured});
+}
+
 void LiveWorker::applyProgress(const AgentReport &report, Instant now)
 {
     this->hasOrphans = false;
--- a/src/request/taskplanner.cpp
+++ b/src/request/taskplanner.cpp
@@ -161,7 +161,7 @@
             const bool isMovable = worker.last.isReachable && !live.isStopping && live.isSent && live.percent < this->state.options.movePercent;
             const auto job = this->state.jobs.find(run.task.job);
             const bool isPerpetualTask = job == this->state.jobs.end() || job->second.stepOf(run.task).isPerpetual;
-            if (isMovable && !isPerpetualTask && this->now - live.lastProgressAt >= this->state.options.stallTime) {
+            if (isMovable && !isPerpetualTask && this->now - live.lastProgressAt >= live.stallTime(this->state.options.stallTime)) {
                 stalled.emplace_back(node, run);
             }
         }
