--- a/src/process/daemon/jobentryrole.cpp
+++ b/src/process/daemon/jobentryrole.cpp
@@ -185,12 +185,10 @@
     RowSweeper sweeper;
     PlacerService office;
     OperatorRoutes operatorRoutes;
-    , operatorZones(this->zones, this->node.clock, [this] { this->office.nudge(); }), operatorRows(this->observersOfOperator()),
-        doubts(
-            this->node.rpc, this->node.clock, [this] { return this->node.office.peers(); }, DoubtNotifierOptions()),
-        messages(this->office, this->node.relay, this->gate), front(config.jobs.frontAddress, frontTermsOf(config, this->node.ingress), this->gate),
-        ready(
-            config.jobs.readyAddress, [this] { return this->isReady(); }, this->node.ingress) MessageSwitch messages;
+    OperatorZones operatorZones;
+    TableObservers operatorRows;
+    DoubtNotifier doubts;
+    MessageSwitch messages;
     JobFront front;
     ReadyFront ready;
     std::unique_ptr<TableFollower> routesFollower;
