deploy: Pass the bound for closed zones on the command line

Cause: the templates had a section for the bound, which only the platform fills in; what fills in single values left it as it was, and the settings were no TOML. The templates are as before.

--- a/include/waxwingloft/process/nodeconfig.h
+++ b/include/waxwingloft/process/nodeconfig.h
@@ -114,6 +114,13 @@
 /** Parses the text of a settings file. Reports all mistakes, not only the first. */
 ParsedNodeConfig parseNodeConfig(const std::string &text);
 
+/**
+ * Sets the time in which closed zones take effect from @p text, whole milliseconds from 2,000 to 600,000, which goes before that of the settings file.
+ *
+ * An empty text changes nothing: the platform leaves a value out where a deployment has none. Returns whether the text is valid.
+ */
+bool setZoneCloseTime(NodeConfig &config, const std::string &text);
+
 /** Returns "FILE:LINE:COLUMN: message". */
 std::string toString(const ConfigMistake &mistake, const std::string &file);
 
--- a/src/process/daemon/main.cpp
+++ b/src/process/daemon/main.cpp
@@ -15,6 +15,7 @@
 #include <thread>
 
 ABSL_FLAG(std::string, config, "", "settings file of this process, in TOML; by default what WAXWINGLOFT_CONFIG names");
+ABSL_FLAG(std::string, zone_close_ms, "", "goes before jobs.zone_close_ms of the settings file; empty leaves that in force");
 ABSL_FLAG(bool, check_config, false, "report every mistake in the settings file and exit");
 
 namespace waxwingloft {
@@ -45,10 +46,14 @@
     }
     std::ostringstream text;
     text << stream.rdbuf();
-    const auto parsed = parseNodeConfig(text.str());
+    auto parsed = parseNodeConfig(text.str());
     for (const auto &mistake : parsed.mistakes) {
         std::cerr << toString(mistake, file) << "\n";
     }
+    if (!setZoneCloseTime(parsed.config, absl::GetFlag(FLAGS_zone_close_ms))) {
+        std::cerr << "--zone_close_ms: expected whole milliseconds from 2000 to 600000, or nothing\n";
+        return std::nullopt;
+    }
     return parsed.mistakes.empty() ? std::optional<NodeConfig>(parsed.config) : std::nullopt;
 }
 
--- a/src/process/nodeconfig.cpp
+++ b/src/process/nodeconfig.cpp
@@ -152,6 +152,9 @@
     std::vector<std::string> knownKeys;
 };
 
+constexpr auto ShortestZoneClose = Millis(2000); ///< leaves an agent some reports' time after the margin of its start permission
+constexpr auto LongestZoneClose = Millis(600'000);
+
 void readPlace(TableReader &root, NodeConfig &config, std::vector<ConfigMistake> &mistakes)
 {
     const auto *const table = root.child("place");
@@ -203,7 +206,7 @@
     config.jobs.longestLease = Millis(jobs.whole("longest_lease_ms", config.jobs.longestLease.count(), 1000, 600'000));
     config.jobs.storeWritesPerSecond = jobs.rate("store_writes_per_s", config.jobs.storeWritesPerSecond, 1.0, 1e6);
     config.jobs.wantedLease = Millis(jobs.whole("lease_ms", config.jobs.wantedLease.count(), 1000, 600'000));
-    const auto zoneCloseMs = jobs.whole("zone_close_ms", 0, 2000, 600'000);
+    const auto zoneCloseMs = jobs.whole("zone_close_ms", 0, ShortestZoneClose.count(), LongestZoneClose.count());
     config.jobs.zoneCloseTime = zoneCloseMs > 0 ? std::optional(Millis(zoneCloseMs)) : std::nullopt;
     jobs.finish();
 }
@@ -281,6 +284,21 @@
     return parsed;
 }
 
+bool setZoneCloseTime(NodeConfig &config, const std::string &text)
+{
+    if (text.empty()) {
+        return true;
+    }
+    constexpr std::size_t LongestNumber = 6; ///< digits
+    const bool isNumber = text.size() <= LongestNumber && text.find_first_not_of("0123456789") == std::string::npos;
+    const auto time = Millis(isNumber ? std::stol(text) : 0);
+    if (time < ShortestZoneClose || time > LongestZoneClose) {
+        return false;
+    }
+    config.jobs.zoneCloseTime = time;
+    return true;
+}
+
 std::string toString(const ConfigMistake &mistake, const std::string &file)
 {
     return file + ":" + std::to_string(mistake.line) + ":" + std::to_string(mistake.column) + ": " + mistake.message;
--- a/tests/process/shardbooktest.cpp
+++ b/tests/process/shardbooktest.cpp
@@ -125,6 +125,14 @@
     EXPECT_EQ(parseNodeConfig(head).config.jobs.zoneCloseTime, std::nullopt);
     EXPECT_EQ(parseNodeConfig(head + "\nzone_close_ms = 5000\n\n").config.jobs.zoneCloseTime, Millis(5000));
     EXPECT_EQ(parseNodeConfig(head + "zone_close_ms = 0\n").mistakes.size(), 1U);
+    auto config = parseNodeConfig(head).config;
+    EXPECT_TRUE(setZoneCloseTime(config, "")) << "the platform has no such bound";
+    EXPECT_EQ(config.jobs.zoneCloseTime, std::nullopt);
+    EXPECT_TRUE(setZoneCloseTime(config, "5000"));
+    EXPECT_EQ(config.jobs.zoneCloseTime, Millis(5000));
+    for (const auto *const text : {"0", "1999", "5s", "-1", "600001", "99999999999999999999"}) {
+        EXPECT_FALSE(setZoneCloseTime(config, text)) << text;
+    }
 }
 
 TEST(NodeConfigTest, holdsNoLongerLeaseThanWantedOrGranted)
