placer: Say which jobs wait beside room for them, and why

Cause: no process said that a job whose turn had come stood beside room for it, nor why, except for executors that a job avoids and for closed zones. Change: each plan finds, at most every 250 ms, the jobs with nothing running of which it starts nothing, while the executors have room for the task twice over and are less than half in use. One place names the cause (WaitCause). A wait of 3 s is logged once when it gets so long and once when it ends, and counted by cause in waxwingloft_long_waits_total; waxwingloft_long_waits shows how many there are now. The lines name the job, so that explain shows them. Decisions are as before.

--- a/include/waxwingloft/process/metrics.h
+++ b/include/waxwingloft/process/metrics.h
@@ -69,18 +69,20 @@
     TableDown,
     ClosedZones, ///< that the operator keeps closed; only on the leading placer
     RunsInClosedZones, ///< that are left there; only on the leading placer
+    LongWaits, ///< jobs with nothing running for too long beside room for them; only on the leading placer
 };
 
 template<>
 struct NameTable<Level> {
-    static constexpr std::array<std::string_view, 8> names = {"waxwingloft_settings_version",
+    static constexpr std::array<std::string_view, 9> names = {"waxwingloft_settings_version",
                                                               "waxwingloft_queued_requests",
                                                               "waxwingloft_running_requests",
                                                               "waxwingloft_known_members",
                                                               "waxwingloft_waiting_jobs",
                                                               "waxwingloft_table_down",
                                                               "waxwingloft_closed_zones",
-                                                              "waxwingloft_runs_in_closed_zones"};
+                                                              "waxwingloft_runs_in_closed_zones",
+                                                              "waxwingloft_long_waits"};
 };
 
 /** The process's metrics. Thread safe; updates are atomic additions. */
--- a/include/waxwingloft/request/taskplacer.h
+++ b/include/waxwingloft/request/taskplacer.h
@@ -12,6 +12,7 @@
 #include "waxwingloft/request/jobprogress.h"
 #include "waxwingloft/request/jobrank.h"
 #include "waxwingloft/request/liveworker.h"
+#include "waxwingloft/request/startwaits.h"
 #include "waxwingloft/request/taskplaceroptions.h"
 #include "waxwingloft/request/taskplanner.h"
 #include "waxwingloft/request/zonegate.h"
@@ -192,6 +193,8 @@
     BoundsLedger bounds;
     ZoneGate zones;
     ClosedZoneWatch zoneWatch;
+    StartWaits waits;
+    Instant nextWaitWatchAt;
     bool areZonesKnown = true; ///< as of the last plan
     std::atomic<bool> hasChanges{false}; ///< since the last plan; read without the mutex
 };
--- a/include/waxwingloft/request/taskplaceroptions.h
+++ b/include/waxwingloft/request/taskplaceroptions.h
@@ -45,6 +45,8 @@
     std::optional<Millis> zoneCloseTime; ///< after the acknowledgement of a zone's closing, in which the last start there must have been carried out; left out,
                                          ///< zones are not closed
     Millis zoneCloseMargin = Millis(500); ///< of that for rounding and the delivery of a start to its executor, which takes up to 300 ms
+    Millis waitWatchInterval = Millis(250); ///< between looks for jobs that wait beside room; a plan without events comes as often
+    Millis longestReadyWait = Millis(3000); ///< of a job with nothing running beside room for it twice over; the users' rule
     std::size_t batchRows = 40; ///< rows per transaction; each takes one condition and one write of the 100 operations allowed
 };
 
--- a/include/waxwingloft/request/taskplanner.h
+++ b/include/waxwingloft/request/taskplanner.h
@@ -5,11 +5,13 @@
 #include "waxwingloft/request/executorspeeds.h"
 #include "waxwingloft/request/jobrank.h"
 #include "waxwingloft/request/liveworker.h"
+#include "waxwingloft/request/readywait.h"
 #include "waxwingloft/request/stepplanner.h"
 #include "waxwingloft/request/taskplaceroptions.h"
 #include "waxwingloft/version/routingtable.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -62,6 +64,7 @@
     std::vector<StepStart> starts;
     std::vector<HeldStep> held;
     std::vector<JobId> closedOut; ///< jobs with tasks that wait and that executors in closed zones could run
+    std::vector<ReadyWait> waits; ///< jobs with nothing running beside room for them; only if they were asked for
 };
 
 /** Computes one plan over all jobs and executors from a snapshot, without changing it. Lives for one plan. */
@@ -73,7 +76,8 @@
     /** Returns the runs below movePercent that have made no progress for their stall time although their executor responds. */
     std::vector<PlacedRun> stalledRuns() const;
 
-    TaskPlan plan() const;
+    /** Computes the plan; with @p findsWaits also which jobs wait beside room for them. */
+    TaskPlan plan(bool findsWaits = false) const;
 
 private:
     /** Waiting tasks of one step of a job occurrence. */
@@ -118,7 +122,9 @@
     };
 
     Fleet collectFleet(const OpenTrials &trials) const;
-    bool canTakeWork(const LiveWorker &worker) const;
+    std::optional<WaitCause> obstacleAt(const LiveWorker &worker) const;
+    std::optional<WaitCause> obstacleTo(const TaskKey &task) const;
+    bool isDue(const LiveJob &job, std::uint32_t occurrence) const;
     void markSlow(Fleet &fleet) const;
     Ranks rankJobs(const Fleet &fleet) const;
     std::vector<Unit> collectUnits(const std::set<JobId> &guaranteed, const Ranks &ranks, const OpenTrials &trials) const;
@@ -142,6 +148,10 @@
     static std::vector<JobId>
     closedOutJobs(const std::vector<Entry> &entries, const std::vector<WaitingTasks> &waiting, const StepPlan &steps, const Fleet &fleet);
     bool isCutShort(const Fleet &fleet, const RunningTasks &tasks) const;
+    std::vector<ReadyWait> readyWaits(
+        const std::vector<Entry> &entries, const std::vector<WaitingTasks> &waiting, const StepPlan &steps, const Fleet &fleet, const OpenTrials &trials) const;
+    std::optional<ReadyWait> readyWaitOf(const LiveJob &job, std::uint32_t occurrence, std::uint32_t step, bool isOnTrial) const;
+    WaitCause causeOfAssigned(const TaskKey &key, const TaskProgress &task) const;
 
     const PlannerInput &state;
     const Instant now;
--- /dev/null
+++ b/src/request/private/waitfinder.cpp
@@ -0,0 +1,112 @@
+#include "waitfinder.h"
+
+#include "demand.h"
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <set>
+#include <string>
+
+namespace waxwingloft {
+
+namespace {
+
+/** Whether an executor with this obstacle may still be in use as far as its users can see. */
+bool isCountedAsRoom(const std::optional<WaitCause> &obstacle)
+{
+    return obstacle != WaitCause::Unreachable && obstacle != WaitCause::Draining && obstacle != WaitCause::ZonesClosed;
+}
+
+} // namespace
+
+WaitFinder::WaitFinder(const std::vector<PlannerWorker> &workers, WorkerObstacle obstacleAt)
+    : workers(workers)
+{
+    for (std::size_t worker = 0; worker < workers.size(); ++worker) {
+        this->free.push_back(workers[worker].free);
+        this->obstacles.push_back(obstacleAt(worker));
+    }
+}
+
+void WaitFinder::take(std::size_t worker, const Capacity &needs)
+{
+    this->free[worker] -= needs;
+}
+
+bool WaitFinder::isMostlyFree() const
+{
+    Capacity total;
+    Capacity left;
+    for (std::size_t worker = 0; worker < this->workers.size(); ++worker) {
+        if (isCountedAsRoom(this->obstacles[worker])) {
+            total += this->workers[worker].capacity;
+            left += this->free[worker];
+        }
+    }
+    const auto isFree = [](std::int64_t whole, std::int64_t part) { return whole == 0 || part * 2 > whole; };
+    return isFree(total.milliCores, left.milliCores) && isFree(total.memoryMb, left.memoryMb) && isFree(total.accelerators, left.accelerators);
+}
+
+std::uint64_t WaitFinder::slots(const WaitingTasks &tasks, std::uint64_t limit, const std::function<bool(std::size_t)> &isUsed) const
+{
+    std::uint64_t total = 0;
+    for (std::size_t worker = 0; worker < this->workers.size() && total < limit; ++worker) {
+        if (!isOfKind(this->workers[worker], tasks) || !isUsed(worker) || isOverCapacity(this->workers[worker], this->free[worker])) {
+            continue;
+        }
+        const auto present = tasks.present.empty() ? 0 : tasks.present[worker];
+        const auto most = tasks.maxPerWorker == 0 ? limit : tasks.maxPerWorker - std::min(tasks.maxPerWorker, present);
+        total += timesIn(this->free[worker], tasks.needs, static_cast<std::uint32_t>(std::min<std::uint64_t>(most, limit)));
+    }
+    return std::min(total, limit);
+}
+
+bool WaitFinder::hasRoomTwice(const WaitingTasks &tasks) const
+{
+    const std::uint64_t wanted = 2 * (tasks.isGang ? tasks.count : std::uint64_t(1));
+    return this->slots(tasks, wanted, [this](std::size_t worker) { return isCountedAsRoom(this->obstacles[worker]); }) >= wanted;
+}
+
+/** Returns the obstacle that most of the executors have that would have room for @p tasks. */
+WaitCause WaitFinder::mostCommonObstacle(const WaitingTasks &tasks) const
+{
+    std::map<WaitCause, std::size_t> counts;
+    for (std::size_t worker = 0; worker < this->workers.size(); ++worker) {
+        if (this->obstacles[worker] && isOfKind(this->workers[worker], tasks) && timesIn(this->free[worker], tasks.needs, 1) > 0) {
+            ++counts[*this->obstacles[worker]];
+        }
+    }
+    const auto most = std::max_element(counts.begin(), counts.end(), [](const auto &left, const auto &right) { return left.second < right.second; });
+    return most == counts.end() ? WaitCause::NoRoom : most->first;
+}
+
+WaitCause WaitFinder::causeOf(const WaitingTasks &tasks) const
+{
+    const auto isKnown = [this, &tasks](std::size_t worker) { return isOfKind(this->workers[worker], tasks); };
+    const std::uint64_t wanted = tasks.isGang ? tasks.count : 1;
+    const auto isUsable = [this](std::size_t worker) { return !this->obstacles[worker].has_value(); };
+    const auto isAllowed = [&](std::size_t worker) { return isUsable(worker) && (tasks.avoided.empty() || !tasks.avoided[worker]); };
+    bool isAnyKnown = false;
+    std::set<std::string> racks;
+    for (std::size_t worker = 0; worker < this->workers.size(); ++worker) {
+        isAnyKnown = isAnyKnown || isKnown(worker);
+        racks.insert(this->workers[worker].rack);
+    }
+    if (!isAnyKnown) {
+        return WaitCause::NoExecutor;
+    }
+    if (this->slots(tasks, wanted, isAllowed) >= wanted) {
+        const auto fitsInto = [&](const std::string &rack) {
+            return this->slots(tasks, wanted, [&](std::size_t worker) { return isAllowed(worker) && this->workers[worker].rack == rack; }) >= wanted;
+        };
+        const bool isBoundToRack = tasks.isGang && tasks.prefersOneRack && std::none_of(racks.begin(), racks.end(), fitsInto);
+        return tasks.isSuspect ? WaitCause::Trial : isBoundToRack ? WaitCause::OneRack : WaitCause::Reserved;
+    }
+    if (this->slots(tasks, wanted, isUsable) >= wanted) {
+        return WaitCause::Avoided;
+    }
+    return this->slots(tasks, wanted, [](std::size_t) { return true; }) >= wanted ? this->mostCommonObstacle(tasks) : WaitCause::NoRoom;
+}
+
+} // namespace waxwingloft
--- /dev/null
+++ b/src/request/startwaits.cpp
@@ -0,0 +1,95 @@
+#include "waxwingloft/request/startwaits.h"
+
+#include <algorithm>
+#include <set>
+
+namespace waxwingloft {
+
+namespace {
+
+constexpr std::size_t MaxLines = 5; ///< for one update; jobs that wait together mostly have one cause
+
+std::string millisOf(Instant::duration duration)
+{
+    return std::to_string(std::chrono::duration_cast<Millis>(duration).count());
+}
+
+} // namespace
+
+StartWaits::StartWaits(Millis longest)
+    : longest(longest)
+    , log(LogPart::Placer)
+{
+}
+
+void StartWaits::setMetrics(Metrics &metrics)
+{
+    this->metrics = &metrics;
+    this->counters = std::make_unique<CountersBy<WaitCause>>(
+        metrics, "waxwingloft_long_waits_total", "Jobs with nothing running for too long beside room for them, by what held them back", "cause");
+}
+
+void StartWaits::update(const std::vector<ReadyWait> &waits, Instant now)
+{
+    std::set<JobId> present;
+    std::vector<const ReadyWait *> begun;
+    for (const auto &wait : waits) {
+        present.insert(wait.task.job);
+        auto &known = this->waits.try_emplace(wait.task.job, Wait{now, wait.cause, false}).first->second;
+        known.cause = wait.cause;
+        if (!known.isLong && now - known.since >= this->longest) {
+            known.isLong = true;
+            begun.push_back(&wait);
+            if (this->counters != nullptr) {
+                this->counters->add(wait.cause);
+            }
+        }
+    }
+    for (std::size_t index = 0; index < std::min(begun.size(), MaxLines); ++index) {
+        const auto further = index + 1 == MaxLines ? begun.size() - MaxLines : 0;
+        this->logBegin(*begun[index], this->waits.at(begun[index]->task.job), further, now);
+    }
+    std::size_t lines = 0;
+    for (const auto &[job, known] : this->waits) {
+        if (known.isLong && !present.contains(job) && ++lines <= MaxLines) {
+            this->log.info("A job that had nothing running beside room for it goes on, or its room is taken.",
+                           {{"job", job.value}, {"waited_ms", millisOf(now - known.since)}, {"last_cause", std::string(nameOf(known.cause))}});
+        }
+    }
+    std::erase_if(this->waits, [&present](const auto &item) { return !present.contains(item.first); });
+    this->show();
+}
+
+std::optional<Instant> StartWaits::since(const JobId &job) const
+{
+    const auto found = this->waits.find(job);
+    return found == this->waits.end() ? std::nullopt : std::optional(found->second.since);
+}
+
+void StartWaits::clear()
+{
+    this->waits.clear();
+    this->show();
+}
+
+void StartWaits::logBegin(const ReadyWait &wait, const Wait &known, std::size_t further, Instant now) const
+{
+    this->log.warn("A job that could run has nothing running beside room for it.",
+                   {{"job", wait.task.job.value},
+                    {"task", toString(wait.task)},
+                    {"tasks", std::to_string(wait.tasks)},
+                    {"cause", std::string(nameOf(wait.cause))},
+                    {"agent", wait.agent.value},
+                    {"waited_ms", millisOf(now - known.since)},
+                    {"further_jobs", std::to_string(further)}});
+}
+
+void StartWaits::show() const
+{
+    if (this->metrics != nullptr) {
+        const auto isLong = [](const auto &item) { return item.second.isLong; };
+        this->metrics->set(Level::LongWaits, static_cast<double>(std::count_if(this->waits.begin(), this->waits.end(), isLong)));
+    }
+}
+
+} // namespace waxwingloft
--- a/src/request/taskplacer.cpp
+++ b/src/request/taskplacer.cpp
@@ -44,6 +44,7 @@
     , health(clock, options.health)
     , crashes(this->jobs, this->options)
     , zones(options.zoneCloseTime, options.zoneCloseMargin)
+    , waits(options.longestReadyWait)
 {
 }
 
@@ -52,6 +53,7 @@
     const std::lock_guard<std::mutex> guard(this->mutex);
     this->crashes.setMetrics(metrics);
     this->zoneWatch.setMetrics(metrics);
+    this->waits.setMetrics(metrics);
 }
 
 void TaskPlacer::followZones(const ZoneView &zones)
@@ -67,6 +69,7 @@
     this->leaderSince = this->clock.now();
     this->jobs.clear();
     this->workers.clear();
+    this->waits.clear();
     for (auto &job : jobs) {
         this->addJob(std::move(job));
     }
@@ -127,6 +130,7 @@
     this->jobs.clear();
     this->workers.clear();
     this->zoneWatch.clear();
+    this->waits.clear();
 }
 
 bool TaskPlacer::isLeader() const
@@ -689,7 +693,12 @@
     const PlannerInput state{this->jobs, this->workers, this->routes, this->health, this->rank, this->speeds, this->options, this->areZonesKnown};
     const TaskPlanner planner(state, now, this->clock.wallMillis());
     this->moveStalledRuns(planner.stalledRuns(), now);
-    const auto plan = planner.plan();
+    const bool findsWaits = now >= this->nextWaitWatchAt;
+    const auto plan = planner.plan(findsWaits);
+    if (findsWaits) {
+        this->nextWaitWatchAt = now + this->options.waitWatchInterval;
+        this->waits.update(plan.waits, now);
+    }
     for (const auto &[node, run] : plan.stops) {
         auto &worker = this->workers.at(node);
         // Stopping one member of a gang may already have ended the others.
--- a/src/request/taskplanner.cpp
+++ b/src/request/taskplanner.cpp
@@ -2,6 +2,7 @@
 
 #include "demand.h"
 #include "opentrials.h"
+#include "waitfinder.h"
 
 #include <algorithm>
 #include <cmath>
@@ -44,7 +45,7 @@
 {
 }
 
-TaskPlan TaskPlanner::plan() const
+TaskPlan TaskPlanner::plan(bool findsWaits) const
 {
     TaskPlan decided;
     const auto guaranteed = this->guaranteedJobs();
@@ -58,7 +59,7 @@
     if (admitProbes(fleet, entries)) {
         entries = this->collectEntries(fleet, units, running);
     }
-    if (entries.empty()) {
+    if (entries.empty() && !findsWaits) {
         return decided;
     }
     std::stable_sort(entries.begin(), entries.end(), [](const Entry &left, const Entry &right) {
@@ -89,6 +90,9 @@
     }
     decided.held = this->heldSteps(entries, waiting, steps, fleet);
     decided.closedOut = closedOutJobs(entries, waiting, steps, fleet);
+    if (findsWaits) {
+        decided.waits = this->readyWaits(entries, waiting, steps, fleet, trials);
+    }
     return decided;
 }
 
@@ -170,10 +174,21 @@
     return jobs;
 }
 
-bool TaskPlanner::canTakeWork(const LiveWorker &worker) const
+/** Returns why a worker gets no work now; nothing when it gets some. */
+std::optional<WaitCause> TaskPlanner::obstacleAt(const LiveWorker &worker) const
 {
-    return this->state.mayStart && !worker.isZoneClosed && worker.isKnown && !worker.isLeaseWithheld && worker.last.isReachable && !worker.last.isDraining
-        && !worker.hasOrphans && this->now >= worker.pausedUntil && this->now - worker.lastReportAt < this->state.options.maxReportAge;
+    const std::array<std::pair<bool, WaitCause>, 8> obstacles = {{
+        {!this->state.mayStart, WaitCause::ZonesUnknown},
+        {worker.isZoneClosed, WaitCause::ZonesClosed},
+        {!worker.isKnown || this->now - worker.lastReportAt >= this->state.options.maxReportAge, WaitCause::LateReports},
+        {worker.isLeaseWithheld, WaitCause::LeasesWithheld},
+        {!worker.last.isReachable, WaitCause::Unreachable},
+        {worker.last.isDraining, WaitCause::Draining},
+        {worker.hasOrphans, WaitCause::UnassignedRuns},
+        {this->now < worker.pausedUntil, WaitCause::Paused},
+    }};
+    const auto found = std::find_if(obstacles.begin(), obstacles.end(), [](const auto &obstacle) { return obstacle.first; });
+    return found == obstacles.end() ? std::nullopt : std::optional(found->second);
 }
 
 std::vector<PlacedRun> TaskPlanner::stalledRuns() const
@@ -227,7 +242,7 @@
         for (const auto &[run, live] : worker.runs) {
             view.free -= live.needs;
         }
-        const bool isUsable = this->canTakeWork(worker);
+        const bool isUsable = !this->obstacleAt(worker);
         const bool isQuarantined = isUsable && this->state.health.isQuarantined(node);
         view.acceptsWork = isUsable && !isQuarantined;
         if (isQuarantined && this->now - this->state.health.lastFailureOn(node).value_or(this->now) >= this->state.options.failurePause) {
@@ -301,10 +316,7 @@
 {
     std::vector<Unit> units;
     for (std::uint32_t occurrence = 0; occurrence < job.progress.occurrences.size(); ++occurrence) {
-        const auto &graph = job.submission.graph;
-        const auto dueAt = graph.firstRunAt + static_cast<std::int64_t>(occurrence) * graph.interval.count();
-        const bool isDue = graph.firstRunAt == 0 || dueAt + this->state.options.dueMargin.count() <= this->wallNow;
-        if (isDue) {
+        if (this->isDue(job, occurrence)) {
             this->addUnits(job, occurrence, base, units);
         }
     }
@@ -312,6 +324,13 @@
     return units;
 }
 
+bool TaskPlanner::isDue(const LiveJob &job, std::uint32_t occurrence) const
+{
+    const auto &graph = job.submission.graph;
+    const auto dueAt = graph.firstRunAt + static_cast<std::int64_t>(occurrence) * graph.interval.count();
+    return graph.firstRunAt == 0 || dueAt + this->state.options.dueMargin.count() <= this->wallNow;
+}
+
 void TaskPlanner::addUnits(const LiveJob &job, std::uint32_t occurrence, const Unit &base, std::vector<Unit> &units) const
 {
     const auto &graph = job.submission.graph;
@@ -327,7 +346,7 @@
         suspects.isSuspect = true;
         for (std::uint32_t index = 0; index < steps[step].size(); ++index) {
             const TaskKey key{job.submission.id, occurrence, step, index};
-            if (steps[step][index].state == TaskPhase::Waiting && !this->isOrphaned(key) && !this->ofSilentExecutors.contains(key)) {
+            if (steps[step][index].state == TaskPhase::Waiting && !this->obstacleTo(key)) {
                 (job.isSuspect(key) ? suspects : unit).indices.push_back(index);
             }
         }
@@ -380,6 +399,15 @@
     });
 }
 
+/** Returns what keeps a task that is not assigned from being planned at all; nothing when it may be planned. */
+std::optional<WaitCause> TaskPlanner::obstacleTo(const TaskKey &task) const
+{
+    if (this->isOrphaned(task)) {
+        return WaitCause::RunUnassigned;
+    }
+    return this->ofSilentExecutors.contains(task) ? std::optional(WaitCause::SilentStarts) : std::nullopt;
+}
+
 WaitingTasks TaskPlanner::waitingOf(const Unit &unit, const Fleet &fleet) const
 {
     const auto &step = unit.job->submission.graph.steps[unit.step];
@@ -584,4 +612,115 @@
     return ranks;
 }
 
+/** Returns the jobs with nothing running of which the plan starts nothing either, while there is room for a task of theirs twice over. */
+std::vector<ReadyWait> TaskPlanner::readyWaits(
+    const std::vector<Entry> &entries, const std::vector<WaitingTasks> &waiting, const StepPlan &steps, const Fleet &fleet, const OpenTrials &trials) const
+{
+    WaitFinder finder(fleet.workers, [this, &fleet](std::size_t worker) -> std::optional<WaitCause> {
+        const auto &view = fleet.workers[worker];
+        const auto obstacle = this->obstacleAt(*fleet.byIndex[worker]);
+        const auto refined = view.acceptsWork ? std::nullopt : std::optional(WaitCause::Quarantined);
+        return obstacle ? obstacle : view.isOnTrial ? std::optional(WaitCause::OnTrial) : refined;
+    });
+    std::set<JobId> active;
+    for (const auto &start : steps.starts) {
+        for (const auto worker : start.workers) {
+            finder.take(worker, waiting[start.waiting].needs);
+        }
+        if (entries[start.waiting].unit != nullptr) {
+            active.insert(entries[start.waiting].unit->job->submission.id);
+        }
+    }
+    std::vector<ReadyWait> found;
+    if (!finder.isMostlyFree()) {
+        return found;
+    }
+    for (const auto &[node, worker] : this->state.workers) {
+        for (const auto &[run, live] : worker.runs) {
+            if (live.hasBegun && !live.isStopping && worker.last.isReachable) {
+                active.insert(run.task.job);
+            }
+        }
+    }
+    const auto add = [&found, &active, &finder](const ReadyWait &wait, const WaitingTasks &tasks) {
+        if (finder.hasRoomTwice(tasks) && active.insert(wait.task.job).second) {
+            found.push_back(wait);
+        }
+    };
+    for (std::size_t index = 0; index < entries.size(); ++index) {
+        const auto *const unit = entries[index].unit;
+        if (unit != nullptr && !active.contains(unit->job->submission.id)) {
+            add({{unit->job->submission.id, unit->occurrence, unit->step, unit->indices.front()},
+                 waiting[index].count,
+                 this->state.mayStart ? finder.causeOf(waiting[index]) : WaitCause::ZonesUnknown,
+                 {}},
+                waiting[index]);
+        }
+    }
+    for (const auto &[id, job] : this->state.jobs) {
+        if (isFinal(job.progress.state) || active.contains(id)) {
+            continue;
+        }
+        for (std::uint32_t occurrence = 0; occurrence < job.progress.occurrences.size(); ++occurrence) {
+            for (std::uint32_t step = 0; step < job.progress.occurrences[occurrence].size() && this->isDue(job, occurrence); ++step) {
+                if (const auto wait = this->readyWaitOf(job, occurrence, step, trials.isOf(id))) {
+                    Unit unit;
+                    unit.job = &job;
+                    unit.occurrence = occurrence;
+                    unit.step = step;
+                    unit.indices.assign(wait->tasks, wait->task.index);
+                    add(*wait, this->waitingOf(unit, fleet));
+                }
+            }
+        }
+    }
+    return found;
+}
+
+/** Returns the wait of the first task of a ready step that is assigned or that must not be planned. */
+std::optional<ReadyWait> TaskPlanner::readyWaitOf(const LiveJob &job, std::uint32_t occurrence, std::uint32_t step, bool isOnTrial) const
+{
+    const auto &steps = job.progress.occurrences[occurrence];
+    if (!isReady(job.submission.graph, steps, step)) {
+        return std::nullopt;
+    }
+    const auto count = static_cast<std::uint32_t>(steps[step].size());
+    for (std::uint32_t index = 0; index < count; ++index) {
+        const auto &task = steps[step][index];
+        const TaskKey key{job.submission.id, occurrence, step, index};
+        if (task.state == TaskPhase::Assigned) {
+            return ReadyWait{key, count, this->causeOfAssigned(key, task), task.worker};
+        }
+        if (task.state == TaskPhase::Waiting) {
+            const auto obstacle = this->obstacleTo(key);
+            if (obstacle || isOnTrial) {
+                return ReadyWait{key, count, obstacle.value_or(WaitCause::Trial), {}};
+            }
+        }
+    }
+    return std::nullopt;
+}
+
+/** Returns why the run of a task that is assigned has not begun. */
+WaitCause TaskPlanner::causeOfAssigned(const TaskKey &key, const TaskProgress &task) const
+{
+    const auto worker = this->state.workers.find(task.worker);
+    if (worker == this->state.workers.end()) {
+        return WaitCause::AgentSilent;
+    }
+    const auto run = worker->second.runs.find({key, task.run});
+    if (run != worker->second.runs.end() && !run->second.isSent) {
+        return WaitCause::WriteOpen;
+    }
+    if (!worker->second.isKnown || this->now - worker->second.lastReportAt >= this->state.options.maxReportAge) {
+        return WaitCause::AgentSilent;
+    }
+    if (!worker->second.last.isReachable) {
+        return WaitCause::ExecutorSilent;
+    }
+    const bool isStopping = run != worker->second.runs.end() && run->second.isStopping;
+    const bool mayBeginLate = run != worker->second.runs.end() && run->second.startEffect == StartEffect::Unanswered;
+    return isStopping && !mayBeginLate ? WaitCause::StopOpen : WaitCause::StartOpen;
+}
+
 } // namespace waxwingloft
