placer: Start a gang on several racks when none becomes free in time

Callers saw: jobs with nothing running for seconds beside room for them twice over, while less than half of the fleet was in use; several alike at once; they ran later. Cause: the planner starts a gang that prefers one rack on one rack or not at all as long as some rack could hold it when empty. One task that lasts in each rack is enough to hold it up for as long as those run, in a nearly empty fleet, and nothing is reserved for it below half use, so that small tasks may go on filling each rack. Nothing was logged. Change: once its job has had nothing running for 1.5 s beside room (StartWaits), and one rack is the cause, the preference is dropped. Evidence: ReadyJobs.AGangThatPrefersOneRackStartsOnSeveralWhenNoneBecomesFreeInTime failed before the change: "has nothing running for 3000 ms ... though a task of step 0 could run", and the gang had not begun after 10 s. It passes now. ReadyJobs checks the users' rule on what runs at the fake executors, and knows nothing of the placer's view.

--- a/include/waxwingloft/request/startwaits.h
+++ b/include/waxwingloft/request/startwaits.h
@@ -30,8 +30,8 @@
     /** Takes over the waits as of @p now. A job that is not among @p waits has begun, has no room or has no task whose turn has come. */
     void update(const std::vector<ReadyWait> &waits, Instant now);
 
-    /** Returns since when @p job has been waiting beside room; nothing when it is not. */
-    std::optional<Instant> since(const JobId &job) const;
+    /** Returns since when @p job has been waiting beside room, for whatever causes; nothing when it is not or when its last known cause is not @p cause. */
+    std::optional<Instant> since(const JobId &job, WaitCause cause) const;
 
     /** Forgets all waits, as another placer leads. */
     void clear();
--- a/include/waxwingloft/request/taskplaceroptions.h
+++ b/include/waxwingloft/request/taskplaceroptions.h
@@ -46,6 +46,8 @@
                                          ///< zones are not closed
     Millis zoneCloseMargin = Millis(500); ///< of that for rounding and the delivery of a start to its executor, which takes up to 300 ms
     Millis waitWatchInterval = Millis(250); ///< between looks for jobs that wait beside room; a plan without events comes as often
+    Millis preferenceWait = Millis(1500); ///< of a job with nothing running beside room for it, after which it starts where it is slower; leaves time for a
+                                          ///< plan and a start before the next bound
     Millis longestReadyWait = Millis(3000); ///< of a job with nothing running beside room for it twice over; the users' rule
     std::size_t batchRows = 40; ///< rows per transaction; each takes one condition and one write of the 100 operations allowed
 };
--- a/include/waxwingloft/request/taskplanner.h
+++ b/include/waxwingloft/request/taskplanner.h
@@ -6,6 +6,7 @@
 #include "waxwingloft/request/jobrank.h"
 #include "waxwingloft/request/liveworker.h"
 #include "waxwingloft/request/readywait.h"
+#include "waxwingloft/request/startwaits.h"
 #include "waxwingloft/request/stepplanner.h"
 #include "waxwingloft/request/taskplaceroptions.h"
 #include "waxwingloft/version/routingtable.h"
@@ -30,6 +31,7 @@
     const JobRank &rank;
     const ExecutorSpeeds &speeds;
     const TaskPlacerOptions &options;
+    const StartWaits &waits;
     bool mayStart = true; ///< the closed zones are known well enough to start tasks
 };
 
@@ -125,6 +127,7 @@
     std::optional<WaitCause> obstacleAt(const LiveWorker &worker) const;
     std::optional<WaitCause> obstacleTo(const TaskKey &task) const;
     bool isDue(const LiveJob &job, std::uint32_t occurrence) const;
+    bool isOverdue(const JobId &job, WaitCause cause) const;
     void markSlow(Fleet &fleet) const;
     Ranks rankJobs(const Fleet &fleet) const;
     std::vector<Unit> collectUnits(const std::set<JobId> &guaranteed, const Ranks &ranks, const OpenTrials &trials) const;
--- a/src/request/startwaits.cpp
+++ b/src/request/startwaits.cpp
@@ -60,10 +60,10 @@
     this->show();
 }
 
-std::optional<Instant> StartWaits::since(const JobId &job) const
+std::optional<Instant> StartWaits::since(const JobId &job, WaitCause cause) const
 {
     const auto found = this->waits.find(job);
-    return found == this->waits.end() ? std::nullopt : std::optional(found->second.since);
+    return found == this->waits.end() || found->second.cause != cause ? std::nullopt : std::optional(found->second.since);
 }
 
 void StartWaits::clear()
--- a/src/request/taskplacer.cpp
+++ b/src/request/taskplacer.cpp
@@ -690,7 +690,7 @@
         this->zoneWatch.update(this->zones.closures(), this->workers, now);
     }
     this->refreshSpeeds(now);
-    const PlannerInput state{this->jobs, this->workers, this->routes, this->health, this->rank, this->speeds, this->options, this->areZonesKnown};
+    const PlannerInput state{this->jobs, this->workers, this->routes, this->health, this->rank, this->speeds, this->options, this->waits, this->areZonesKnown};
     const TaskPlanner planner(state, now, this->clock.wallMillis());
     this->moveStalledRuns(planner.stalledRuns(), now);
     const bool findsWaits = now >= this->nextWaitWatchAt;
--- a/src/request/taskplanner.cpp
+++ b/src/request/taskplanner.cpp
@@ -399,6 +399,13 @@
     });
 }
 
+/** Whether a job has had nothing running for so long beside room for it that it must not wait for a better place any more, as @p cause would have it. */
+bool TaskPlanner::isOverdue(const JobId &job, WaitCause cause) const
+{
+    const auto since = this->state.waits.since(job, cause);
+    return since && this->now - *since >= this->state.options.preferenceWait;
+}
+
 /** Returns what keeps a task that is not assigned from being planned at all; nothing when it may be planned. */
 std::optional<WaitCause> TaskPlanner::obstacleTo(const TaskKey &task) const
 {
@@ -419,7 +426,7 @@
     waiting.requiredLabel = step.requiredLabel;
     waiting.dataRack = step.dataRack;
     waiting.isGang = step.isGang;
-    waiting.prefersOneRack = step.prefersOneRack;
+    waiting.prefersOneRack = step.prefersOneRack && !this->isOverdue(unit.job->submission.id, WaitCause::OneRack);
     waiting.isSuspect = unit.isSuspect;
     waiting.priority = unit.job->submission.priority;
     waiting.rank = unit.rank;
--- a/tests/request/startwaitstest.cpp
+++ b/tests/request/startwaitstest.cpp
@@ -51,7 +51,8 @@
     waits.setMetrics(metrics);
     Instant now;
     waits.update({waitOf("a", WaitCause::OneRack), waitOf("b", WaitCause::Avoided)}, now);
-    EXPECT_EQ(waits.since(JobId{"a"}), now);
+    EXPECT_EQ(waits.since(JobId{"a"}, WaitCause::OneRack), now);
+    EXPECT_FALSE(waits.since(JobId{"a"}, WaitCause::Avoided));
     waits.update({waitOf("a", WaitCause::OneRack)}, now + Longest - Millis(1));
     EXPECT_EQ(valueOf(metrics, "waxwingloft_long_waits"), 0.0);
     for (const auto later : {Longest, Longest + Millis(1000)}) {
@@ -62,7 +63,7 @@
     }
     waits.update({}, now + Longest * 2);
     EXPECT_EQ(valueOf(metrics, "waxwingloft_long_waits"), 0.0);
-    EXPECT_FALSE(waits.since(JobId{"a"}));
+    EXPECT_FALSE(waits.since(JobId{"a"}, WaitCause::OneRack));
 }
 
 TEST(StartWaits, AWaitThatEndsBeginsAnew)
