placer: Write the rows of jobs in turn

Callers saw: while the table was slow, jobs that were assigned did not start for seconds, beside room for them, and others went on. Cause: a transaction took the first 40 changed rows in the order of their ids. With more changes than that while one transaction is under way, and a table of 240 ms an answer, the rows with the highest ids were never among them, so that their starts were never sent. Change: rows that a transaction had no place for go first in the next one. Evidence: JobSite.AJobIsWrittenInItsTurnWhileManyOthersChange failed before (not started after 3 s) and passes now.

--- a/include/waxwingloft/request/livejob.h
+++ b/include/waxwingloft/request/livejob.h
@@ -16,6 +16,7 @@
     std::uint64_t stored = 0; ///< last change that the row holds
     std::uint64_t revision = 0; ///< of the row
     bool isBeingWritten = false;
+    std::uint32_t writesMissed = 0; ///< transactions that had no place for the row since it changed
     Instant knownSince;
     bool isHeldBack = false; ///< since its last start, workers have been avoided rather than used for its tasks
     bool isClosedOut = false; ///< tasks wait that executors in closed zones could run, which was logged
--- a/include/waxwingloft/request/taskplacer.h
+++ b/include/waxwingloft/request/taskplacer.h
@@ -112,7 +112,8 @@
     /** Expires unresponsive agents, then decides which runs to start and stop now. */
     void plan();
 
-    /** Returns the progress to write in one transaction, at most batchRows rows; empty when nothing is pending. */
+    /** Returns the progress to write in one transaction, at most batchRows rows, what has waited longest first; empty when nothing is
+     * pending. */
     std::vector<ProgressWrite> takeWrites();
 
     /** Records that @p writes were committed together at @p revision. Writes of an earlier term say nothing about this one and are ignored. */
--- a/src/request/taskplacer.cpp
+++ b/src/request/taskplacer.cpp
@@ -827,12 +827,25 @@
 std::vector<ProgressWrite> TaskPlacer::takeWrites()
 {
     const std::lock_guard<std::mutex> guard(this->mutex);
+    std::vector<std::pair<const JobId, LiveJob> *> pending;
+    for (auto &item : this->jobs) {
+        if (item.second.change > item.second.stored && !item.second.isBeingWritten) {
+            pending.push_back(&item);
+        }
+    }
+    // Without turns, jobs that change all the time would keep the rows of others from being written while the table is slow.
+    std::stable_sort(
+        pending.begin(), pending.end(), [](const auto *left, const auto *right) { return left->second.writesMissed > right->second.writesMissed; });
     std::vector<ProgressWrite> writes;
-    for (auto &[id, job] : this->jobs) {
-        if (job.change > job.stored && !job.isBeingWritten && writes.size() < this->options.batchRows) {
-            job.isBeingWritten = true;
-            writes.push_back({this->epoch, id, job.revision, job.change, encodeProgress(job.progress)});
+    for (auto *const item : pending) {
+        auto &job = item->second;
+        if (writes.size() == this->options.batchRows) {
+            ++job.writesMissed;
+            continue;
         }
+        job.isBeingWritten = true;
+        job.writesMissed = 0;
+        writes.push_back({this->epoch, item->first, job.revision, job.change, encodeProgress(job.progress)});
     }
     return writes;
 }
--- a/tests/request/jobsitetest.cpp
+++ b/tests/request/jobsitetest.cpp
@@ -194,6 +194,29 @@
     expectNoViolations(site);
 }
 
+// While the table was slow, jobs that changed all the time kept the rows of others from being written, so that these never started.
+TEST(JobSite, AJobIsWrittenInItsTurnWhileManyOthersChange)
+{
+    constexpr auto CommitTime = Millis(240); // of a table that takes 60 times as long as usual
+    JobSite site(12);
+    makeRunsLastFor(site, Millis(50));
+    auto restless = oneStep(1, Small);
+    restless.steps[0].isPerpetual = true;
+    for (int job = 0; job < 80; ++job) {
+        site.submit(restless);
+    }
+    site.advance(Millis(3000));
+    const auto last = site.submit(oneStep(1, Small));
+    for (auto passed = Millis(0); passed < Millis(3000); passed += CommitTime) {
+        site.placers[0].reachesTable = false;
+        site.advance(CommitTime - Millis(10));
+        site.placers[0].reachesTable = true;
+        site.advance(Millis(10));
+    }
+    EXPECT_EQ(site.checker.starts.count({last, 0, 0, 0}), 1U);
+    expectNoViolations(site);
+}
+
 TEST(JobSite, GuaranteedWorkReclaimsItsCapacityInTime)
 {
     JobSite site(2);
