placer: Bound the bytes of a transaction

Cause: a transaction was bounded by rows only. When the changes of many jobs with many occurrences had piled up, 40 rows were more than the megabyte that the table takes, and the placer repeated what the table refused for its size; each successor made the same transaction.

--- a/include/waxwingloft/request/taskplacer.h
+++ b/include/waxwingloft/request/taskplacer.h
@@ -112,7 +112,7 @@
     /** Expires unresponsive agents, then decides which runs to start and stop now. */
     void plan();
 
-    /** Returns the progress to write in one transaction, at most batchRows rows, what has waited longest first; empty when nothing is
+    /** Returns the progress to write in one transaction, at most batchRows rows and batchBytes bytes, what has waited longest first; empty when nothing is
      * pending. */
     std::vector<ProgressWrite> takeWrites();
 
--- a/src/request/taskplacer.cpp
+++ b/src/request/taskplacer.cpp
@@ -837,15 +837,19 @@
     std::stable_sort(
         pending.begin(), pending.end(), [](const auto *left, const auto *right) { return left->second.writesMissed > right->second.writesMissed; });
     std::vector<ProgressWrite> writes;
+    std::size_t bytes = 0;
     for (auto *const item : pending) {
         auto &job = item->second;
-        if (writes.size() == this->options.batchRows) {
+        auto value = writes.size() < this->options.batchRows ? encodeProgress(job.progress) : std::string();
+        const bool fits = writes.empty() || (!value.empty() && bytes + value.size() <= this->options.batchBytes);
+        if (!fits) {
             ++job.writesMissed;
             continue;
         }
+        bytes += value.size();
         job.isBeingWritten = true;
         job.writesMissed = 0;
-        writes.push_back({this->epoch, item->first, job.revision, job.change, encodeProgress(job.progress)});
+        writes.push_back({this->epoch, item->first, job.revision, job.change, std::move(value)});
     }
     return writes;
 }
--- a/tests/request/jobsitetest.cpp
+++ b/tests/request/jobsitetest.cpp
@@ -217,6 +217,33 @@
     expectNoViolations(site);
 }
 
+// After an outage the changes of many jobs made a transaction that the table refuses for its size, and that was repeated for good.
+TEST(JobSite, ChangesThatPileUpAreWrittenInTransactionsThatTheTableTakes)
+{
+    constexpr std::size_t LargestTransaction = 1'000'000 * 3 / 4; // the users' limit, for values in base64
+    JobSite site(12);
+    auto graph = oneStep(1, Small);
+    graph.occurrences = 1500;
+    graph.firstRunAt = site.clock.wallMillis() - 1000;
+    graph.interval = Millis(4000);
+    site.placers[0].reachesTable = false;
+    for (int job = 0; job < 45; ++job) {
+        site.submit(graph);
+    }
+    site.placers[0].cache->reset(valueOf(site.rows.list("jobs/", 0)));
+    site.placers[0].placer->plan();
+    std::size_t written = 0;
+    for (auto writes = site.placers[0].placer->takeWrites(); !writes.empty(); writes = site.placers[0].placer->takeWrites()) {
+        std::size_t bytes = 0;
+        for (const auto &write : writes) {
+            bytes += write.value.size();
+        }
+        EXPECT_LE(bytes, LargestTransaction);
+        written += writes.size();
+    }
+    EXPECT_EQ(written, 45U);
+}
+
 TEST(JobSite, GuaranteedWorkReclaimsItsCapacityInTime)
 {
     JobSite site(2);
