placer: Log that nothing starts while progress cannot be written

Cause: a write that has no effect is repeated until it succeeds, and nothing starts meanwhile; no line said so. Change: a warning after 1 s with the reason, and a line when writes go on.

--- a/include/waxwingloft/request/placerservice.h
+++ b/include/waxwingloft/request/placerservice.h
@@ -25,6 +25,7 @@
     Millis electionInterval = Millis(500); ///< between attempts to acquire or renew leadership
     Millis planInterval = Millis(250); ///< between plans when no event triggers one earlier
     Millis writeRetry = Millis(60); ///< pause after a write that is known to have had no effect
+    Millis stallLogAfter = Millis(1000); ///< of writes that have no effect; shorter outages delay starts by less than the users' bounds
     Millis pushTimeout = Millis(800); ///< for assignments; lost ones are repeated in the answer to the agent's next report
     Millis handOverAfter = Millis(1500); ///< of reaching the table only through peers; longer than the interval of probes of the direct way
     Millis yieldTime = Millis(6000); ///< in which an entry without a direct way leaves leadership to others; two terms of a lease and a start
--- a/src/request/placerservice.cpp
+++ b/src/request/placerservice.cpp
@@ -11,6 +11,11 @@
 constexpr std::size_t MaxQueuedPushes = 10'000;
 constexpr std::int64_t LongestNoticeAgeMs = 10'000; ///< of a submission; a job's rows are kept for minutes, so no older notice brings back a removed job
 
+std::string millisSince(Instant since, Instant now)
+{
+    return std::to_string(std::chrono::duration_cast<Millis>(now - since).count());
+}
+
 } // namespace
 
 PlacerService::PlacerService(Clock &clock,
@@ -207,6 +212,8 @@
 void PlacerService::writeProgress()
 {
     auto writes = this->placer.takeWrites();
+    std::optional<Instant> failingSince;
+    bool isStallLogged = false;
     while (!writes.empty()) {
         Transaction transaction{this->ids.next(), {{std::string(PlacerKey), writes.front().epoch}}, {}};
         for (const auto &write : writes) {
@@ -215,11 +222,24 @@
         }
         const auto committed = this->table.commit(transaction);
         if (succeeded(committed)) {
+            if (isStallLogged) {
+                this->log.info("The progress of jobs is written again.", {{"after_ms", millisSince(*failingSince, this->clock.now())}});
+            }
+            failingSince.reset();
+            isStallLogged = false;
             this->placer.written(writes, valueOf(committed).revision);
             this->pushAssignments();
             this->writeBounds();
             writes = this->placer.takeWrites();
         } else if (errorOf(committed).kind == ErrorKind::PlatformDown) {
+            failingSince = failingSince.value_or(this->clock.now());
+            if (!isStallLogged && this->clock.now() - *failingSince >= this->options.stallLogAfter) {
+                isStallLogged = true;
+                this->log.warn("Nothing starts, as the progress of jobs cannot be written.",
+                               {{"rows", std::to_string(writes.size())},
+                                {"since_ms", millisSince(*failingSince, this->clock.now())},
+                                {"reason", errorOf(committed).message}});
+            }
             this->clock.sleepFor(this->options.writeRetry);
             if (!this->placer.isCurrent(writes)) {
                 return;
