placer: Keep room clear only while half of all executors is in use

Callers saw: jobs with nothing running beside room for them; many at once while most executors were out of the placer's reach for some seconds, in a fleet that was mostly idle. Cause: whether the fleet is busy was judged by the executors that take work at the moment. While others report late, have no lease or are paused, the few that are left count as a busy fleet, and each gang that does not fit there keeps their room clear against everything that ranks lower. Change: executors that answer their agents and do not drain count as part of the fleet also while they take no work (PlannerWorker::isRoom); the same notion says whether a job stands beside room. Evidence: ReadyJobs.ASmallJobStartsBesideAGangThatWaitsForExecutorsOutOfReach failed before with the cause "reserved" (not started after 5 s) and passes now.

--- a/src/request/private/waitfinder.cpp
+++ b/src/request/private/waitfinder.cpp
@@ -10,16 +10,6 @@
 
 namespace waxwingloft {
 
-namespace {
-
-/** Whether an executor with this obstacle may still be in use as far as its users can see. */
-bool isCountedAsRoom(const std::optional<WaitCause> &obstacle)
-{
-    return obstacle != WaitCause::Unreachable && obstacle != WaitCause::Draining && obstacle != WaitCause::ZonesClosed;
-}
-
-} // namespace
-
 WaitFinder::WaitFinder(const std::vector<PlannerWorker> &workers, WorkerObstacle obstacleAt)
     : workers(workers)
 {
@@ -39,7 +29,7 @@
     Capacity total;
     Capacity left;
     for (std::size_t worker = 0; worker < this->workers.size(); ++worker) {
-        if (isCountedAsRoom(this->obstacles[worker])) {
+        if (this->workers[worker].isRoom) {
             total += this->workers[worker].capacity;
             left += this->free[worker];
         }
@@ -65,7 +55,7 @@
 bool WaitFinder::hasRoomTwice(const WaitingTasks &tasks) const
 {
     const std::uint64_t wanted = 2 * (tasks.isGang ? tasks.count : std::uint64_t(1));
-    return this->slots(tasks, wanted, [this](std::size_t worker) { return isCountedAsRoom(this->obstacles[worker]); }) >= wanted;
+    return this->slots(tasks, wanted, [this](std::size_t worker) { return this->workers[worker].isRoom; }) >= wanted;
 }
 
 /** Returns the obstacle that most of the executors have that would have room for @p tasks. */
--- a/src/request/taskplanner.cpp
+++ b/src/request/taskplanner.cpp
@@ -245,6 +245,7 @@
         const bool isUsable = !this->obstacleAt(worker);
         const bool isQuarantined = isUsable && this->state.health.isQuarantined(node);
         view.acceptsWork = isUsable && !isQuarantined;
+        view.isRoom = worker.last.isReachable && !worker.last.isDraining && !worker.isZoneClosed;
         if (isQuarantined && this->now - this->state.health.lastFailureOn(node).value_or(this->now) >= this->state.options.failurePause) {
             fleet.probes.push_back(fleet.workers.size());
         }
--- a/tests/request/readyjobstest.cpp
+++ b/tests/request/readyjobstest.cpp
@@ -59,6 +59,31 @@
     expectNoViolations(site);
 }
 
+// Most agents were out of reach of the placer, and a gang kept clear for itself what the others had free, in a fleet that was mostly idle.
+TEST(ReadyJobs, ASmallJobStartsBesideAGangThatWaitsForExecutorsOutOfReach)
+{
+    const Capacity most{80'000, 163'840, 5};
+    JobSite site(9);
+    ReadyJobs ready(site, LongestStand);
+    makeRunsLastFor(site, Millis(60'000));
+    for (std::size_t index = 3; index < site.agents.size(); ++index) {
+        site.agents[index].isCut = true;
+    }
+    ready.advance(Millis(2500));
+    const auto filling = oneStep(3, most);
+    ready.expect(site.submit(filling), filling);
+    ready.advance(Millis(1000));
+    site.submit(oneStep(3, Whole, true), 1);
+    ready.advance(Millis(500));
+    auto small = oneStep(1, One);
+    small.steps[0].estimate = Millis(600'000); // ranks below the gang
+    const auto job = site.submit(small, 2);
+    ready.expect(job, small);
+    ready.advance(Millis(5000));
+    ready.expectNone();
+    EXPECT_EQ(site.checker.starts.count({job, 0, 0, 0}), 1U);
+}
+
 /** Jobs of all shapes on executors that are sound, with pauses in which the fleet becomes empty. */
 class ReadyJobsLoads : public testing::TestWithParam<std::uint64_t>
 {
