placer: Count a wait beside room until a run has begun

Change: only runs that have begun end a wait (planned starts are write-open); StartWaits keeps which preferences are overdue until the job begins; one room check, first, for a gang once and for a task twice, service by service; BlockedSteps takes the steps that are not planned out of TaskPlanner; the first row that does not fit ends a transaction. PlannerWorker::isRoom is called countsAsFleet.

--- a/include/waxwingloft/request/startwaits.h
+++ b/include/waxwingloft/request/startwaits.h
@@ -8,7 +8,7 @@
 
 #include <map>
 #include <memory>
-#include <optional>
+#include <set>
 #include <vector>
 
 namespace waxwingloft {
@@ -21,8 +21,8 @@
 class StartWaits
 {
 public:
-    /** A wait longer than @p longest is logged and counted. */
-    explicit StartWaits(Millis longest);
+    /** Preferences hold a job back for @p preferenceWait at most; a wait of @p longest is logged and counted. */
+    StartWaits(Millis preferenceWait, Millis longest);
 
     /** Counts long waits by their cause into @p metrics from now on, which must outlive this object. */
     void setMetrics(Metrics &metrics);
@@ -30,8 +30,9 @@
     /** Takes over the waits as of @p now. A job that is not among @p waits has begun, has no room or has no task whose turn has come. */
     void update(const std::vector<ReadyWait> &waits, Instant now);
 
-    /** Returns since when @p job has been waiting beside room, for whatever causes; nothing when it is not or when its last known cause is not @p cause. */
-    std::optional<Instant> since(const JobId &job, WaitCause cause) const;
+    /** Whether @p cause, a preference, was seen to hold back @p job after it had waited for the preference wait. Stays so until the job begins or has no room.
+     */
+    bool isOverdue(const JobId &job, WaitCause cause) const;
 
     /** Forgets all waits, as another placer leads. */
     void clear();
@@ -40,12 +41,14 @@
     struct Wait {
         Instant since;
         WaitCause cause = WaitCause::NoRoom;
+        std::set<WaitCause> overdue; ///< causes that were seen after the preference wait
         bool isLong = false; ///< was logged and counted
     };
 
     void logBegin(const ReadyWait &wait, const Wait &known, std::size_t further, Instant now) const;
     void show() const;
 
+    const Millis preferenceWait;
     const Millis longest;
     const Logger log;
     Metrics *metrics = nullptr;
--- a/include/waxwingloft/request/stepplanner.h
+++ b/include/waxwingloft/request/stepplanner.h
@@ -25,7 +25,7 @@
     bool isSlow = false; ///< gets tasks only when they fit on no other worker
     bool isOnTrial = false; ///< starts suspect tasks and gets nothing else meanwhile
     double speed = 1.0; ///< relative to the faster class of executors; 1.0 for all while they do not clearly differ
-    bool isRoom = true; ///< counts when it is judged how much of the fleet is in use, also while it takes no work for a moment
+    bool countsAsFleet = true; ///< counts when it is judged how much of the fleet is in use, also while it takes no work for a moment
 };
 
 /** Waiting tasks of a step. The tasks of a gang start together or not at all, others one by one. */
@@ -89,8 +89,8 @@
  *
  * @p waiting is in order of precedence. Small tasks are packed best-fit, so that whole workers and racks
  * stay free for large gangs. A gang goes to a single rack if it fits there now; one that prefers one rack waits for
- * any rack that could hold it. While at least half of the fleet is in use, executors that take no work for a moment included, a gang that does not fit reserves
- * capacity against the entries after it. Work is preempted where that gains clearly more worth than it loses.
+ * any rack that could hold it. While at least half of the fleet is in use, executors that take no work for a moment included, a gang that does not fit
+ * reserves capacity against the entries after it. Work is preempted where that gains clearly more worth than it loses.
  *
  * Where executors differ in speed, the members of a gang go to executors of like speed, and a gang that may preempt waits
  * briefly for faster ones where that is worth more than a start on slower ones now.
--- a/include/waxwingloft/request/taskplanner.h
+++ b/include/waxwingloft/request/taskplanner.h
@@ -127,7 +127,6 @@
     std::optional<WaitCause> obstacleAt(const LiveWorker &worker) const;
     std::optional<WaitCause> obstacleTo(const TaskKey &task) const;
     bool isDue(const LiveJob &job, std::uint32_t occurrence) const;
-    bool isOverdue(const JobId &job, WaitCause cause) const;
     void markSlow(Fleet &fleet) const;
     Ranks rankJobs(const Fleet &fleet) const;
     std::vector<Unit> collectUnits(const std::set<JobId> &guaranteed, const Ranks &ranks, const OpenTrials &trials) const;
@@ -153,8 +152,6 @@
     bool isCutShort(const Fleet &fleet, const RunningTasks &tasks) const;
     std::vector<ReadyWait> readyWaits(
         const std::vector<Entry> &entries, const std::vector<WaitingTasks> &waiting, const StepPlan &steps, const Fleet &fleet, const OpenTrials &trials) const;
-    std::optional<ReadyWait> readyWaitOf(const LiveJob &job, std::uint32_t occurrence, std::uint32_t step, bool isOnTrial) const;
-    WaitCause causeOfAssigned(const TaskKey &key, const TaskProgress &task) const;
 
     const PlannerInput &state;
     const Instant now;
--- a/src/request/private/plannerfleet.cpp
+++ b/src/request/private/plannerfleet.cpp
@@ -20,8 +20,8 @@
     Capacity total;
     Capacity free;
     for (const auto &worker : workers) {
-        total += worker.isRoom ? worker.capacity : Capacity();
-        free += worker.isRoom ? leftOf(worker.free) : Capacity();
+        total += worker.countsAsFleet ? worker.capacity : Capacity();
+        free += worker.countsAsFleet ? leftOf(worker.free) : Capacity();
     }
     const auto isHalfUsed = [](std::int64_t whole, std::int64_t left) { return whole > 0 && left * 2 <= whole; };
     return isHalfUsed(total.milliCores, free.milliCores) || isHalfUsed(total.memoryMb, free.memoryMb) || isHalfUsed(total.accelerators, free.accelerators);
--- a/src/request/private/waitfinder.cpp
+++ b/src/request/private/waitfinder.cpp
@@ -24,12 +24,12 @@
     this->free[worker] -= needs;
 }
 
-bool WaitFinder::isMostlyFree() const
+bool WaitFinder::isMostlyFree(const std::string &service) const
 {
     Capacity total;
     Capacity left;
     for (std::size_t worker = 0; worker < this->workers.size(); ++worker) {
-        if (this->workers[worker].isRoom) {
+        if (this->workers[worker].countsAsFleet && this->workers[worker].service == service) {
             total += this->workers[worker].capacity;
             left += this->free[worker];
         }
@@ -52,10 +52,14 @@
     return std::min(total, limit);
 }
 
-bool WaitFinder::hasRoomTwice(const WaitingTasks &tasks) const
+bool WaitFinder::hasRoom(const WaitingTasks &tasks)
 {
-    const std::uint64_t wanted = 2 * (tasks.isGang ? tasks.count : std::uint64_t(1));
-    return this->slots(tasks, wanted, [this](std::size_t worker) { return this->workers[worker].isRoom; }) >= wanted;
+    const auto [known, isNew] = this->mostlyFree.try_emplace(tasks.service, false);
+    if (isNew) {
+        known->second = this->isMostlyFree(tasks.service);
+    }
+    const std::uint64_t wanted = std::max<std::uint64_t>(2, tasks.isGang ? tasks.count : 0);
+    return known->second && this->slots(tasks, wanted, [this](std::size_t worker) { return this->workers[worker].countsAsFleet; }) >= wanted;
 }
 
 /** Returns the obstacle that most of the executors have that would have room for @p tasks. */
--- a/src/request/private/waitfinder.h
+++ b/src/request/private/waitfinder.h
@@ -6,7 +6,9 @@
 #include "waxwingloft/request/stepplanner.h"
 
 #include <functional>
+#include <map>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace waxwingloft {
@@ -24,11 +26,11 @@
     /** Takes the room of a task that the plan starts on @p worker. */
     void take(std::size_t worker, const Capacity &needs);
 
-    /** Whether less than half of each resource is in use on the executors that run or could run work. */
-    bool isMostlyFree() const;
-
-    /** Whether these executors have room for @p tasks twice over: for a gang as a whole, for others one by one. Says nothing of racks. */
-    bool hasRoomTwice(const WaitingTasks &tasks) const;
+    /**
+     * Whether less than half of each resource of the tasks' service is in use and its executors have room for one of the tasks twice over, and for a
+     * gang as a whole. Says nothing of racks.
+     */
+    bool hasRoom(const WaitingTasks &tasks);
 
     /** Returns why the plan starts none of @p tasks. */
     WaitCause causeOf(const WaitingTasks &tasks) const;
@@ -37,10 +39,12 @@
     /** Returns how many of @p tasks fit on the workers that @p isUsed accepts, at most @p limit. */
     std::uint64_t slots(const WaitingTasks &tasks, std::uint64_t limit, const std::function<bool(std::size_t)> &isUsed) const;
     WaitCause mostCommonObstacle(const WaitingTasks &tasks) const;
+    bool isMostlyFree(const std::string &service) const;
 
     const std::vector<PlannerWorker> &workers;
     std::vector<Capacity> free; ///< after the starts of the plan
     std::vector<std::optional<WaitCause>> obstacles; ///< by worker
+    std::map<std::string, bool> mostlyFree; ///< by service, as far as they were asked for; call take() before
 };
 
 } // namespace waxwingloft
--- a/src/request/startwaits.cpp
+++ b/src/request/startwaits.cpp
@@ -16,8 +16,9 @@
 
 } // namespace
 
-StartWaits::StartWaits(Millis longest)
-    : longest(longest)
+StartWaits::StartWaits(Millis preferenceWait, Millis longest)
+    : preferenceWait(preferenceWait)
+    , longest(longest)
     , log(LogPart::Placer)
 {
 }
@@ -32,22 +33,25 @@
 void StartWaits::update(const std::vector<ReadyWait> &waits, Instant now)
 {
     std::set<JobId> present;
-    std::vector<const ReadyWait *> begun;
+    std::vector<const ReadyWait *> grownLong;
     for (const auto &wait : waits) {
         present.insert(wait.task.job);
-        auto &known = this->waits.try_emplace(wait.task.job, Wait{now, wait.cause, false}).first->second;
+        auto &known = this->waits.try_emplace(wait.task.job, Wait{now, wait.cause, {}, false}).first->second;
         known.cause = wait.cause;
+        if (now - known.since >= this->preferenceWait) {
+            known.overdue.insert(wait.cause);
+        }
         if (!known.isLong && now - known.since >= this->longest) {
             known.isLong = true;
-            begun.push_back(&wait);
+            grownLong.push_back(&wait);
             if (this->counters != nullptr) {
                 this->counters->add(wait.cause);
             }
         }
     }
-    for (std::size_t index = 0; index < std::min(begun.size(), MaxLines); ++index) {
-        const auto further = index + 1 == MaxLines ? begun.size() - MaxLines : 0;
-        this->logBegin(*begun[index], this->waits.at(begun[index]->task.job), further, now);
+    for (std::size_t index = 0; index < std::min(grownLong.size(), MaxLines); ++index) {
+        const auto further = index + 1 == MaxLines ? grownLong.size() - MaxLines : 0;
+        this->logBegin(*grownLong[index], this->waits.at(grownLong[index]->task.job), further, now);
     }
     std::size_t lines = 0;
     for (const auto &[job, known] : this->waits) {
@@ -60,10 +64,10 @@
     this->show();
 }
 
-std::optional<Instant> StartWaits::since(const JobId &job, WaitCause cause) const
+bool StartWaits::isOverdue(const JobId &job, WaitCause cause) const
 {
     const auto found = this->waits.find(job);
-    return found == this->waits.end() || found->second.cause != cause ? std::nullopt : std::optional(found->second.since);
+    return found != this->waits.end() && found->second.overdue.contains(cause);
 }
 
 void StartWaits::clear()
--- a/src/request/taskplacer.cpp
+++ b/src/request/taskplacer.cpp
@@ -44,7 +44,7 @@
     , health(clock, options.health)
     , crashes(this->jobs, this->options)
     , zones(options.zoneCloseTime, options.zoneCloseMargin)
-    , waits(options.longestReadyWait)
+    , waits(options.preferenceWait, options.longestReadyWait)
 {
 }
 
@@ -838,15 +838,16 @@
         pending.begin(), pending.end(), [](const auto *left, const auto *right) { return left->second.writesMissed > right->second.writesMissed; });
     std::vector<ProgressWrite> writes;
     std::size_t bytes = 0;
+    bool isFull = false;
     for (auto *const item : pending) {
         auto &job = item->second;
-        auto value = writes.size() < this->options.batchRows ? encodeProgress(job.progress) : std::string();
-        const bool fits = writes.empty() || (!value.empty() && bytes + value.size() <= this->options.batchBytes);
-        if (!fits) {
+        auto value = isFull ? std::string() : encodeProgress(job.progress);
+        bytes += value.size();
+        isFull = isFull || writes.size() == this->options.batchRows || (!writes.empty() && bytes > this->options.batchBytes);
+        if (isFull) {
             ++job.writesMissed;
             continue;
         }
-        bytes += value.size();
         job.isBeingWritten = true;
         job.writesMissed = 0;
         writes.push_back({this->epoch, item->first, job.revision, job.change, std::move(value)});
--- a/src/request/taskplanner.cpp
+++ b/src/request/taskplanner.cpp
@@ -1,5 +1,6 @@
 #include "waxwingloft/request/taskplanner.h"
 
+#include "blockedsteps.h"
 #include "demand.h"
 #include "opentrials.h"
 #include "waitfinder.h"
@@ -245,7 +246,7 @@
         const bool isUsable = !this->obstacleAt(worker);
         const bool isQuarantined = isUsable && this->state.health.isQuarantined(node);
         view.acceptsWork = isUsable && !isQuarantined;
-        view.isRoom = worker.last.isReachable && !worker.last.isDraining && !worker.isZoneClosed;
+        view.countsAsFleet = worker.last.isReachable && !worker.last.isDraining && !worker.isZoneClosed;
         if (isQuarantined && this->now - this->state.health.lastFailureOn(node).value_or(this->now) >= this->state.options.failurePause) {
             fleet.probes.push_back(fleet.workers.size());
         }
@@ -400,13 +401,6 @@
     });
 }
 
-/** Whether a job has had nothing running for so long beside room for it that it must not wait for a better place any more, as @p cause would have it. */
-bool TaskPlanner::isOverdue(const JobId &job, WaitCause cause) const
-{
-    const auto since = this->state.waits.since(job, cause);
-    return since && this->now - *since >= this->state.options.preferenceWait;
-}
-
 /** Returns what keeps a task that is not assigned from being planned at all; nothing when it may be planned. */
 std::optional<WaitCause> TaskPlanner::obstacleTo(const TaskKey &task) const
 {
@@ -427,7 +421,7 @@
     waiting.requiredLabel = step.requiredLabel;
     waiting.dataRack = step.dataRack;
     waiting.isGang = step.isGang;
-    waiting.prefersOneRack = step.prefersOneRack && !this->isOverdue(unit.job->submission.id, WaitCause::OneRack);
+    waiting.prefersOneRack = step.prefersOneRack && !this->state.waits.isOverdue(unit.job->submission.id, WaitCause::OneRack);
     waiting.isSuspect = unit.isSuspect;
     waiting.priority = unit.job->submission.priority;
     waiting.rank = unit.rank;
@@ -620,29 +614,27 @@
     return ranks;
 }
 
-/** Returns the jobs with nothing running of which the plan starts nothing either, while there is room for a task of theirs twice over. */
+/** Returns the jobs with nothing running, among them those that the plan starts, while there is room for a task of theirs twice over. */
 std::vector<ReadyWait> TaskPlanner::readyWaits(
     const std::vector<Entry> &entries, const std::vector<WaitingTasks> &waiting, const StepPlan &steps, const Fleet &fleet, const OpenTrials &trials) const
 {
     WaitFinder finder(fleet.workers, [this, &fleet](std::size_t worker) -> std::optional<WaitCause> {
         const auto &view = fleet.workers[worker];
-        const auto obstacle = this->obstacleAt(*fleet.byIndex[worker]);
-        const auto refined = view.acceptsWork ? std::nullopt : std::optional(WaitCause::Quarantined);
-        return obstacle ? obstacle : view.isOnTrial ? std::optional(WaitCause::OnTrial) : refined;
+        if (const auto obstacle = this->obstacleAt(*fleet.byIndex[worker])) {
+            return obstacle;
+        }
+        if (view.isOnTrial) {
+            return WaitCause::OnTrial;
+        }
+        return view.acceptsWork ? std::nullopt : std::optional(WaitCause::Quarantined);
     });
-    std::set<JobId> active;
     for (const auto &start : steps.starts) {
         for (const auto worker : start.workers) {
             finder.take(worker, waiting[start.waiting].needs);
         }
-        if (entries[start.waiting].unit != nullptr) {
-            active.insert(entries[start.waiting].unit->job->submission.id);
-        }
-    }
-    std::vector<ReadyWait> found;
-    if (!finder.isMostlyFree()) {
-        return found;
     }
+    // A start that is refused or not answered leaves nothing running, so that only runs that have begun count.
+    std::set<JobId> active;
     for (const auto &[node, worker] : this->state.workers) {
         for (const auto &[run, live] : worker.runs) {
             if (live.hasBegun && !live.isStopping && worker.last.isReachable) {
@@ -650,34 +642,39 @@
             }
         }
     }
-    const auto add = [&found, &active, &finder](const ReadyWait &wait, const WaitingTasks &tasks) {
-        if (finder.hasRoomTwice(tasks) && active.insert(wait.task.job).second) {
-            found.push_back(wait);
-        }
-    };
+    std::set<std::size_t> started;
+    for (const auto &start : steps.starts) {
+        started.insert(start.waiting);
+    }
+    std::vector<ReadyWait> found;
     for (std::size_t index = 0; index < entries.size(); ++index) {
         const auto *const unit = entries[index].unit;
-        if (unit != nullptr && !active.contains(unit->job->submission.id)) {
-            add({{unit->job->submission.id, unit->occurrence, unit->step, unit->indices.front()},
-                 waiting[index].count,
-                 this->state.mayStart ? finder.causeOf(waiting[index]) : WaitCause::ZonesUnknown,
-                 {}},
-                waiting[index]);
+        const auto &tasks = waiting[index];
+        if (unit == nullptr || active.contains(unit->job->submission.id) || !finder.hasRoom(tasks)) {
+            continue;
         }
+        const auto unplaced = this->state.mayStart ? finder.causeOf(tasks) : WaitCause::ZonesUnknown;
+        const TaskKey first{unit->job->submission.id, unit->occurrence, unit->step, unit->indices.front()};
+        found.push_back({first, tasks.count, started.contains(index) ? WaitCause::WriteOpen : unplaced, {}});
+        active.insert(first.job);
     }
+    const BlockedSteps blocked(this->state, this->now, [this](const TaskKey &task) { return this->obstacleTo(task); });
     for (const auto &[id, job] : this->state.jobs) {
-        if (isFinal(job.progress.state) || active.contains(id)) {
-            continue;
-        }
-        for (std::uint32_t occurrence = 0; occurrence < job.progress.occurrences.size(); ++occurrence) {
-            for (std::uint32_t step = 0; step < job.progress.occurrences[occurrence].size() && this->isDue(job, occurrence); ++step) {
-                if (const auto wait = this->readyWaitOf(job, occurrence, step, trials.isOf(id))) {
-                    Unit unit;
-                    unit.job = &job;
-                    unit.occurrence = occurrence;
-                    unit.step = step;
-                    unit.indices.assign(wait->tasks, wait->task.index);
-                    add(*wait, this->waitingOf(unit, fleet));
+        for (std::uint32_t occurrence = 0; !isFinal(job.progress.state) && occurrence < job.progress.occurrences.size(); ++occurrence) {
+            for (std::uint32_t step = 0; step < job.progress.occurrences[occurrence].size(); ++step) {
+                const bool isOpen = !active.contains(id) && this->isDue(job, occurrence);
+                const auto wait = isOpen ? blocked.find(job, occurrence, step, trials.isOf(id)) : std::nullopt;
+                if (!wait) {
+                    continue;
+                }
+                Unit unit;
+                unit.job = &job;
+                unit.occurrence = occurrence;
+                unit.step = step;
+                unit.indices.assign(wait->tasks, wait->task.index);
+                if (finder.hasRoom(this->waitingOf(unit, fleet))) {
+                    found.push_back(*wait);
+                    active.insert(id);
                 }
             }
         }
@@ -685,50 +682,4 @@
     return found;
 }
 
-/** Returns the wait of the first task of a ready step that is assigned or that must not be planned. */
-std::optional<ReadyWait> TaskPlanner::readyWaitOf(const LiveJob &job, std::uint32_t occurrence, std::uint32_t step, bool isOnTrial) const
-{
-    const auto &steps = job.progress.occurrences[occurrence];
-    if (!isReady(job.submission.graph, steps, step)) {
-        return std::nullopt;
-    }
-    const auto count = static_cast<std::uint32_t>(steps[step].size());
-    for (std::uint32_t index = 0; index < count; ++index) {
-        const auto &task = steps[step][index];
-        const TaskKey key{job.submission.id, occurrence, step, index};
-        if (task.state == TaskPhase::Assigned) {
-            return ReadyWait{key, count, this->causeOfAssigned(key, task), task.worker};
-        }
-        if (task.state == TaskPhase::Waiting) {
-            const auto obstacle = this->obstacleTo(key);
-            if (obstacle || isOnTrial) {
-                return ReadyWait{key, count, obstacle.value_or(WaitCause::Trial), {}};
-            }
-        }
-    }
-    return std::nullopt;
-}
-
-/** Returns why the run of a task that is assigned has not begun. */
-WaitCause TaskPlanner::causeOfAssigned(const TaskKey &key, const TaskProgress &task) const
-{
-    const auto worker = this->state.workers.find(task.worker);
-    if (worker == this->state.workers.end()) {
-        return WaitCause::AgentSilent;
-    }
-    const auto run = worker->second.runs.find({key, task.run});
-    if (run != worker->second.runs.end() && !run->second.isSent) {
-        return WaitCause::WriteOpen;
-    }
-    if (!worker->second.isKnown || this->now - worker->second.lastReportAt >= this->state.options.maxReportAge) {
-        return WaitCause::AgentSilent;
-    }
-    if (!worker->second.last.isReachable) {
-        return WaitCause::ExecutorSilent;
-    }
-    const bool isStopping = run != worker->second.runs.end() && run->second.isStopping;
-    const bool mayBeginLate = run != worker->second.runs.end() && run->second.startEffect == StartEffect::Unanswered;
-    return isStopping && !mayBeginLate ? WaitCause::StopOpen : WaitCause::StartOpen;
-}
-
 } // namespace waxwingloft
