placer: Judge service by service whether room is kept clear

Callers may see: small work of a mostly idle service stands while another service is in full use, and a full service clears no room for its gangs beside an idle one. Cause: half use was taken over all executors, while each task is bound to those of its service. Change: PlannerFleet::isBusy takes the service. Evidence: PlanSteps.ReservesNothingOnAServiceThatIsMostlyFree and PlanSteps.ReservesOnAServiceInUseBesideAnIdleOne failed before and pass now; the naive planner judges likewise.

--- a/include/waxwingloft/request/stepplanner.h
+++ b/include/waxwingloft/request/stepplanner.h
@@ -89,7 +89,7 @@
  *
  * @p waiting is in order of precedence. Small tasks are packed best-fit, so that whole workers and racks
  * stay free for large gangs. A gang goes to a single rack if it fits there now; one that prefers one rack waits for
- * any rack that could hold it. While at least half of the fleet is in use, executors that take no work for a moment included, a gang that does not fit
+ * any rack that could hold it. While at least half of its service is in use, executors that take no work for a moment included, a gang that does not fit
  * reserves capacity against the entries after it. Work is preempted where that gains clearly more worth than it loses.
  *
  * Where executors differ in speed, the members of a gang go to executors of like speed, and a gang that may preempt waits
--- a/src/request/private/plannerfleet.cpp
+++ b/src/request/private/plannerfleet.cpp
@@ -15,16 +15,26 @@
     return {std::max<std::int64_t>(free.milliCores, 0), std::max<std::int64_t>(free.memoryMb, 0), std::max<std::int64_t>(free.accelerators, 0)};
 }
 
-bool isHalfInUse(const std::vector<PlannerWorker> &workers)
+/** Returns the services of which at least half of a resource is in use. */
+std::set<std::string> servicesInUse(const std::vector<PlannerWorker> &workers)
 {
-    Capacity total;
-    Capacity free;
+    std::map<std::string, std::pair<Capacity, Capacity>> services; // whole and free
     for (const auto &worker : workers) {
-        total += worker.countsAsFleet ? worker.capacity : Capacity();
-        free += worker.countsAsFleet ? leftOf(worker.free) : Capacity();
+        if (worker.countsAsFleet) {
+            auto &[total, free] = services[worker.service];
+            total += worker.capacity;
+            free += leftOf(worker.free);
+        }
     }
     const auto isHalfUsed = [](std::int64_t whole, std::int64_t left) { return whole > 0 && left * 2 <= whole; };
-    return isHalfUsed(total.milliCores, free.milliCores) || isHalfUsed(total.memoryMb, free.memoryMb) || isHalfUsed(total.accelerators, free.accelerators);
+    std::set<std::string> used;
+    for (const auto &[service, room] : services) {
+        const auto &[total, free] = room;
+        if (isHalfUsed(total.milliCores, free.milliCores) || isHalfUsed(total.memoryMb, free.memoryMb) || isHalfUsed(total.accelerators, free.accelerators)) {
+            used.insert(service);
+        }
+    }
+    return used;
 }
 
 } // namespace
@@ -33,7 +43,7 @@
     : workers(workers)
     , isClosed(workers.size(), false)
     , rackByWorker(workers.size(), 0)
-    , isHalfUsed(isHalfInUse(workers))
+    , busyServices(servicesInUse(workers))
 {
     for (const auto &worker : workers) {
         this->rackByName.emplace(worker.rack, 0);
@@ -292,9 +302,9 @@
     ++this->rackList[this->rackByWorker[worker]].version;
 }
 
-bool PlannerFleet::isBusy() const
+bool PlannerFleet::isBusy(const std::string &service) const
 {
-    return this->isHalfUsed;
+    return this->busyServices.contains(service);
 }
 
 } // namespace waxwingloft
--- a/src/request/private/plannerfleet.h
+++ b/src/request/private/plannerfleet.h
@@ -74,8 +74,8 @@
     /** Marks the rack of @p worker as changed. */
     void touch(std::size_t worker);
 
-    /** Whether at least half of a resource was in use when the plan began. Below that, a reservation would idle capacity without need. */
-    bool isBusy() const;
+    /** Whether at least half of a resource of a service was in use when the plan began. Below that, a reservation would idle capacity without need. */
+    bool isBusy(const std::string &service) const;
 
 private:
     /** How often a task of a shape fits into a rack, as of a version of the rack. */
@@ -117,7 +117,7 @@
     std::optional<double> slowest; ///< speed below 1.0
     std::map<ShapeKey, std::size_t> shapeByKey;
     std::deque<Shape> shapes; ///< demands refer to them
-    bool isHalfUsed = false;
+    std::set<std::string> busyServices;
 };
 
 } // namespace waxwingloft
--- a/src/request/stepplanner.cpp
+++ b/src/request/stepplanner.cpp
@@ -46,7 +46,7 @@
             return;
         }
         const bool isReclaiming = tasks.mayPreempt && this->reclaim(demand, tasks.isGang ? racks : this->fleet.racksFor(demand));
-        if (!isReclaiming && tasks.isGang && this->fleet.isBusy()) {
+        if (!isReclaiming && tasks.isGang && this->fleet.isBusy(tasks.service)) {
             this->reserve(demand, racks);
         }
     }
--- a/tests/request/naivestepplanner.cpp
+++ b/tests/request/naivestepplanner.cpp
@@ -426,7 +426,7 @@
         Capacity total;
         Capacity rest;
         for (const auto &worker : this->workers) {
-            if (worker.countsAsFleet) {
+            if (worker.countsAsFleet && worker.service == this->tasks->service) {
                 total += worker.capacity;
                 rest += {std::max<std::int64_t>(worker.free.milliCores, 0),
                          std::max<std::int64_t>(worker.free.memoryMb, 0),
--- a/tests/request/stepplannertest.cpp
+++ b/tests/request/stepplannertest.cpp
@@ -104,6 +104,28 @@
     EXPECT_EQ(plan.starts[0].workers, std::vector<std::size_t>{1});
 }
 
+// Executors of a service in full use made a gang of another, idle one keep room clear against small work.
+TEST(PlanSteps, ReservesNothingOnAServiceThatIsMostlyFree)
+{
+    auto other = worker("w0", "r1", 0);
+    other.service = "other";
+    const auto gang = tasks(2, Whole, true);
+    const std::vector<PlannerWorker> workers = {other, other, worker("w1", "r1"), worker("w2", "r1", 7)};
+    const auto plan = planSteps(workers, {gang, tasks(1, {16'000, 32'768, 4})}, {});
+    ASSERT_EQ(plan.starts.size(), 1U);
+    EXPECT_EQ(plan.starts[0].waiting, 1U);
+}
+
+// Idle executors of another service kept a full one from clearing room for a gang.
+TEST(PlanSteps, ReservesOnAServiceInUseBesideAnIdleOne)
+{
+    auto other = worker("w0", "r1");
+    other.service = "other";
+    const auto gang = tasks(4, {64'000, 131'072, 4}, true);
+    const std::vector<PlannerWorker> workers = {other, worker("w1", "r1", 3), worker("w2", "r1", 3)};
+    EXPECT_TRUE(planSteps(workers, {gang, tasks(1, One)}, {}).starts.empty());
+}
+
 TEST(PlanSteps, RespectsLabelsAndTheLimitPerWorker)
 {
     auto limited = tasks(3, One);
