placer: Look only at due occurrences for jobs that wait beside room

Cause: the search for waits went over each occurrence of each job, 1,500 of some, four times a second. Change: jobs that run are left out first, and the search of a job ends with its first occurrence that is not due.

--- a/src/request/taskplanner.cpp
+++ b/src/request/taskplanner.cpp
@@ -660,10 +660,14 @@
     }
     const BlockedSteps blocked(this->state, this->now, [this](const TaskKey &task) { return this->obstacleTo(task); });
     for (const auto &[id, job] : this->state.jobs) {
-        for (std::uint32_t occurrence = 0; !isFinal(job.progress.state) && occurrence < job.progress.occurrences.size(); ++occurrence) {
-            for (std::uint32_t step = 0; step < job.progress.occurrences[occurrence].size(); ++step) {
-                const bool isOpen = !active.contains(id) && this->isDue(job, occurrence);
-                const auto wait = isOpen ? blocked.find(job, occurrence, step, trials.isOf(id)) : std::nullopt;
+        const auto &occurrences = job.progress.occurrences;
+        if (isFinal(job.progress.state) || active.contains(id)) {
+            continue;
+        }
+        bool isFound = false;
+        for (std::uint32_t occurrence = 0; !isFound && occurrence < occurrences.size() && this->isDue(job, occurrence); ++occurrence) {
+            for (std::uint32_t step = 0; !isFound && step < occurrences[occurrence].size(); ++step) {
+                const auto wait = blocked.find(job, occurrence, step, trials.isOf(id));
                 if (!wait) {
                     continue;
                 }
@@ -672,9 +676,9 @@
                 unit.occurrence = occurrence;
                 unit.step = step;
                 unit.indices.assign(wait->tasks, wait->task.index);
-                if (finder.hasRoom(this->waitingOf(unit, fleet))) {
+                isFound = finder.hasRoom(this->waitingOf(unit, fleet));
+                if (isFound) {
                     found.push_back(*wait);
-                    active.insert(id);
                 }
             }
         }
