tests: Let HTTP executors and daemons fail on request

Cause: tests on real processes could neither have several executors nor lose orders, and could send no signal to a process.

Change: HttpExecutor takes an id, a rack, a port and an observer, and can leave starts and stops unanswered. DaemonProcess sends signals. The executor of the ingress tests is set up as before.

--- a/tests/ingress/httpexecutor.cpp
+++ b/tests/ingress/httpexecutor.cpp
@@ -2,14 +2,16 @@
 
 #include "waxwingloft/process/taskkey.h"
 
+#include <stdexcept>
+
 namespace waxwingloft::tests {
 
 namespace {
 
 using Json = nlohmann::json;
 
-constexpr std::size_t Threads = 64;
 constexpr auto HeartbeatPeriod = Millis(500);
+constexpr auto SilentTime = Millis(5000); ///< longer than an agent waits for the answer to an order
 constexpr auto Look = Millis(10);
 constexpr int StatusOk = 200;
 constexpr int StatusRefused = 409;
@@ -30,6 +32,25 @@
     return end == RunEnd::Done ? "done" : end == RunEnd::Stopped ? "stopped" : end == RunEnd::Lapsed ? "lapsed" : "failed";
 }
 
+HttpExecutorOptions optionsOf(const std::string &host, std::string agentAddress, Millis workTime)
+{
+    HttpExecutorOptions options;
+    options.host = host;
+    options.agentAddress = std::move(agentAddress);
+    options.runOf = [workTime](const StartOrder &) {
+        FakeRun run;
+        run.endsAt = workTime;
+        return run;
+    };
+    return options;
+}
+
+RunObserver &silentObserver()
+{
+    static SilentObserver observer;
+    return observer;
+}
+
 TaskRun runOf(const Json &body)
 {
     return {parseTaskKey(body.at("task").get<std::string>()).value_or(TaskKey{}), body.at("run").get<std::uint32_t>()};
@@ -37,35 +58,45 @@
 
 } // namespace
 
-HttpExecutor::HttpExecutor(const std::string &host, std::string agentAddress, Millis workTime)
-    : host(host)
-    , agentAddress(std::move(agentAddress))
-    , executor(this->clock, "i-1", this->observer)
+HttpExecutor::HttpExecutor(const HttpExecutorOptions &options, RunObserver &observer)
+    : host(options.host)
+    , agentAddress(options.agentAddress)
+    , executor(this->clock, options.id, observer)
 {
-    this->executor.runOf = [workTime](const StartOrder &) {
-        FakeRun run;
-        run.endsAt = workTime;
-        return run;
-    };
-    this->on("/waxwingloft/run-start", &HttpExecutor::start);
-    this->on("/waxwingloft/run-stop", &HttpExecutor::stop);
+    this->executor.runOf = options.runOf;
+    this->executor.rack = options.rack;
+    this->on("/waxwingloft/run-start", &HttpExecutor::startInMood);
+    this->on("/waxwingloft/run-stop", &HttpExecutor::stopInMood);
     this->on("/waxwingloft/hold", &HttpExecutor::hold);
     this->server.set_tcp_nodelay(true);
-    this->server.new_task_queue = [this] {
+    this->server.new_task_queue = [this, threads = options.threads] {
         this->isListening.count_down();
-        return new httplib::ThreadPool(Threads);
+        return new httplib::ThreadPool(threads);
     };
-    this->port = this->server.bind_to_any_port(host);
+    if (options.port == 0) {
+        this->port = this->server.bind_to_any_port(options.host);
+    } else if (this->server.bind_to_port(options.host, options.port)) {
+        this->port = options.port;
+    } else {
+        throw std::runtime_error("the executor cannot listen on " + options.host + ":" + std::to_string(options.port));
+    }
     this->serving = std::thread([this] { this->server.listen_after_bind(); });
     this->beating = std::thread([this] {
         while (!this->isOver) {
             this->sendHeartbeat(Millis(1000));
-            std::this_thread::sleep_for(HeartbeatPeriod);
+            for (auto slept = Millis(0); slept < HeartbeatPeriod && !this->isOver; slept += Look) {
+                std::this_thread::sleep_for(Look);
+            }
         }
     });
     this->isListening.wait();
 }
 
+HttpExecutor::HttpExecutor(const std::string &host, std::string agentAddress, Millis workTime)
+    : HttpExecutor(optionsOf(host, std::move(agentAddress), workTime), silentObserver())
+{
+}
+
 HttpExecutor::~HttpExecutor()
 {
     this->isOver = true;
@@ -109,6 +140,30 @@
     });
 }
 
+void HttpExecutor::order(const ExecutorIncarnation &incarnation, const Json &body, httplib::Response &response, Handler handler)
+{
+    const auto mood = this->mood.load();
+    if (mood != OrderMood::Lost) {
+        (this->*handler)(incarnation, body, response);
+    }
+    if (mood != OrderMood::Answered) {
+        const auto until = this->clock.now() + SilentTime;
+        while (this->clock.now() < until && !this->isOver) {
+            std::this_thread::sleep_for(Look);
+        }
+    }
+}
+
+void HttpExecutor::startInMood(const ExecutorIncarnation &incarnation, const Json &body, httplib::Response &response)
+{
+    this->order(incarnation, body, response, &HttpExecutor::start);
+}
+
+void HttpExecutor::stopInMood(const ExecutorIncarnation &incarnation, const Json &body, httplib::Response &response)
+{
+    this->order(incarnation, body, response, &HttpExecutor::stop);
+}
+
 void HttpExecutor::start(const ExecutorIncarnation &incarnation, const Json &body, httplib::Response &response)
 {
     StartOrder order;
--- a/tests/ingress/httpexecutor.h
+++ b/tests/ingress/httpexecutor.h
@@ -29,10 +29,31 @@
     }
 };
 
-/** The fake executor behind the platform's HTTP, with heartbeats of its own. Each run takes @p workTime. */
+/** How an executor treats starts and stops. */
+enum class OrderMood {
+    Answered,
+    Lost, ///< not carried out, and not answered
+    AnswerLost, ///< carried out, and not answered
+};
+
+struct HttpExecutorOptions {
+    std::string id = "i-1";
+    std::string host;
+    int port = 0; ///< zero: any that is free
+    std::string agentAddress;
+    std::string rack = "r1-1";
+    std::size_t threads = 64;
+    std::function<FakeRun(const StartOrder &)> runOf;
+};
+
+/** The fake executor behind the platform's HTTP, with heartbeats of its own. */
 class HttpExecutor
 {
 public:
+    /** The @p observer is called while the executor is locked. */
+    HttpExecutor(const HttpExecutorOptions &options, RunObserver &observer);
+
+    /** Each run takes @p workTime. */
     HttpExecutor(const std::string &host, std::string agentAddress, Millis workTime);
     ~HttpExecutor();
     HttpExecutor(const HttpExecutor &) = delete;
@@ -43,10 +64,15 @@
 
     std::string address() const;
 
+    std::atomic<OrderMood> mood = OrderMood::Answered;
+
 private:
     using Handler = void (HttpExecutor::*)(const ExecutorIncarnation &, const nlohmann::json &, httplib::Response &);
 
     void on(const std::string &path, Handler handler);
+    void order(const ExecutorIncarnation &incarnation, const nlohmann::json &body, httplib::Response &response, Handler handler);
+    void startInMood(const ExecutorIncarnation &incarnation, const nlohmann::json &body, httplib::Response &response);
+    void stopInMood(const ExecutorIncarnation &incarnation, const nlohmann::json &body, httplib::Response &response);
     void start(const ExecutorIncarnation &incarnation, const nlohmann::json &body, httplib::Response &response);
     void stop(const ExecutorIncarnation &incarnation, const nlohmann::json &body, httplib::Response &response);
     void hold(const ExecutorIncarnation &incarnation, const nlohmann::json &body, httplib::Response &response);
@@ -55,7 +81,6 @@
     const std::string host;
     const std::string agentAddress;
     SystemClock clock;
-    SilentObserver observer;
     std::mutex mutex; ///< guards the executor
     FakeExecutor executor;
     httplib::Server server;
--- a/tests/ingress/ingresssite.cpp
+++ b/tests/ingress/ingresssite.cpp
@@ -140,6 +140,13 @@
     return this->process > 0;
 }
 
+void DaemonProcess::sendSignal(int number)
+{
+    if (this->isAlive()) {
+        ::kill(this->process, number);
+    }
+}
+
 std::size_t DaemonProcess::peakResidentKib() const
 {
     const auto status = readFile("/proc/" + std::to_string(this->process) + "/status");
--- a/tests/ingress/ingresssite.h
+++ b/tests/ingress/ingresssite.h
@@ -21,6 +21,10 @@
     DaemonProcess &operator=(const DaemonProcess &) = delete;
 
     bool isAlive();
+
+    /** Sends @p number to the process if it is alive. */
+    void sendSignal(int number);
+
     std::size_t peakResidentKib() const;
 
     /** Counts the open descriptors now. */
