tests: Print the waits of the readiness runs below the limit too

Change: prints the longest wait before and after the recovery whatever its length, and at how many looks less than half was in use. The state of a job that waits is asked each second, as it may end meanwhile.

--- a/tests/readiness/readinesstest.cpp
+++ b/tests/readiness/readinesstest.cpp
@@ -17,6 +17,7 @@
 constexpr auto StartPatience = Millis(20'000);
 constexpr auto LongestRun = Millis(90'000); ///< troubles end long before
 constexpr auto Look = Millis(20);
+constexpr auto AskPeriod = Millis(1000); ///< of the state of a job that waits
 constexpr auto RetryTime = Millis(100); ///< of a submitter that was refused
 constexpr std::size_t Submitters = 8;
 constexpr std::uint64_t CiSeed = 1;
@@ -122,7 +123,7 @@
     std::vector<std::thread> threads;
 };
 
-/** The waits of one run that have reached the limit, those before the recovery apart from those after it. */
+/** The waits of one run, those before the recovery apart from those after it. */
 class WaitReport
 {
 public:
@@ -135,45 +136,56 @@
     /** A wait counts as one after the recovery if it has reached the limit at any moment since then, whenever it began. */
     void look(Instant now, bool isRecovered)
     {
+        this->looksAfter += isRecovered ? 1 : 0;
+        this->looksBesideRoom += isRecovered && this->waits.isMostlyFree() ? 1 : 0;
         for (const auto &wait : this->waits.look(now)) {
-            auto &known = this->known[{wait.job, wait.since}];
-            if (!known.isConfirmed) {
-                known.isConfirmed = true;
-                const auto state = this->site.stateOf(wait.job);
-                this->site.note("job " + wait.job + " waits for " + std::to_string(wait.waited.count()) + " ms beside " + wait.room + ", shown as \"" + state
-                                + "\"");
-                if (isFinal(state)) {
-                    this->waits.finish(wait.job);
-                    continue;
-                }
+            const bool isLong = wait.waited >= Limit;
+            if (isLong && this->isOver(wait)) {
+                continue;
             }
             auto &longest = isRecovered ? this->longestAfter : this->longestBefore;
             longest = std::max(longest, wait.waited);
-            if (isRecovered && !known.isReported) {
-                known.isReported = true;
+            if (isLong && isRecovered && this->reported.insert({wait.job, wait.since}).second) {
                 ADD_FAILURE() << "job " << wait.job << " has nothing running for " << wait.waited.count() << " ms beside " << wait.room;
             }
         }
     }
 
-    Millis longestBefore = Millis(0); ///< zero: none has reached the limit
+    Millis longestBefore = Millis(0);
     Millis longestAfter = Millis(0);
+    std::size_t looksAfter = 0;
+    std::size_t looksBesideRoom = 0; ///< of those after the recovery, with less than half of the room in use
 
 private:
-    struct Known {
-        bool isConfirmed = false;
-        bool isReported = false;
-    };
+    using WaitKey = std::pair<std::string, Instant>; ///< job and begin
+
+    /** Asks each second of a wait whether callers are shown an end that the executors cannot know of. */
+    bool isOver(const WaitingJobs::Wait &wait)
+    {
+        auto &askAgainAfter = this->askAgainAfter[{wait.job, wait.since}];
+        if (wait.waited < askAgainAfter) {
+            return false;
+        }
+        askAgainAfter = wait.waited + AskPeriod;
+        const auto state = this->site.stateOf(wait.job);
+        this->site.note("job " + wait.job + " waits for " + std::to_string(wait.waited.count()) + " ms beside " + wait.room + ", shown as \"" + state + "\"");
+        if (!isFinal(state)) {
+            return false;
+        }
+        this->waits.finish(wait.job);
+        return true;
+    }
 
     ReadinessSite &site;
     WaitingJobs &waits;
-    std::map<std::pair<std::string, Instant>, Known> known;
+    std::map<WaitKey, Millis> askAgainAfter; ///< time that it has waited
+    std::set<WaitKey> reported;
 };
 
 void run(std::uint64_t seed, const std::string &folder)
 {
     const TroublePlan plan(seed, ReadinessSite::Entries, ReadinessSite::Executors);
-    WaitingJobs waits(Limit);
+    WaitingJobs waits;
     ReadinessSite site(folder, waits);
     ASSERT_TRUE(site.waitUntilReady(StartPatience));
     WaitReport report(site, waits);
@@ -198,7 +210,8 @@
     }
     std::cout << "seed " << seed << ": " << plan.troubles.size() << " troubles, " << callers.accepted << " of " << plan.jobs.size() << " jobs accepted, "
               << waits.unfinished() << " not done; longest wait before " << report.longestBefore.count() << " ms, after " << report.longestAfter.count()
-              << " ms (0: below " << Limit.count() << " ms); causes in the entries' logs: " << causesIn(folder) << std::endl;
+              << " ms, with less than half in use at " << report.looksBesideRoom << " of " << report.looksAfter
+              << " looks; causes in the entries' logs: " << causesIn(folder) << std::endl;
 }
 
 } // namespace
--- a/tests/readiness/waitingjobs.cpp
+++ b/tests/readiness/waitingjobs.cpp
@@ -21,11 +21,6 @@
     return {CoresOfTask, MemoryOfTask, job.accelerators};
 }
 
-WaitingJobs::WaitingJobs(Millis limit)
-    : limit(limit)
-{
-}
-
 void WaitingJobs::addExecutor(const std::string &executor, const Capacity &capacity)
 {
     const std::lock_guard<std::mutex> guard(this->mutex);
@@ -79,11 +74,11 @@
     this->jobs[job].isFinished = true;
 }
 
-std::vector<WaitingJobs::LongWait> WaitingJobs::look(Instant now)
+std::vector<WaitingJobs::Wait> WaitingJobs::look(Instant now)
 {
     const std::lock_guard<std::mutex> guard(this->mutex);
-    std::vector<LongWait> found;
-    const bool isMostlyFree = this->isMostlyFree();
+    std::vector<Wait> found;
+    const bool isMostlyFree = this->hasHalfFree();
     for (auto &[id, job] : this->jobs) {
         const bool isReady = job.isAccepted && !job.isFinished && job.running == 0 && job.done.size() < job.plan.count;
         const auto times = isReady && isMostlyFree ? this->timesInRoom(job.needs) : 0;
@@ -93,13 +88,17 @@
         }
         job.waitsSince = job.waitsSince.value_or(now);
         const auto waited = std::chrono::duration_cast<Millis>(now - *job.waitsSince);
-        if (waited >= this->limit) {
-            found.push_back({id, *job.waitsSince, waited, "room for " + std::to_string(times) + " of its " + std::to_string(job.plan.count) + " tasks"});
-        }
+        found.push_back({id, *job.waitsSince, waited, "room for " + std::to_string(times) + " of its " + std::to_string(job.plan.count) + " tasks"});
     }
     return found;
 }
 
+bool WaitingJobs::isMostlyFree()
+{
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    return this->hasHalfFree();
+}
+
 std::size_t WaitingJobs::unfinished()
 {
     const std::lock_guard<std::mutex> guard(this->mutex);
@@ -143,7 +142,7 @@
     return free;
 }
 
-bool WaitingJobs::isMostlyFree() const
+bool WaitingJobs::hasHalfFree() const
 {
     Capacity total;
     Capacity free;
--- a/tests/readiness/waitingjobs.h
+++ b/tests/readiness/waitingjobs.h
@@ -18,16 +18,14 @@
 class WaitingJobs : public RunObserver
 {
 public:
-    /** A wait that has reached the limit. */
-    struct LongWait {
+    /** A job that has nothing running beside room for it. */
+    struct Wait {
         std::string job;
         Instant since;
         Millis waited = Millis(0);
         std::string room; ///< how many of its tasks fit, for the report
     };
 
-    explicit WaitingJobs(Millis limit);
-
     void addExecutor(const std::string &executor, const Capacity &capacity);
 
     /** The executor and all it knew are gone. */
@@ -45,8 +43,11 @@
     /** The job has an end that its callers are shown. */
     void finish(const std::string &job);
 
-    /** Returns the waits that have reached the limit, again at each look. */
-    std::vector<LongWait> look(Instant now);
+    /** Returns the waits of the moment. */
+    std::vector<Wait> look(Instant now);
+
+    /** Returns whether less than half of each resource is in use; there are no waits at other times. */
+    bool isMostlyFree();
 
     /** Returns how many accepted jobs have not finished as far as the executors know. */
     std::size_t unfinished();
@@ -74,10 +75,9 @@
     };
 
     Capacity freeOf(const Executor &executor) const;
-    bool isMostlyFree() const;
+    bool hasHalfFree() const;
     std::int64_t timesInRoom(const Capacity &needs) const;
 
-    const Millis limit;
     std::mutex mutex;
     std::map<std::string, Job> jobs;
     std::map<std::string, Executor> executors;
