tests: Force the ends of what holds back a start

Some beliefs of the placer that keep a task from starting had no test that forces their end: pauses after refusals, executors and agents that answer again, drains that are taken back, tasks whose executors are lost for good, trials and their limit, gangs with a member on a silent agent, new leaders beside lost agents, and rows that could not be written.

--- /dev/null
+++ b/tests/request/heldstartstest.cpp
@@ -0,0 +1,265 @@
+#include "readyjobs.h"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <string>
+#include <vector>
+
+namespace waxwingloft::tests {
+
+namespace {
+
+const Capacity Whole{128'000, 262'144, 8};
+const Capacity One{10'000, 10'000, 1};
+constexpr auto LongestStand = Millis(3000); ///< the users' rule
+constexpr auto Long = Millis(60'000); ///< run time of tasks that outlast a test
+constexpr std::size_t Usual = 9; ///< executors without the label
+const std::string Label = "b";
+
+/** Makes all that @p executor starts fail after a moment, or else take @p time. */
+void setFailing(FakeExecutor &executor, bool isFailing, Millis time = Millis(2000))
+{
+    executor.runOf = [isFailing, time](const StartOrder &) {
+        FakeRun run;
+        run.endsAt = isFailing ? Millis(20) : time;
+        run.endsAs = isFailing ? RunEnd::Failed : RunEnd::Done;
+        return run;
+    };
+}
+
+/** A fleet that is mostly idle, and the executors of one label, which are the last ones. */
+struct LabelledSite : JobSite {
+    explicit LabelledSite(std::size_t labelled)
+        : JobSite(Usual + labelled)
+        , ready(*this, LongestStand)
+    {
+        for (std::size_t index = Usual; index < this->agents.size(); ++index) {
+            this->executor(index - Usual).rack = Label;
+        }
+        this->advance(Millis(2000));
+    }
+
+    FakeExecutor &executor(std::size_t labelled)
+    {
+        return *this->agents.at(Usual + labelled).executor;
+    }
+
+    JobId submitLabelled(const Capacity &needs = One)
+    {
+        auto graph = oneStep(1, needs);
+        graph.steps[0].requiredLabel = Label;
+        const auto job = this->submit(graph);
+        this->ready.expect(job, graph);
+        return job;
+    }
+
+    /** Fills the second executor of the label with a run that lasts while the first one drains. */
+    void fillSecond()
+    {
+        setFailing(this->executor(1), false, Long);
+        this->executor(0).isDraining = true;
+        this->advance(Millis(2000));
+        this->submitLabelled(Whole);
+        this->advance(Millis(500));
+        this->executor(0).isDraining = false;
+        this->advance(Millis(2000));
+    }
+
+    ReadyJobs ready;
+};
+
+} // namespace
+
+// An executor that refuses starts for a moment must not be left out for longer.
+TEST(HeldStarts, AnExecutorThatRefusedAStartIsTriedAgain)
+{
+    LabelledSite site(1);
+    site.executor(0).fate = OrderFate::Unhealthy;
+    const auto job = site.submitLabelled();
+    site.ready.advance(Millis(2000));
+    site.executor(0).fate = OrderFate::Answered;
+    site.ready.advance(Millis(1000));
+    site.ready.expectNone();
+    EXPECT_EQ(site.checker.starts[(TaskKey{job, 0, 0, 0})], 1U);
+}
+
+// An executor that does not answer its agent gets nothing; one that answers again must not be left out.
+TEST(HeldStarts, AnExecutorThatAnswersAgainIsUsedAtOnce)
+{
+    LabelledSite site(1);
+    site.executor(0).isUnreachable = true;
+    site.advance(Millis(3000));
+    const auto job = site.submitLabelled();
+    site.advance(Millis(5000));
+    ASSERT_EQ(site.checker.starts[(TaskKey{job, 0, 0, 0})], 0U);
+    site.executor(0).isUnreachable = false;
+    site.ready.advance(LongestStand);
+    site.ready.expectNone();
+    EXPECT_EQ(site.checker.starts[(TaskKey{job, 0, 0, 0})], 1U);
+}
+
+// An agent whose reports did not arrive for a while must not be left out after the next one.
+TEST(HeldStarts, AnExecutorWhoseAgentReportsAgainIsUsedAtOnce)
+{
+    LabelledSite site(1);
+    site.agents.at(Usual).isCut = true;
+    site.advance(Millis(3000));
+    const auto job = site.submitLabelled();
+    site.advance(Millis(2000));
+    ASSERT_EQ(site.checker.starts[(TaskKey{job, 0, 0, 0})], 0U);
+    site.agents.at(Usual).isCut = false;
+    site.ready.advance(Millis(2000));
+    EXPECT_EQ(site.checker.starts[(TaskKey{job, 0, 0, 0})], 1U);
+}
+
+// An executor that takes back its leave must not be left out.
+TEST(HeldStarts, AnExecutorThatDrainsNoMoreIsUsedAtOnce)
+{
+    LabelledSite site(1);
+    site.executor(0).isDraining = true;
+    site.advance(Millis(2000));
+    const auto job = site.submitLabelled();
+    site.advance(Millis(5000));
+    ASSERT_EQ(site.checker.starts[(TaskKey{job, 0, 0, 0})], 0U);
+    site.executor(0).isDraining = false;
+    site.ready.advance(LongestStand);
+    site.ready.expectNone();
+    EXPECT_EQ(site.checker.starts[(TaskKey{job, 0, 0, 0})], 1U);
+}
+
+// Two executors that fell silent at the start of a task and never come back must not hold it up for ever.
+TEST(HeldStarts, ATaskWhoseExecutorsAreLostForGoodStartsAgainAfterTheWait)
+{
+    const TaskPlacerOptions options;
+    JobSite site(6);
+    const auto job = site.submit(oneStep(1, One));
+    const TaskKey task{job, 0, 0, 0};
+    for (auto &agent : site.agents) {
+        agent.executor->restartTime = Millis(600'000);
+        agent.executor->runOf = [&site, task](const StartOrder &) {
+            FakeRun run;
+            run.endsAt = Millis(2000);
+            if (site.checker.starts[task] < 2) {
+                run.crashesAfter = Millis(20);
+            }
+            return run;
+        };
+    }
+    const auto until = [&](std::uint32_t starts, Millis limit) {
+        for (auto passed = Millis(0); site.checker.starts[task] < starts && passed < limit; passed += Millis(10)) {
+            site.advance(Millis(10));
+        }
+        return site.checker.starts[task] >= starts;
+    };
+    ASSERT_TRUE(until(2, Millis(60'000)));
+    const auto from = site.clock.now();
+    ASSERT_TRUE(until(3, Millis(120'000)));
+    const auto expiry = options.agentLease + options.longestLateness + options.longestLease + options.lateCallReserve + options.margin;
+    EXPECT_GE(site.clock.now() - from, options.silentStartWait) << "one more start may be the third crash";
+    EXPECT_LE(site.clock.now() - from, options.silentStartWait + expiry + LongestStand);
+}
+
+// The other tasks of a job on trial are held back; they must follow once the executor has outlived the start.
+TEST(HeldStarts, TheOtherTasksOfAJobFollowOnceItsTrialHasBeenOutlived)
+{
+    JobSite site(4);
+    makeRunsLastFor(site, Long);
+    auto graph = oneStep(8, {64'000, 131'072, 4});
+    const auto job = site.submit(graph);
+    site.advance(Millis(200));
+    // A crash within the start period makes suspects of what had just started there.
+    for (auto &agent : site.agents) {
+        if (agent.executor->startedRuns() > 0) {
+            agent.executor->crash();
+            break;
+        }
+    }
+    const auto runs = [&site, &job] {
+        std::size_t count = 0;
+        for (const auto &agent : site.agents) {
+            count += static_cast<std::size_t>(
+                std::count_if(agent.executor->running.begin(), agent.executor->running.end(), [&job](const auto &run) { return run.first.task.job == job; }));
+        }
+        return count;
+    };
+    ASSERT_LT(runs(), 8U);
+    site.advance(Millis(8000));
+    EXPECT_EQ(runs(), 8U);
+}
+
+// Suspects beyond the limit on trials wait; each must get its trial once the ones before it are over.
+TEST(HeldStarts, EverySuspectGetsItsTrial)
+{
+    JobSite site(4);
+    makeRunsLastFor(site, Long);
+    std::vector<JobId> jobs;
+    for (int index = 0; index < 6; ++index) {
+        jobs.push_back(site.submit(oneStep(1, One)));
+    }
+    site.advance(Millis(200));
+    for (auto &agent : site.agents) {
+        agent.executor->crash();
+    }
+    site.advance(Millis(15'000));
+    for (const auto &job : jobs) {
+        EXPECT_EQ(site.checker.starts[(TaskKey{job, 0, 0, 0})], 2U) << job.value;
+    }
+    expectNoViolations(site);
+}
+
+// A gang starts as a whole, so that one member on an agent that fell silent holds it up until that run is over, and no longer.
+TEST(HeldStarts, AGangStartsOnceTheRunOfItsMemberOnASilentAgentIsOver)
+{
+    const TaskPlacerOptions options;
+    JobSite site(6);
+    makeRunsLastFor(site, Long);
+    const auto job = site.submit(oneStep(3, Whole, true));
+    site.advance(Millis(4000));
+    auto silent = std::find_if(site.agents.begin(), site.agents.end(), [](const SiteAgent &agent) { return !agent.executor->running.empty(); });
+    ASSERT_NE(silent, site.agents.end());
+    silent->isCut = true;
+    silent->executor->isUnreachable = true;
+    const auto begunRunsEnd = options.agentLease + options.longestLease + options.lateCallReserve + options.margin;
+    site.advance(begunRunsEnd + LongestStand);
+    for (std::uint32_t index = 0; index < 3; ++index) {
+        EXPECT_EQ(site.checker.starts[(TaskKey{job, 0, 0, index})], 2U) << index;
+    }
+    expectNoViolations(site);
+}
+
+// A new leader that waits for all known agents before it plans must not wait for those that are lost.
+TEST(HeldStarts, ANewLeaderStartsWorkWhileAnAgentThatItKnowsOfIsLost)
+{
+    JobSite site(6);
+    ReadyJobs ready(site, LongestStand);
+    makeRunsLastFor(site, Long);
+    site.submit(oneStep(6, One));
+    site.advance(Millis(1000));
+    site.agents[0].isCut = true;
+    site.elect(1);
+    const auto graph = oneStep(1, One);
+    const auto job = site.submit(graph);
+    ready.expect(job, graph);
+    ready.advance(LongestStand);
+    ready.expectNone();
+    EXPECT_EQ(site.checker.starts[(TaskKey{job, 0, 0, 0})], 1U);
+}
+
+// Rows that could not be written for a while must not hold up starts once they can.
+TEST(HeldStarts, AStartWhoseRowCouldNotBeWrittenFollowsOnceItCan)
+{
+    JobSite site(4);
+    ReadyJobs ready(site, LongestStand);
+    const auto graph = oneStep(1, One);
+    const auto job = site.submit(graph);
+    site.placers[0].cache->reset(valueOf(site.rows.list("jobs/", 0)));
+    site.placers[0].reachesTable = false;
+    site.advance(Millis(3500));
+    ASSERT_EQ(site.checker.starts[(TaskKey{job, 0, 0, 0})], 0U);
+    site.placers[0].reachesTable = true;
+    ready.expect(job, graph);
+    ready.advance(Millis(2000));
+    EXPECT_EQ(site.checker.starts[(TaskKey{job, 0, 0, 0})], 1U);
+}
+
+} // namespace waxwingloft::tests
