placer: Let a job return where it failed when the others are full for too long

Callers saw: jobs with nothing running for up to 6.5 s after a failure, beside room for them. Cause: a job keeps away from the executor that failed it for avoidTime as long as other executors of its kind could hold it if they were empty; how full they are does not count. The pause of 2.5 s applied only where no other executor could hold it at all. Change: once its job has had nothing running for 1.5 s beside room, and this is the cause (StartWaits), avoidTime is replaced by the same pause, so that attempts are as far apart as on the only executor of a kind. Evidence: HeldStarts.AJobReturnsInTimeWhereItFailedWhileTheOthersAreFull failed before ("has nothing running for 3000 ms", not completed after 8.5 s) and passes now. HeldStarts.AJobWhoseOtherExecutorsAreFullPausesAfterEachFailure saw one start in 4.5 s before and two now; not more, so the attempts are not used up in one failure period.

--- a/src/request/taskplanner.cpp
+++ b/src/request/taskplanner.cpp
@@ -365,15 +365,18 @@
  * Returns the workers that the job keeps away from, as it has failed there; empty for none.
  *
  * A failure says little about the worker once the avoid time has passed. When no other worker could run the tasks, the job pauses before it
- * tries again, so that not all its attempts fall into one failure period of the worker; it keeps away from all of them meanwhile.
+ * tries again, so that not all its attempts fall into one failure period of the worker; it keeps away from all of them meanwhile. When others
+ * could but have no room for too long, it returns after the same pause.
  */
 std::vector<bool> TaskPlanner::avoidedBy(const JobId &job, const WaitingTasks &waiting, const Fleet &fleet) const
 {
-    auto avoided = this->failedSince(job, fleet, this->now - this->state.options.avoidTime);
+    const auto &options = this->state.options;
+    const auto avoidTime = this->isOverdue(job, WaitCause::Avoided) ? options.failurePause : options.avoidTime;
+    auto avoided = this->failedSince(job, fleet, this->now - avoidTime);
     if (avoided.empty() || couldHold(fleet.workers, waiting, avoided)) {
         return avoided;
     }
-    const bool isPausing = !this->failedSince(job, fleet, this->now - this->state.options.failurePause).empty();
+    const bool isPausing = !this->failedSince(job, fleet, this->now - options.failurePause).empty();
     return isPausing ? std::vector<bool>(fleet.workers.size(), true) : std::vector<bool>();
 }
 
--- a/tests/request/heldstartstest.cpp
+++ b/tests/request/heldstartstest.cpp
@@ -70,6 +70,34 @@
 
 } // namespace
 
+// A job kept away from the executor that had failed it for 6.5 s, as long as others were of its kind, however full these were.
+TEST(HeldStarts, AJobReturnsInTimeWhereItFailedWhileTheOthersAreFull)
+{
+    LabelledSite site(2);
+    site.fillSecond();
+    setFailing(site.executor(0), true);
+    const auto job = site.submitLabelled();
+    site.ready.advance(Millis(500));
+    ASSERT_EQ(site.checker.starts[(TaskKey{job, 0, 0, 0})], 1U);
+    setFailing(site.executor(0), false);
+    site.ready.advance(Millis(8000));
+    site.ready.expectNone();
+    EXPECT_EQ(site.stateOf(job), JobPhase::Completed);
+}
+
+// Three attempts would be used up within one failure period if a job returned sooner than after the pause.
+TEST(HeldStarts, AJobWhoseOtherExecutorsAreFullPausesAfterEachFailure)
+{
+    LabelledSite site(2);
+    site.fillSecond();
+    setFailing(site.executor(0), true);
+    const auto job = site.submitLabelled();
+    site.ready.advance(Millis(4500));
+    EXPECT_EQ(site.checker.starts[(TaskKey{job, 0, 0, 0})], 2U);
+    setFailing(site.executor(0), false);
+    EXPECT_EQ(site.finish(job, Millis(8000)), JobPhase::Completed);
+}
+
 // An executor that refuses starts for a moment must not be left out for longer.
 TEST(HeldStarts, AnExecutorThatRefusedAStartIsTriedAgain)
 {
