relaytable: Ask peers for changes while only the own feed is silent

A question to the feed that got no answer put the outlook in doubt, and a call in doubt is left to the probe of the peers. The probe of the direct way was answered, so the next question went to the silent feed again, 2.8 s each. The leader learnt of a job without a notice only when one of its questions happened to go through a peer. No caller waits for the feed, so its failed questions go to the peers at once.

--- a/src/connection/relaytable.cpp
+++ b/src/connection/relaytable.cpp
@@ -119,8 +119,9 @@
     }
     auto answer = this->noted<T>(direct, wait);
     const bool hadNoEffect = !succeeded(answer) && errorOf(answer).kind == ErrorKind::PlatformDown;
-    // A silent table has taken a time-out already and may take as long at each peer; the probe of the peers finds out for all calls.
-    const bool isLeftToProbe = this->outlook != nullptr && this->outlook->state() == StoreState::InDoubt;
+    // A silent table has taken a time-out already and may take as long at each peer; the probe of the peers finds out for all calls. No caller waits for
+    // the answer to a call that may wait itself, and the feed may be silent here while the probes are answered.
+    const bool isLeftToProbe = wait == Millis(0) && this->outlook != nullptr && this->outlook->state() == StoreState::InDoubt;
     return hadNoEffect && !isLeftToProbe ? Result<T>(relayed()) : answer;
 }
 
--- a/tests/connection/relaytabletest.cpp
+++ b/tests/connection/relaytabletest.cpp
@@ -200,6 +200,18 @@
     EXPECT_EQ(this->outlook.state(), StoreState::Reachable);
 }
 
+// A follower whose own feed was silent while other calls were answered asked it again and again, and learnt of no change meanwhile.
+TEST_F(OutlookOfRelayTest, AFeedThatIsSilentOnlyHereIsAskedThroughAPeerAtOnce)
+{
+    ASSERT_TRUE(succeeded(this->peer.commit({"op", {}, {{"jobs/1", "a"}}})));
+    this->own.isCut = true;
+    this->ownTakes = Millis(2800);
+    const auto batch = this->table.changes("jobs", 0, Millis(2000));
+    ASSERT_EQ(this->outlook.state(), StoreState::Reachable) << "the peer has reached the table";
+    ASSERT_TRUE(succeeded(batch));
+    EXPECT_EQ(valueOf(batch).changes.size(), 1U);
+}
+
 // Refused calls end at once: one of them, or two within moments, is no outage.
 TEST_F(OutlookOfRelayTest, ATableThatRefusesIsAwayAfterHalfASecond)
 {
--- a/tests/request/leaderpathtest.cpp
+++ b/tests/request/leaderpathtest.cpp
@@ -228,4 +228,13 @@
     this->expectStartsAfterFailedTakeover(PathCall::Get, std::string(AgentBoundsKey), PathFault::Silent);
 }
 
+// Guards against a leader that asks its own silent feed again and again, while its other calls and the feeds of its peers are answered.
+TEST_F(LeaderPath, StartsAJobWithoutANoticeWhileOnlyTheLeadersFeedIsSilent)
+{
+    this->leader->table.path.isFeedSilent = true;
+    this->site.net.losesNotices = true;
+    const auto since = this->site.clock.now();
+    this->expectStarts({this->site.accept(this->site.bystander())}, since);
+}
+
 } // namespace waxwingloft::tests
