placer: Repeat a notice of a row that no leader has taken

A notice was sent once, to the leader known when it was queued. When it was lost, or nobody led at that moment, the leader learnt of the job only from the feed. An entry that was about to lead acknowledged notices without applying them, though it may have read the jobs already. Missed notices are now sent again with each look at the leadership, every 500 ms, one after another by a single thread, until they are ten seconds old.

--- a/include/waxwingloft/request/placerservice.h
+++ b/include/waxwingloft/request/placerservice.h
@@ -10,6 +10,7 @@
 #include "waxwingloft/request/placerdirectory.h"
 #include "waxwingloft/request/taskplacer.h"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -74,6 +75,12 @@
     void apply(const ChangeBatch &batch) override;
 
 private:
+    /** A notice that no leader has taken. */
+    struct MissedNotice {
+        Row row;
+        Instant dropAt; ///< from then on the leader takes no notice of the row
+    };
+
     void pursueLeadership();
     bool leavesLeadershipToOthers();
     void announceEntry();
@@ -84,6 +91,8 @@
     void writeBounds();
     void pushAssignments();
     void push(const std::string &address);
+    bool sendNotice(const Row &row);
+    void repeatNotices();
     bool isRecent(const Row &row) const;
 
     Clock &clock;
@@ -103,6 +112,9 @@
     bool isAnnounced = false; ///< the row of this entry has been written to the placer table
     std::mutex pushMutex;
     std::map<std::string, AssignmentSync> queuedPushes; ///< by the agent's address; a newer one takes the place of what has not been sent yet
+    std::mutex noticeMutex;
+    std::deque<MissedNotice> missedNotices;
+    bool isRepeatingNotices = false;
     std::unique_ptr<ThreadPool> pushPool;
     std::unique_ptr<Ticker> electionTicker;
     std::unique_ptr<Ticker> planTicker;
--- a/src/request/placerservice.cpp
+++ b/src/request/placerservice.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr std::size_t MaxQueuedPushes = 10'000;
+constexpr std::size_t MaxMissedNotices = 1000; ///< of what an entry accepts in ten seconds
 constexpr std::int64_t LongestNoticeAgeMs = 10'000; ///< of a submission; a job's rows are kept for minutes, so no older notice brings back a removed job
 
 std::string millisSince(Instant since, Instant now)
@@ -95,6 +96,7 @@
     if (!this->isAnnounced) {
         this->announceEntry();
     }
+    this->repeatNotices();
     if (this->leavesLeadershipToOthers()) {
         return;
     }
@@ -299,23 +301,66 @@
 }
 
 void PlacerService::noticeRow(const Row &row)
+{
+    const auto dropAt = this->clock.now() + Millis(LongestNoticeAgeMs);
+    const bool isPosted = this->pushPool->post([this, row, dropAt] {
+        if (!this->sendNotice(row)) {
+            const std::lock_guard<std::mutex> guard(this->noticeMutex);
+            if (this->missedNotices.size() < MaxMissedNotices) {
+                this->missedNotices.push_back({row, dropAt});
+            }
+        }
+    });
+    if (!isPosted) {
+        this->log.info("The queue of outgoing messages is full; the leading placer finds " + row.key + " in the table.");
+    }
+}
+
+/** Tells the entry that leads now of @p row. Returns whether it has been told, or is this one. */
+bool PlacerService::sendNotice(const Row &row)
 {
     const auto leader = this->election.lastKnown();
     if (!leader || leader->holder.isEmpty()) {
-        return;
+        return false;
     }
     if (leader->holder == this->self) {
         this->nudge();
-        return;
+        return true;
+    }
+    const auto reply = this->nodes.call(leader->address, RowNotice{row}, this->options.pushTimeout);
+    if (!succeeded(reply)) {
+        this->log.info("The leading placer at " + leader->address + " was not told of " + row.key + "; it follows the table: " + toString(errorOf(reply)));
+    }
+    return succeeded(reply);
+}
+
+/** Sends again the notices that no leader took. One after another until one fails, so that a silent leader holds a single thread. */
+void PlacerService::repeatNotices()
+{
+    {
+        const std::lock_guard<std::mutex> guard(this->noticeMutex);
+        if (this->missedNotices.empty() || this->isRepeatingNotices) {
+            return;
+        }
+        this->isRepeatingNotices = true;
     }
-    const bool isPosted = this->pushPool->post([this, row, address = leader->address] {
-        const auto reply = this->nodes.call(address, RowNotice{row}, this->options.pushTimeout);
-        if (!succeeded(reply)) {
-            this->log.info("The leading placer at " + address + " was not told of " + row.key + "; it follows the table: " + toString(errorOf(reply)));
+    const bool isPosted = this->pushPool->post([this] {
+        std::unique_lock<std::mutex> lock(this->noticeMutex);
+        while (!this->missedNotices.empty()) {
+            const auto notice = this->missedNotices.front();
+            lock.unlock();
+            const bool isDone = this->clock.now() >= notice.dropAt || this->sendNotice(notice.row);
+            lock.lock();
+            if (!isDone) {
+                break;
+            }
+            this->missedNotices.pop_front();
         }
+        this->isRepeatingNotices = false;
     });
     if (!isPosted) {
-        this->log.info("The queue of outgoing messages is full; the leading placer finds " + row.key + " in the table.");
+        const std::lock_guard<std::mutex> guard(this->noticeMutex);
+        this->isRepeatingNotices = false;
     }
 }
 
@@ -336,7 +381,8 @@
 Message PlacerService::handle(const Header & /*header*/, const Message &message)
 {
     if (const auto *const notice = std::get_if<RowNotice>(&message)) {
-        if (this->placer.isLeader() && this->isRecent(notice->row)) {
+        // An entry that is about to lead may have read the jobs before the row was written.
+        if (this->isRecent(notice->row)) {
             this->jobCache.applyRow(notice->row);
             this->nudge();
         }
--- a/tests/request/leaderpathtest.cpp
+++ b/tests/request/leaderpathtest.cpp
@@ -237,4 +237,18 @@
     this->expectStarts({this->site.accept(this->site.bystander())}, since);
 }
 
+// Guards against a notice that is sent only once, while the feed is silent everywhere.
+TEST_F(LeaderPath, StartsAJobWhoseFirstNoticeWasLostWhileAllFeedsAreSilent)
+{
+    for (const auto &entry : this->site.entries) {
+        entry->table.path.isFeedSilent = true;
+    }
+    this->site.net.losesNotices = true;
+    const auto since = this->site.clock.now();
+    const auto job = this->site.accept(this->site.bystander());
+    std::this_thread::sleep_for(Millis(500));
+    this->site.net.losesNotices = false;
+    this->expectStarts({job}, since);
+}
+
 } // namespace waxwingloft::tests
