placer: Begin a new term when another entry has led since

A leader that could not reach the table for longer than its lease keeps its term and may take the lease again. When another entry had led and left in between, or wrote its placer row after its own lease had lapsed, agents report to the address in that row. Only a rejected write ended the old term, and a placer without agents writes nothing. Grants of leases count a renewal only once that read has been answered.

--- a/include/waxwingloft/request/placerservice.h
+++ b/include/waxwingloft/request/placerservice.h
@@ -84,6 +84,7 @@
     void pursueLeadership();
     bool leavesLeadershipToOthers();
     void announceEntry();
+    bool isTermInForce(Instant renewedAt);
     bool becomeLeader();
     void plan();
     void write();
@@ -110,6 +111,7 @@
     std::optional<Instant> indirectSince;
     bool hasYielded = false; ///< since then
     bool isAnnounced = false; ///< the row of this entry has been written to the placer table
+    std::optional<Instant> termCheckedFor; ///< the renewal after which the placer row was last compared with the term
     std::mutex pushMutex;
     std::map<std::string, AssignmentSync> queuedPushes; ///< by the agent's address; a newer one takes the place of what has not been sent yet
     std::mutex noticeMutex;
--- a/src/request/placerservice.cpp
+++ b/src/request/placerservice.cpp
@@ -109,6 +109,9 @@
         }
         return;
     }
+    if (!this->isTermInForce(*renewedAt)) {
+        return;
+    }
     this->placer.leadershipRenewed(*renewedAt);
     if (!this->placer.isLeader() && this->becomeLeader()) {
         this->jobCache.forwardAll();
@@ -116,6 +119,29 @@
     }
 }
 
+/**
+ * Checks, once for each renewal, that the placer row is still the one of the present term; steps down if it is not. Returns false while that is unknown.
+ *
+ * Another entry may have led and left while this one did not reach the table, or may have written the row after its own lease had lapsed. Agents then
+ * report to that entry, and a placer without agents writes nothing that would be rejected.
+ */
+bool PlacerService::isTermInForce(Instant renewedAt)
+{
+    const auto epoch = this->placer.view().epoch;
+    if (epoch == 0 || this->termCheckedFor == renewedAt) {
+        return true;
+    }
+    const auto row = this->table.get(std::string(PlacerKey));
+    if (!succeeded(row)) {
+        return false;
+    }
+    if (!valueOf(row) || valueOf(row)->revision != epoch) {
+        this->placer.stepDown("another entry has led since");
+    }
+    this->termCheckedFor = renewedAt;
+    return true;
+}
+
 /**
  * Whether another entry should lead, because each call on the table goes through a peer here. Gives leadership up if it is held.
  *
--- a/tests/request/placerservicetest.cpp
+++ b/tests/request/placerservicetest.cpp
@@ -75,6 +75,13 @@
         return this->isDown ? Result<Commit>(makeError(ErrorKind::PlatformDown, "down")) : this->rows.commit(transaction);
     }
 
+    /** Carries @p transaction out for another process, also while the table does not answer. */
+    void commitElsewhere(const Transaction &transaction)
+    {
+        const std::lock_guard<std::mutex> guard(this->mutex);
+        ASSERT_TRUE(succeeded(this->rows.commit(transaction)));
+    }
+
     std::atomic<bool> isDown = false;
     std::atomic<int> failedReads = 0;
 
@@ -289,6 +296,25 @@
     EXPECT_EQ(nodes.notices().front(), "e0:1 jobs/1");
 }
 
+// An entry that took leadership again after another had led and left kept its old term: agents reported to the other, and nothing started.
+TEST(PlacerService, BeginsANewTermWhenAnotherEntryHasLedSince)
+{
+    SilentNodes nodes;
+    ServiceSite site(nodes);
+    site.lead();
+    const auto before = site.placer.view().epoch;
+    site.table.isDown = true;
+    site.clock.advance(site.options.lease.term);
+    waitUntil([&site] { return site.table.failedReads > 1; });
+    site.table.commitElsewhere({"other-leads", {}, {{std::string(PlacerKey), encodePlacer({NodeId{"e9"}, "e9:1"})}}});
+    site.table.commitElsewhere({"other-leaves", {}, {{"duty/placer", encodeDuty({NodeId{}, "", 7, Millis(0)})}}});
+    site.table.isDown = false;
+    waitUntil([&] { return site.placer.view().epoch > before; });
+    const auto row = site.table.get(std::string(PlacerKey));
+    EXPECT_EQ(valueOf(parsePlacer(valueOf(row)->value)).address, "e0:1") << "agents report to the address in this row";
+    site.service.stop();
+}
+
 // A leader that the table turned away went on through peers for as long as that lasted, with each start some 0.3 s later.
 TEST(PlacerService, ALeaderWithoutADirectWayToTheTableHandsOver)
 {
