placer: Try a quarantined executor when the others are full for too long

Callers saw: jobs with nothing running beside room for them after failures of others on the same executor. Cause: a quarantined executor (4 s, doubled up to 60 s) is tried early only for work that the others of its kind could not hold if they were empty; how full they are does not count. Change: it is also tried, 2.5 s after its last failure as before, for a job that has had nothing running for 1.5 s beside room because of it. Avoided and quarantined executors count together, as a job that is let off one of the two meets the other on the same executor. Evidence: HeldStarts.AQuarantineHoldsUpNoWorkForWhichTheOthersAreFull failed before (three jobs had "nothing running for 3000 ms") and passes now.

--- a/include/waxwingloft/request/taskplanner.h
+++ b/include/waxwingloft/request/taskplanner.h
@@ -128,6 +128,7 @@
     std::optional<WaitCause> obstacleTo(const TaskKey &task) const;
     bool isDue(const LiveJob &job, std::uint32_t occurrence) const;
     bool isOverdue(const JobId &job, WaitCause cause) const;
+    bool mustTryFailedWorkers(const JobId &job) const;
     void markSlow(Fleet &fleet) const;
     Ranks rankJobs(const Fleet &fleet) const;
     std::vector<Unit> collectUnits(const std::set<JobId> &guaranteed, const Ranks &ranks, const OpenTrials &trials) const;
@@ -145,7 +146,7 @@
     double endOfWaiting(const LiveJob &job, const std::vector<Millis> &chains) const;
     std::vector<Entry> collectMoves(const Fleet &fleet, const RunningSet &running) const;
     std::vector<Entry> collectEntries(const Fleet &fleet, const std::vector<Unit> &units, const RunningSet &running) const;
-    static bool admitProbes(Fleet &fleet, const std::vector<Entry> &entries);
+    bool admitProbes(Fleet &fleet, const std::vector<Entry> &entries) const;
     std::vector<HeldStep>
     heldSteps(const std::vector<Entry> &entries, const std::vector<WaitingTasks> &waiting, const StepPlan &steps, const Fleet &fleet) const;
     static std::vector<JobId>
--- a/src/request/taskplanner.cpp
+++ b/src/request/taskplanner.cpp
@@ -5,6 +5,7 @@
 #include "waitfinder.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <limits>
 
@@ -105,15 +106,18 @@
     return entries;
 }
 
-/** Lets the quarantined workers take work without which some entry could not be held. Returns whether there are any. */
-bool TaskPlanner::admitProbes(Fleet &fleet, const std::vector<Entry> &entries)
+/** Lets the quarantined workers take work without which some entry could not be held or would wait too long. Returns whether there are any. */
+bool TaskPlanner::admitProbes(Fleet &fleet, const std::vector<Entry> &entries) const
 {
     bool isAnyAdmitted = false;
     for (const auto &entry : entries) {
         if (fleet.probes.empty()) {
             break;
         }
-        if (entry.unit == nullptr || couldHold(fleet.workers, entry.tasks, {})) {
+        if (entry.unit == nullptr) {
+            continue;
+        }
+        if (!this->mustTryFailedWorkers(entry.unit->job->submission.id) && couldHold(fleet.workers, entry.tasks, {})) {
             continue;
         }
         std::erase_if(fleet.probes, [&](std::size_t worker) {
@@ -371,7 +375,7 @@
 std::vector<bool> TaskPlanner::avoidedBy(const JobId &job, const WaitingTasks &waiting, const Fleet &fleet) const
 {
     const auto &options = this->state.options;
-    const auto avoidTime = this->isOverdue(job, WaitCause::Avoided) ? options.failurePause : options.avoidTime;
+    const auto avoidTime = this->mustTryFailedWorkers(job) ? options.failurePause : options.avoidTime;
     auto avoided = this->failedSince(job, fleet, this->now - avoidTime);
     if (avoided.empty() || couldHold(fleet.workers, waiting, avoided)) {
         return avoided;
@@ -410,6 +414,17 @@
     return since && this->now - *since >= this->state.options.preferenceWait;
 }
 
+/**
+ * Whether a job has waited too long beside room for workers other than those on which work has failed.
+ *
+ * All causes of this kind count for each of them, as a job that is let off one of them may meet the next on the same worker.
+ */
+bool TaskPlanner::mustTryFailedWorkers(const JobId &job) const
+{
+    constexpr std::array causes = {WaitCause::Avoided, WaitCause::Quarantined};
+    return std::any_of(causes.begin(), causes.end(), [this, &job](WaitCause cause) { return this->isOverdue(job, cause); });
+}
+
 /** Returns what keeps a task that is not assigned from being planned at all; nothing when it may be planned. */
 std::optional<WaitCause> TaskPlanner::obstacleTo(const TaskKey &task) const
 {
--- a/tests/request/heldstartstest.cpp
+++ b/tests/request/heldstartstest.cpp
@@ -98,6 +98,22 @@
     EXPECT_EQ(site.finish(job, Millis(8000)), JobPhase::Completed);
 }
 
+// A quarantine, of up to a minute, held up work for which the executors that were not quarantined were full.
+TEST(HeldStarts, AQuarantineHoldsUpNoWorkForWhichTheOthersAreFull)
+{
+    LabelledSite site(2);
+    site.fillSecond();
+    setFailing(site.executor(0), true);
+    site.submitLabelled();
+    site.submitLabelled();
+    site.advance(Millis(500));
+    setFailing(site.executor(0), false);
+    const auto job = site.submitLabelled();
+    site.ready.advance(Millis(10'000));
+    site.ready.expectNone();
+    EXPECT_EQ(site.stateOf(job), JobPhase::Completed);
+}
+
 // An executor that refuses starts for a moment must not be left out for longer.
 TEST(HeldStarts, AnExecutorThatRefusedAStartIsTriedAgain)
 {
