--- a/tests/readiness/troubleplan.cpp
+++ b/tests/readiness/troubleplan.cpp
@@ -29,6 +29,8 @@
 constexpr std::uint32_t MoreTroubles = 8;
 constexpr auto OutageAfterHandOver = Millis(13'000); ///< as in case 1 of the incident
 constexpr auto LongOutage = Millis(4000);
+constexpr std::uint32_t AcceleratorsOfRack = 24; ///< so that some gangs fit only into an empty rack
+constexpr auto LongWork = Millis(12'000); ///< so that such tasks may lie in each rack
 constexpr auto LongestGap = Millis(700); ///< between two jobs; keeps less than half of the fleet in use most of the time
 
 bool isPause(TroubleKind kind)
@@ -106,13 +108,13 @@
     const auto kind = this->draw(10);
     if (kind < 5) {
         job.accelerators = 1 + this->draw(2);
-        const bool isLong = this->draw(6) == 0;
-        job.workTime = isLong ? Millis(12'000) : this->drawTime(Millis(300), Millis(3000));
+        const bool isLong = this->draw(3) == 0;
+        job.workTime = isLong ? LongWork : this->drawTime(Millis(300), Millis(3000));
     } else if (kind < 7) {
         job.count = 2 + this->draw(11);
         job.workTime = this->drawTime(Millis(300), Millis(2500));
     } else {
-        job.count = 2 + this->draw(kind == 9 ? 11 : 5);
+        job.count = 2 + this->draw(kind == 9 ? AcceleratorsOfRack - 1 : 5);
         job.isGang = true;
         job.isOnOneRack = this->draw(2) == 0;
         job.workTime = this->drawTime(Millis(500), Millis(2500));
