--- a/tests/readiness/readinesstest.cpp
+++ b/tests/readiness/readinesstest.cpp
@@ -139,13 +139,12 @@
         this->looksAfter += isRecovered ? 1 : 0;
         this->looksBesideRoom += isRecovered && this->waits.isMostlyFree() ? 1 : 0;
         for (const auto &wait : this->waits.look(now)) {
-            const bool isLong = wait.waited >= Limit;
-            if (isLong && this->isOver(wait)) {
+            if (wait.waited >= AskPeriod && this->isOver(wait)) {
                 continue;
             }
             auto &longest = isRecovered ? this->longestAfter : this->longestBefore;
             longest = std::max(longest, wait.waited);
-            if (isLong && isRecovered && this->reported.insert({wait.job, wait.since}).second) {
+            if (wait.waited >= Limit && isRecovered && this->reported.insert({wait.job, wait.since}).second) {
                 ADD_FAILURE() << "job " << wait.job << " has nothing running for " << wait.waited.count() << " ms beside " << wait.room;
             }
         }
