placer: Try an executor on which runs stood still when nothing else has room

Callers saw: jobs with nothing running beside room for them after runs of theirs had stood still. Cause: each run that stands still pauses its executor for 3 s from then on, so that several runs pause it for longer; there was no exception where no other executor has room. Change: the pause after a stall is kept apart from the one after a refusal (LiveWorker::stalledUntil), and ends for a job that has had nothing running for 1.5 s beside room, as for quarantined executors. The pause after a refusal stays as it was: it spares a loop of refused starts. Evidence: HeldStarts.AnExecutorOnWhichRunsStoodStillIsTriedInTime failed before ("has nothing running for 3000 ms") and passes now.

--- a/include/waxwingloft/request/liveworker.h
+++ b/include/waxwingloft/request/liveworker.h
@@ -65,6 +65,7 @@
     bool isLeaseWithheld = false; ///< the last report got no lease, as the stored bounds do not allow for it
     bool isZoneClosed = false; ///< as of the last plan or report
     Instant pausedUntil; ///< gets no new work until then
+    Instant stalledUntil; ///< a run stood still there; gets new work until then only for jobs that would wait too long
     Instant coldUntil; ///< its executor expects to be slow until then
     std::optional<Instant> leavesAt; ///< while its executor drains: it stays until then at least
     std::uint64_t syncSequence = 0;
--- a/include/waxwingloft/request/taskplanner.h
+++ b/include/waxwingloft/request/taskplanner.h
@@ -102,6 +102,7 @@
         std::map<NodeId, std::size_t> indexOf;
         Capacity total;
         std::vector<std::size_t> probes; ///< quarantined workers that could be tried again
+        std::vector<std::size_t> stalled; ///< workers that are left out only as runs stood still there
         std::vector<std::size_t> closed; ///< workers in closed zones
     };
 
@@ -125,6 +126,7 @@
 
     Fleet collectFleet(const OpenTrials &trials) const;
     std::optional<WaitCause> obstacleAt(const LiveWorker &worker) const;
+    std::optional<WaitCause> doubtAt(const LiveWorker &worker) const;
     std::optional<WaitCause> obstacleTo(const TaskKey &task) const;
     bool isDue(const LiveJob &job, std::uint32_t occurrence) const;
     bool isOverdue(const JobId &job, WaitCause cause) const;
@@ -146,7 +148,7 @@
     double endOfWaiting(const LiveJob &job, const std::vector<Millis> &chains) const;
     std::vector<Entry> collectMoves(const Fleet &fleet, const RunningSet &running) const;
     std::vector<Entry> collectEntries(const Fleet &fleet, const std::vector<Unit> &units, const RunningSet &running) const;
-    bool admitProbes(Fleet &fleet, const std::vector<Entry> &entries) const;
+    bool admitDoubtful(Fleet &fleet, const std::vector<Entry> &entries) const;
     std::vector<HeldStep>
     heldSteps(const std::vector<Entry> &entries, const std::vector<WaitingTasks> &waiting, const StepPlan &steps, const Fleet &fleet) const;
     static std::vector<JobId>
--- a/src/request/taskplacer.cpp
+++ b/src/request/taskplacer.cpp
@@ -781,7 +781,7 @@
 {
     for (const auto &[node, run] : stalled) {
         auto &worker = this->workers.at(node);
-        worker.pausedUntil = now + this->options.stallTime;
+        worker.stalledUntil = now + this->options.stallTime;
         if (worker.runs.contains(run)) {
             this->log.warn("A run stands still and is started elsewhere.",
                            {{"job", run.task.job.value}, {"task", toString(run.task)}, {"run", std::to_string(run.run)}, {"agent", node.value}});
--- a/src/request/taskplanner.cpp
+++ b/src/request/taskplanner.cpp
@@ -57,7 +57,7 @@
     const auto units = this->collectUnits(guaranteed, ranks, trials);
     const auto running = this->collectRunning(fleet, guaranteed, ranks);
     auto entries = this->collectEntries(fleet, units, running);
-    if (admitProbes(fleet, entries)) {
+    if (this->admitDoubtful(fleet, entries)) {
         entries = this->collectEntries(fleet, units, running);
     }
     if (entries.empty() && !findsWaits) {
@@ -106,26 +106,35 @@
     return entries;
 }
 
-/** Lets the quarantined workers take work without which some entry could not be held or would wait too long. Returns whether there are any. */
-bool TaskPlanner::admitProbes(Fleet &fleet, const std::vector<Entry> &entries) const
+/**
+ * Lets workers take work that are left out after failures: quarantined ones without which some entry could not be held, and both kinds for a job
+ * that would wait too long. Returns whether there are any.
+ */
+bool TaskPlanner::admitDoubtful(Fleet &fleet, const std::vector<Entry> &entries) const
 {
     bool isAnyAdmitted = false;
+    const auto admit = [&fleet, &isAnyAdmitted](std::vector<std::size_t> &workers, const WaitingTasks &tasks) {
+        std::erase_if(workers, [&](std::size_t worker) {
+            const bool isNeeded = isOfKind(fleet.workers[worker], tasks);
+            fleet.workers[worker].acceptsWork = isNeeded;
+            isAnyAdmitted = isAnyAdmitted || isNeeded;
+            return isNeeded;
+        });
+    };
     for (const auto &entry : entries) {
-        if (fleet.probes.empty()) {
+        if (fleet.probes.empty() && fleet.stalled.empty()) {
             break;
         }
         if (entry.unit == nullptr) {
             continue;
         }
-        if (!this->mustTryFailedWorkers(entry.unit->job->submission.id) && couldHold(fleet.workers, entry.tasks, {})) {
-            continue;
+        const bool isOverdue = this->mustTryFailedWorkers(entry.unit->job->submission.id);
+        if (isOverdue) {
+            admit(fleet.stalled, entry.tasks);
+        }
+        if (isOverdue || !couldHold(fleet.workers, entry.tasks, {})) {
+            admit(fleet.probes, entry.tasks);
         }
-        std::erase_if(fleet.probes, [&](std::size_t worker) {
-            const bool isNeeded = isOfKind(fleet.workers[worker], entry.tasks);
-            fleet.workers[worker].acceptsWork = isNeeded;
-            isAnyAdmitted = isAnyAdmitted || isNeeded;
-            return isNeeded;
-        });
     }
     return isAnyAdmitted;
 }
@@ -195,6 +204,15 @@
     return found == obstacles.end() ? std::nullopt : std::optional(found->second);
 }
 
+/** Returns why a worker that could take work is left out while others suffice; nothing when it is not. */
+std::optional<WaitCause> TaskPlanner::doubtAt(const LiveWorker &worker) const
+{
+    if (this->now < worker.stalledUntil) {
+        return WaitCause::Paused;
+    }
+    return this->state.health.isQuarantined(worker.last.node) ? std::optional(WaitCause::Quarantined) : std::nullopt;
+}
+
 std::vector<PlacedRun> TaskPlanner::stalledRuns() const
 {
     std::vector<PlacedRun> stalled;
@@ -247,11 +265,13 @@
             view.free -= live.needs;
         }
         const bool isUsable = !this->obstacleAt(worker);
-        const bool isQuarantined = isUsable && this->state.health.isQuarantined(node);
-        view.acceptsWork = isUsable && !isQuarantined;
+        const auto doubt = isUsable ? this->doubtAt(worker) : std::nullopt;
+        view.acceptsWork = isUsable && !doubt;
         view.isRoom = worker.last.isReachable && !worker.last.isDraining && !worker.isZoneClosed;
-        if (isQuarantined && this->now - this->state.health.lastFailureOn(node).value_or(this->now) >= this->state.options.failurePause) {
-            fleet.probes.push_back(fleet.workers.size());
+        const bool isQuarantined = this->state.health.isQuarantined(node);
+        const bool isTryable = !isQuarantined || this->now - this->state.health.lastFailureOn(node).value_or(this->now) >= this->state.options.failurePause;
+        if (doubt && isTryable) {
+            (*doubt == WaitCause::Quarantined ? fleet.probes : fleet.stalled).push_back(fleet.workers.size());
         }
         view.isOnTrial = trials.isAt(node);
         if (view.acceptsWork) {
@@ -415,13 +435,13 @@
 }
 
 /**
- * Whether a job has waited too long beside room for workers other than those on which work has failed.
+ * Whether a job has waited too long beside room for workers other than those on which work has failed or stood still.
  *
  * All causes of this kind count for each of them, as a job that is let off one of them may meet the next on the same worker.
  */
 bool TaskPlanner::mustTryFailedWorkers(const JobId &job) const
 {
-    constexpr std::array causes = {WaitCause::Avoided, WaitCause::Quarantined};
+    constexpr std::array causes = {WaitCause::Avoided, WaitCause::Quarantined, WaitCause::Paused};
     return std::any_of(causes.begin(), causes.end(), [this, &job](WaitCause cause) { return this->isOverdue(job, cause); });
 }
 
@@ -645,8 +665,8 @@
     WaitFinder finder(fleet.workers, [this, &fleet](std::size_t worker) -> std::optional<WaitCause> {
         const auto &view = fleet.workers[worker];
         const auto obstacle = this->obstacleAt(*fleet.byIndex[worker]);
-        const auto refined = view.acceptsWork ? std::nullopt : std::optional(WaitCause::Quarantined);
-        return obstacle ? obstacle : view.isOnTrial ? std::optional(WaitCause::OnTrial) : refined;
+        const auto doubt = view.acceptsWork ? std::nullopt : this->doubtAt(*fleet.byIndex[worker]);
+        return obstacle ? obstacle : view.isOnTrial ? std::optional(WaitCause::OnTrial) : doubt;
     });
     std::set<JobId> active;
     for (const auto &start : steps.starts) {
--- a/tests/request/heldstartstest.cpp
+++ b/tests/request/heldstartstest.cpp
@@ -114,6 +114,20 @@
     EXPECT_EQ(site.stateOf(job), JobPhase::Completed);
 }
 
+// Each run that stood still paused its executor for 3 s anew, also where nothing else could run what waited.
+TEST(HeldStarts, AnExecutorOnWhichRunsStoodStillIsTriedInTime)
+{
+    LabelledSite site(1);
+    site.executor(0).isStalled = true;
+    site.submitLabelled();
+    site.advance(Millis(1200));
+    site.submitLabelled();
+    site.ready.advance(Millis(3500));
+    site.executor(0).isStalled = false;
+    site.ready.advance(Millis(8000));
+    site.ready.expectNone();
+}
+
 // An executor that refuses starts for a moment must not be left out for longer.
 TEST(HeldStarts, AnExecutorThatRefusedAStartIsTriedAgain)
 {
