placer: Let an urgent gang wait for faster executors for no more than 1.5 s beside room

Callers saw: urgent jobs with nothing running for seconds beside room for them. Cause: where executors differ in speed, an urgent gang that would miss its objective on slower ones waits for runs on faster ones that are expected to end within 4 s. Each plan begins this wait anew, so that it lasts as long as some runs are about to end. Change: once its job has had nothing running for 1.5 s beside room, and this is the cause, the gang starts where it fits now (WaitingTasks::takesAnyPace). Evidence: HeldStarts.AnUrgentGangWaitsForFasterExecutorsNoLongerThanTheUsersAllow failed before (start after 9.25 s, limit 3 s) and passes now. It drives the planner and StartWaits without a site.

--- a/src/request/stepplanner.cpp
+++ b/src/request/stepplanner.cpp
@@ -89,7 +89,8 @@
                 this->plan.starts.push_back({index, std::move(places)});
                 return true;
             }
-            if (pace == Pace::Usual && tasks.mayPreempt && !tasks.isMove && this->reclaim(alike, racks, this->worthOnSlower(demand))) {
+            const bool mayWait = tasks.mayPreempt && !tasks.isMove && !tasks.takesAnyPace;
+            if (pace == Pace::Usual && mayWait && this->reclaim(alike, racks, this->worthOnSlower(demand))) {
                 return true;
             }
         }
--- a/src/request/taskplanner.cpp
+++ b/src/request/taskplanner.cpp
@@ -480,6 +480,7 @@
     }
     waiting.runTime = secondsOf(step.estimate);
     waiting.prefersSlower = !waiting.mayPreempt && this->keepsObjectiveOnSlower(unit);
+    waiting.takesAnyPace = this->isOverdue(unit.job->submission.id, WaitCause::Reserved);
     waiting.maxPerWorker = step.maxPerExecutor;
     if (step.maxPerExecutor > 0) {
         waiting.present.assign(fleet.workers.size(), 0);
--- a/tests/request/heldstartstest.cpp
+++ b/tests/request/heldstartstest.cpp
@@ -1,7 +1,11 @@
 #include "readyjobs.h"
+#include "waxwingloft/request/taskplanner.h"
 
 #include <algorithm>
 #include <gtest/gtest.h>
+#include <map>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -68,6 +72,130 @@
     ReadyJobs ready;
 };
 
+/**
+ * The planner's state for a fleet in two classes of speed.
+ *
+ * The faster executors are full of runs that are expected to end soon, and anew with each plan, as the pace of runs is uneven.
+ */
+class TwoSpeeds
+{
+public:
+    static constexpr std::size_t Fast = 6;
+    static constexpr std::size_t Slow = 10;
+
+    TwoSpeeds()
+        : health(clock, options.health)
+        , rank({})
+        , waits(options.longestReadyWait)
+    {
+        for (std::size_t index = 0; index < Fast + Slow; ++index) {
+            auto &worker = this->workers[nodeOf(index)];
+            worker.last.node = nodeOf(index);
+            worker.last.isReachable = true;
+            worker.last.capacity = Whole;
+            worker.last.labels = {"r1-" + std::to_string(index % 3)};
+            worker.isKnown = true;
+        }
+        this->learnSpeeds();
+        this->occupyFast();
+    }
+
+    /** Adds an urgent gang that keeps its objective if it starts on the faster executors within some seconds, and misses it on the slower ones. */
+    JobId addGang()
+    {
+        auto &job = this->add("0000000000000002", oneStep(2, Whole, true));
+        job.submission.graph.steps[0].estimate = Millis(10'000);
+        job.submission.stretch = 1.0;
+        job.submission.latencySlack = Millis(8000);
+        return job.submission.id;
+    }
+
+    /** Lets @p duration pass, with a plan each 250 ms. Returns after how long the plan starts a task of @p job; nothing if it does not. */
+    std::optional<Millis> startOf(const JobId &job, Millis duration)
+    {
+        constexpr auto Interval = Millis(250);
+        for (auto passed = Millis(0); passed <= duration; passed += Interval) {
+            const auto now = this->clock.now();
+            for (auto &[node, worker] : this->workers) {
+                worker.lastReportAt = now;
+                for (auto &[run, live] : worker.runs) {
+                    live.expectedEnd = now + Millis(900);
+                }
+            }
+            const PlannerInput state{this->jobs, this->workers, this->routes, this->health, this->rank, this->speeds, this->options, this->waits};
+            const auto plan = TaskPlanner(state, now, this->clock.wallMillis()).plan(true);
+            if (std::any_of(plan.starts.begin(), plan.starts.end(), [&job](const StepStart &start) { return start.job == job; })) {
+                return passed;
+            }
+            this->causes.insert(plan.waits.empty() ? WaitCause::NoRoom : plan.waits.front().cause);
+            this->waits.update(plan.waits, now);
+            this->clock.advance(Interval);
+        }
+        return std::nullopt;
+    }
+
+    std::set<WaitCause> causes; ///< of the waits so far
+
+private:
+    static NodeId nodeOf(std::size_t index)
+    {
+        return NodeId{"n" + std::string(index < 10 ? "0" : "") + std::to_string(index)};
+    }
+
+    LiveJob &add(const std::string &id, const JobGraph &graph)
+    {
+        auto &job = this->jobs[JobId{id}];
+        job.submission.id = JobId{id};
+        job.submission.workspace = WorkspaceId{"plant"};
+        job.submission.acceptedAt = this->clock.wallMillis();
+        job.submission.graph = graph;
+        job.progress = initialProgress(graph);
+        job.knownSince = this->clock.now();
+        this->rank.learn(job.submission);
+        return job;
+    }
+
+    void learnSpeeds()
+    {
+        for (int step = 0; step < 20; ++step) {
+            const TaskKey key{JobId{"step-" + std::to_string(step)}, 0, 0, 0};
+            for (int report = 0; report < 2; ++report) {
+                for (std::uint32_t index = 0; index < Fast + Slow; ++index) {
+                    this->speeds.observe(nodeOf(index), key, {{key.job, 0, 0, index}, 1}, index < Fast ? 1.0 : 0.5, false, this->clock.now());
+                }
+            }
+            this->clock.advance(Millis(1000));
+            this->speeds.refresh(this->clock.now(), Fast + Slow);
+        }
+    }
+
+    void occupyFast()
+    {
+        auto &job = this->add("0000000000000001", oneStep(Fast, Whole));
+        for (std::uint32_t index = 0; index < Fast; ++index) {
+            auto &task = job.progress.occurrences[0][0][index];
+            task.state = TaskPhase::Assigned;
+            task.run = 1;
+            task.worker = nodeOf(index);
+            auto live = liveRunOf(job, 0, this->clock.now());
+            live.isSent = true;
+            live.isRunning = true;
+            live.hasBegun = true;
+            this->workers[nodeOf(index)].runs[{{job.submission.id, 0, 0, index}, 1}] = live;
+        }
+    }
+
+    const TaskPlacerOptions options;
+    ManualClock clock;
+    std::map<JobId, LiveJob> jobs;
+    std::map<NodeId, LiveWorker> workers;
+    RoutingTable routes;
+    WorkerHealth health;
+    JobRank rank;
+    ExecutorSpeeds speeds;
+    StartWaits waits;
+};
+
 } // namespace
 
 // A job kept away from the executor that had failed it for 6.5 s, as long as others were of its kind, however full these were.
@@ -217,6 +345,16 @@
     EXPECT_LE(site.clock.now() - from, options.silentStartWait + expiry + LongestStand);
 }
 
+// An urgent gang waited for runs on faster executors that were always about to end, while it could start on slower ones.
+TEST(HeldStarts, AnUrgentGangWaitsForFasterExecutorsNoLongerThanTheUsersAllow)
+{
+    TwoSpeeds fleet;
+    const auto start = fleet.startOf(fleet.addGang(), Millis(20'000));
+    ASSERT_TRUE(start);
+    EXPECT_LT(*start, LongestStand);
+    EXPECT_EQ(fleet.causes, std::set<WaitCause>{WaitCause::Reserved}) << "otherwise this shows nothing";
+}
+
 // The other tasks of a job on trial are held back; they must follow once the executor has outlived the start.
 TEST(HeldStarts, TheOtherTasksOfAJobFollowOnceItsTrialHasBeenOutlived)
 {
