--- a/tests/request/heldstartstest.cpp
+++ b/tests/request/heldstartstest.cpp
@@ -355,6 +355,33 @@
     EXPECT_EQ(fleet.causes, std::set<WaitCause>{WaitCause::Reserved}) << "otherwise this shows nothing";
 }
 
+// An urgent gang that waited for ends kept all that was free for itself, more than half of the fleet, for up to 4 s.
+TEST(HeldStarts, AJobStartsInTimeBesideAnUrgentGangThatWaitsForEnds)
+{
+    constexpr auto RunTime = Millis(8000);
+    JobSite site(10);
+    ReadyJobs ready(site, LongestStand);
+    makeRunsLastFor(site, RunTime);
+    auto filling = oneStep(4, Whole);
+    filling.steps[0].estimate = RunTime;
+    ready.expect(site.submit(filling, 0), filling);
+    site.advance(Millis(300));
+    site.advance(RunTime - Millis(3950));
+    const auto gang = oneStep(10, Whole, true);
+    const auto urgent = site.submit(gang, 0);
+    ready.expect(urgent, gang);
+    site.advance(Millis(50));
+    auto small = oneStep(1, One);
+    small.steps[0].estimate = Millis(600'000); // ranks below the gang
+    const auto job = site.submit(small, 0);
+    ready.expect(job, small);
+    ready.advance(Millis(16'000));
+    ready.expectNone();
+    EXPECT_EQ(site.checker.starts[(TaskKey{job, 0, 0, 0})], 1U);
+    EXPECT_EQ(site.checker.starts[(TaskKey{urgent, 0, 0, 0})], 1U);
+    expectNoViolations(site);
+}
+
 // The other tasks of a job on trial are held back; they must follow once the executor has outlived the start.
 TEST(HeldStarts, TheOtherTasksOfAJobFollowOnceItsTrialHasBeenOutlived)
 {
