--- a/tests/readiness/readinesstest.cpp
+++ b/tests/readiness/readinesstest.cpp
@@ -136,6 +136,7 @@
     /** A wait counts as one after the recovery if it has reached the limit at any moment since then, whenever it began. */
     void look(Instant now, bool isRecovered)
     {
+        this->hasUndecided = false;
         this->looksAfter += isRecovered ? 1 : 0;
         this->looksBesideRoom += isRecovered && this->waits.isMostlyFree() ? 1 : 0;
         for (const auto &wait : this->waits.look(now)) {
@@ -144,12 +145,14 @@
             }
             auto &longest = isRecovered ? this->longestAfter : this->longestBefore;
             longest = std::max(longest, wait.waited);
+            this->hasUndecided = this->hasUndecided || wait.waited < Limit;
             if (wait.waited >= Limit && isRecovered && this->reported.insert({wait.job, wait.since}).second) {
                 ADD_FAILURE() << "job " << wait.job << " has nothing running for " << wait.waited.count() << " ms beside " << wait.room;
             }
         }
     }
 
+    bool hasUndecided = false; ///< some wait of the last look has not reached the limit yet
     Millis longestBefore = Millis(0);
     Millis longestAfter = Millis(0);
     std::size_t looksAfter = 0;
@@ -193,7 +196,12 @@
     const auto start = clock.now();
     std::size_t next = 0;
     std::optional<Instant> lastEnd;
-    while (next < plan.troubles.size() || !lastEnd || clock.now() < *lastEnd + Recovery + WatchTime) {
+    // A wait that is open when the time is over goes on to its end or to the limit, unless new ones follow without end.
+    const auto isWatching = [&] {
+        const auto watchEnd = lastEnd.value_or(clock.now()) + Recovery + WatchTime;
+        return next < plan.troubles.size() || !lastEnd || clock.now() < watchEnd || (report.hasUndecided && clock.now() < watchEnd + 2 * Limit);
+    };
+    while (isWatching()) {
         if (clock.now() > start + LongestRun) {
             ADD_FAILURE() << "a trouble has not ended";
             break;
