--- a/tests/request/readyjobs.h
+++ b/tests/request/readyjobs.h
@@ -11,7 +11,8 @@
 
 /**
  * Checks the users' rule on what really runs: no job with a task whose turn has come has nothing running for the limit, while the executors
- * have room for one of its tasks twice over, and for a gang as a whole, and less than half of each resource is in use. Knows nothing of what the placer believes.
+ * have room for one of its tasks twice over, and for a gang as a whole, and less than half of each resource is in use. Knows nothing of what the placer
+ * believes.
  */
 class ReadyJobs
 {
