--- a/include/waxwingloft/request/taskplaceroptions.h
+++ b/include/waxwingloft/request/taskplaceroptions.h
@@ -50,8 +50,8 @@
                                           ///< plan and a start before the next bound
     Millis longestReadyWait = Millis(3000); ///< of a job with nothing running beside room for it twice over; the users' rule
     std::size_t batchRows = 40; ///< rows per transaction; each takes one condition and one write of the 100 operations allowed
-    std::size_t batchBytes = 256 * 1024; ///< of the rows of a transaction that has more than one; sent in a third of a second on the slowest links, and well
-                                         ///< below the megabyte that the platform's table takes at once
+    std::size_t batchBytes = std::size_t(256) * 1024; ///< of the rows of a transaction that has more than one; sent in a third of a second on the slowest
+                                                      ///< links, and well below the megabyte that the platform's table takes at once
 };
 
 } // namespace waxwingloft
--- a/src/request/private/waitfinder.cpp
+++ b/src/request/private/waitfinder.cpp
@@ -10,7 +10,7 @@
 
 namespace waxwingloft {
 
-WaitFinder::WaitFinder(const std::vector<PlannerWorker> &workers, WorkerObstacle obstacleAt)
+WaitFinder::WaitFinder(const std::vector<PlannerWorker> &workers, const WorkerObstacle &obstacleAt)
     : workers(workers)
 {
     for (std::size_t worker = 0; worker < workers.size(); ++worker) {
--- a/src/request/private/waitfinder.h
+++ b/src/request/private/waitfinder.h
@@ -21,7 +21,7 @@
     using WorkerObstacle = std::function<std::optional<WaitCause>(std::size_t)>;
 
     /** @p workers are as of before the plan's starts and must outlive this object. */
-    WaitFinder(const std::vector<PlannerWorker> &workers, WorkerObstacle obstacleAt);
+    WaitFinder(const std::vector<PlannerWorker> &workers, const WorkerObstacle &obstacleAt);
 
     /** Takes the room of a task that the plan starts on @p worker. */
     void take(std::size_t worker, const Capacity &needs);
--- a/src/request/taskplanner.cpp
+++ b/src/request/taskplanner.cpp
@@ -435,8 +435,8 @@
  */
 bool TaskPlanner::mustTryFailedWorkers(const JobId &job) const
 {
-    constexpr std::array causes = {WaitCause::Avoided, WaitCause::Quarantined, WaitCause::Paused};
-    return std::any_of(causes.begin(), causes.end(), [this, &job](WaitCause cause) { return this->state.waits.isOverdue(job, cause); });
+    constexpr std::array Causes = {WaitCause::Avoided, WaitCause::Quarantined, WaitCause::Paused};
+    return std::any_of(Causes.begin(), Causes.end(), [this, &job](WaitCause cause) { return this->state.waits.isOverdue(job, cause); });
 }
 
 /** Returns what keeps a task that is not assigned from being planned at all; nothing when it may be planned. */
