--- a/src/request/placerservice.cpp
+++ b/src/request/placerservice.cpp
@@ -240,7 +240,7 @@
 void PlacerService::writeProgress()
 {
     auto writes = this->placer.takeWrites();
-    std::optional<Instant> failingSince;
+    auto lastEffectAt = this->clock.now();
     bool isStallLogged = false;
     while (!writes.empty()) {
         Transaction transaction{this->ids.next(), {{std::string(PlacerKey), writes.front().epoch}}, {}};
@@ -251,21 +251,20 @@
         const auto committed = this->table.commit(transaction);
         if (succeeded(committed)) {
             if (isStallLogged) {
-                this->log.info("The progress of jobs is written again.", {{"after_ms", millisSince(*failingSince, this->clock.now())}});
+                this->log.info("The progress of jobs is written again.", {{"after_ms", millisSince(lastEffectAt, this->clock.now())}});
             }
-            failingSince.reset();
+            lastEffectAt = this->clock.now();
             isStallLogged = false;
             this->placer.written(writes, valueOf(committed).revision);
             this->pushAssignments();
             this->writeBounds();
             writes = this->placer.takeWrites();
         } else if (errorOf(committed).kind == ErrorKind::PlatformDown) {
-            failingSince = failingSince.value_or(this->clock.now());
-            if (!isStallLogged && this->clock.now() - *failingSince >= this->options.stallLogAfter) {
+            if (!isStallLogged && this->clock.now() - lastEffectAt >= this->options.stallLogAfter) {
                 isStallLogged = true;
                 this->log.warn("Nothing starts, as the progress of jobs cannot be written.",
                                {{"rows", std::to_string(writes.size())},
-                                {"since_ms", millisSince(*failingSince, this->clock.now())},
+                                {"since_ms", millisSince(lastEffectAt, this->clock.now())},
                                 {"reason", errorOf(committed).message}});
             }
             this->clock.sleepFor(this->options.writeRetry);
