placer: Keep counting a wait that is broken off for a look

Cause: StartWaits could not tell a job that has begun from one whose room was taken for a moment. The plan now names the jobs with a run that has begun; they end their waits. Other waits go on, counting only the time beside room, unless the job is not seen for 3 s. The logged and counted wait is still one without a break, as the users' rule has it. The entries that start are collected once a plan instead of three times.

APreferenceIsOverdueUntilTheJobBegins ended its wait by a look without the job, which is no proof that it began; the job is now among those that have begun.

--- a/include/waxwingloft/request/startwaits.h
+++ b/include/waxwingloft/request/startwaits.h
@@ -27,11 +27,15 @@
     /** Counts long waits by their cause into @p metrics from now on, which must outlive this object. */
     void setMetrics(Metrics &metrics);
 
-    /** Takes over the waits as of @p now. A job that is not among @p waits has begun, has no room or has no task whose turn has come. */
-    void update(const std::vector<ReadyWait> &waits, Instant now);
-
-    /** Whether @p cause, a preference, was seen to hold back @p job after it had waited for the preference wait. Stays so until the job begins or has no room.
+    /**
+     * Takes over the waits as of @p now, and the jobs with a run that has begun. Other jobs have no room or no task whose turn has come.
+     *
+     * The room for a job may come and go while others start and end, so a wait that is broken off goes on for preferences. It is over when the job
+     * begins or is not seen for as long as a wait that is logged. The logged time begins anew.
      */
+    void update(const std::vector<ReadyWait> &waits, const std::set<JobId> &begun, Instant now);
+
+    /** Whether @p cause, a preference, was seen to hold back @p job after it had waited for the preference wait. Stays so until the wait is over. */
     bool isOverdue(const JobId &job, WaitCause cause) const;
 
     /** Forgets all waits, as another placer leads. */
@@ -40,11 +44,16 @@
 private:
     struct Wait {
         Instant since;
+        Instant seenAt;
+        Instant::duration total = Millis(0); ///< spans that were broken off included
+        bool isOpen = false; ///< the last look found it
         WaitCause cause = WaitCause::NoRoom;
         std::set<WaitCause> overdue; ///< causes that were seen after the preference wait
         bool isLong = false; ///< was logged and counted
     };
 
+    Wait &see(const ReadyWait &wait, Instant now);
+    void breakOff(const std::set<JobId> &present, Instant now);
     void logBegin(const ReadyWait &wait, const Wait &known, std::size_t further, Instant now) const;
     void show() const;
 
--- a/include/waxwingloft/request/taskplanner.h
+++ b/include/waxwingloft/request/taskplanner.h
@@ -67,6 +67,7 @@
     std::vector<HeldStep> held;
     std::vector<JobId> closedOut; ///< jobs with tasks that wait and that executors in closed zones could run
     std::vector<ReadyWait> waits; ///< jobs with nothing running beside room for them; only if they were asked for
+    std::set<JobId> begun; ///< jobs with a run that has begun; as waits
 };
 
 /** Computes one plan over all jobs and executors from a snapshot, without changing it. Lives for one plan. */
@@ -124,6 +125,14 @@
         std::size_t running = 0; ///< index of what moves
     };
 
+    /** The entries and what the step planner has decided on them. */
+    struct Decided {
+        const std::vector<Entry> &entries;
+        const std::vector<WaitingTasks> &waiting; ///< of the entries
+        const StepPlan &steps;
+        std::set<std::size_t> started; ///< entries that start, at least in part
+    };
+
     Fleet collectFleet(const OpenTrials &trials) const;
     std::optional<WaitCause> obstacleAt(const LiveWorker &worker) const;
     std::optional<WaitCause> doubtAt(const LiveWorker &worker) const;
@@ -148,13 +157,11 @@
     std::vector<Entry> collectMoves(const Fleet &fleet, const RunningSet &running) const;
     std::vector<Entry> collectEntries(const Fleet &fleet, const std::vector<Unit> &units, const RunningSet &running) const;
     bool admitDoubtful(Fleet &fleet, const std::vector<Entry> &entries) const;
-    std::vector<HeldStep>
-    heldSteps(const std::vector<Entry> &entries, const std::vector<WaitingTasks> &waiting, const StepPlan &steps, const Fleet &fleet) const;
-    static std::vector<JobId>
-    closedOutJobs(const std::vector<Entry> &entries, const std::vector<WaitingTasks> &waiting, const StepPlan &steps, const Fleet &fleet);
+    static std::vector<HeldStep> heldSteps(const Decided &decided, const Fleet &fleet);
+    static std::vector<JobId> closedOutJobs(const Decided &decided, const Fleet &fleet);
+    std::set<JobId> begunJobs() const;
     bool isCutShort(const Fleet &fleet, const RunningTasks &tasks) const;
-    std::vector<ReadyWait> readyWaits(
-        const std::vector<Entry> &entries, const std::vector<WaitingTasks> &waiting, const StepPlan &steps, const Fleet &fleet, const OpenTrials &trials) const;
+    std::vector<ReadyWait> readyWaits(const Decided &decided, const Fleet &fleet, const OpenTrials &trials, std::set<JobId> active) const;
 
     const PlannerInput &state;
     const Instant now;
--- a/src/request/startwaits.cpp
+++ b/src/request/startwaits.cpp
@@ -1,7 +1,6 @@
 #include "waxwingloft/request/startwaits.h"
 
 #include <algorithm>
-#include <set>
 
 namespace waxwingloft {
 
@@ -30,15 +29,14 @@
         metrics, "waxwingloft_long_waits_total", "Jobs with nothing running for too long beside room for them, by what held them back", "cause");
 }
 
-void StartWaits::update(const std::vector<ReadyWait> &waits, Instant now)
+void StartWaits::update(const std::vector<ReadyWait> &waits, const std::set<JobId> &begun, Instant now)
 {
     std::set<JobId> present;
     std::vector<const ReadyWait *> grownLong;
     for (const auto &wait : waits) {
         present.insert(wait.task.job);
-        auto &known = this->waits.try_emplace(wait.task.job, Wait{now, wait.cause, {}, false}).first->second;
-        known.cause = wait.cause;
-        if (now - known.since >= this->preferenceWait) {
+        auto &known = this->see(wait, now);
+        if (known.total >= this->preferenceWait) {
             known.overdue.insert(wait.cause);
         }
         if (!known.isLong && now - known.since >= this->longest) {
@@ -53,15 +51,40 @@
         const auto further = index + 1 == MaxLines ? grownLong.size() - MaxLines : 0;
         this->logBegin(*grownLong[index], this->waits.at(grownLong[index]->task.job), further, now);
     }
+    this->breakOff(present, now);
+    std::erase_if(this->waits, [&](const auto &item) { return begun.contains(item.first) || now - item.second.seenAt >= this->longest; });
+    this->show();
+}
+
+StartWaits::Wait &StartWaits::see(const ReadyWait &wait, Instant now)
+{
+    auto &known = this->waits[wait.task.job];
+    if (known.isOpen) {
+        known.total += now - known.seenAt;
+    } else {
+        known.since = now;
+    }
+    known.isOpen = true;
+    known.seenAt = now;
+    known.cause = wait.cause;
+    return known;
+}
+
+/** Ends the spans of the jobs that are not among @p present. */
+void StartWaits::breakOff(const std::set<JobId> &present, Instant now)
+{
     std::size_t lines = 0;
-    for (const auto &[job, known] : this->waits) {
-        if (known.isLong && !present.contains(job) && ++lines <= MaxLines) {
+    for (auto &[job, known] : this->waits) {
+        if (!known.isOpen || present.contains(job)) {
+            continue;
+        }
+        if (known.isLong && ++lines <= MaxLines) {
             this->log.info("A job that had nothing running beside room for it goes on, or its room is taken.",
                            {{"job", job.value}, {"waited_ms", millisOf(now - known.since)}, {"last_cause", std::string(nameOf(known.cause))}});
         }
+        known.isOpen = false;
+        known.isLong = false;
     }
-    std::erase_if(this->waits, [&present](const auto &item) { return !present.contains(item.first); });
-    this->show();
 }
 
 bool StartWaits::isOverdue(const JobId &job, WaitCause cause) const
--- a/src/request/taskplacer.cpp
+++ b/src/request/taskplacer.cpp
@@ -697,7 +697,7 @@
     const auto plan = planner.plan(findsWaits);
     if (findsWaits) {
         this->nextWaitWatchAt = now + this->options.waitWatchInterval;
-        this->waits.update(plan.waits, now);
+        this->waits.update(plan.waits, plan.begun, now);
     }
     for (const auto &[node, run] : plan.stops) {
         auto &worker = this->workers.at(node);
--- a/src/request/taskplanner.cpp
+++ b/src/request/taskplanner.cpp
@@ -90,10 +90,15 @@
         }
         decided.starts.push_back(std::move(begun));
     }
-    decided.held = this->heldSteps(entries, waiting, steps, fleet);
-    decided.closedOut = closedOutJobs(entries, waiting, steps, fleet);
+    Decided outcome{entries, waiting, steps, {}};
+    for (const auto &start : steps.starts) {
+        outcome.started.insert(start.waiting);
+    }
+    decided.held = heldSteps(outcome, fleet);
+    decided.closedOut = closedOutJobs(outcome, fleet);
     if (findsWaits) {
-        decided.waits = this->readyWaits(entries, waiting, steps, fleet, trials);
+        decided.begun = this->begunJobs();
+        decided.waits = this->readyWaits(outcome, fleet, trials, decided.begun);
     }
     return decided;
 }
@@ -141,18 +146,13 @@
 }
 
 /** Returns the steps of which nothing starts while workers are avoided for them. */
-std::vector<HeldStep>
-TaskPlanner::heldSteps(const std::vector<Entry> &entries, const std::vector<WaitingTasks> &waiting, const StepPlan &steps, const Fleet &fleet) const
+std::vector<HeldStep> TaskPlanner::heldSteps(const Decided &decided, const Fleet &fleet)
 {
-    std::set<std::size_t> started;
-    for (const auto &start : steps.starts) {
-        started.insert(start.waiting);
-    }
     std::vector<HeldStep> held;
-    for (std::size_t index = 0; index < entries.size(); ++index) {
-        const auto &tasks = waiting[index];
-        const auto *const unit = entries[index].unit;
-        if (unit == nullptr || tasks.avoided.empty() || started.contains(index)) {
+    for (std::size_t index = 0; index < decided.entries.size(); ++index) {
+        const auto &tasks = decided.waiting[index];
+        const auto *const unit = decided.entries[index].unit;
+        if (unit == nullptr || tasks.avoided.empty() || decided.started.contains(index)) {
             continue;
         }
         HeldStep step{unit->job->submission.id, unit->step, unit->indices.size(), 0, 0};
@@ -167,22 +167,17 @@
 }
 
 /** Returns the jobs that have tasks of which none starts though executors of their kind are in closed zones. */
-std::vector<JobId>
-TaskPlanner::closedOutJobs(const std::vector<Entry> &entries, const std::vector<WaitingTasks> &waiting, const StepPlan &steps, const Fleet &fleet)
+std::vector<JobId> TaskPlanner::closedOutJobs(const Decided &decided, const Fleet &fleet)
 {
     std::vector<JobId> jobs;
     if (fleet.closed.empty()) {
         return jobs;
     }
-    std::set<std::size_t> started;
-    for (const auto &start : steps.starts) {
-        started.insert(start.waiting);
-    }
-    for (std::size_t index = 0; index < entries.size(); ++index) {
-        const auto isOfUse = [&fleet, &tasks = waiting[index]](std::size_t worker) { return isOfKind(fleet.workers[worker], tasks); };
-        const bool isWaiting = entries[index].unit != nullptr && !started.contains(index);
+    for (std::size_t index = 0; index < decided.entries.size(); ++index) {
+        const auto isOfUse = [&fleet, &tasks = decided.waiting[index]](std::size_t worker) { return isOfKind(fleet.workers[worker], tasks); };
+        const bool isWaiting = decided.entries[index].unit != nullptr && !decided.started.contains(index);
         if (isWaiting && std::any_of(fleet.closed.begin(), fleet.closed.end(), isOfUse)) {
-            jobs.push_back(entries[index].unit->job->submission.id);
+            jobs.push_back(decided.entries[index].unit->job->submission.id);
         }
     }
     return jobs;
@@ -653,9 +648,22 @@
     return ranks;
 }
 
-/** Returns the jobs with nothing running, among them those that the plan starts, while there is room for a task of theirs twice over. */
-std::vector<ReadyWait> TaskPlanner::readyWaits(
-    const std::vector<Entry> &entries, const std::vector<WaitingTasks> &waiting, const StepPlan &steps, const Fleet &fleet, const OpenTrials &trials) const
+/** Returns the jobs with a run that has begun and goes on. A start that is refused or not answered leaves nothing running. */
+std::set<JobId> TaskPlanner::begunJobs() const
+{
+    std::set<JobId> begun;
+    for (const auto &[node, worker] : this->state.workers) {
+        for (const auto &[run, live] : worker.runs) {
+            if (live.hasBegun && !live.isStopping && worker.last.isReachable) {
+                begun.insert(run.task.job);
+            }
+        }
+    }
+    return begun;
+}
+
+/** Returns the jobs not in @p active, among them those that the plan starts, while there is room for a task of theirs twice over. */
+std::vector<ReadyWait> TaskPlanner::readyWaits(const Decided &decided, const Fleet &fleet, const OpenTrials &trials, std::set<JobId> active) const
 {
     WaitFinder finder(fleet.workers, [this, &fleet](std::size_t worker) -> std::optional<WaitCause> {
         const auto &view = fleet.workers[worker];
@@ -667,34 +675,21 @@
         }
         return view.acceptsWork ? std::nullopt : this->doubtAt(*fleet.byIndex[worker]);
     });
-    for (const auto &start : steps.starts) {
+    for (const auto &start : decided.steps.starts) {
         for (const auto worker : start.workers) {
-            finder.take(worker, waiting[start.waiting].needs);
-        }
-    }
-    // A start that is refused or not answered leaves nothing running, so that only runs that have begun count.
-    std::set<JobId> active;
-    for (const auto &[node, worker] : this->state.workers) {
-        for (const auto &[run, live] : worker.runs) {
-            if (live.hasBegun && !live.isStopping && worker.last.isReachable) {
-                active.insert(run.task.job);
-            }
+            finder.take(worker, decided.waiting[start.waiting].needs);
         }
     }
-    std::set<std::size_t> started;
-    for (const auto &start : steps.starts) {
-        started.insert(start.waiting);
-    }
     std::vector<ReadyWait> found;
-    for (std::size_t index = 0; index < entries.size(); ++index) {
-        const auto *const unit = entries[index].unit;
-        const auto &tasks = waiting[index];
+    for (std::size_t index = 0; index < decided.entries.size(); ++index) {
+        const auto *const unit = decided.entries[index].unit;
+        const auto &tasks = decided.waiting[index];
         if (unit == nullptr || active.contains(unit->job->submission.id) || !finder.hasRoom(tasks)) {
             continue;
         }
         const auto unplaced = this->state.mayStart ? finder.causeOf(tasks) : WaitCause::ZonesUnknown;
         const TaskKey first{unit->job->submission.id, unit->occurrence, unit->step, unit->indices.front()};
-        found.push_back({first, tasks.count, started.contains(index) ? WaitCause::WriteOpen : unplaced, {}});
+        found.push_back({first, tasks.count, decided.started.contains(index) ? WaitCause::WriteOpen : unplaced, {}});
         active.insert(first.job);
     }
     const BlockedSteps blocked(this->state, this->now, [this](const TaskKey &task) { return this->obstacleTo(task); });
--- a/tests/request/heldstartstest.cpp
+++ b/tests/request/heldstartstest.cpp
@@ -128,7 +128,7 @@
                 return passed;
             }
             this->causes.insert(plan.waits.empty() ? WaitCause::NoRoom : plan.waits.front().cause);
-            this->waits.update(plan.waits, now);
+            this->waits.update(plan.waits, plan.begun, now);
             this->clock.advance(Interval);
         }
         return std::nullopt;
--- a/tests/request/startwaitstest.cpp
+++ b/tests/request/startwaitstest.cpp
@@ -51,16 +51,16 @@
     StartWaits waits(Preference, Longest);
     waits.setMetrics(metrics);
     Instant now;
-    waits.update({waitOf("a", WaitCause::OneRack), waitOf("b", WaitCause::Avoided)}, now);
-    waits.update({waitOf("a", WaitCause::OneRack)}, now + Longest - Millis(1));
+    waits.update({waitOf("a", WaitCause::OneRack), waitOf("b", WaitCause::Avoided)}, {}, now);
+    waits.update({waitOf("a", WaitCause::OneRack)}, {}, now + Longest - Millis(1));
     EXPECT_EQ(valueOf(metrics, "waxwingloft_long_waits"), 0.0);
     for (const auto later : {Longest, Longest + Millis(1000)}) {
-        waits.update({waitOf("a", WaitCause::OneRack)}, now + later);
+        waits.update({waitOf("a", WaitCause::OneRack)}, {}, now + later);
         EXPECT_EQ(longWaits(metrics, WaitCause::OneRack), 1.0);
         EXPECT_EQ(longWaits(metrics, WaitCause::Avoided), 0.0) << "it did not wait for so long";
         EXPECT_EQ(valueOf(metrics, "waxwingloft_long_waits"), 1.0);
     }
-    waits.update({}, now + Longest * 2);
+    waits.update({}, {}, now + Longest * 2);
     EXPECT_EQ(valueOf(metrics, "waxwingloft_long_waits"), 0.0);
 }
 
@@ -70,10 +70,10 @@
     StartWaits waits(Preference, Longest);
     waits.setMetrics(metrics);
     Instant now;
-    waits.update({waitOf("a", WaitCause::NoRoom)}, now);
-    waits.update({}, now + Millis(2000));
-    waits.update({waitOf("a", WaitCause::NoRoom)}, now + Millis(2500));
-    waits.update({waitOf("a", WaitCause::NoRoom)}, now + Millis(4000));
+    waits.update({waitOf("a", WaitCause::NoRoom)}, {}, now);
+    waits.update({}, {}, now + Millis(2000));
+    waits.update({waitOf("a", WaitCause::NoRoom)}, {}, now + Millis(2500));
+    waits.update({waitOf("a", WaitCause::NoRoom)}, {}, now + Millis(4000));
     EXPECT_EQ(longWaits(metrics, WaitCause::NoRoom), 0.0);
 }
 
@@ -82,18 +82,37 @@
 {
     StartWaits waits(Preference, Longest);
     Instant now;
-    waits.update({waitOf("a", WaitCause::Avoided)}, now);
-    waits.update({waitOf("a", WaitCause::OneRack)}, now + Preference - Millis(1));
+    waits.update({waitOf("a", WaitCause::Avoided)}, {}, now);
+    waits.update({waitOf("a", WaitCause::OneRack)}, {}, now + Preference - Millis(1));
     EXPECT_FALSE(waits.isOverdue(JobId{"a"}, WaitCause::OneRack));
-    waits.update({waitOf("a", WaitCause::OneRack)}, now + Preference);
+    waits.update({waitOf("a", WaitCause::OneRack)}, {}, now + Preference);
     EXPECT_TRUE(waits.isOverdue(JobId{"a"}, WaitCause::OneRack));
     EXPECT_FALSE(waits.isOverdue(JobId{"a"}, WaitCause::Avoided)) << "it held the job back for a moment only";
-    waits.update({waitOf("a", WaitCause::Reserved)}, now + Preference + Millis(250));
+    waits.update({waitOf("a", WaitCause::Reserved)}, {}, now + Preference + Millis(250));
     EXPECT_TRUE(waits.isOverdue(JobId{"a"}, WaitCause::OneRack));
-    waits.update({}, now + Longest);
+    waits.update({}, {JobId{"a"}}, now + Preference + Millis(500));
     EXPECT_FALSE(waits.isOverdue(JobId{"a"}, WaitCause::OneRack));
 }
 
+// A gang waited for a rack for 14.5 s, as one look in a while found no room for it and its wait began anew.
+TEST(StartWaits, AWaitThatIsBrokenOffForALookGoesOnForPreferences)
+{
+    Metrics metrics;
+    StartWaits waits(Preference, Longest);
+    waits.setMetrics(metrics);
+    Instant now;
+    for (int span = 0; span < 3; ++span, now += Millis(750)) {
+        EXPECT_FALSE(waits.isOverdue(JobId{"a"}, WaitCause::OneRack)) << "only time beside room counts";
+        waits.update({waitOf("a", WaitCause::OneRack)}, {}, now);
+        waits.update({waitOf("a", WaitCause::OneRack)}, {}, now + Millis(500));
+        waits.update({}, {}, now + Millis(650));
+    }
+    EXPECT_TRUE(waits.isOverdue(JobId{"a"}, WaitCause::OneRack));
+    EXPECT_EQ(longWaits(metrics, WaitCause::OneRack), 0.0) << "the logged wait is without a break";
+    waits.update({}, {}, now + Longest);
+    EXPECT_FALSE(waits.isOverdue(JobId{"a"}, WaitCause::OneRack)) << "it has had no room for too long";
+}
+
 // A start that no executor answers held up its job without a word of the placer.
 TEST(StartWaits, NamesAStartThatIsNotAnswered)
 {
