placer: Place an overdue job before room is kept for a reclaim

Callers saw a small job stand beside six empty executors while an urgent gang that needs the whole fleet waited for four runs to end: each plan reserves what is free for the gang anew, for ends within 4 s of that plan.

Cause: the order of a plan is rank alone, and the reservation of an earlier entry has no bound. A job that was seen held back by a reservation for 1.5 s beside room now comes before all entries that are not guaranteed; the gang is planned with what is left. It is the same mark that lets an urgent gang give up waiting for faster executors, hence its new name.

--- a/src/request/stepplanner.cpp
+++ b/src/request/stepplanner.cpp
@@ -89,7 +89,7 @@
                 this->plan.starts.push_back({index, std::move(places)});
                 return true;
             }
-            const bool mayWait = tasks.mayPreempt && !tasks.isMove && !tasks.takesAnyPace;
+            const bool mayWait = tasks.mayPreempt && !tasks.isMove && !tasks.isOverdue;
             if (pace == Pace::Usual && mayWait && this->reclaim(alike, racks, this->worthOnSlower(demand))) {
                 return true;
             }
--- a/src/request/taskplanner.cpp
+++ b/src/request/taskplanner.cpp
@@ -65,7 +65,8 @@
         return decided;
     }
     std::stable_sort(entries.begin(), entries.end(), [](const Entry &left, const Entry &right) {
-        return std::pair(left.tasks.isGuaranteed, left.tasks.rank) > std::pair(right.tasks.isGuaranteed, right.tasks.rank);
+        const auto precedence = [](const WaitingTasks &tasks) { return std::tuple(tasks.isGuaranteed, tasks.isOverdue, tasks.rank); };
+        return precedence(left.tasks) > precedence(right.tasks);
     });
     std::vector<WaitingTasks> waiting;
     for (auto &entry : entries) {
@@ -469,7 +470,7 @@
     }
     waiting.runTime = secondsOf(step.estimate);
     waiting.prefersSlower = !waiting.mayPreempt && this->keepsObjectiveOnSlower(unit);
-    waiting.takesAnyPace = this->state.waits.isOverdue(unit.job->submission.id, WaitCause::Reserved);
+    waiting.isOverdue = this->state.waits.isOverdue(unit.job->submission.id, WaitCause::Reserved);
     waiting.maxPerWorker = step.maxPerExecutor;
     if (step.maxPerExecutor > 0) {
         waiting.present.assign(fleet.workers.size(), 0);
