duty: Take a lease again at once on top of an own write

Callers saw starts stand for up to 2.9 s after an outage that had been over for as long, while the only process that could lead waited for itself.

Cause: a renewal that takes effect without an answer, or is settled only after the lease has lapsed, changes the row. Its holder no longer counted the lease as its own and took the row for a grant like any other, which lapses a whole term after the change was seen.

While the row is one that this object wrote, by its operation, nobody else can hold the lease, and the write that takes it is conditional on that row. The epoch grows, as the lease had lapsed. Another process of the same name has other operations, so that a restarted process still waits.

An entry of a test site that is the last one left is now returned as bystander; there was none, and the test crashed.

--- a/include/waxwingloft/process/duty.h
+++ b/include/waxwingloft/process/duty.h
@@ -6,6 +6,7 @@
 #include "waxwingloft/process/ids.h"
 #include "waxwingloft/process/tablestore.h"
 
+#include <deque>
 #include <mutex>
 #include <optional>
 #include <string>
@@ -68,6 +69,7 @@
     bool write(const DutyRecord &record, std::uint64_t revision, Instant sentAt);
     void observe(const std::optional<Row> &row, Instant now);
     bool lapsedForOthers(Instant now) const;
+    bool isOwnWrite(const std::optional<Row> &row) const;
 
     TableStore &table;
     Clock &clock;
@@ -85,6 +87,7 @@
     std::optional<Instant> heldUntil;
     Instant renewalSentAt; ///< of the last renewal that took effect
     Instant renewAt;
+    std::deque<std::string> ownWrites; ///< operations that may have written the present row
 };
 
 } // namespace waxwingloft
--- a/src/process/duty.cpp
+++ b/src/process/duty.cpp
@@ -1,9 +1,16 @@
 #include "waxwingloft/process/duty.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace waxwingloft {
 
+namespace {
+
+constexpr std::size_t MaxOwnWrites = 16; ///< kept while the table answers reads and no writes; a forgotten one costs a wait for the term
+
+} // namespace
+
 std::string encodeDuty(const DutyRecord &record)
 {
     return nlohmann::json{{"holder", record.holder.value}, {"address", record.address}, {"epoch", record.epoch}, {"term_ms", record.term.count()}}.dump();
@@ -57,7 +64,8 @@
         revision = this->seenRevision;
         if (this->seen) {
             const bool isRenewal = this->heldUntil.has_value() && this->seen->holder == this->self && now < *this->heldUntil;
-            if (!isRenewal && !this->lapsedForOthers(now)) {
+            // Nobody else can hold the lease while the row is one of this process's own writes.
+            if (!isRenewal && !this->lapsedForOthers(now) && !this->isOwnWrite(valueOf(row))) {
                 return false;
             }
             next.epoch = isRenewal ? this->seen->epoch : this->seen->epoch + 1;
@@ -108,15 +116,23 @@
 bool Duty::write(const DutyRecord &record, std::uint64_t revision, Instant sentAt)
 {
     const auto key = "duty/" + this->name;
-    const auto committed = this->table.commit(Transaction{this->ids.next(), {{key, revision}}, {{key, encodeDuty(record)}}});
+    const auto operation = this->ids.next();
+    const auto committed = this->table.commit(Transaction{operation, {{key, revision}}, {{key, encodeDuty(record)}}});
     const std::lock_guard<std::mutex> guard(this->mutex);
     if (!succeeded(committed)) {
+        if (errorOf(committed).kind == ErrorKind::Ambiguous) {
+            this->ownWrites.push_back(operation);
+            if (this->ownWrites.size() > MaxOwnWrites) {
+                this->ownWrites.pop_front();
+            }
+        }
         return this->heldUntil.has_value() && this->clock.now() < *this->heldUntil;
     }
     const bool isNew = !this->seen || this->seen->epoch != record.epoch;
     this->seen = record;
     this->seenRevision = valueOf(committed).revision;
     this->seenUnchangedSince = this->clock.now();
+    this->ownWrites = {operation};
     this->heldUntil = sentAt + this->options.term - this->options.safety;
     this->renewalSentAt = sentAt;
     this->renewAt = sentAt + this->options.term / 3;
@@ -142,6 +158,9 @@
     if (!this->seen || this->seen->holder != this->self) {
         this->heldUntil.reset();
     }
+    if (!this->isOwnWrite(row)) {
+        this->ownWrites.clear();
+    }
 }
 
 bool Duty::lapsedForOthers(Instant now) const
@@ -149,4 +168,9 @@
     return this->seen->holder.isEmpty() || now >= *this->seenUnchangedSince + this->seen->term;
 }
 
+bool Duty::isOwnWrite(const std::optional<Row> &row) const
+{
+    return row && std::find(this->ownWrites.begin(), this->ownWrites.end(), row->operation) != this->ownWrites.end();
+}
+
 } // namespace waxwingloft
--- a/tests/process/tableclienttest.cpp
+++ b/tests/process/tableclienttest.cpp
@@ -98,4 +98,74 @@
     EXPECT_EQ(first.heldEpoch(), Epoch(3));
 }
 
+/** Two processes that compete for one duty; the first one's way to the table loses answers. */
+class DutyTest : public TableClientTest
+{
+protected:
+    /** Loses answers to commits. */
+    class LossyTable : public TableStore
+    {
+    public:
+        explicit LossyTable(FakeRows &rows)
+            : rows(rows)
+        {
+        }
+
+        Result<std::optional<Row>> get(const std::string &key) override
+        {
+            return this->rows.get(key);
+        }
+
+        Result<RowList> list(const std::string &prefix, std::uint64_t since) override
+        {
+            return this->rows.list(prefix, since);
+        }
+
+        Result<Commit> commit(const Transaction &transaction) override
+        {
+            const auto committed = this->rows.commit(transaction);
+            return this->losesAnswers ? Result<Commit>(makeError(ErrorKind::Ambiguous, "lost")) : committed;
+        }
+
+        bool losesAnswers = false;
+
+    private:
+        FakeRows &rows;
+    };
+
+    EventLog events{this->clock, "node", 10};
+    IdSource firstIds{1};
+    IdSource secondIds{2};
+    LossyTable lossy{this->rows};
+    Duty first{this->lossy, this->clock, this->events, this->firstIds, "placer/r", NodeId{"n1"}, "n1:1", LeaseOptions{}};
+    Duty second{this->view, this->clock, this->events, this->secondIds, "placer/r", NodeId{"n2"}, "n2:1", LeaseOptions{}};
+};
+
+// A holder whose renewal took effect without an answer waited for its own term, in which nobody led.
+TEST_F(DutyTest, isTakenAgainAtOnceOnTopOfAnOwnWriteWithoutAnAnswer)
+{
+    ASSERT_TRUE(this->first.pursue());
+    this->clock.advance(Millis(1000));
+    this->lossy.losesAnswers = true;
+    EXPECT_TRUE(this->first.pursue());
+    this->clock.advance(Millis(1200));
+    ASSERT_FALSE(this->first.heldEpoch().has_value());
+    this->lossy.losesAnswers = false;
+    EXPECT_FALSE(this->second.pursue()) << "another process cannot know whether the write was answered";
+    EXPECT_TRUE(this->first.pursue());
+    EXPECT_EQ(this->first.heldEpoch(), Epoch(2)) << "a lease that has lapsed is never renewed";
+}
+
+TEST_F(DutyTest, aRowThatAnotherProcessOfTheSameNameWroteIsNotAnOwnWrite)
+{
+    IdSource ids(3);
+    Duty restarted(this->view, this->clock, this->events, ids, "placer/r", NodeId{"n1"}, "n1:1", LeaseOptions{});
+    ASSERT_TRUE(this->first.pursue());
+    EXPECT_FALSE(restarted.pursue());
+    this->clock.advance(LeaseOptions().term);
+    EXPECT_TRUE(restarted.pursue());
+    this->clock.advance(Millis(2200));
+    EXPECT_FALSE(this->first.pursue());
+}
+
 } // namespace waxwingloft::tests
--- a/tests/request/leaderpathsite.cpp
+++ b/tests/request/leaderpathsite.cpp
@@ -303,7 +303,8 @@
     , table(rows, this->port, this->clock, this->directory, EntryCallsPerSecond, seed)
     , placer(this->clock, TaskPlacerOptions(), JobRankOptions())
     , cache(this->placer)
-    , service(this->clock, this->events, this->ids, this->table.client, net, NodeId{name}, name + ":1", this->placer, this->cache, PlacerServiceOptions())
+    , service(
+          this->clock, this->events, this->ids, this->table.client, this->port, NodeId{name}, name + ":1", this->placer, this->cache, PlacerServiceOptions())
     , address(name + ":1")
 {
     this->table.relay.setOutlook(this->outlook);
@@ -432,9 +433,10 @@
 LeaderPathEntry &LeaderPathSite::bystander()
 {
     const auto *const leading = this->leader();
-    return **std::find_if(this->entries.begin(), this->entries.end(), [this, leading](const auto &entry) {
+    const auto found = std::find_if(this->entries.begin(), this->entries.end(), [this, leading](const auto &entry) {
         return entry.get() != leading && !this->ended.contains(entry.get());
     });
+    return found == this->entries.end() ? *this->leader() : **found;
 }
 
 JobId LeaderPathSite::accept(LeaderPathEntry &entry)
--- a/tests/request/leaderpathsite.h
+++ b/tests/request/leaderpathsite.h
@@ -240,7 +240,7 @@
     /** Returns the leading entry, or nothing. */
     LeaderPathEntry *leader();
 
-    /** Returns an entry that does not lead. */
+    /** Returns an entry that does not lead, or the leading one when it is the only one left. */
     LeaderPathEntry &bystander();
 
     /** Writes a job of one task as @p entry would have accepted it, whatever the faults, and has it tell the leader. */
--- a/tests/request/leaderpathtest.cpp
+++ b/tests/request/leaderpathtest.cpp
@@ -196,6 +196,13 @@
     this->expectStarts({this->site.accept(this->site.bystander())}, since);
 }
 
+// Guards against a holder that waits for the term of its own renewal, which took effect and was settled only after the lease had lapsed.
+TEST_F(LeaderPath, StartsAfterARenewalWasSettledTooLate)
+{
+    this->waitForRenewal(PathFault::AnswerLost);
+    this->expectStartsAfterOutage(PathFault::AnswerLost, Millis(4000));
+}
+
 TEST_F(LeaderPath, StartsAfterItsLeaderEndedWithoutAWord)
 {
     this->site.kill(*this->leader);
