placer: Take notices that come in before the threads are started

An entry that has just started again under its old address could crash: its RPC server answers before the placer's loops are started, peers still take it for the leader until its term is over, and a notice of a new job triggered a plan of a loop that did not exist yet.

Reports of agents are rejected before that point, as the entry does not lead.

PlacerService.TakesANoticeThatComesInBeforeItIsStarted ended with a segmentation fault before. Found on reading; not seen in a play.

--- a/include/waxwingloft/request/placerservice.h
+++ b/include/waxwingloft/request/placerservice.h
@@ -10,6 +10,7 @@
 #include "waxwingloft/request/placerdirectory.h"
 #include "waxwingloft/request/taskplacer.h"
 
+#include <atomic>
 #include <deque>
 #include <functional>
 #include <map>
@@ -107,6 +108,7 @@
     const PlacerServiceOptions options;
     const Logger log;
     Duty election;
+    std::atomic<bool> isRunning = false; ///< the threads have been started
     std::function<bool()> isTableIndirect;
     std::optional<Instant> indirectSince;
     bool hasYielded = false; ///< since then
--- a/src/request/placerservice.cpp
+++ b/src/request/placerservice.cpp
@@ -59,6 +59,7 @@
     this->writeTicker = std::make_unique<Ticker>("writes of progress", this->options.planInterval, [this] { this->write(); });
     this->planTicker = std::make_unique<Ticker>("plans", this->options.planInterval, [this] { this->plan(); });
     this->electionTicker = std::make_unique<Ticker>("the election", this->options.electionInterval, [this] { this->pursueLeadership(); });
+    this->isRunning.store(true, std::memory_order_release);
 }
 
 void PlacerService::stop()
@@ -81,7 +82,10 @@
 
 void PlacerService::nudge()
 {
-    this->planTicker->nudge();
+    // Messages of other processes come in before the threads are started.
+    if (this->isRunning.load(std::memory_order_acquire)) {
+        this->planTicker->nudge();
+    }
 }
 
 /** Writes the row through which other processes find this entry. */
--- a/tests/request/placerservicetest.cpp
+++ b/tests/request/placerservicetest.cpp
@@ -296,6 +296,19 @@
     EXPECT_EQ(nodes.notices().front(), "e0:1 jobs/1");
 }
 
+// An entry that had just started again crashed by a notice of a peer that still took it for the leader.
+TEST(PlacerService, TakesANoticeThatComesInBeforeItIsStarted)
+{
+    SilentNodes nodes;
+    ServiceSite site(nodes);
+    JobSubmission job;
+    job.id = JobId{"0000000000000001"};
+    job.acceptedAt = site.clock.wallMillis();
+    job.graph.steps.resize(1);
+    site.service.handle(Header(), RowNotice{{submissionKey(job.id), encodeSubmission(job), 5, {}}});
+    EXPECT_TRUE(site.cache.contains(job.id));
+}
+
 // An entry that took leadership again after another had led and left kept its old term: agents reported to the other, and nothing started.
 TEST(PlacerService, BeginsANewTermWhenAnotherEntryHasLedSince)
 {
