placer: Acknowledge notices of rows only while leading

What callers could see: a job that stands until the leader's feed is answered again. An entry whose term was over acknowledged a notice, so that the sender did not repeat it, and the present leader was not told.

The row is still taken over by any entry, as one that is about to lead may have read the jobs before it was written. The answer is Stale then, and the sender repeats the notice to whoever leads. An entry whose own lease has lapsed does the same with its own rows. Notices that are dropped as too many wait are logged.

--- a/include/waxwingloft/request/placerservice.h
+++ b/include/waxwingloft/request/placerservice.h
@@ -96,6 +96,7 @@
     bool sendNotice(const Row &row);
     void repeatNotices();
     bool isRecent(const Row &row) const;
+    Message take(const RowNotice &notice);
 
     Clock &clock;
     IdSource &ids;
--- a/src/request/placerservice.cpp
+++ b/src/request/placerservice.cpp
@@ -337,6 +337,8 @@
             const std::lock_guard<std::mutex> guard(this->noticeMutex);
             if (this->missedNotices.size() < MaxMissedNotices) {
                 this->missedNotices.push_back({row, dropAt});
+            } else {
+                this->log.info("Too many notices wait for a leader; the leading placer finds " + row.key + " in the table.");
             }
         }
     });
@@ -354,9 +356,9 @@
     }
     if (leader->holder == this->self) {
         this->nudge();
-        return true;
+        return this->placer.isLeader();
     }
-    const auto reply = this->nodes.call(leader->address, RowNotice{row}, this->options.pushTimeout);
+    const auto reply = expectReply<Ack>(this->nodes.call(leader->address, RowNotice{row}, this->options.pushTimeout));
     if (!succeeded(reply)) {
         this->log.info("The leading placer at " + leader->address + " was not told of " + row.key + "; it follows the table: " + toString(errorOf(reply)));
     }
@@ -407,15 +409,22 @@
     return succeeded(submission) && std::abs(this->clock.wallMillis() - valueOf(submission).acceptedAt) <= LongestNoticeAgeMs;
 }
 
+Message PlacerService::take(const RowNotice &notice)
+{
+    const auto &row = notice.row;
+    // An entry that is about to lead may have read the jobs before the row was written.
+    if (this->isRecent(row)) {
+        this->jobCache.applyRow(row);
+        this->nudge();
+    }
+    return this->placer.isLeader() ? Message(Ack{})
+                                   : replyWith(makeError(ErrorKind::Stale, "this entry does not lead", "repeat the notice when the leader is known"));
+}
+
 Message PlacerService::handle(const Header & /*header*/, const Message &message)
 {
     if (const auto *const notice = std::get_if<RowNotice>(&message)) {
-        // An entry that is about to lead may have read the jobs before the row was written.
-        if (this->isRecent(notice->row)) {
-            this->jobCache.applyRow(notice->row);
-            this->nudge();
-        }
-        return Ack{};
+        return this->take(*notice);
     }
     const auto *const report = std::get_if<AgentReport>(&message);
     if (report == nullptr) {
--- a/tests/request/placerservicetest.cpp
+++ b/tests/request/placerservicetest.cpp
@@ -309,6 +309,25 @@
     EXPECT_TRUE(site.cache.contains(job.id));
 }
 
+// A notice that reached an entry after its term was acknowledged, so that it was not repeated and the next leader did not know the job.
+TEST(PlacerService, DoesNotAcknowledgeANoticeOfARowWithoutLeading)
+{
+    SilentNodes nodes;
+    ServiceSite site(nodes);
+    JobSubmission job;
+    job.id = JobId{"0000000000000001"};
+    job.acceptedAt = site.clock.wallMillis();
+    job.graph.steps.resize(1);
+    const RowNotice notice{{submissionKey(job.id), encodeSubmission(job), 5, {}}};
+    const auto isAcknowledged = [&] { return std::holds_alternative<Ack>(site.service.handle(Header(), notice)); };
+    EXPECT_FALSE(isAcknowledged());
+    site.lead();
+    EXPECT_TRUE(isAcknowledged());
+    EXPECT_EQ(site.placer.view().jobs, 1U);
+    site.service.stop();
+    EXPECT_FALSE(isAcknowledged());
+}
+
 // An entry that took leadership again after another had led and left kept its old term: agents reported to the other, and nothing started.
 TEST(PlacerService, BeginsANewTermWhenAnotherEntryHasLedSince)
 {
