placer: Tell the other entries when leadership is given up

Cause: the release was one write to the table, after the threads had ended. A table that is out refuses it, a silent one holds the threads up for longer than a stopped process lasts, and the successor waits for the rest of the term, up to a look each 0.5 s late twice.

A leader that gives up steps down first, tells all entries by a notice of the duty row with a term of zero, and then writes the row, again until it is taken or the term is over. Entries take a grant that they were told of as lapsed; the write that takes it over stays conditional on the row. Holder and epoch name the grant. A renewal that is answered after the release brings nothing back. No new term begins in a process that stops. A duty row with fields of other types is an error and no exception, as it can come in by message now.

PlacerService.AStoppedLeaderTells... and LeadsAtOnce... failed before.

--- a/include/waxwingloft/process/duty.h
+++ b/include/waxwingloft/process/duty.h
@@ -47,7 +47,7 @@
     Duty(TableStore &table, Clock &clock, EventLog &events, IdSource &ids, std::string name, NodeId self, std::string address, LeaseOptions options);
 
     /**
-     * Renews the lease when a third of it has passed, or tries to take it over when the holder's has lapsed.
+     * Renews the lease when a third of it has passed, or tries to take it over when the holder's has lapsed or has been given up.
      *
      * Returns whether it is held now. Call often: a holder asks the table only when a renewal is due.
      */
@@ -62,14 +62,29 @@
     /** Returns the latest known record of the duty, its own or another's. */
     std::optional<DutyRecord> lastKnown() const;
 
-    /** Gives the lease up so that a successor need not wait for it to lapse. */
-    void release();
+    /**
+     * Ends the lease on this side: the holder must not act under it any more. Returns the grant; nothing when none was held.
+     *
+     * Others wait for the term until release() has written the row or noteGivenUp() has told them.
+     */
+    std::optional<DutyRecord> giveUp();
+
+    /** Gives the lease up and writes that to the table, so that a successor need not wait for it to lapse. Returns false when the write is to be tried again.
+     */
+    bool release();
+
+    /** Takes note that the holder of @p grant has given it up, although the row may still name it. */
+    void noteGivenUp(const DutyRecord &grant);
+
+    /** Returns the key of the row. */
+    std::string key() const;
 
 private:
     bool write(const DutyRecord &record, std::uint64_t revision, Instant sentAt);
     void observe(const std::optional<Row> &row, Instant now);
     bool lapsedForOthers(Instant now) const;
     bool isOwnWrite(const std::optional<Row> &row) const;
+    bool hasEnded(const DutyRecord &record) const;
 
     TableStore &table;
     Clock &clock;
@@ -88,6 +103,9 @@
     Instant renewalSentAt; ///< of the last renewal that took effect
     Instant renewAt;
     std::deque<std::string> ownWrites; ///< operations that may have written the present row
+    std::optional<DutyRecord> ended; ///< the last own grant that was given up
+    bool isReleaseDue = false; ///< the row may still name it
+    std::optional<DutyRecord> givenUpElsewhere; ///< the last grant that another holder has given up by its own word
 };
 
 } // namespace waxwingloft
--- a/include/waxwingloft/request/placerservice.h
+++ b/include/waxwingloft/request/placerservice.h
@@ -18,6 +18,7 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace waxwingloft {
 
@@ -30,6 +31,7 @@
     Millis stallLogAfter = Millis(1000); ///< of writes that have no effect; shorter outages delay starts by less than the users' bounds
     Millis pushTimeout = Millis(800); ///< for assignments; lost ones are repeated in the answer to the agent's next report
     Millis handOverAfter = Millis(1500); ///< of reaching the table only through peers; longer than the interval of probes of the direct way
+    Millis releaseRetry = Millis(100); ///< pause after an attempt to release leadership that may have had no effect
     Millis yieldTime = Millis(6000); ///< in which an entry without a direct way leaves leadership to others; two terms of a lease and a start
     std::size_t pushThreads = 32; ///< assignments sent concurrently; an answer takes 60 ms across regions, one that does not come 800 ms
 };
@@ -55,6 +57,9 @@
                   PlacerServiceOptions options);
     ~PlacerService() override;
 
+    /** Has @p addresses return the RPC addresses of all other entries. Call before start(). */
+    void setPeers(std::function<std::vector<std::string>()> addresses);
+
     /** Has @p isIndirect say whether the table is reached only through peers now. Call before start(). */
     void setTableWatch(std::function<bool()> isIndirect);
 
@@ -84,6 +89,8 @@
 
     void pursueLeadership();
     bool leavesLeadershipToOthers();
+    void giveUpLeadership(const std::string &reason);
+    void tellPeers(const DutyRecord &grant);
     void announceEntry();
     bool isTermInForce(Instant renewedAt);
     bool becomeLeader();
@@ -110,6 +117,8 @@
     const Logger log;
     Duty election;
     std::atomic<bool> isRunning = false; ///< the threads have been started
+    std::atomic<bool> isStopping = false; ///< no new term begins
+    std::function<std::vector<std::string>()> peers;
     std::function<bool()> isTableIndirect;
     std::optional<Instant> indirectSince;
     bool hasYielded = false; ///< since then
--- a/src/process/daemon/jobentryrole.cpp
+++ b/src/process/daemon/jobentryrole.cpp
@@ -86,6 +86,7 @@
     {
         this->placer.setMetrics(this->node.metrics);
         this->placer.followZones(this->zones);
+        this->office.setPeers([this] { return this->node.office.peers(); });
         this->office.setTableWatch([this] { return this->node.relay.isRelaying(); });
         this->gate.setOutlook(this->node.outlook);
         this->gate.setDoubtObserver([this](const std::string &call) { this->doubts.notify(call); });
--- a/src/request/placerservice.cpp
+++ b/src/request/placerservice.cpp
@@ -48,6 +48,11 @@
     this->stop();
 }
 
+void PlacerService::setPeers(std::function<std::vector<std::string>()> addresses)
+{
+    this->peers = std::move(addresses);
+}
+
 void PlacerService::setTableWatch(std::function<bool()> isIndirect)
 {
     this->isTableIndirect = std::move(isIndirect);
@@ -64,20 +69,25 @@
 
 void PlacerService::stop()
 {
-    if (!this->electionTicker) {
+    if (!this->isRunning || this->isStopping.exchange(true)) {
         return;
     }
+    // Before the threads end, as an open call on the table may hold them up for longer than the process has left.
+    this->giveUpLeadership("this process is stopping");
     this->electionTicker->stop();
     this->planTicker->stop();
     this->writeTicker->stop();
-    this->placer.stepDown("this process is stopping");
-    this->election.release();
+    // A call that was open may have acquired it anew.
+    this->giveUpLeadership("this process is stopping");
+    const auto lapsesAt = this->clock.now() + this->options.lease.term;
+    while (!this->election.release() && this->clock.now() < lapsesAt) {
+        this->clock.sleepFor(this->options.releaseRetry);
+    }
     const auto removed = this->table.commit(Transaction{this->ids.next(), {}, {{entryKey(this->self), std::nullopt}}});
     if (!succeeded(removed)) {
         this->log.warn("The row of this entry could not be removed: " + toString(errorOf(removed)));
     }
     this->pushPool->close();
-    this->electionTicker.reset();
 }
 
 void PlacerService::nudge()
@@ -95,8 +105,33 @@
     this->isAnnounced = succeeded(this->table.commit(Transaction{this->ids.next(), {}, {{entryKey(this->self), value}}}));
 }
 
+/** Steps down, tells the peers, and tries to write that to the table. */
+void PlacerService::giveUpLeadership(const std::string &reason)
+{
+    this->placer.stepDown(reason);
+    if (const auto grant = this->election.giveUp()) {
+        this->tellPeers(*grant);
+        this->election.release();
+    }
+}
+
+/** Tells all other entries that @p grant of leadership is given up, as the table may not take that in time. */
+void PlacerService::tellPeers(const DutyRecord &grant)
+{
+    if (!this->peers) {
+        return;
+    }
+    const RowNotice notice{{this->election.key(), encodeDuty({grant.holder, grant.address, grant.epoch, Millis(0)}), 0, {}}};
+    for (const auto &address : this->peers()) {
+        this->pushPool->post([this, address, notice] { this->nodes.call(address, notice, this->options.pushTimeout); });
+    }
+}
+
 void PlacerService::pursueLeadership()
 {
+    if (this->isStopping) {
+        return;
+    }
     if (!this->isAnnounced) {
         this->announceEntry();
     }
@@ -163,8 +198,7 @@
     const bool isLeading = this->election.heldEpoch().has_value();
     if (isLeading && !this->hasYielded && now - *this->indirectSince >= this->options.handOverAfter) {
         this->log.warn("Leadership is handed over, as the table is reached only through peers.");
-        this->placer.stepDown("the table is reached only through peers");
-        this->election.release();
+        this->giveUpLeadership("the table is reached only through peers");
         this->indirectSince = now;
         this->hasYielded = true;
         return true;
@@ -181,6 +215,10 @@
         this->log.warn("The placer row cannot be read: " + toString(errorOf(row)));
         return false;
     }
+    // Looked up after the row was read, so that the write fails if a successor that was told of the stop has written it since.
+    if (this->isStopping) {
+        return false;
+    }
     const auto revision = valueOf(row) ? valueOf(row)->revision : 0;
     const auto written = this->table.commit(Transaction{this->ids.next(), {{key, revision}}, {{key, encodePlacer({this->self, this->address})}}});
     if (!succeeded(written)) {
@@ -197,6 +235,9 @@
         this->log.warn("The bounds of agents cannot be read: " + toString(errorOf(bounds)));
         return false;
     }
+    if (this->isStopping) {
+        return false;
+    }
     // Leadership is taken over when it has not been renewed for its whole term, or has been given up.
     this->placer.becomeLeader(
         valueOf(written).revision, storedJobsOf(valueOf(rows), this->log), {storedBoundsOf(valueOf(bounds), this->log), this->options.lease.term});
@@ -412,6 +453,14 @@
 Message PlacerService::take(const RowNotice &notice)
 {
     const auto &row = notice.row;
+    if (row.key == this->election.key()) {
+        const auto grant = parseDuty(row.value);
+        if (succeeded(grant) && valueOf(grant).term == Millis(0) && this->isRunning.load(std::memory_order_acquire)) {
+            this->election.noteGivenUp(valueOf(grant));
+            this->electionTicker->nudge();
+        }
+        return Ack{};
+    }
     // An entry that is about to lead may have read the jobs before the row was written.
     if (this->isRecent(row)) {
         this->jobCache.applyRow(row);
--- a/tests/process/tableclienttest.cpp
+++ b/tests/process/tableclienttest.cpp
@@ -3,7 +3,9 @@
 #include "manualclock.h"
 #include "waxwingloft/process/duty.h"
 
+#include <functional>
 #include <gtest/gtest.h>
+#include <utility>
 
 namespace waxwingloft::tests {
 
@@ -102,7 +104,7 @@
 class DutyTest : public TableClientTest
 {
 protected:
-    /** Loses answers to commits. */
+    /** Refuses commits or loses their answers. */
     class LossyTable : public TableStore
     {
     public:
@@ -123,11 +125,19 @@
 
         Result<Commit> commit(const Transaction &transaction) override
         {
+            if (this->isRefusing) {
+                return makeError(ErrorKind::PlatformDown, "down");
+            }
             const auto committed = this->rows.commit(transaction);
+            if (this->onCommit) {
+                std::exchange(this->onCommit, {})();
+            }
             return this->losesAnswers ? Result<Commit>(makeError(ErrorKind::Ambiguous, "lost")) : committed;
         }
 
+        bool isRefusing = false;
         bool losesAnswers = false;
+        std::function<void()> onCommit; ///< called once, between the effect of a commit and its answer
 
     private:
         FakeRows &rows;
@@ -168,4 +178,61 @@
     EXPECT_FALSE(this->first.pursue());
 }
 
+// A release that the table did not take made the successor wait for the term.
+TEST_F(DutyTest, isTakenOverAtOnceWhenItsHolderHasSaidThatItGaveItUp)
+{
+    ASSERT_TRUE(this->first.pursue());
+    EXPECT_FALSE(this->second.pursue());
+    this->lossy.isRefusing = true;
+    const auto grant = this->first.giveUp();
+    ASSERT_TRUE(grant);
+    EXPECT_FALSE(this->first.heldEpoch().has_value());
+    EXPECT_FALSE(this->first.release());
+    EXPECT_FALSE(this->second.pursue());
+    this->second.noteGivenUp(*grant);
+    EXPECT_TRUE(this->second.pursue());
+    EXPECT_EQ(this->second.heldEpoch(), Epoch(2));
+    this->lossy.isRefusing = false;
+    EXPECT_TRUE(this->first.release()) << "nothing is left to release";
+    EXPECT_EQ(this->second.heldEpoch(), Epoch(2));
+    EXPECT_TRUE(this->second.pursue());
+}
+
+// The word that a grant was given up can arrive after the same process has been granted another.
+TEST_F(DutyTest, aLateWordOfAnEarlierGrantDoesNotEndALaterOne)
+{
+    ASSERT_TRUE(this->first.pursue());
+    const auto grant = this->first.giveUp();
+    ASSERT_TRUE(this->first.release());
+    ASSERT_TRUE(this->first.pursue());
+    EXPECT_FALSE(this->second.pursue());
+    this->second.noteGivenUp(*grant);
+    EXPECT_FALSE(this->second.pursue());
+}
+
+TEST_F(DutyTest, aReleaseThatWasNotCarriedOutIsRepeated)
+{
+    ASSERT_TRUE(this->first.pursue());
+    this->lossy.isRefusing = true;
+    EXPECT_FALSE(this->first.release());
+    this->lossy.isRefusing = false;
+    this->lossy.losesAnswers = true;
+    EXPECT_TRUE(this->first.release()) << "the row settles it";
+    EXPECT_TRUE(this->second.pursue());
+}
+
+// A lease that was given up while its renewal was under way came back with the answer.
+TEST_F(DutyTest, aRenewalThatIsAnsweredAfterTheReleaseBringsNothingBack)
+{
+    ASSERT_TRUE(this->first.pursue());
+    this->clock.advance(Millis(1000));
+    this->lossy.onCommit = [this] {
+        EXPECT_FALSE(this->first.release()) << "the renewal has changed the row";
+        EXPECT_TRUE(this->first.release());
+    };
+    EXPECT_FALSE(this->first.pursue());
+    EXPECT_FALSE(this->first.heldEpoch().has_value());
+    EXPECT_TRUE(this->second.pursue());
+}
+
 } // namespace waxwingloft::tests
--- a/tests/request/leaderpathsite.cpp
+++ b/tests/request/leaderpathsite.cpp
@@ -308,6 +308,7 @@
     , address(name + ":1")
 {
     this->table.relay.setOutlook(this->outlook);
+    this->service.setPeers([this] { return this->directory.peers(); });
     this->service.setTableWatch([this] { return this->table.relay.isRelaying(); });
 }
 
--- a/tests/request/leaderpathtest.cpp
+++ b/tests/request/leaderpathtest.cpp
@@ -196,6 +196,20 @@
     this->expectStarts({this->site.accept(this->site.bystander())}, since);
 }
 
+// Guards against a successor that waits for the term, as the silent table held up the release for longer than the stopped process lasts.
+TEST_F(LeaderPath, StartsAfterAMomentsSilenceTookTheReleaseOfAStoppedLeader)
+{
+    this->waitForRenewal(PathFault::None);
+    std::this_thread::sleep_for(Millis(20));
+    this->site.setFault(PathFault::Silent);
+    std::thread stopping([this] { this->site.stop(*this->leader); });
+    std::this_thread::sleep_for(Millis(300));
+    this->site.setFault(PathFault::None);
+    const auto since = this->site.clock.now();
+    stopping.join();
+    this->expectStarts({this->site.accept(this->site.bystander())}, since);
+}
+
 // Guards against a holder that waits for the term of its own renewal, which took effect and was settled only after the lease had lapsed.
 TEST_F(LeaderPath, StartsAfterARenewalWasSettledTooLate)
 {
--- a/tests/request/placerservicetest.cpp
+++ b/tests/request/placerservicetest.cpp
@@ -328,6 +328,39 @@
     EXPECT_FALSE(isAcknowledged());
 }
 
+// A stopped leader said nothing but to the table, which does not take the release during an outage.
+TEST(PlacerService, AStoppedLeaderTellsItsPeersAlsoWhileTheTableIsDown)
+{
+    NoticeNodes nodes;
+    ServiceSite site(nodes);
+    site.service.setPeers([] { return std::vector<std::string>{"e1:1", "e2:1"}; });
+    site.lead();
+    site.table.isDown = true;
+    site.service.stop();
+    auto sent = nodes.notices();
+    std::sort(sent.begin(), sent.end());
+    EXPECT_EQ(sent, (std::vector<std::string>{"e1:1 duty/placer", "e2:1 duty/placer"}));
+    site.table.isDown = false;
+    EXPECT_EQ(valueOf(parseDuty(valueOf(site.table.get("duty/placer"))->value)).holder, NodeId{"e0"}) << "otherwise this shows nothing";
+}
+
+TEST(PlacerService, LeadsAtOnceWhenTheLeaderHasSaidThatItGaveUp)
+{
+    SilentNodes nodes;
+    ServiceSite site(nodes);
+    const DutyRecord grant{NodeId{"e9"}, "e9:1", 3, Millis(2500)};
+    site.table.commitElsewhere({"other-leads", {}, {{"duty/placer", encodeDuty(grant)}}});
+    site.service.start();
+    const auto tell = [&site](const DutyRecord &record) { site.service.handle(Header(), RowNotice{{"duty/placer", encodeDuty(record), 0, {}}}); };
+    site.service.handle(Header(), RowNotice{{"duty/placer", R"({"holder":7,"epoch":"x","term_ms":0})", 0, {}}});
+    tell(grant);
+    std::this_thread::sleep_for(Millis(50));
+    EXPECT_FALSE(site.placer.isLeader()) << "a grant with a term is not given up";
+    tell({grant.holder, grant.address, grant.epoch, Millis(0)});
+    waitUntil([&site] { return site.placer.isLeader(); });
+    site.service.stop();
+}
+
 // An entry that took leadership again after another had led and left kept its old term: agents reported to the other, and nothing started.
 TEST(PlacerService, BeginsANewTermWhenAnotherEntryHasLedSince)
 {
