placer: Judge in one place which services are in use

The step planner and the search for waits each computed of which services at least half of a resource is in use, one with and one without negative rooms. Both now use servicesInUse(). takeWrites() encodes no row beyond the limit of rows.

--- a/src/request/private/plannerfleet.cpp
+++ b/src/request/private/plannerfleet.cpp
@@ -15,35 +15,33 @@
     return {std::max<std::int64_t>(free.milliCores, 0), std::max<std::int64_t>(free.memoryMb, 0), std::max<std::int64_t>(free.accelerators, 0)};
 }
 
-/** Returns the services of which at least half of a resource is in use. */
-std::set<std::string> servicesInUse(const std::vector<PlannerWorker> &workers)
+} // namespace
+
+std::set<std::string> servicesInUse(const std::vector<PlannerWorker> &workers, const std::vector<Capacity> &free)
 {
     std::map<std::string, std::pair<Capacity, Capacity>> services; // whole and free
-    for (const auto &worker : workers) {
-        if (worker.countsAsFleet) {
-            auto &[total, free] = services[worker.service];
-            total += worker.capacity;
-            free += leftOf(worker.free);
+    for (std::size_t index = 0; index < workers.size(); ++index) {
+        if (workers[index].countsAsFleet) {
+            auto &[total, left] = services[workers[index].service];
+            total += workers[index].capacity;
+            left += leftOf(free[index]);
         }
     }
     const auto isHalfUsed = [](std::int64_t whole, std::int64_t left) { return whole > 0 && left * 2 <= whole; };
     std::set<std::string> used;
     for (const auto &[service, room] : services) {
-        const auto &[total, free] = room;
-        if (isHalfUsed(total.milliCores, free.milliCores) || isHalfUsed(total.memoryMb, free.memoryMb) || isHalfUsed(total.accelerators, free.accelerators)) {
+        const auto &[total, left] = room;
+        if (isHalfUsed(total.milliCores, left.milliCores) || isHalfUsed(total.memoryMb, left.memoryMb) || isHalfUsed(total.accelerators, left.accelerators)) {
             used.insert(service);
         }
     }
     return used;
 }
 
-} // namespace
-
 PlannerFleet::PlannerFleet(const std::vector<PlannerWorker> &workers)
     : workers(workers)
     , isClosed(workers.size(), false)
     , rackByWorker(workers.size(), 0)
-    , busyServices(servicesInUse(workers))
 {
     for (const auto &worker : workers) {
         this->rackByName.emplace(worker.rack, 0);
@@ -69,6 +67,7 @@
             this->orderOf(index).insert(this->placeOf(index));
         }
     }
+    this->busyServices = servicesInUse(workers, this->freeByWorker);
 }
 
 Demand PlannerFleet::demandOf(const WaitingTasks &tasks, std::optional<Pace> pace)
--- a/src/request/private/plannerfleet.h
+++ b/src/request/private/plannerfleet.h
@@ -16,6 +16,9 @@
 
 namespace waxwingloft {
 
+/** Returns the services of which at least half of a resource is in use while each worker has the capacity in @p free left. */
+std::set<std::string> servicesInUse(const std::vector<PlannerWorker> &workers, const std::vector<Capacity> &free);
+
 /**
  * The workers of one plan by rack and by free capacity.
  *
--- a/src/request/private/waitfinder.cpp
+++ b/src/request/private/waitfinder.cpp
@@ -1,6 +1,7 @@
 #include "waitfinder.h"
 
 #include "demand.h"
+#include "plannerfleet.h"
 
 #include <algorithm>
 #include <array>
@@ -24,20 +25,6 @@
     this->free[worker] -= needs;
 }
 
-bool WaitFinder::isMostlyFree(const std::string &service) const
-{
-    Capacity total;
-    Capacity left;
-    for (std::size_t worker = 0; worker < this->workers.size(); ++worker) {
-        if (this->workers[worker].countsAsFleet && this->workers[worker].service == service) {
-            total += this->workers[worker].capacity;
-            left += this->free[worker];
-        }
-    }
-    const auto isFree = [](std::int64_t whole, std::int64_t part) { return whole == 0 || part * 2 > whole; };
-    return isFree(total.milliCores, left.milliCores) && isFree(total.memoryMb, left.memoryMb) && isFree(total.accelerators, left.accelerators);
-}
-
 std::uint64_t WaitFinder::slots(const WaitingTasks &tasks, std::uint64_t limit, const std::function<bool(std::size_t)> &isUsed) const
 {
     std::uint64_t total = 0;
@@ -54,12 +41,12 @@
 
 bool WaitFinder::hasRoom(const WaitingTasks &tasks)
 {
-    const auto [known, isNew] = this->mostlyFree.try_emplace(tasks.service, false);
-    if (isNew) {
-        known->second = this->isMostlyFree(tasks.service);
+    if (!this->busyServices) {
+        this->busyServices = servicesInUse(this->workers, this->free);
     }
     const std::uint64_t wanted = std::max<std::uint64_t>(2, tasks.isGang ? tasks.count : 0);
-    return known->second && this->slots(tasks, wanted, [this](std::size_t worker) { return this->workers[worker].countsAsFleet; }) >= wanted;
+    return !this->busyServices->contains(tasks.service)
+        && this->slots(tasks, wanted, [this](std::size_t worker) { return this->workers[worker].countsAsFleet; }) >= wanted;
 }
 
 /** Returns the obstacle that most of the executors have that would have room for @p tasks. */
--- a/src/request/private/waitfinder.h
+++ b/src/request/private/waitfinder.h
@@ -6,8 +6,8 @@
 #include "waxwingloft/request/stepplanner.h"
 
 #include <functional>
-#include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -39,12 +39,11 @@
     /** Returns how many of @p tasks fit on the workers that @p isUsed accepts, at most @p limit. */
     std::uint64_t slots(const WaitingTasks &tasks, std::uint64_t limit, const std::function<bool(std::size_t)> &isUsed) const;
     WaitCause mostCommonObstacle(const WaitingTasks &tasks) const;
-    bool isMostlyFree(const std::string &service) const;
 
     const std::vector<PlannerWorker> &workers;
     std::vector<Capacity> free; ///< after the starts of the plan
     std::vector<std::optional<WaitCause>> obstacles; ///< by worker
-    std::map<std::string, bool> mostlyFree; ///< by service, as far as they were asked for; call take() before
+    std::optional<std::set<std::string>> busyServices; ///< after the last take(); found by the first question
 };
 
 } // namespace waxwingloft
--- a/src/request/taskplacer.cpp
+++ b/src/request/taskplacer.cpp
@@ -841,9 +841,10 @@
     bool isFull = false;
     for (auto *const item : pending) {
         auto &job = item->second;
+        isFull = isFull || writes.size() == this->options.batchRows;
         auto value = isFull ? std::string() : encodeProgress(job.progress);
         bytes += value.size();
-        isFull = isFull || writes.size() == this->options.batchRows || (!writes.empty() && bytes > this->options.batchBytes);
+        isFull = isFull || (!writes.empty() && bytes > this->options.batchBytes);
         if (isFull) {
             ++job.writesMissed;
             continue;
