duty: Release whatever row is an own write, and nothing else

The duty now notes each write before it is sent, and whether the row last seen is one of them. Only such a row is renewed, taken at once, or released, with the epoch that it has. A notice is forgotten when another grant has been seen.

DutyTest has a test for each: anOwnTakeoverWithoutAnAnswerIsReleasedToo, aGrantOfAnotherProcessOfTheSameNameIsNotGivenUp, aNoticeOfAnEarlierGrantDoesNotReplaceALaterOne. They were written with the change and were not run against the code before it.

--- a/include/waxwingloft/process/duty.h
+++ b/include/waxwingloft/process/duty.h
@@ -69,11 +69,13 @@
      */
     std::optional<DutyRecord> giveUp();
 
-    /** Gives the lease up and writes that to the table, so that a successor need not wait for it to lapse. Returns false when the write is to be tried again.
-     */
+    /** Gives the lease up and writes that to the table, so that a successor need not wait for the term. Returns false when that is to be tried again. */
     bool release();
 
-    /** Takes note that the holder of @p grant has given it up, although the row may still name it. */
+    /** Reads the row without competing for the lease. */
+    void refresh();
+
+    /** Takes note of a holder's notice that it has given up @p grant, although the row may still name it. */
     void noteGivenUp(const DutyRecord &grant);
 
     /** Returns the key of the row. */
@@ -84,7 +86,6 @@
     void observe(const std::optional<Row> &row, Instant now);
     bool lapsedForOthers(Instant now) const;
     bool isOwnWrite(const std::optional<Row> &row) const;
-    bool hasEnded(const DutyRecord &record) const;
 
     TableStore &table;
     Clock &clock;
@@ -102,10 +103,11 @@
     std::optional<Instant> heldUntil;
     Instant renewalSentAt; ///< of the last renewal that took effect
     Instant renewAt;
-    std::deque<std::string> ownWrites; ///< operations that may have written the present row
-    std::optional<DutyRecord> ended; ///< the last own grant that was given up
-    bool isReleaseDue = false; ///< the row may still name it
-    std::optional<DutyRecord> givenUpElsewhere; ///< the last grant that another holder has given up by its own word
+    std::deque<std::string> ownWrites; ///< operations that have written the present row or may still do so
+    bool isOwnRow = false; ///< one of them has written the row that was last seen
+    std::optional<DutyRecord> ownGivenUp; ///< the last own grant that was given up
+    bool isReleaseDue = false; ///< the row may name this holder although it has given up
+    std::optional<DutyRecord> otherGivenUp; ///< the last grant that another holder has given up by notice
 };
 
 } // namespace waxwingloft
--- a/src/process/duty.cpp
+++ b/src/process/duty.cpp
@@ -75,7 +75,7 @@
         if (this->seen) {
             const bool isRenewal = this->heldUntil.has_value() && this->seen->holder == this->self && now < *this->heldUntil;
             // Nobody else can hold the lease while the row is one of this process's own writes.
-            if (!isRenewal && !this->lapsedForOthers(now) && !this->isOwnWrite(valueOf(row))) {
+            if (!isRenewal && !this->lapsedForOthers(now) && !this->isOwnRow) {
                 return false;
             }
             next.epoch = isRenewal ? this->seen->epoch : this->seen->epoch + 1;
@@ -108,46 +108,59 @@
 std::optional<DutyRecord> Duty::giveUp()
 {
     const std::lock_guard<std::mutex> guard(this->mutex);
+    // A write without an answer may have acquired the lease.
+    this->isReleaseDue = this->isReleaseDue || !this->ownWrites.empty();
     if (!this->heldUntil) {
         return std::nullopt;
     }
     this->heldUntil.reset();
-    this->ownWrites.clear();
-    this->ended = this->seen;
-    this->isReleaseDue = true;
+    this->ownGivenUp = this->seen;
     this->events.record(EventKind::LeaseLost, this->name, {}, "released");
-    return this->ended;
+    return this->ownGivenUp;
 }
 
 bool Duty::release()
 {
     this->giveUp();
-    DutyRecord released;
-    std::uint64_t revision = 0;
-    {
-        const std::lock_guard<std::mutex> guard(this->mutex);
-        if (!this->isReleaseDue) {
-            return true;
+    std::unique_lock<std::mutex> lock(this->mutex);
+    if (this->isReleaseDue && this->isOwnRow) {
+        const DutyRecord released{NodeId{}, "", this->seen->epoch, Millis(0)};
+        const auto revision = this->seenRevision;
+        lock.unlock();
+        const auto committed = this->table.commit(Transaction{this->ids.next(), {{this->key(), revision}}, {{this->key(), encodeDuty(released)}}});
+        lock.lock();
+        if (succeeded(committed)) {
+            this->isReleaseDue = false;
+            this->isOwnRow = false;
+            this->ownWrites.clear();
         }
-        released = DutyRecord{NodeId{}, "", this->ended->epoch, Millis(0)};
-        revision = this->seenRevision;
     }
-    const auto committed = this->table.commit(Transaction{this->ids.next(), {{this->key(), revision}}, {{this->key(), encodeDuty(released)}}});
-    // A renewal that was under way may have changed the row.
-    const auto row = succeeded(committed) ? Result<std::optional<Row>>(std::nullopt) : this->table.get(this->key());
+    const bool isUndecided = this->isReleaseDue;
+    lock.unlock();
+    if (!isUndecided) {
+        return true;
+    }
+    // A write that was under way may have changed the row.
+    this->refresh();
+    lock.lock();
+    return !this->isReleaseDue;
+}
+
+void Duty::refresh()
+{
+    const auto row = this->table.get(this->key());
     const std::lock_guard<std::mutex> guard(this->mutex);
-    if (succeeded(committed)) {
-        this->isReleaseDue = false;
-    } else if (succeeded(row)) {
+    if (succeeded(row)) {
         this->observe(valueOf(row), this->clock.now());
     }
-    return !this->isReleaseDue;
 }
 
 void Duty::noteGivenUp(const DutyRecord &grant)
 {
     const std::lock_guard<std::mutex> guard(this->mutex);
-    this->givenUpElsewhere = grant;
+    if (!this->otherGivenUp || this->otherGivenUp->epoch <= grant.epoch) {
+        this->otherGivenUp = grant;
+    }
 }
 
 std::string Duty::key() const
@@ -158,18 +171,22 @@
 bool Duty::write(const DutyRecord &record, std::uint64_t revision, Instant sentAt)
 {
     const auto operation = this->ids.next();
+    {
+        const std::lock_guard<std::mutex> guard(this->mutex);
+        this->ownWrites.push_back(operation);
+        if (this->ownWrites.size() > MaxOwnWrites) {
+            this->ownWrites.pop_front();
+        }
+    }
     const auto committed = this->table.commit(Transaction{operation, {{this->key(), revision}}, {{this->key(), encodeDuty(record)}}});
     const std::lock_guard<std::mutex> guard(this->mutex);
     if (!succeeded(committed)) {
-        if (errorOf(committed).kind == ErrorKind::Ambiguous && !this->hasEnded(record)) {
-            this->ownWrites.push_back(operation);
-            if (this->ownWrites.size() > MaxOwnWrites) {
-                this->ownWrites.pop_front();
-            }
+        if (errorOf(committed).kind != ErrorKind::Ambiguous) {
+            std::erase(this->ownWrites, operation);
         }
         return this->heldUntil.has_value() && this->clock.now() < *this->heldUntil;
     }
-    if (this->hasEnded(record)) {
+    if (this->ownGivenUp && isSameGrant(*this->ownGivenUp, record)) {
         return false;
     }
     const bool isNew = !this->seen || this->seen->epoch != record.epoch;
@@ -177,6 +194,7 @@
     this->seenRevision = valueOf(committed).revision;
     this->seenUnchangedSince = this->clock.now();
     this->ownWrites = {operation};
+    this->isOwnRow = true;
     this->isReleaseDue = false;
     this->heldUntil = sentAt + this->options.term - this->options.safety;
     this->renewalSentAt = sentAt;
@@ -200,18 +218,21 @@
         const auto record = parseDuty(row->value);
         this->seen = succeeded(record) ? valueOf(record) : DutyRecord{};
     }
-    if (!this->seen || this->seen->holder != this->self) {
+    this->isOwnRow = this->isOwnWrite(row);
+    if (!this->isOwnRow) {
+        // The conditions of all own writes that are still under way fail now.
+        this->ownWrites.clear();
         this->heldUntil.reset();
+        this->isReleaseDue = false;
     }
-    if (!this->isOwnWrite(row)) {
-        this->ownWrites.clear();
+    if (!this->seen || !this->otherGivenUp || !isSameGrant(*this->otherGivenUp, *this->seen)) {
+        this->otherGivenUp.reset();
     }
-    this->isReleaseDue = this->isReleaseDue && this->seen && this->hasEnded(*this->seen);
 }
 
 bool Duty::lapsedForOthers(Instant now) const
 {
-    const bool isGivenUp = this->givenUpElsewhere && isSameGrant(*this->givenUpElsewhere, *this->seen);
+    const bool isGivenUp = this->otherGivenUp && isSameGrant(*this->otherGivenUp, *this->seen);
     return this->seen->holder.isEmpty() || isGivenUp || now >= *this->seenUnchangedSince + this->seen->term;
 }
 
@@ -220,10 +241,4 @@
     return row && std::find(this->ownWrites.begin(), this->ownWrites.end(), row->operation) != this->ownWrites.end();
 }
 
-/** Whether @p record is of the last own grant that was given up. */
-bool Duty::hasEnded(const DutyRecord &record) const
-{
-    return this->ended && isSameGrant(*this->ended, record);
-}
-
 } // namespace waxwingloft
--- a/tests/process/tableclienttest.cpp
+++ b/tests/process/tableclienttest.cpp
@@ -198,8 +198,8 @@
     EXPECT_TRUE(this->second.pursue());
 }
 
-// The word that a grant was given up can arrive after the same process has been granted another.
-TEST_F(DutyTest, aLateWordOfAnEarlierGrantDoesNotEndALaterOne)
+// A notice can arrive after the same process has been granted another lease.
+TEST_F(DutyTest, aLateNoticeOfAnEarlierGrantDoesNotEndALaterOne)
 {
     ASSERT_TRUE(this->first.pursue());
     const auto grant = this->first.giveUp();
@@ -210,6 +210,49 @@
     EXPECT_FALSE(this->second.pursue());
 }
 
+TEST_F(DutyTest, aNoticeOfAnEarlierGrantDoesNotReplaceALaterOne)
+{
+    ASSERT_TRUE(this->first.pursue());
+    const auto earlier = this->first.giveUp();
+    ASSERT_TRUE(this->first.release());
+    ASSERT_TRUE(this->first.pursue());
+    EXPECT_FALSE(this->second.pursue());
+    const auto later = this->first.giveUp();
+    this->second.noteGivenUp(*later);
+    this->second.noteGivenUp(*earlier);
+    EXPECT_TRUE(this->second.pursue());
+}
+
+// A takeover that took effect without an answer was not released, so that the successor of a stopped process waited for its term.
+TEST_F(DutyTest, anOwnTakeoverWithoutAnAnswerIsReleasedToo)
+{
+    this->lossy.losesAnswers = true;
+    EXPECT_FALSE(this->first.pursue());
+    this->lossy.losesAnswers = false;
+    EXPECT_FALSE(this->first.giveUp().has_value()) << "it has never been held";
+    this->first.release();
+    EXPECT_TRUE(this->first.release());
+    EXPECT_TRUE(this->second.pursue());
+    EXPECT_EQ(this->second.heldEpoch(), Epoch(2)) << "the epoch of the release is that of the row";
+}
+
+// A process whose lease had lapsed took the grant of a restarted process of the same name for its own and gave it up.
+TEST_F(DutyTest, aGrantOfAnotherProcessOfTheSameNameIsNotGivenUp)
+{
+    IdSource ids(3);
+    Duty restarted(this->view, this->clock, this->events, ids, "placer/r", NodeId{"n1"}, "n1:1", LeaseOptions{});
+    ASSERT_TRUE(this->first.pursue());
+    EXPECT_FALSE(restarted.pursue());
+    this->clock.advance(LeaseOptions().term);
+    ASSERT_TRUE(restarted.pursue());
+    EXPECT_FALSE(this->first.pursue());
+    EXPECT_FALSE(this->first.giveUp().has_value());
+    EXPECT_TRUE(this->first.release());
+    EXPECT_FALSE(this->second.pursue());
+    EXPECT_TRUE(restarted.pursue());
+    EXPECT_EQ(restarted.heldEpoch(), Epoch(2));
+}
+
 TEST_F(DutyTest, aReleaseThatWasNotCarriedOutIsRepeated)
 {
     ASSERT_TRUE(this->first.pursue());
