placer: Step down after a takeover during which the process was stopped

Review, by reading: stop() can step down and notify the peers between the last check of a takeover and its effect. The placer then leads on until the threads have ended, and grants leases after a successor has begun to count.

The check follows the effect now. An entry that leaves leadership to others goes on reading who leads: notices of rows went to the leader that it had last seen, or to itself, for up to 6 s. A notice that comes in before the threads are started is kept. No test forces the first order of events.

--- a/include/waxwingloft/request/placerservice.h
+++ b/include/waxwingloft/request/placerservice.h
@@ -90,7 +90,7 @@
     void pursueLeadership();
     bool leavesLeadershipToOthers();
     void giveUpLeadership(const std::string &reason);
-    void tellPeers(const DutyRecord &grant);
+    void notifyPeers(const DutyRecord &grant);
     void announceEntry();
     bool isTermInForce(Instant renewedAt);
     bool becomeLeader();
--- a/src/request/placerservice.cpp
+++ b/src/request/placerservice.cpp
@@ -105,18 +105,18 @@
     this->isAnnounced = succeeded(this->table.commit(Transaction{this->ids.next(), {}, {{entryKey(this->self), value}}}));
 }
 
-/** Steps down, tells the peers, and tries to write that to the table. */
+/** Steps down, notifies the peers, and tries to write that to the table. */
 void PlacerService::giveUpLeadership(const std::string &reason)
 {
     this->placer.stepDown(reason);
     if (const auto grant = this->election.giveUp()) {
-        this->tellPeers(*grant);
-        this->election.release();
+        this->notifyPeers(*grant);
     }
+    this->election.release();
 }
 
-/** Tells all other entries that @p grant of leadership is given up, as the table may not take that in time. */
-void PlacerService::tellPeers(const DutyRecord &grant)
+/** Sends all other entries a notice that @p grant of leadership is given up, as the table may not take that in time. */
+void PlacerService::notifyPeers(const DutyRecord &grant)
 {
     if (!this->peers) {
         return;
@@ -137,6 +137,8 @@
     }
     this->repeatNotices();
     if (this->leavesLeadershipToOthers()) {
+        // Notices of rows go to the leader that is known here.
+        this->election.refresh();
         return;
     }
     this->election.pursue();
@@ -235,12 +237,13 @@
         this->log.warn("The bounds of agents cannot be read: " + toString(errorOf(bounds)));
         return false;
     }
-    if (this->isStopping) {
-        return false;
-    }
     // Leadership is taken over when it has not been renewed for its whole term, or has been given up.
     this->placer.becomeLeader(
         valueOf(written).revision, storedJobsOf(valueOf(rows), this->log), {storedBoundsOf(valueOf(bounds), this->log), this->options.lease.term});
+    if (this->isStopping) {
+        this->placer.stepDown("this process is stopping");
+        return false;
+    }
     return true;
 }
 
@@ -455,9 +458,11 @@
     const auto &row = notice.row;
     if (row.key == this->election.key()) {
         const auto grant = parseDuty(row.value);
-        if (succeeded(grant) && valueOf(grant).term == Millis(0) && this->isRunning.load(std::memory_order_acquire)) {
+        if (succeeded(grant) && valueOf(grant).term == Millis(0)) {
             this->election.noteGivenUp(valueOf(grant));
-            this->electionTicker->nudge();
+            if (this->isRunning.load(std::memory_order_acquire)) {
+                this->electionTicker->nudge();
+            }
         }
         return Ack{};
     }
