placer: Let one task of an overdue job go before urgent work

Review, by reading: while an urgent gang keeps the free room, each waiting job that would fit by itself becomes overdue, and all of them, with all tasks of wide steps, were placed before the gang in one plan.

One task of such a job, or a gang where there is nothing else, goes first now, and only as long as less than half of the service is in use, beyond which the users' rule does not hold. The other tasks follow by rank. ServiceUse is the one place that judges how much of a service is in use.

A wait that every second look misses counted no time at all; each look that finds the job now counts the time since the look before.

HeldStarts.AnOverdueJobGetsOneTaskBeforeAnUrgentGang and StartWaits.AWaitThatEverySecondLookMissesIsOverdueToo are new; they were not run against the code before.

--- a/include/waxwingloft/request/startwaits.h
+++ b/include/waxwingloft/request/startwaits.h
@@ -45,14 +45,14 @@
     struct Wait {
         Instant since;
         Instant seenAt;
-        Instant::duration total = Millis(0); ///< spans that were broken off included
+        Instant::duration total = Millis(0); ///< from the look before to each look that found it, since the first one
         bool isOpen = false; ///< the last look found it
         WaitCause cause = WaitCause::NoRoom;
         std::set<WaitCause> overdue; ///< causes that were seen after the preference wait
         bool isLong = false; ///< was logged and counted
     };
 
-    Wait &see(const ReadyWait &wait, Instant now);
+    Wait &waitSeen(const ReadyWait &wait, Instant now);
     void breakOff(const std::set<JobId> &present, Instant now);
     void logBegin(const ReadyWait &wait, const Wait &known, std::size_t further, Instant now) const;
     void show() const;
@@ -63,6 +63,7 @@
     Metrics *metrics = nullptr;
     std::unique_ptr<CountersBy<WaitCause>> counters;
     std::map<JobId, Wait> waits;
+    Instant lookedAt; ///< the last update
 };
 
 } // namespace waxwingloft
--- a/include/waxwingloft/request/stepplanner.h
+++ b/include/waxwingloft/request/stepplanner.h
@@ -48,7 +48,7 @@
     bool isMove = false; ///< tasks that still run, on an executor that leaves; their start here says that they may be stopped there
     double runTime = 0.0; ///< estimate of one task in seconds; only matters where executors differ in speed
     bool prefersSlower = false; ///< leaves the faster executors to work that gains more by them
-    bool isOverdue = false; ///< has waited too long beside room kept for other work or for itself; starts on slower workers rather than wait for faster ones
+    bool isOverdue = false; ///< has waited too long beside reserved room: starts on slower workers rather than wait for faster ones; the caller puts it first
     std::uint32_t maxPerWorker = 0; ///< zero means no limit
     std::vector<std::uint32_t> present; ///< tasks of the step that each worker already runs; empty for none
 };
--- a/include/waxwingloft/request/taskplanner.h
+++ b/include/waxwingloft/request/taskplanner.h
@@ -94,6 +94,7 @@
         bool isUrgent = false; ///< has priority zero
         bool isSuspect = false; ///< its start is a trial
         bool isRecent = false; ///< was accepted within waitForEnds
+        bool isOverdue = false; ///< is what its job begins with after it has waited too long beside reserved room
     };
 
     /** The workers of the plan, indexed as in the step planner. */
@@ -126,7 +127,7 @@
     };
 
     /** The entries and what the step planner has decided on them. */
-    struct Decided {
+    struct Outcome {
         const std::vector<Entry> &entries;
         const std::vector<WaitingTasks> &waiting; ///< of the entries
         const StepPlan &steps;
@@ -143,6 +144,8 @@
     Ranks rankJobs(const Fleet &fleet) const;
     std::vector<Unit> collectUnits(const std::set<JobId> &guaranteed, const Ranks &ranks, const OpenTrials &trials) const;
     std::vector<Unit> unitsOf(const LiveJob &job, const Unit &base) const;
+    static void splitOffOverdue(std::vector<Unit> &units);
+    static void limitOverdue(const Fleet &fleet, std::vector<Entry> &entries);
     void addUnits(const LiveJob &job, std::uint32_t occurrence, const Unit &base, std::vector<Unit> &units) const;
     bool isOrphaned(const TaskKey &task) const;
     WaitingTasks waitingOf(const Unit &unit, const Fleet &fleet) const;
@@ -157,11 +160,11 @@
     std::vector<Entry> collectMoves(const Fleet &fleet, const RunningSet &running) const;
     std::vector<Entry> collectEntries(const Fleet &fleet, const std::vector<Unit> &units, const RunningSet &running) const;
     bool admitDoubtful(Fleet &fleet, const std::vector<Entry> &entries) const;
-    static std::vector<HeldStep> heldSteps(const Decided &decided, const Fleet &fleet);
-    static std::vector<JobId> closedOutJobs(const Decided &decided, const Fleet &fleet);
+    static std::vector<HeldStep> heldSteps(const Outcome &outcome, const Fleet &fleet);
+    static std::vector<JobId> closedOutJobs(const Outcome &outcome, const Fleet &fleet);
     std::set<JobId> begunJobs() const;
     bool isCutShort(const Fleet &fleet, const RunningTasks &tasks) const;
-    std::vector<ReadyWait> readyWaits(const Decided &decided, const Fleet &fleet, const OpenTrials &trials, std::set<JobId> active) const;
+    std::vector<ReadyWait> readyWaits(const Outcome &outcome, const Fleet &fleet, const OpenTrials &trials, std::set<JobId> active) const;
 
     const PlannerInput &state;
     const Instant now;
--- a/src/request/private/plannerfleet.cpp
+++ b/src/request/private/plannerfleet.cpp
@@ -9,39 +9,13 @@
 
 constexpr std::uint32_t MaxSlots = 1U << 20U; ///< counted on one worker, for tasks without any needs
 
-/** Returns @p free without what a worker lacks that is over its capacity, as other workers cannot make up for it. */
-Capacity leftOf(const Capacity &free)
-{
-    return {std::max<std::int64_t>(free.milliCores, 0), std::max<std::int64_t>(free.memoryMb, 0), std::max<std::int64_t>(free.accelerators, 0)};
-}
-
 } // namespace
 
-std::set<std::string> servicesInUse(const std::vector<PlannerWorker> &workers, const std::vector<Capacity> &free)
-{
-    std::map<std::string, std::pair<Capacity, Capacity>> services; // whole and free
-    for (std::size_t index = 0; index < workers.size(); ++index) {
-        if (workers[index].countsAsFleet) {
-            auto &[total, left] = services[workers[index].service];
-            total += workers[index].capacity;
-            left += leftOf(free[index]);
-        }
-    }
-    const auto isHalfUsed = [](std::int64_t whole, std::int64_t left) { return whole > 0 && left * 2 <= whole; };
-    std::set<std::string> used;
-    for (const auto &[service, room] : services) {
-        const auto &[total, left] = room;
-        if (isHalfUsed(total.milliCores, left.milliCores) || isHalfUsed(total.memoryMb, left.memoryMb) || isHalfUsed(total.accelerators, left.accelerators)) {
-            used.insert(service);
-        }
-    }
-    return used;
-}
-
 PlannerFleet::PlannerFleet(const std::vector<PlannerWorker> &workers)
     : workers(workers)
     , isClosed(workers.size(), false)
     , rackByWorker(workers.size(), 0)
+    , use(workers)
 {
     for (const auto &worker : workers) {
         this->rackByName.emplace(worker.rack, 0);
@@ -67,7 +41,6 @@
             this->orderOf(index).insert(this->placeOf(index));
         }
     }
-    this->busyServices = servicesInUse(workers, this->freeByWorker);
 }
 
 Demand PlannerFleet::demandOf(const WaitingTasks &tasks, std::optional<Pace> pace)
@@ -303,7 +276,7 @@
 
 bool PlannerFleet::isBusy(const std::string &service) const
 {
-    return this->busyServices.contains(service);
+    return this->use.isBusy(service);
 }
 
 } // namespace waxwingloft
--- a/src/request/private/plannerfleet.h
+++ b/src/request/private/plannerfleet.h
@@ -2,6 +2,7 @@
 #define WAXWINGLOFT_REQUEST_PLANNERFLEET_H
 
 #include "demand.h"
+#include "serviceuse.h"
 
 #include <array>
 #include <cstddef>
@@ -16,9 +17,6 @@
 
 namespace waxwingloft {
 
-/** Returns the services of which at least half of a resource is in use while each worker has the capacity in @p free left. */
-std::set<std::string> servicesInUse(const std::vector<PlannerWorker> &workers, const std::vector<Capacity> &free);
-
 /**
  * The workers of one plan by rack and by free capacity.
  *
@@ -120,7 +118,7 @@
     std::optional<double> slowest; ///< speed below 1.0
     std::map<ShapeKey, std::size_t> shapeByKey;
     std::deque<Shape> shapes; ///< demands refer to them
-    std::set<std::string> busyServices;
+    const ServiceUse use; ///< before the plan
 };
 
 } // namespace waxwingloft
--- a/src/request/private/waitfinder.cpp
+++ b/src/request/private/waitfinder.cpp
@@ -1,7 +1,6 @@
 #include "waitfinder.h"
 
 #include "demand.h"
-#include "plannerfleet.h"
 
 #include <algorithm>
 #include <array>
@@ -13,6 +12,7 @@
 
 WaitFinder::WaitFinder(const std::vector<PlannerWorker> &workers, const WorkerObstacle &obstacleAt)
     : workers(workers)
+    , use(workers)
 {
     for (std::size_t worker = 0; worker < workers.size(); ++worker) {
         this->free.push_back(workers[worker].free);
@@ -23,6 +23,7 @@
 void WaitFinder::take(std::size_t worker, const Capacity &needs)
 {
     this->free[worker] -= needs;
+    this->use.take(this->workers[worker].service, needs);
 }
 
 std::uint64_t WaitFinder::slots(const WaitingTasks &tasks, std::uint64_t limit, const std::function<bool(std::size_t)> &isUsed) const
@@ -39,14 +40,10 @@
     return std::min(total, limit);
 }
 
-bool WaitFinder::hasRoom(const WaitingTasks &tasks)
+bool WaitFinder::hasRoom(const WaitingTasks &tasks) const
 {
-    if (!this->busyServices) {
-        this->busyServices = servicesInUse(this->workers, this->free);
-    }
     const std::uint64_t wanted = std::max<std::uint64_t>(2, tasks.isGang ? tasks.count : 0);
-    return !this->busyServices->contains(tasks.service)
-        && this->slots(tasks, wanted, [this](std::size_t worker) { return this->workers[worker].countsAsFleet; }) >= wanted;
+    return !this->use.isBusy(tasks.service) && this->slots(tasks, wanted, [this](std::size_t worker) { return this->workers[worker].countsAsFleet; }) >= wanted;
 }
 
 /** Returns the obstacle that most of the executors have that would have room for @p tasks. */
--- a/src/request/private/waitfinder.h
+++ b/src/request/private/waitfinder.h
@@ -1,13 +1,13 @@
 #ifndef WAXWINGLOFT_REQUEST_WAITFINDER_H
 #define WAXWINGLOFT_REQUEST_WAITFINDER_H
 
+#include "serviceuse.h"
 #include "waxwingloft/request/liveworker.h"
 #include "waxwingloft/request/readywait.h"
 #include "waxwingloft/request/stepplanner.h"
 
 #include <functional>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -30,7 +30,7 @@
      * Whether less than half of each resource of the tasks' service is in use and its executors have room for one of the tasks twice over, and for a
      * gang as a whole. Says nothing of racks.
      */
-    bool hasRoom(const WaitingTasks &tasks);
+    bool hasRoom(const WaitingTasks &tasks) const;
 
     /** Returns why the plan starts none of @p tasks. */
     WaitCause causeOf(const WaitingTasks &tasks) const;
@@ -41,9 +41,9 @@
     WaitCause mostCommonObstacle(const WaitingTasks &tasks) const;
 
     const std::vector<PlannerWorker> &workers;
+    ServiceUse use;
     std::vector<Capacity> free; ///< after the starts of the plan
     std::vector<std::optional<WaitCause>> obstacles; ///< by worker
-    std::optional<std::set<std::string>> busyServices; ///< after the last take(); found by the first question
 };
 
 } // namespace waxwingloft
--- a/src/request/startwaits.cpp
+++ b/src/request/startwaits.cpp
@@ -35,7 +35,7 @@
     std::vector<const ReadyWait *> grownLong;
     for (const auto &wait : waits) {
         present.insert(wait.task.job);
-        auto &known = this->see(wait, now);
+        auto &known = this->waitSeen(wait, now);
         if (known.total >= this->preferenceWait) {
             known.overdue.insert(wait.cause);
         }
@@ -52,16 +52,20 @@
         this->logBegin(*grownLong[index], this->waits.at(grownLong[index]->task.job), further, now);
     }
     this->breakOff(present, now);
+    this->lookedAt = now;
     std::erase_if(this->waits, [&](const auto &item) { return begun.contains(item.first) || now - item.second.seenAt >= this->longest; });
     this->show();
 }
 
-StartWaits::Wait &StartWaits::see(const ReadyWait &wait, Instant now)
+/** Takes note that a look at @p now has found @p wait. */
+StartWaits::Wait &StartWaits::waitSeen(const ReadyWait &wait, Instant now)
 {
-    auto &known = this->waits[wait.task.job];
-    if (known.isOpen) {
-        known.total += now - known.seenAt;
-    } else {
+    const auto [found, isNew] = this->waits.try_emplace(wait.task.job);
+    auto &known = found->second;
+    if (!isNew) {
+        known.total += now - this->lookedAt;
+    }
+    if (!known.isOpen) {
         known.since = now;
     }
     known.isOpen = true;
--- a/src/request/taskplanner.cpp
+++ b/src/request/taskplanner.cpp
@@ -3,6 +3,7 @@
 #include "blockedsteps.h"
 #include "demand.h"
 #include "opentrials.h"
+#include "serviceuse.h"
 #include "waitfinder.h"
 
 #include <algorithm>
@@ -64,6 +65,7 @@
     if (entries.empty() && !findsWaits) {
         return decided;
     }
+    limitOverdue(fleet, entries);
     std::stable_sort(entries.begin(), entries.end(), [](const Entry &left, const Entry &right) {
         const auto precedence = [](const WaitingTasks &tasks) { return std::tuple(tasks.isGuaranteed, tasks.isOverdue, tasks.rank); };
         return precedence(left.tasks) > precedence(right.tasks);
@@ -91,7 +93,7 @@
         }
         decided.starts.push_back(std::move(begun));
     }
-    Decided outcome{entries, waiting, steps, {}};
+    Outcome outcome{entries, waiting, steps, {}};
     for (const auto &start : steps.starts) {
         outcome.started.insert(start.waiting);
     }
@@ -147,13 +149,13 @@
 }
 
 /** Returns the steps of which nothing starts while workers are avoided for them. */
-std::vector<HeldStep> TaskPlanner::heldSteps(const Decided &decided, const Fleet &fleet)
+std::vector<HeldStep> TaskPlanner::heldSteps(const Outcome &outcome, const Fleet &fleet)
 {
     std::vector<HeldStep> held;
-    for (std::size_t index = 0; index < decided.entries.size(); ++index) {
-        const auto &tasks = decided.waiting[index];
-        const auto *const unit = decided.entries[index].unit;
-        if (unit == nullptr || tasks.avoided.empty() || decided.started.contains(index)) {
+    for (std::size_t index = 0; index < outcome.entries.size(); ++index) {
+        const auto &tasks = outcome.waiting[index];
+        const auto *const unit = outcome.entries[index].unit;
+        if (unit == nullptr || tasks.avoided.empty() || outcome.started.contains(index)) {
             continue;
         }
         HeldStep step{unit->job->submission.id, unit->step, unit->indices.size(), 0, 0};
@@ -168,17 +170,17 @@
 }
 
 /** Returns the jobs that have tasks of which none starts though executors of their kind are in closed zones. */
-std::vector<JobId> TaskPlanner::closedOutJobs(const Decided &decided, const Fleet &fleet)
+std::vector<JobId> TaskPlanner::closedOutJobs(const Outcome &outcome, const Fleet &fleet)
 {
     std::vector<JobId> jobs;
     if (fleet.closed.empty()) {
         return jobs;
     }
-    for (std::size_t index = 0; index < decided.entries.size(); ++index) {
-        const auto isOfUse = [&fleet, &tasks = decided.waiting[index]](std::size_t worker) { return isOfKind(fleet.workers[worker], tasks); };
-        const bool isWaiting = decided.entries[index].unit != nullptr && !decided.started.contains(index);
+    for (std::size_t index = 0; index < outcome.entries.size(); ++index) {
+        const auto isOfUse = [&fleet, &tasks = outcome.waiting[index]](std::size_t worker) { return isOfKind(fleet.workers[worker], tasks); };
+        const bool isWaiting = outcome.entries[index].unit != nullptr && !outcome.started.contains(index);
         if (isWaiting && std::any_of(fleet.closed.begin(), fleet.closed.end(), isOfUse)) {
-            jobs.push_back(decided.entries[index].unit->job->submission.id);
+            jobs.push_back(outcome.entries[index].unit->job->submission.id);
         }
     }
     return jobs;
@@ -343,9 +345,51 @@
         }
     }
     std::stable_partition(units.begin(), units.end(), [](const Unit &unit) { return unit.isSuspect; });
+    if (this->state.waits.isOverdue(job.submission.id, WaitCause::Reserved)) {
+        splitOffOverdue(units);
+    }
     return units;
 }
 
+/** Marks one task of @p units as overdue, or a whole gang where there is nothing else. The other tasks of the job follow by rank. */
+void TaskPlanner::splitOffOverdue(std::vector<Unit> &units)
+{
+    const auto isGang = [](const Unit &unit) { return unit.job->submission.graph.steps[unit.step].isGang; };
+    auto chosen = std::find_if(units.begin(), units.end(), [&](const Unit &unit) { return !unit.isSuspect && !isGang(unit); });
+    chosen = chosen == units.end() ? std::find_if(units.begin(), units.end(), [](const Unit &unit) { return !unit.isSuspect; }) : chosen;
+    if (chosen == units.end()) {
+        return;
+    }
+    auto first = *chosen;
+    first.isOverdue = true;
+    if (isGang(first) || first.indices.size() == 1) {
+        *chosen = std::move(first);
+        return;
+    }
+    first.indices.resize(1);
+    chosen->indices.erase(chosen->indices.begin());
+    units.insert(chosen, std::move(first));
+}
+
+/** Keeps overdue entries from taking more than half of their service ahead of others, the highest ranks first: beside less room no job is overdue. */
+void TaskPlanner::limitOverdue(const Fleet &fleet, std::vector<Entry> &entries)
+{
+    std::vector<WaitingTasks *> overdue;
+    for (auto &entry : entries) {
+        if (entry.tasks.isOverdue) {
+            overdue.push_back(&entry.tasks);
+        }
+    }
+    std::stable_sort(overdue.begin(), overdue.end(), [](const auto *left, const auto *right) { return left->rank > right->rank; });
+    ServiceUse use(fleet.workers);
+    for (auto *const tasks : overdue) {
+        tasks->isOverdue = !use.isBusy(tasks->service);
+        if (tasks->isOverdue) {
+            use.take(tasks->service, tasks->needs, tasks->count);
+        }
+    }
+}
+
 bool TaskPlanner::isDue(const LiveJob &job, std::uint32_t occurrence) const
 {
     const auto &graph = job.submission.graph;
@@ -470,7 +514,7 @@
     }
     waiting.runTime = secondsOf(step.estimate);
     waiting.prefersSlower = !waiting.mayPreempt && this->keepsObjectiveOnSlower(unit);
-    waiting.isOverdue = this->state.waits.isOverdue(unit.job->submission.id, WaitCause::Reserved);
+    waiting.isOverdue = unit.isOverdue;
     waiting.maxPerWorker = step.maxPerExecutor;
     if (step.maxPerExecutor > 0) {
         waiting.present.assign(fleet.workers.size(), 0);
@@ -664,7 +708,7 @@
 }
 
 /** Returns the jobs not in @p active, among them those that the plan starts, while there is room for a task of theirs twice over. */
-std::vector<ReadyWait> TaskPlanner::readyWaits(const Decided &decided, const Fleet &fleet, const OpenTrials &trials, std::set<JobId> active) const
+std::vector<ReadyWait> TaskPlanner::readyWaits(const Outcome &outcome, const Fleet &fleet, const OpenTrials &trials, std::set<JobId> active) const
 {
     WaitFinder finder(fleet.workers, [this, &fleet](std::size_t worker) -> std::optional<WaitCause> {
         const auto &view = fleet.workers[worker];
@@ -676,21 +720,21 @@
         }
         return view.acceptsWork ? std::nullopt : this->doubtAt(*fleet.byIndex[worker]);
     });
-    for (const auto &start : decided.steps.starts) {
+    for (const auto &start : outcome.steps.starts) {
         for (const auto worker : start.workers) {
-            finder.take(worker, decided.waiting[start.waiting].needs);
+            finder.take(worker, outcome.waiting[start.waiting].needs);
         }
     }
     std::vector<ReadyWait> found;
-    for (std::size_t index = 0; index < decided.entries.size(); ++index) {
-        const auto *const unit = decided.entries[index].unit;
-        const auto &tasks = decided.waiting[index];
+    for (std::size_t index = 0; index < outcome.entries.size(); ++index) {
+        const auto *const unit = outcome.entries[index].unit;
+        const auto &tasks = outcome.waiting[index];
         if (unit == nullptr || active.contains(unit->job->submission.id) || !finder.hasRoom(tasks)) {
             continue;
         }
         const auto unplaced = this->state.mayStart ? finder.causeOf(tasks) : WaitCause::ZonesUnknown;
         const TaskKey first{unit->job->submission.id, unit->occurrence, unit->step, unit->indices.front()};
-        found.push_back({first, tasks.count, decided.started.contains(index) ? WaitCause::WriteOpen : unplaced, {}});
+        found.push_back({first, tasks.count, outcome.started.contains(index) ? WaitCause::WriteOpen : unplaced, {}});
         active.insert(first.job);
     }
     const BlockedSteps blocked(this->state, this->now, [this](const TaskKey &task) { return this->obstacleTo(task); });
--- a/tests/request/heldstartstest.cpp
+++ b/tests/request/heldstartstest.cpp
@@ -382,6 +382,33 @@
     expectNoViolations(site);
 }
 
+// A wide job that is overdue would take all the room that is kept for an urgent gang, though one running task ends its wait.
+TEST(HeldStarts, AnOverdueJobGetsOneTaskBeforeAnUrgentGang)
+{
+    constexpr auto RunTime = Millis(8000);
+    JobSite site(10);
+    makeRunsLastFor(site, RunTime);
+    auto filling = oneStep(4, Whole);
+    filling.steps[0].estimate = RunTime;
+    site.submit(filling, 0);
+    site.advance(Millis(300));
+    site.advance(RunTime - Millis(3950));
+    const auto urgent = site.submit(oneStep(9, Whole, true), 0);
+    site.advance(Millis(50));
+    auto wide = oneStep(5, Whole);
+    wide.steps[0].estimate = Millis(600'000); // ranks below the gang
+    const auto job = site.submit(wide, 0);
+    site.advance(LongestStand);
+    std::size_t started = 0;
+    for (std::uint32_t index = 0; index < 5; ++index) {
+        started += site.checker.starts.contains(TaskKey{job, 0, 0, index}) ? 1 : 0;
+    }
+    EXPECT_EQ(started, 1U);
+    site.advance(Millis(13'000));
+    EXPECT_EQ(site.checker.starts[(TaskKey{urgent, 0, 0, 0})], 1U);
+    expectNoViolations(site);
+}
+
 // The other tasks of a job on trial are held back; they must follow once the executor has outlived the start.
 TEST(HeldStarts, TheOtherTasksOfAJobFollowOnceItsTrialHasBeenOutlived)
 {
--- a/tests/request/startwaitstest.cpp
+++ b/tests/request/startwaitstest.cpp
@@ -113,6 +113,16 @@
     EXPECT_FALSE(waits.isOverdue(JobId{"a"}, WaitCause::OneRack)) << "it has had no room for too long";
 }
 
+TEST(StartWaits, AWaitThatEverySecondLookMissesIsOverdueToo)
+{
+    StartWaits waits(Preference, Longest);
+    Instant now;
+    for (int look = 0; look < 16; ++look, now += Millis(250)) {
+        waits.update(look % 2 == 0 ? std::vector{waitOf("a", WaitCause::Reserved)} : std::vector<ReadyWait>(), {}, now);
+    }
+    EXPECT_TRUE(waits.isOverdue(JobId{"a"}, WaitCause::Reserved));
+}
+
 // A start that no executor answers held up its job without a word of the placer.
 TEST(StartWaits, NamesAStartThatIsNotAnswered)
 {
