duty: Retire before the release, and release in two attempts

Second review, by reading: - The election thread of a process that stops could take the lease again after it was given up, when it had read the row before; the peers' notice names the earlier grant. retire() ends the competition first. - The answer to a release cleared what the election thread had learnt since. It counts only while the row is the one that it was sent for. - A release whose row had been changed by an own renewal was left to the caller to repeat; services that release once kept the row.

--- a/include/waxwingloft/process/duty.h
+++ b/include/waxwingloft/process/duty.h
@@ -72,6 +72,9 @@
     /** Gives the lease up and writes that to the table, so that a successor need not wait for the term. Returns false when that is to be tried again. */
     bool release();
 
+    /** Competes for the lease no more. A write that is under way may still acquire it; release() ends that. */
+    void retire();
+
     /** Reads the row without competing for the lease. */
     void refresh();
 
@@ -86,6 +89,7 @@
     void observe(const std::optional<Row> &row, Instant now);
     bool lapsedForOthers(Instant now) const;
     bool isOwnWrite(const std::optional<Row> &row) const;
+    bool tryRelease();
 
     TableStore &table;
     Clock &clock;
@@ -106,6 +110,7 @@
     std::deque<std::string> ownWrites; ///< operations that have written the present row or may still do so
     bool isOwnRow = false; ///< one of them has written the row that was last seen
     std::optional<DutyRecord> ownGivenUp; ///< the last own grant that was given up
+    bool isRetired = false;
     bool isReleaseDue = false; ///< the row may name this holder although it has given up
     std::optional<DutyRecord> otherGivenUp; ///< the last grant that another holder has given up by notice
 };
--- a/src/process/duty.cpp
+++ b/src/process/duty.cpp
@@ -71,6 +71,9 @@
     {
         const std::lock_guard<std::mutex> guard(this->mutex);
         this->observe(valueOf(row), now);
+        if (this->isRetired) {
+            return false;
+        }
         revision = this->seenRevision;
         if (this->seen) {
             const bool isRenewal = this->heldUntil.has_value() && this->seen->holder == this->self && now < *this->heldUntil;
@@ -122,28 +125,40 @@
 bool Duty::release()
 {
     this->giveUp();
+    bool isDue = this->tryRelease();
+    if (isDue) {
+        // A write that was under way may have changed the row.
+        this->refresh();
+        isDue = this->tryRelease();
+    }
+    return !isDue;
+}
+
+/** Writes the row that ends an own grant if that is due and the row is known. Returns whether it is due still. */
+bool Duty::tryRelease()
+{
     std::unique_lock<std::mutex> lock(this->mutex);
-    if (this->isReleaseDue && this->isOwnRow) {
-        const DutyRecord released{NodeId{}, "", this->seen->epoch, Millis(0)};
-        const auto revision = this->seenRevision;
-        lock.unlock();
-        const auto committed = this->table.commit(Transaction{this->ids.next(), {{this->key(), revision}}, {{this->key(), encodeDuty(released)}}});
-        lock.lock();
-        if (succeeded(committed)) {
-            this->isReleaseDue = false;
-            this->isOwnRow = false;
-            this->ownWrites.clear();
-        }
+    if (!this->isReleaseDue || !this->isOwnRow) {
+        return this->isReleaseDue;
     }
-    const bool isUndecided = this->isReleaseDue;
+    const DutyRecord released{NodeId{}, "", this->seen->epoch, Millis(0)};
+    const auto revision = this->seenRevision;
     lock.unlock();
-    if (!isUndecided) {
-        return true;
-    }
-    // A write that was under way may have changed the row.
-    this->refresh();
+    const auto committed = this->table.commit(Transaction{this->ids.next(), {{this->key(), revision}}, {{this->key(), encodeDuty(released)}}});
     lock.lock();
-    return !this->isReleaseDue;
+    // Otherwise the row has been read or written again in the meantime, and its state is known.
+    if (succeeded(committed) && this->seenRevision == revision) {
+        this->isReleaseDue = false;
+        this->isOwnRow = false;
+        this->ownWrites.clear();
+    }
+    return this->isReleaseDue;
+}
+
+void Duty::retire()
+{
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    this->isRetired = true;
 }
 
 void Duty::refresh()
--- a/src/request/placerservice.cpp
+++ b/src/request/placerservice.cpp
@@ -72,6 +72,7 @@
     if (!this->isRunning || this->isStopping.exchange(true)) {
         return;
     }
+    this->election.retire();
     // Before the threads end, as an open call on the table may hold them up for longer than the process has left.
     this->giveUpLeadership("this process is stopping");
     this->electionTicker->stop();
