placer: Place one overdue task of each step, and only where it fits

Second review, by reading: - The split-off task and the others of its step were counted apart, so that an executor could get more of them than maxPerExecutor. The others wait for the next plan where there is such a limit. - The next plan took one more task of the job, until a look had seen a run of it begin. A job of which a run was assigned within the preference wait has no overdue tasks. - The first step was marked, also when another one could start and this one not.

HeldStarts.AnOverdueJobKeepsToItsLimitOfTasksPerExecutor is new and was not run against the code before it.

--- a/include/waxwingloft/request/startwaits.h
+++ b/include/waxwingloft/request/startwaits.h
@@ -45,14 +45,14 @@
     struct Wait {
         Instant since;
         Instant seenAt;
-        Instant::duration total = Millis(0); ///< from the look before to each look that found it, since the first one
+        Instant::duration total = Millis(0); ///< sum of the time between each look that found it again and the look before that
         bool isOpen = false; ///< the last look found it
         WaitCause cause = WaitCause::NoRoom;
         std::set<WaitCause> overdue; ///< causes that were seen after the preference wait
         bool isLong = false; ///< was logged and counted
     };
 
-    Wait &waitSeen(const ReadyWait &wait, Instant now);
+    Wait &noteSeen(const ReadyWait &wait, Instant now);
     void breakOff(const std::set<JobId> &present, Instant now);
     void logBegin(const ReadyWait &wait, const Wait &known, std::size_t further, Instant now) const;
     void show() const;
--- a/include/waxwingloft/request/taskplanner.h
+++ b/include/waxwingloft/request/taskplanner.h
@@ -94,7 +94,7 @@
         bool isUrgent = false; ///< has priority zero
         bool isSuspect = false; ///< its start is a trial
         bool isRecent = false; ///< was accepted within waitForEnds
-        bool isOverdue = false; ///< is what its job begins with after it has waited too long beside reserved room
+        bool isOverdue = false; ///< one of those that its job may begin with after it has waited too long beside reserved room
     };
 
     /** The workers of the plan, indexed as in the step planner. */
@@ -145,7 +145,9 @@
     std::vector<Unit> collectUnits(const std::set<JobId> &guaranteed, const Ranks &ranks, const OpenTrials &trials) const;
     std::vector<Unit> unitsOf(const LiveJob &job, const Unit &base) const;
     static void splitOffOverdue(std::vector<Unit> &units);
+    static bool fitsNow(const Fleet &fleet, const WaitingTasks &tasks);
     static void limitOverdue(const Fleet &fleet, std::vector<Entry> &entries);
+    std::set<JobId> recentlyAssigned() const;
     void addUnits(const LiveJob &job, std::uint32_t occurrence, const Unit &base, std::vector<Unit> &units) const;
     bool isOrphaned(const TaskKey &task) const;
     WaitingTasks waitingOf(const Unit &unit, const Fleet &fleet) const;
@@ -169,6 +171,7 @@
     const PlannerInput &state;
     const Instant now;
     const std::int64_t wallNow;
+    const std::set<JobId> justAssigned; ///< jobs of which a run was assigned within the preference wait
     const std::set<TaskKey> ofSilentExecutors; ///< tasks that start once the executors of their last starts have answered
 };
 
--- a/src/request/startwaits.cpp
+++ b/src/request/startwaits.cpp
@@ -35,7 +35,7 @@
     std::vector<const ReadyWait *> grownLong;
     for (const auto &wait : waits) {
         present.insert(wait.task.job);
-        auto &known = this->waitSeen(wait, now);
+        auto &known = this->noteSeen(wait, now);
         if (known.total >= this->preferenceWait) {
             known.overdue.insert(wait.cause);
         }
@@ -58,11 +58,13 @@
 }
 
 /** Takes note that a look at @p now has found @p wait. */
-StartWaits::Wait &StartWaits::waitSeen(const ReadyWait &wait, Instant now)
+StartWaits::Wait &StartWaits::noteSeen(const ReadyWait &wait, Instant now)
 {
     const auto [found, isNew] = this->waits.try_emplace(wait.task.job);
     auto &known = found->second;
-    if (!isNew) {
+    if (!isNew && now - known.seenAt >= this->longest) {
+        known = Wait();
+    } else if (!isNew) {
         known.total += now - this->lookedAt;
     }
     if (!known.isOpen) {
--- a/src/request/taskplanner.cpp
+++ b/src/request/taskplanner.cpp
@@ -44,6 +44,7 @@
     : state(state)
     , now(now)
     , wallNow(wallNow)
+    , justAssigned(this->recentlyAssigned())
     , ofSilentExecutors(tasksOfSilentExecutors(state.workers, state.options.silentStartsToWait, now - state.options.silentStartWait))
 {
 }
@@ -345,33 +346,58 @@
         }
     }
     std::stable_partition(units.begin(), units.end(), [](const Unit &unit) { return unit.isSuspect; });
-    if (this->state.waits.isOverdue(job.submission.id, WaitCause::Reserved)) {
+    // What was just assigned ends the wait, unless its start fails.
+    if (this->state.waits.isOverdue(job.submission.id, WaitCause::Reserved) && !this->justAssigned.contains(job.submission.id)) {
         splitOffOverdue(units);
     }
     return units;
 }
 
-/** Marks one task of @p units as overdue, or a whole gang where there is nothing else. The other tasks of the job follow by rank. */
+/** Marks one task of each step as overdue, or the gangs where there is nothing else. The other tasks of the job follow by rank. */
 void TaskPlanner::splitOffOverdue(std::vector<Unit> &units)
 {
-    const auto isGang = [](const Unit &unit) { return unit.job->submission.graph.steps[unit.step].isGang; };
-    auto chosen = std::find_if(units.begin(), units.end(), [&](const Unit &unit) { return !unit.isSuspect && !isGang(unit); });
-    chosen = chosen == units.end() ? std::find_if(units.begin(), units.end(), [](const Unit &unit) { return !unit.isSuspect; }) : chosen;
-    if (chosen == units.end()) {
-        return;
+    const auto stepOf = [](const Unit &unit) -> const auto &
+    {
+        return unit.job->submission.graph.steps[unit.step];
+    };
+    const bool isOnlyGangs = std::all_of(units.begin(), units.end(), [&](const Unit &unit) { return unit.isSuspect || stepOf(unit).isGang; });
+    std::vector<Unit> split;
+    for (auto &unit : units) {
+        if (unit.isSuspect || stepOf(unit).isGang != isOnlyGangs) {
+            split.push_back(std::move(unit));
+            continue;
+        }
+        auto first = unit;
+        first.isOverdue = true;
+        if (!isOnlyGangs) {
+            first.indices.resize(1);
+        }
+        unit.indices.erase(unit.indices.begin(), unit.indices.begin() + static_cast<std::ptrdiff_t>(first.indices.size()));
+        // A limit per executor counts the tasks of one entry only, so that the others wait for the next plan.
+        const bool hasOthers = !unit.indices.empty() && stepOf(unit).maxPerExecutor == 0;
+        split.push_back(std::move(first));
+        if (hasOthers) {
+            split.push_back(std::move(unit));
+        }
     }
-    auto first = *chosen;
-    first.isOverdue = true;
-    if (isGang(first) || first.indices.size() == 1) {
-        *chosen = std::move(first);
-        return;
+    units = std::move(split);
+}
+
+/** Whether a task of @p tasks, or all of a gang, fits into the room that is free before the plan. */
+bool TaskPlanner::fitsNow(const Fleet &fleet, const WaitingTasks &tasks)
+{
+    const std::uint32_t wanted = tasks.isGang ? tasks.count : 1;
+    std::uint32_t found = 0;
+    for (std::size_t worker = 0; worker < fleet.workers.size() && found < wanted; ++worker) {
+        const bool isAvoided = !tasks.avoided.empty() && tasks.avoided[worker];
+        if (!isAvoided && mayRun(fleet.workers[worker], tasks)) {
+            found += timesIn(fleet.workers[worker].free, tasks.needs, wanted - found);
+        }
     }
-    first.indices.resize(1);
-    chosen->indices.erase(chosen->indices.begin());
-    units.insert(chosen, std::move(first));
+    return found >= wanted;
 }
 
-/** Keeps overdue entries from taking more than half of their service ahead of others, the highest ranks first: beside less room no job is overdue. */
+/** Lets overdue entries go first, the highest ranks before others, only as long as less than half of their service is in use. */
 void TaskPlanner::limitOverdue(const Fleet &fleet, std::vector<Entry> &entries)
 {
     std::vector<WaitingTasks *> overdue;
@@ -383,7 +409,7 @@
     std::stable_sort(overdue.begin(), overdue.end(), [](const auto *left, const auto *right) { return left->rank > right->rank; });
     ServiceUse use(fleet.workers);
     for (auto *const tasks : overdue) {
-        tasks->isOverdue = !use.isBusy(tasks->service);
+        tasks->isOverdue = !use.isBusy(tasks->service) && fitsNow(fleet, *tasks);
         if (tasks->isOverdue) {
             use.take(tasks->service, tasks->needs, tasks->count);
         }
@@ -693,6 +719,20 @@
     return ranks;
 }
 
+/** Returns the jobs of which a run was assigned within the preference wait. */
+std::set<JobId> TaskPlanner::recentlyAssigned() const
+{
+    std::set<JobId> jobs;
+    for (const auto &[node, worker] : this->state.workers) {
+        for (const auto &[run, live] : worker.runs) {
+            if (this->now - live.assignedAt < this->state.options.preferenceWait) {
+                jobs.insert(run.task.job);
+            }
+        }
+    }
+    return jobs;
+}
+
 /** Returns the jobs with a run that has begun and goes on. A start that is refused or not answered leaves nothing running. */
 std::set<JobId> TaskPlanner::begunJobs() const
 {
--- a/tests/request/heldstartstest.cpp
+++ b/tests/request/heldstartstest.cpp
@@ -134,6 +134,34 @@
         return std::nullopt;
     }
 
+    /** Adds a job that has waited for reserved room for longer than the preference wait, with at most @p perExecutor of its tasks on one executor. */
+    JobId addOverdue(const JobGraph &graph, std::uint32_t perExecutor)
+    {
+        auto &job = this->add("0000000000000003", graph);
+        job.submission.graph.steps[0].maxPerExecutor = perExecutor;
+        const ReadyWait wait{{job.submission.id, 0, 0, 0}, graph.steps[0].count, WaitCause::Reserved, {}};
+        this->waits.update({wait}, {}, this->clock.now());
+        this->clock.advance(this->options.preferenceWait);
+        this->waits.update({wait}, {}, this->clock.now());
+        return job.submission.id;
+    }
+
+    /** Returns where the next plan starts the tasks of @p job. */
+    std::vector<NodeId> placesOf(const JobId &job)
+    {
+        std::vector<NodeId> places;
+        for (auto &[node, worker] : this->workers) {
+            worker.lastReportAt = this->clock.now();
+        }
+        const PlannerInput state{this->jobs, this->workers, this->routes, this->health, this->rank, this->speeds, this->options, this->waits};
+        for (const auto &start : TaskPlanner(state, this->clock.now(), this->clock.wallMillis()).plan().starts) {
+            if (start.job == job) {
+                places.insert(places.end(), start.agents.begin(), start.agents.end());
+            }
+        }
+        return places;
+    }
+
     std::set<WaitCause> causes; ///< of the waits so far
 
 private:
@@ -409,6 +437,16 @@
     expectNoViolations(site);
 }
 
+// One task of a step that goes first and the others were counted apart, so that an executor could get more tasks than the step allows.
+TEST(HeldStarts, AnOverdueJobKeepsToItsLimitOfTasksPerExecutor)
+{
+    TwoSpeeds fleet;
+    const auto job = fleet.addOverdue(oneStep(4, One), 1);
+    const auto places = fleet.placesOf(job);
+    EXPECT_FALSE(places.empty());
+    EXPECT_EQ(std::set<NodeId>(places.begin(), places.end()).size(), places.size());
+}
+
 // The other tasks of a job on trial are held back; they must follow once the executor has outlived the start.
 TEST(HeldStarts, TheOtherTasksOfAJobFollowOnceItsTrialHasBeenOutlived)
 {
