--- a/src/request/taskplacer.cpp
+++ b/src/request/taskplacer.cpp
@@ -697,7 +697,7 @@
     const auto plan = planner.plan(findsWaits);
     if (findsWaits) {
         this->nextWaitWatchAt = now + this->options.waitWatchInterval;
-        this->waits.update(plan.waits, now);
+        this->waits.update(plan.waits, plan.begun, now);
     }
     for (const auto &[node, run] : plan.stops) {
         auto &worker = this->workers.at(node);
@@ -841,9 +841,10 @@
     bool isFull = false;
     for (auto *const item : pending) {
         auto &job = item->second;
+        isFull = isFull || writes.size() == this->options.batchRows;
         auto value = isFull ? std::string() : encodeProgress(job.progress);
         bytes += value.size();
-        isFull = isFull || writes.size() == this->options.batchRows || (!writes.empty() && bytes > this->options.batchBytes);
+        isFull = isFull || (!writes.empty() && bytes > this->options.batchBytes);
         if (isFull) {
             ++job.writesMissed;
             continue;
--- a/tests/process/tableclienttest.cpp
+++ b/tests/process/tableclienttest.cpp
@@ -3,7 +3,9 @@
 #include "manualclock.h"
 #include "waxwingloft/process/duty.h"
 
+#include <functional>
 #include <gtest/gtest.h>
+#include <utility>
 
 namespace waxwingloft::tests {
 
@@ -98,4 +100,139 @@
     EXPECT_EQ(first.heldEpoch(), Epoch(3));
 }
 
+/** Two processes that compete for one duty; the first one's way to the table loses answers. */
+class DutyTest : public TableClientTest
+{
+protected:
+    /** Refuses commits or loses their answers. */
+    class LossyTable : public TableStore
+    {
+    public:
+        explicit LossyTable(FakeRows &rows)
+            : rows(rows)
+        {
+        }
+
+        Result<std::optional<Row>> get(const std::string &key) override
+        {
+            return this->rows.get(key);
+        }
+
+        Result<RowList> list(const std::string &prefix, std::uint64_t since) override
+        {
+            return this->rows.list(prefix, since);
+        }
+
+        Result<Commit> commit(const Transaction &transaction) override
+        {
+            if (this->isRefusing) {
+                return makeError(ErrorKind::PlatformDown, "down");
+            }
+            const auto committed = this->rows.commit(transaction);
+            if (this->onCommit) {
+                std::exchange(this->onCommit, {})();
+            }
+            return this->losesAnswers ? Result<Commit>(makeError(ErrorKind::Ambiguous, "lost")) : committed;
+        }
+
+        bool isRefusing = false;
+        bool losesAnswers = false;
+        std::function<void()> onCommit; ///< called once, between the effect of a commit and its answer
+
+    private:
+        FakeRows &rows;
+    };
+
+    EventLog events{this->clock, "node", 10};
+    IdSource firstIds{1};
+    IdSource secondIds{2};
+    LossyTable lossy{this->rows};
+    Duty first{this->lossy, this->clock, this->events, this->firstIds, "placer/r", NodeId{"n1"}, "n1:1", LeaseOptions{}};
+    Duty second{this->view, this->clock, this->events, this->secondIds, "placer/r", NodeId{"n2"}, "n2:1", LeaseOptions{}};
+};
+
+// A holder whose renewal took effect without an answer waited for its own term, in which nobody led.
+TEST_F(DutyTest, isTakenAgainAtOnceOnTopOfAnOwnWriteWithoutAnAnswer)
+{
+    ASSERT_TRUE(this->first.pursue());
+    this->clock.advance(Millis(1000));
+    this->lossy.losesAnswers = true;
+    EXPECT_TRUE(this->first.pursue());
+    this->clock.advance(Millis(1200));
+    ASSERT_FALSE(this->first.heldEpoch().has_value());
+    this->lossy.losesAnswers = false;
+    EXPECT_FALSE(this->second.pursue()) << "another process cannot know whether the write was answered";
+    EXPECT_TRUE(this->first.pursue());
+    EXPECT_EQ(this->first.heldEpoch(), Epoch(2)) << "a lease that has lapsed is never renewed";
+}
+
+TEST_F(DutyTest, aRowThatAnotherProcessOfTheSameNameWroteIsNotAnOwnWrite)
+{
+    IdSource ids(3);
+    Duty restarted(this->view, this->clock, this->events, ids, "placer/r", NodeId{"n1"}, "n1:1", LeaseOptions{});
+    ASSERT_TRUE(this->first.pursue());
+    EXPECT_FALSE(restarted.pursue());
+    this->clock.advance(LeaseOptions().term);
+    EXPECT_TRUE(restarted.pursue());
+    this->clock.advance(Millis(2200));
+    EXPECT_FALSE(this->first.pursue());
+}
+
+// A release that the table did not take made the successor wait for the term.
+TEST_F(DutyTest, isTakenOverAtOnceWhenItsHolderHasSaidThatItGaveItUp)
+{
+    ASSERT_TRUE(this->first.pursue());
+    EXPECT_FALSE(this->second.pursue());
+    this->lossy.isRefusing = true;
+    const auto grant = this->first.giveUp();
+    ASSERT_TRUE(grant);
+    EXPECT_FALSE(this->first.heldEpoch().has_value());
+    EXPECT_FALSE(this->first.release());
+    EXPECT_FALSE(this->second.pursue());
+    this->second.noteGivenUp(*grant);
+    EXPECT_TRUE(this->second.pursue());
+    EXPECT_EQ(this->second.heldEpoch(), Epoch(2));
+    this->lossy.isRefusing = false;
+    EXPECT_TRUE(this->first.release()) << "nothing is left to release";
+    EXPECT_EQ(this->second.heldEpoch(), Epoch(2));
+    EXPECT_TRUE(this->second.pursue());
+}
+
+// The word that a grant was given up can arrive after the same process has been granted another.
+TEST_F(DutyTest, aLateWordOfAnEarlierGrantDoesNotEndALaterOne)
+{
+    ASSERT_TRUE(this->first.pursue());
+    const auto grant = this->first.giveUp();
+    ASSERT_TRUE(this->first.release());
+    ASSERT_TRUE(this->first.pursue());
+    EXPECT_FALSE(this->second.pursue());
+    this->second.noteGivenUp(*grant);
+    EXPECT_FALSE(this->second.pursue());
+}
+
+TEST_F(DutyTest, aReleaseThatWasNotCarriedOutIsRepeated)
+{
+    ASSERT_TRUE(this->first.pursue());
+    this->lossy.isRefusing = true;
+    EXPECT_FALSE(this->first.release());
+    this->lossy.isRefusing = false;
+    this->lossy.losesAnswers = true;
+    EXPECT_TRUE(this->first.release()) << "the row settles it";
+    EXPECT_TRUE(this->second.pursue());
+}
+
+// A lease that was given up while its renewal was under way came back with the answer.
+TEST_F(DutyTest, aRenewalThatIsAnsweredAfterTheReleaseBringsNothingBack)
+{
+    ASSERT_TRUE(this->first.pursue());
+    this->clock.advance(Millis(1000));
+    this->lossy.onCommit = [this] {
+        EXPECT_FALSE(this->first.release()) << "the renewal has changed the row";
+        EXPECT_TRUE(this->first.release());
+    };
+    EXPECT_FALSE(this->first.pursue());
+    EXPECT_FALSE(this->first.heldEpoch().has_value());
+    EXPECT_TRUE(this->second.pursue());
+}
+
 } // namespace waxwingloft::tests
