--- /dev/null
+++ b/review/standins-2/store.cpp
@@ -0,0 +1,175 @@
+#include "store.h"
+
+#include <absl/strings/escaping.h>
+#include <algorithm>
+#include <chrono>
+
+namespace waxwingloft::review {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr auto TransactionTime = std::chrono::milliseconds(5);
+constexpr std::size_t MostEntries = 100;
+constexpr std::size_t LargestCall = 1'000'000;
+constexpr std::size_t LargestPage = 500;
+constexpr long LongestWaitMs = 30'000;
+constexpr int StatusBadRequest = 400;
+constexpr int StatusConditionFailed = 412;
+
+long numberOf(const httplib::Request &request, const char *name, long fallback)
+{
+    return request.has_param(name) ? std::stol(request.get_param_value(name)) : fallback;
+}
+
+} // namespace
+
+Store::Store(const std::string &host)
+    : peer(host)
+{
+    auto &server = this->peer.open();
+    server.Post("/waxwingloft/rows-tx", [this](const auto &request, auto &response) { this->transact(request, response); });
+    server.Get("/waxwingloft/rows-get", [this](const auto &request, auto &response) { this->read(request, response); });
+    server.Get("/waxwingloft/rows-feed", [this](const auto &request, auto &response) { this->feed(request, response); });
+    this->peer.run();
+}
+
+Store::~Store()
+{
+    this->isOver = true;
+    this->changed.notify_all();
+    this->peer.close();
+}
+
+std::string Store::address() const
+{
+    return this->peer.address();
+}
+
+void Store::put(const std::string &table, const std::string &key, const std::string &value)
+{
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    this->rows[{table, key}] = {absl::Base64Escape(value), ++this->version, false};
+    this->changed.notify_all();
+}
+
+Store::Place Store::placeOf(const Json &entry)
+{
+    return {entry.at("table").get<std::string>(), entry.at("key").get<std::string>()};
+}
+
+Json Store::toJson(const Place &place, const StoredRow &row)
+{
+    Json json{{"table", place.first}, {"part", ""}, {"key", place.second}, {"ver", row.version}};
+    if (row.isRemoved) {
+        json["removed"] = true;
+    } else {
+        json["value"] = row.value;
+    }
+    return json;
+}
+
+std::uint64_t Store::versionOf(const Place &place) const
+{
+    const auto found = this->rows.find(place);
+    return found == this->rows.end() || found->second.isRemoved ? 0 : found->second.version;
+}
+
+/** Fills in the fields of all answers about rows. Call with the mutex held. */
+void Store::answer(httplib::Response &response, Json body) const
+{
+    const auto now = std::chrono::steady_clock::now().time_since_epoch();
+    body["ver"] = this->version;
+    body["now_ms"] = std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+    response.set_content(body.dump(), "application/json");
+}
+
+void Store::transact(const httplib::Request &request, httplib::Response &response)
+{
+    std::this_thread::sleep_for(TransactionTime);
+    const auto body = Json::parse(request.body, nullptr, false);
+    const auto conditions = body.value("expected_rev", Json::array());
+    const auto writes = body.value("set_keys", Json::array());
+    const auto removals = body.value("remove", Json::array());
+    if (request.body.size() > LargestCall || conditions.size() + writes.size() + removals.size() > MostEntries) {
+        response.status = StatusBadRequest;
+        return;
+    }
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    auto present = Json::array();
+    bool isMet = true;
+    for (const auto &condition : conditions) {
+        const auto place = placeOf(condition);
+        const auto version = this->versionOf(place);
+        isMet = isMet && version == condition.value("ver", std::uint64_t(0));
+        if (version != 0) {
+            present.push_back(toJson(place, this->rows.at(place)));
+        }
+    }
+    if (!isMet) {
+        response.status = StatusConditionFailed;
+        this->answer(response, {{"rows", present}});
+        return;
+    }
+    ++this->version;
+    for (const auto &entry : writes) {
+        this->rows[placeOf(entry)] = {entry.value("value", ""), this->version, false};
+    }
+    for (const auto &entry : removals) {
+        this->rows[placeOf(entry)] = {"", this->version, true};
+    }
+    this->changed.notify_all();
+    this->answer(response, Json::object());
+}
+
+void Store::read(const httplib::Request &request, httplib::Response &response)
+{
+    const auto table = request.get_param_value("table");
+    const auto target = request.get_param_value("target");
+    const auto limit = std::min(LargestPage, static_cast<std::size_t>(numberOf(request, "limit", LargestPage)));
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    auto list = Json::array();
+    bool hasMore = false;
+    for (auto row = this->rows.lower_bound({table, request.get_param_value("from")}); row != this->rows.end() && row->first.first == table; ++row) {
+        if (!target.empty() && row->first.second >= target) {
+            break;
+        }
+        if (row->second.isRemoved) {
+            continue;
+        }
+        hasMore = list.size() == limit;
+        if (hasMore) {
+            break;
+        }
+        list.push_back(toJson(row->first, row->second));
+    }
+    this->answer(response, {{"rows", list}, {"has_more", hasMore}});
+}
+
+void Store::feed(const httplib::Request &request, httplib::Response &response)
+{
+    const auto table = request.get_param_value("table");
+    const auto after = static_cast<std::uint64_t>(numberOf(request, "after", 0));
+    const auto wait = std::chrono::milliseconds(std::min(LongestWaitMs, numberOf(request, "wait_ms", 0)));
+    std::unique_lock<std::mutex> lock(this->mutex);
+    std::vector<std::pair<Place, StoredRow>> newer;
+    const auto collect = [this, &newer, &table, after] {
+        newer.clear();
+        for (auto row = this->rows.lower_bound({table, ""}); row != this->rows.end() && row->first.first == table; ++row) {
+            if (row->second.version > after) {
+                newer.emplace_back(*row);
+            }
+        }
+        return !newer.empty() || this->isOver;
+    };
+    this->changed.wait_for(lock, wait, collect);
+    std::sort(newer.begin(), newer.end(), [](const auto &left, const auto &right) { return left.second.version < right.second.version; });
+    auto list = Json::array();
+    for (const auto &[place, row] : newer) {
+        list.push_back(toJson(place, row));
+    }
+    this->answer(response, {{"rows", list}});
+}
+
+} // namespace waxwingloft::review
