--- a/review/standins-2/case8.cpp
+++ b/review/standins-2/case8.cpp
@@ -1,8 +1,6 @@
-// An executor is lost for good while clients ask how many jobs wait.
+// Executors crash under a work unit, one at a time, each while it is well at work.
 #include "site.h"
 
-#include <set>
-
 namespace waxwingloft::review {
 
 namespace {
@@ -10,17 +8,24 @@
 using Json = nlohmann::json;
 
 constexpr std::size_t Executors = 11;
-constexpr auto Work = Millis(400);
-constexpr auto VisibleTime = Millis(5000); ///< visible_ms and 2 s
-constexpr auto Traffic = Millis(4000);
-constexpr auto Watch = Millis(24'000);
-constexpr auto Pause = Millis(100);
+constexpr int Crashes = 5;
+constexpr auto Work = Millis(11'000);
+constexpr auto AtWork = Millis(1500); ///< from a start to the crash
+constexpr auto DownTime = Millis(2000);
+constexpr auto StartTime = Millis(10'000);
+constexpr auto EndTime = Millis(40'000);
+constexpr auto Job = "/queue/00000000000000a1";
+constexpr auto TaskPrefix = "00000000000000a1.";
 
-struct Job {
-    std::string path;
-    std::string task;
-    Millis acceptedAt;
-};
+/** The number of the executor at which the job runs; the count of executors while it runs nowhere. */
+std::size_t runningAt(Site &site)
+{
+    std::size_t number = 0;
+    while (number < site.executors() && !site.executor(number).isRunning(TaskPrefix)) {
+        ++number;
+    }
+    return number;
+}
 
 int play(Record &record)
 {
@@ -30,53 +35,33 @@
         options.labels.push_back({"a", "r1-" + std::to_string(number / 3)});
     }
     Site site(record, options);
-    if (!site.waitUntilReady()) {
+    const Json step{{"count", 1}, {"cpu", 52'000}, {"mem_mb", 140'000}, {"gpu", 1}, {"estimate_ms", Work.count()}};
+    if (!site.waitUntilReady() || !site.submit(Job, {{"spec", std::to_string(Work.count())}, {"steps", Json::array({step})}})) {
         return CouldNotRun;
     }
-    std::this_thread::sleep_for(Millis(5000));
-    if (hasTrouble()) {
-        site.executor(0).fallSilent();
-    }
-    const Json step{{"count", 1}, {"cpu", 15'000}, {"mem_mb", 39'000}, {"gpu", 1}, {"estimate_ms", Work.count()}};
-    std::vector<Job> jobs;
-    const auto until = Clock::now() + Traffic;
-    for (int number = 1; Clock::now() < until; ++number) {
-        auto digits = std::to_string(number);
-        digits = std::string(16 - digits.size(), '0') + digits;
-        if (!site.submit("/queue/" + digits, {{"spec", std::to_string(Work.count())}, {"steps", Json::array({step})}})) {
-            return CouldNotRun;
+    const auto isFailed = [&site] { return site.stateOf(Job) == "failed"; };
+    for (int crash = 0; hasTrouble() && crash < Crashes; ++crash) {
+        if (!waitFor(StartTime, [&] { return runningAt(site) < site.executors() || isFailed(); }) || isFailed()) {
+            break;
         }
-        jobs.push_back({"/queue/" + digits, digits + ".", record.now()});
-        std::this_thread::sleep_for(Pause);
-    }
-    bool isBroken = false;
-    const auto watchUntil = Clock::now() + Watch;
-    while (Clock::now() < watchUntil) {
-        for (std::size_t entry = 0; entry < site.entries(); ++entry) {
-            const auto askedAt = record.now();
-            const auto answer = site.ask(entry, "GET", "/queue/");
-            if (answer.status != 200 || !answer.body.is_object()) {
-                continue;
-            }
-            // Jobs that had not begun when the answer was there either.
-            std::set<std::string> begun;
-            for (const auto &start : site.runs.starts()) {
-                begun.insert(start.task.substr(0, 17));
-            }
-            std::size_t unbegun = 0;
-            for (const auto &job : jobs) {
-                unbegun += job.acceptedAt + VisibleTime < askedAt && !begun.contains(job.task) ? 1 : 0;
-            }
-            const auto waiting = answer.body.value("waiting", std::size_t(0));
-            if (waiting * 2 < unbegun) {
-                isBroken = true;
-                record.line("GET       /queue/ at front-" + std::to_string(entry + 1) + ": waiting " + std::to_string(waiting) + ", but "
-                            + std::to_string(unbegun) + " jobs that were accepted over 5 s before have not begun");
-            }
+        std::this_thread::sleep_for(AtWork);
+        const auto number = runningAt(site);
+        if (number == site.executors()) {
+            continue;
         }
-        std::this_thread::sleep_for(Millis(250));
+        site.executor(number).crash();
+        std::this_thread::sleep_for(DownTime);
+        site.beginExecutor(number);
     }
-    return isBroken ? RuleBroken : RuleHeld;
+    std::string state;
+    waitFor(EndTime, [&] {
+        state = site.stateOf(Job);
+        return state == "completed" || state == "failed" || state == "cancelled";
+    });
+    record.line("GET       " + std::string(Job) + ": the job is shown as \"" + state + "\"");
+    record.line("ends \"failed\" of its work unit: " + std::to_string(site.runs.countEnds(TaskPrefix, "failed")) + " of 4 attempts");
+    const bool hasCause = site.runs.countEnds(TaskPrefix, "failed") >= 4;
+    return (state == "failed" && !hasCause) || state == "cancelled" ? RuleBroken : state == "completed" ? RuleHeld : CouldNotRun;
 }
 
 } // namespace
--- a/review/standins-2/executor.cpp
+++ b/review/standins-2/executor.cpp
@@ -33,8 +33,25 @@
     return std::chrono::duration_cast<Millis>(std::chrono::system_clock::now().time_since_epoch()).count();
 }
 
+/** A checkpoint begins with the milliseconds of work that it saves. */
+constexpr std::size_t SavedDigits = 8;
+constexpr auto CheckpointInterval = Millis(1000); ///< checkpoint_s
+
+Millis savedIn(const std::string &checkpoint)
+{
+    return checkpoint.size() < SavedDigits ? Millis(0) : Millis(std::stol(checkpoint.substr(0, SavedDigits)));
+}
+
+constexpr auto LastingSpec = "lasts";
+constexpr auto Lasting = Millis(1'000'000'000);
+constexpr auto StartupTime = Millis(200); ///< of a work unit that lasts
+constexpr auto TimeToFail = Millis(200); ///< of what a grey executor starts
+
 Millis workOf(const std::string &spec)
 {
+    if (spec == LastingSpec) {
+        return Lasting;
+    }
     const bool isNumber = !spec.empty() && spec.size() < 9 && spec.find_first_not_of("0123456789") == std::string::npos;
     return Millis(isNumber ? std::stol(spec) : 1000);
 }
@@ -46,8 +63,16 @@
 {
 }
 
+void RunBook::close()
+{
+    this->isClosed = true;
+}
+
 void RunBook::started(const Start &start)
 {
+    if (this->isClosed) {
+        return;
+    }
     {
         const std::lock_guard<std::mutex> guard(this->mutex);
         this->begun.push_back(start);
@@ -57,6 +82,9 @@
 
 void RunBook::ended(const std::string &executor, const std::string &task, std::uint32_t run, const std::string &how)
 {
+    if (this->isClosed) {
+        return;
+    }
     {
         const std::lock_guard<std::mutex> guard(this->mutex);
         this->ends.push_back({task, how});
@@ -122,6 +150,32 @@
     return std::any_of(this->running.begin(), this->running.end(), [&](const auto &item) { return item.first.starts_with(taskPrefix); });
 }
 
+std::size_t Executor::countRunning() const
+{
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    return this->running.size();
+}
+
+Millis Executor::doneOf(const Run &run) const
+{
+    return std::min(run.work, run.done + std::chrono::duration_cast<Millis>(Clock::now() - run.begunAt));
+}
+
+std::string Executor::checkpointOf(const Run &run, bool isStopped) const
+{
+    if (this->traits.checkpointBytes == 0) {
+        return {};
+    }
+    const auto done = this->doneOf(run);
+    const auto saved = isStopped ? done : std::max(run.done, done - done % CheckpointInterval);
+    if (saved == Millis(0)) {
+        return {};
+    }
+    auto text = std::to_string(saved.count());
+    text = std::string(SavedDigits - std::min(SavedDigits, text.size()), '0') + text;
+    return text + std::string(this->traits.checkpointBytes - std::min(this->traits.checkpointBytes, text.size()), 'c');
+}
+
 void Executor::openServer()
 {
     auto &server = this->peer.open();
@@ -199,6 +253,12 @@
     this->record.line("executor  " + this->lifeId + " is dark for good");
 }
 
+void Executor::turnGrey(bool isGrey)
+{
+    this->isGrey = isGrey;
+    this->record.line("executor  " + this->id() + (isGrey ? " fails all that it runs from now on" : " works again"));
+}
+
 bool Executor::drain()
 {
     {
@@ -340,7 +400,7 @@
         this->answer(response, StatusRefused, {{"reason", "old"}});
         return;
     }
-    this->running[task] = {run, Clock::now(), workOf(body.value("spec", ""))};
+    this->running[task] = {run, Clock::now(), workOf(body.value("spec", "")), savedIn(body.value("checkpoint", ""))};
     this->book.started({this->record.now(), this->lifeId, this->traits.zone, task, run});
     this->answer(response, StatusOk, Json::object());
 }
@@ -379,14 +439,14 @@
     }
     auto running = Json::array();
     for (const auto &[task, run] : this->running) {
-        const auto worked = std::chrono::duration_cast<Millis>(Clock::now() - run.begunAt).count();
-        const auto percent = std::min(WholePercent, worked * WholePercent / std::max<std::int64_t>(1, run.work.count()));
-        running.push_back({task, run.run, "", percent, 1000});
+        const auto whole = run.work == Lasting ? StartupTime : run.work;
+        const auto percent = std::min(WholePercent, this->doneOf(run).count() * WholePercent / std::max<std::int64_t>(1, whole.count()));
+        running.push_back({task, run.run, this->checkpointOf(run, false), percent, 1000});
     }
     auto listed = Json::array();
     for (const auto &ended : this->ends) {
         if (listed.size() < MaxListedEnds) {
-            listed.push_back({ended.number, ended.task, ended.run, ended.how, ""});
+            listed.push_back({ended.number, ended.task, ended.run, ended.how, ended.checkpoint});
         }
     }
     this->answer(response, StatusOk, {{"running", running}, {"ended", listed}});
@@ -395,10 +455,12 @@
 /** Call with the mutex held. */
 void Executor::end(const std::string &task, const std::string &how)
 {
-    const auto run = this->running.at(task).run;
+    const auto entry = this->running.at(task);
+    const auto run = entry.run;
+    const auto checkpoint = how == "done" ? std::string() : this->checkpointOf(entry, how == "stopped");
     this->running.erase(task);
     this->highestOver[task] = std::max(this->highestOver[task], run);
-    this->ends.push_back({++this->lastEnd, task, run, how});
+    this->ends.push_back({++this->lastEnd, task, run, how, checkpoint});
     this->book.ended(this->lifeId, task, run, how);
     this->changed.notify_all();
 }
@@ -410,7 +472,9 @@
     for (const auto &[task, run] : this->running) {
         if (this->clock() >= this->leaseEnd) {
             over.emplace_back(task, "lapsed");
-        } else if (Clock::now() - run.begunAt >= run.work) {
+        } else if (this->isGrey && Clock::now() - run.begunAt >= TimeToFail) {
+            over.emplace_back(task, "failed");
+        } else if (this->doneOf(run) >= run.work) {
             over.emplace_back(task, "done");
         }
     }
--- a/review/standins-2/executor.h
+++ b/review/standins-2/executor.h
@@ -24,6 +24,7 @@
     std::string zone;
     std::string service;
     std::vector<std::string> labels;
+    std::size_t checkpointBytes = 0; ///< of each checkpoint; zero for work units that have none
 };
 
 /** A work unit that an executor has begun. */
@@ -44,6 +45,9 @@
     void ended(const std::string &executor, const std::string &task, std::uint32_t run, const std::string &how);
     std::vector<Start> starts() const;
 
+    /** Takes note of nothing any more, as the case is over. */
+    void close();
+
     /** How many runs have ended @p how; of all tasks whose name begins with @p prefix. */
     std::size_t countEnds(const std::string &prefix, const std::string &how) const;
 
@@ -54,6 +58,7 @@
     };
 
     Record &record;
+    std::atomic<bool> isClosed = false;
     mutable std::mutex mutex;
     std::vector<Start> begun;
     std::vector<End> ends;
@@ -62,7 +67,7 @@
 /**
  * An executor as the platform's pages tell it: one life after the other at one address, each with an id, a clock and a list of ends of its own.
  *
- * A work unit works for the whole milliseconds that its spec names.
+ * A work unit works for the whole milliseconds that its spec names; with the spec "lasts" until it is stopped.
  */
 class Executor
 {
@@ -84,6 +89,9 @@
     /** From now on nothing is read or answered, and nothing is sent. */
     void fallSilent();
 
+    /** From now on fails all that runs, shortly after its start, while it goes on reporting that it is ready. */
+    void turnGrey(bool isGrey);
+
     /** Says "draining" from the next report on, which is sent at once. Returns whether that was acknowledged. */
     bool drain();
 
@@ -94,6 +102,7 @@
     std::uint64_t reports() const;
 
     bool isRunning(const std::string &taskPrefix) const;
+    std::size_t countRunning() const;
     std::string id() const;
     const ExecutorTraits &description() const;
 
@@ -101,13 +110,15 @@
     struct Run {
         std::uint32_t run = 0;
         Clock::time_point begunAt;
-        Millis work;
+        Millis work; ///< in all
+        Millis done; ///< before this run, from its checkpoint
     };
     struct Ended {
         std::uint64_t number = 0;
         std::string task;
         std::uint32_t run = 0;
         std::string how;
+        std::string checkpoint;
     };
     using Handler = void (Executor::*)(const nlohmann::json &body, httplib::Response &response);
 
@@ -122,6 +133,8 @@
     std::int64_t clock() const;
     void settle();
     void end(const std::string &task, const std::string &how);
+    Millis doneOf(const Run &run) const;
+    std::string checkpointOf(const Run &run, bool isStopped) const;
     nlohmann::json report();
     int send(const nlohmann::json &body);
     void work();
@@ -135,6 +148,7 @@
     std::condition_variable changed;
     bool isAlive = false;
     std::atomic<bool> isSilent = false;
+    std::atomic<bool> isGrey = false;
     bool isDraining = false;
     std::uint32_t life = 0;
     std::string lifeId;
--- a/review/standins-2/site.cpp
+++ b/review/standins-2/site.cpp
@@ -159,6 +159,16 @@
     ::kill(this->process, number);
 }
 
+std::size_t Daemon::memoryMb() const
+{
+    constexpr std::size_t BytesPerMb = 1U << 20U;
+    std::ifstream stream("/proc/" + std::to_string(this->process) + "/statm");
+    std::size_t whole = 0;
+    std::size_t resident = 0;
+    stream >> whole >> resident;
+    return this->process == 0 ? 0 : resident * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE)) / BytesPerMb;
+}
+
 bool Daemon::hasEnded()
 {
     if (this->process != 0 && ::waitpid(this->process, nullptr, WNOHANG) == this->process) {
@@ -189,15 +199,16 @@
         const auto host = hostOf(FirstMachine + number);
         const auto zone = number % Zones.size();
         Machine machine;
-        machine.executor = std::make_unique<Executor>(ExecutorTraits{host, Zones.at(zone), "tune", options.labels[number]}, record, this->runs);
+        machine.executor =
+            std::make_unique<Executor>(ExecutorTraits{host, Zones.at(zone), "tune", options.labels[number], options.checkpointBytes}, record, this->runs);
         machine.control = host + ":" + portOf(26);
         const auto name = "side-" + std::to_string(number + 1);
         const auto settings = settingsOf("deploy/agent.toml", name, host, zone, this->store.address(), machine.executor->address());
         machine.agent = std::make_unique<Daemon>(name, settings, this->folder, options.zoneCloseMs);
         this->machines.push_back(std::move(machine));
     }
-    for (const auto &entry : this->front) {
-        entry->start();
+    for (std::size_t number = 0; number < std::min(options.startedEntries, this->front.size()); ++number) {
+        this->front[number]->start();
     }
     for (const auto &machine : this->machines) {
         machine.agent->start();
@@ -209,6 +220,8 @@
 
 Site::~Site()
 {
+    this->runs.close();
+    this->record.line("end       of the case; all processes are ended");
     std::vector<Daemon *> all;
     for (const auto &entry : this->front) {
         all.push_back(entry.get());
@@ -232,6 +245,11 @@
 }
 
 bool Site::waitUntilReady()
+{
+    return this->waitUntilReady(this->front.size(), ReadyTime);
+}
+
+bool Site::waitUntilReady(std::size_t entries, Millis limit)
 {
     const auto isReady = [](const std::string &address) {
         httplib::Client client("http://" + address);
@@ -240,8 +258,8 @@
         const auto answer = client.Get("/waxwingloft/readyz");
         return answer && answer->status == StatusOk;
     };
-    for (const auto &address : this->readyAddresses) {
-        if (!waitFor(ReadyTime, [&] { return isReady(address); })) {
+    for (std::size_t number = 0; number < entries; ++number) {
+        if (!waitFor(limit, [&] { return isReady(this->readyAddresses.at(number)); })) {
             this->record.line("an entry is not ready in time");
             return false;
         }
@@ -275,12 +293,12 @@
     return {result->status, Json::parse(result->body, nullptr, false)};
 }
 
-bool Site::submit(const std::string &path, const Json &job)
+bool Site::submit(const std::string &path, const Json &job, const std::string &key)
 {
     constexpr std::size_t Tries = 5;
     for (std::size_t number = 0; number < Tries; ++number) {
         const auto entry = number % this->front.size();
-        const auto answer = this->ask(entry, "POST", path, job.dump());
+        const auto answer = this->ask(entry, "POST", path, job.dump(), key);
         this->record.line("POST      " + path + " at front-" + std::to_string(entry + 1) + ": " + std::to_string(answer.status));
         if (answer.status / 100 == 2) {
             return true;
--- a/review/standins-2/site.h
+++ b/review/standins-2/site.h
@@ -26,6 +26,9 @@
     void signal(int number) const;
     bool hasEnded();
 
+    /** The resident memory of the process; zero when it has ended. */
+    std::size_t memoryMb() const;
+
     const std::string name;
 
 private:
@@ -37,8 +40,10 @@
 
 struct SiteOptions {
     std::size_t entries = 3;
+    std::size_t startedEntries = 3; ///< of these, the first ones that are started at once
     std::vector<std::vector<std::string>> labels; ///< of each executor, whose number this is
     std::string zoneCloseMs; ///< the bound of a deployment whose zones can be closed; empty for others
+    std::size_t checkpointBytes = 0; ///< of the executors' checkpoints; zero for none
     nlohmann::json settings; ///< the operator's first desired state
 };
 
@@ -59,10 +64,13 @@
     /** Waits until all entries say that they are ready and all executors have reported. Returns whether that was so in time. */
     bool waitUntilReady();
 
+    /** The same for the first @p entries of them. */
+    bool waitUntilReady(std::size_t entries, Millis limit);
+
     Answer ask(std::size_t entry, const std::string &method, const std::string &path, const std::string &body = {}, const std::string &key = "key-1");
 
     /** Submits a job as a client does, who tries again at the next entry until it is accepted. Returns whether it was. */
-    bool submit(const std::string &path, const nlohmann::json &job);
+    bool submit(const std::string &path, const nlohmann::json &job, const std::string &key = "key-1");
 
     /** The state of a job at any entry that answers; empty for none. */
     std::string stateOf(const std::string &path);
--- a/review/standins-2/store.cpp
+++ b/review/standins-2/store.cpp
@@ -1,6 +1,7 @@
 #include "store.h"
 
 #include <absl/strings/escaping.h>
+#include <absl/strings/str_replace.h>
 #include <algorithm>
 #include <chrono>
 
@@ -13,6 +14,7 @@
 constexpr auto TransactionTime = std::chrono::milliseconds(5);
 constexpr std::size_t MostEntries = 100;
 constexpr std::size_t LargestCall = 1'000'000;
+constexpr std::size_t LargestRow = 65'536; ///< row_bytes
 constexpr std::size_t LargestPage = 500;
 constexpr long LongestWaitMs = 30'000;
 constexpr int StatusBadRequest = 400;
@@ -54,6 +56,18 @@
     this->changed.notify_all();
 }
 
+void Store::copyJob(const std::string &job, const std::vector<std::string> &others)
+{
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    for (const auto &suffix : {std::string(), std::string("/progress")}) {
+        std::string value;
+        absl::Base64Unescape(this->rows.at({"jobs", job + suffix}).value, &value);
+        for (const auto &other : others) {
+            this->rows[{"jobs", other + suffix}] = {absl::Base64Escape(absl::StrReplaceAll(value, {{job, other}})), ++this->version, false};
+        }
+    }
+}
+
 Store::Place Store::placeOf(const Json &entry)
 {
     return {entry.at("table").get<std::string>(), entry.at("key").get<std::string>()};
@@ -92,7 +106,11 @@
     const auto conditions = body.value("expected_rev", Json::array());
     const auto writes = body.value("set_keys", Json::array());
     const auto removals = body.value("remove", Json::array());
-    if (request.body.size() > LargestCall || conditions.size() + writes.size() + removals.size() > MostEntries) {
+    const bool isAnyTooLarge = std::any_of(writes.begin(), writes.end(), [](const Json &entry) {
+        std::string bytes;
+        return !absl::Base64Unescape(entry.value("value", ""), &bytes) || bytes.size() > LargestRow;
+    });
+    if (isAnyTooLarge || request.body.size() > LargestCall || conditions.size() + writes.size() + removals.size() > MostEntries) {
         response.status = StatusBadRequest;
         return;
     }
--- a/review/standins-2/store.h
+++ b/review/standins-2/store.h
@@ -11,6 +11,7 @@
 #include <nlohmann/json.hpp>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace waxwingloft::review {
 
@@ -26,6 +27,9 @@
     /** Writes a row as the operator does. Returns once it is written, which is the operator's acknowledgement. */
     void put(const std::string &table, const std::string &key, const std::string &value);
 
+    /** Copies the rows of a job to as many others, whose ids replace the job's in key and value, as if they had been written one after the other. */
+    void copyJob(const std::string &job, const std::vector<std::string> &others);
+
 private:
     struct StoredRow {
         std::string value; ///< base64
