--- a/review/standins-2/case6.cpp
+++ b/review/standins-2/case6.cpp
@@ -1,10 +1,8 @@
-// Clients hand in many short requests for wide jobs that no executor can do.
+// The leading entry is killed in a deployment that has worked for some time.
 #include "site.h"
 
 #include <algorithm>
-#include <atomic>
 #include <csignal>
-#include <cstdlib>
 
 namespace waxwingloft::review {
 
@@ -13,127 +11,97 @@
 using Json = nlohmann::json;
 
 constexpr std::size_t Executors = 4;
-constexpr int Clients = 8;
-constexpr int JobsOfClient = 190;
-constexpr auto Pause = Millis(50); ///< of a client between two requests
-constexpr int Tasks = 1500;
-constexpr std::size_t EntryMemoryMb = 260; ///< memory_mb of an entry's machine
-constexpr std::size_t AgentMemoryMb = 128; ///< memory_mb of an agent's machine
+constexpr std::size_t History = 16'000; ///< ended jobs, of about an hour at 4.35 jobs a second
+constexpr std::size_t MemoryMb = 160; ///< memory_mb of an entry's machine
+constexpr int Units = 11; ///< work units of a job, as many as the site's have on average
+constexpr std::size_t SpecBytes = 300;
+constexpr double ProcessorShare = 0.12; ///< of an entry's machine
+constexpr auto Work = Millis(300);
+constexpr auto StartTime = Millis(30'000);
 constexpr auto RestartTime = Millis(1000);
-constexpr auto Look = Millis(20);
-constexpr auto Watch = Millis(25'000);
-constexpr auto SmallWork = Millis(500);
-constexpr auto SmallJob = "/queue/00000000000000f1";
-constexpr auto SmallTask = "00000000000000f1.";
+constexpr auto Watch = Millis(40'000);
 
-std::string pathOf(int number)
+std::string idOf(char kind, std::size_t number)
 {
     const auto digits = std::to_string(number);
-    return "/queue/f" + std::string(15 - digits.size(), '0') + digits;
+    return kind + std::string(15 - digits.size(), '0') + digits;
 }
 
-/** Ends processes that use more memory than their machine has, and starts them again, as the platform does. */
-class MemoryWatch
+Json job()
 {
-public:
-    MemoryWatch(Site &site, Record &record)
-        : site(site)
-        , record(record)
-        , thread([this] { this->run(); })
-    {
-    }
-
-    ~MemoryWatch()
-    {
-        this->isOver = true;
-        this->thread.join();
-    }
-
-    MemoryWatch(const MemoryWatch &) = delete;
-    MemoryWatch &operator=(const MemoryWatch &) = delete;
-
-    int ends() const
-    {
-        return this->count;
-    }
+    const Json step{{"count", Units}, {"cpu", 11'000}, {"mem_mb", 23'000}, {"gpu", 1}, {"estimate_ms", Work.count()}};
+    return {{"spec", std::to_string(Work.count()) + std::string(SpecBytes, ' ')}, {"steps", Json::array({step})}};
+}
 
-private:
-    void run()
-    {
-        while (!this->isOver) {
-            for (std::size_t number = 0; number < this->site.entries(); ++number) {
-                this->look(this->site.entry(number), EntryMemoryMb);
-            }
-            for (std::size_t number = 0; number < this->site.executors(); ++number) {
-                this->look(this->site.agent(number), AgentMemoryMb);
-            }
-            std::this_thread::sleep_for(Look);
-        }
-    }
+bool hasBegun(Site &site, const std::string &id)
+{
+    const auto starts = site.runs.starts();
+    return std::any_of(starts.begin(), starts.end(), [&id](const Start &start) { return start.task.starts_with(id); });
+}
 
-    void look(Daemon &daemon, std::size_t limitMb)
-    {
-        const auto used = daemon.memoryMb();
-        if (used <= limitMb) {
-            return;
-        }
-        ++this->count;
-        this->record.line("platform  ends " + daemon.name + ", which uses " + std::to_string(used) + " MB of " + std::to_string(limitMb));
-        daemon.signal(SIGKILL);
-        std::this_thread::sleep_for(RestartTime);
-        waitFor(RestartTime, [&daemon] { return daemon.hasEnded(); });
-        daemon.start();
+/** Submits a job at some entry and returns whether it begins in @p limit. */
+bool runOne(Site &site, Record &record, const std::string &id, Millis limit)
+{
+    const auto path = "/queue/" + id;
+    if (!waitFor(limit, [&] { return site.submit(path, job()); })) {
+        record.line("job " + id + " is accepted by no entry");
+        return false;
     }
-
-    Site &site;
-    Record &record;
-    std::atomic<bool> isOver = false;
-    std::atomic<int> count = 0;
-    std::thread thread;
-};
+    const auto acceptedAt = record.now();
+    const bool isBegun = waitFor(limit, [&] { return hasBegun(site, id); });
+    record.line("job " + id + (isBegun ? " began " : " has not begun in ") + std::to_string((record.now() - acceptedAt).count()) + " ms");
+    return isBegun;
+}
 
 int play(Record &record)
 {
     SiteOptions options;
     options.settings = settingsWithOneRoute();
+    options.startedEntries = 1;
     for (std::size_t number = 0; number < Executors; ++number) {
-        options.labels.push_back({"a", "r1-" + std::to_string(number / 3)});
+        options.labels.push_back({"a", "r1-" + std::to_string(number)});
     }
     Site site(record, options);
-    if (!site.waitUntilReady()) {
+    const ProcessorQuota quota({&site.entry(0), &site.entry(1), &site.entry(2)}, ProcessorShare);
+    const auto first = idOf('a', 0);
+    if (!site.waitUntilReady(1, StartTime) || !runOne(site, record, first, StartTime)
+        || !waitFor(StartTime, [&site, &first] { return site.stateOf("/queue/" + first) == "completed"; })) {
         return CouldNotRun;
     }
-    const MemoryWatch memory(site, record);
-    std::atomic<int> accepted = 0;
-    std::vector<std::thread> crowd;
-    for (int client = 0; hasTrouble() && client < Clients; ++client) {
-        crowd.emplace_back([&site, &accepted, client] {
-            const Json wide{{"count", Tasks}, {"cpu", 100}, {"mem_mb", 10}, {"estimate_ms", 1000}, {"requires", "b"}};
-            const auto body = Json{{"spec", "1000"}, {"steps", Json::array({wide})}}.dump();
-            for (int number = 0; number < JobsOfClient; ++number) {
-                const auto answer = site.ask(static_cast<std::size_t>(client) % site.entries(), "POST", pathOf(client * JobsOfClient + number), body);
-                accepted += answer.status / 100 == 2 ? 1 : 0;
-                std::this_thread::sleep_for(Pause);
-            }
-        });
+    std::this_thread::sleep_for(Millis(1500));
+    site.entry(0).signal(SIGTERM);
+    if (!waitFor(Millis(10'000), [&site] { return site.entry(0).hasEnded(); })) {
+        return CouldNotRun;
     }
-    for (auto &client : crowd) {
-        client.join();
+    std::vector<std::string> others;
+    for (std::size_t number = 1; number <= History; ++number) {
+        others.push_back(idOf('a', number));
     }
-    record.line("wide jobs accepted: " + std::to_string(accepted.load()) + " of " + std::to_string(Clients * JobsOfClient));
-    std::this_thread::sleep_for(Millis(2000));
-    const Json one{{"count", 1}, {"cpu", 1000}, {"mem_mb", 1000}, {"estimate_ms", SmallWork.count()}};
-    if (!site.submit(SmallJob, {{"spec", std::to_string(SmallWork.count())}, {"steps", Json::array({one})}})) {
+    site.store.copyJob(first, others);
+    record.line("the store holds " + std::to_string(History + 1) + " ended jobs");
+    site.entry(0).start();
+    if (!site.waitUntilReady(1, StartTime) || !runOne(site, record, idOf('b', 1), StartTime)) {
         return CouldNotRun;
     }
-    const auto begunOf = [&site](const std::string &prefix) {
-        const auto starts = site.runs.starts();
-        return std::count_if(starts.begin(), starts.end(), [&prefix](const Start &start) { return start.task.starts_with(prefix); });
-    };
-    waitFor(Watch, [&begunOf] { return begunOf(SmallTask) > 0; });
-    record.line("starts of the ordinary job: " + std::to_string(begunOf(SmallTask)) + "; of all: " + std::to_string(site.runs.starts().size()));
-    record.line("processes ended for their memory: " + std::to_string(memory.ends()));
-    return begunOf(SmallTask) == 0 || memory.ends() >= 3 ? RuleBroken : RuleHeld;
+    site.entry(1).start();
+    site.entry(2).start();
+    if (!site.waitUntilReady(3, StartTime) || !runOne(site, record, idOf('b', 2), StartTime)) {
+        return CouldNotRun;
+    }
+    for (std::size_t number = 0; number < 3; ++number) {
+        record.line("front-" + std::to_string(number + 1) + " uses " + std::to_string(site.entry(number).memoryMb()) + " MB of " + std::to_string(MemoryMb));
+    }
+    if (hasTrouble()) {
+        site.entry(0).signal(SIGKILL);
+        record.line("front-1 is killed");
+        std::this_thread::sleep_for(RestartTime);
+        if (!waitFor(RestartTime, [&site] { return site.entry(0).hasEnded(); })) {
+            return CouldNotRun;
+        }
+        site.entry(0).start();
+        std::this_thread::sleep_for(Millis(5000));
+    }
+    return runOne(site, record, idOf('b', 3), Watch) ? RuleHeld : RuleBroken;
 }
 
 } // namespace
--- a/review/standins-2/executor.cpp
+++ b/review/standins-2/executor.cpp
@@ -52,8 +52,9 @@
     if (spec == LastingSpec) {
         return Lasting;
     }
-    const bool isNumber = !spec.empty() && spec.size() < 9 && spec.find_first_not_of("0123456789") == std::string::npos;
-    return Millis(isNumber ? std::stol(spec) : 1000);
+    const auto digits = spec.substr(0, spec.find(' '));
+    const bool isNumber = !digits.empty() && digits.size() < 9 && digits.find_first_not_of("0123456789") == std::string::npos;
+    return Millis(isNumber ? std::stol(digits) : 1000);
 }
 
 } // namespace
--- a/review/standins-2/site.cpp
+++ b/review/standins-2/site.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <csignal>
 #include <cstdlib>
+#include <ctime>
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
@@ -145,10 +146,11 @@
     posix_spawn_file_actions_init(&files);
     posix_spawn_file_actions_addopen(&files, STDOUT_FILENO, this->logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     posix_spawn_file_actions_adddup2(&files, STDOUT_FILENO, STDERR_FILENO);
-    const int error = ::posix_spawn(&this->process, Program, &files, nullptr, arguments.data(), environment.data());
+    pid_t started = 0;
+    const int error = ::posix_spawn(&started, Program, &files, nullptr, arguments.data(), environment.data());
     posix_spawn_file_actions_destroy(&files);
+    this->process = error == 0 ? started : 0;
     if (error != 0) {
-        this->process = 0;
         throw std::runtime_error(std::string("cannot start ") + Program);
     }
     children().add(this->process);
@@ -156,7 +158,54 @@
 
 void Daemon::signal(int number) const
 {
-    ::kill(this->process, number);
+    if (this->process != 0) {
+        ::kill(this->process, number);
+    }
+}
+
+std::chrono::nanoseconds Daemon::processorTime() const
+{
+    clockid_t clock = 0;
+    timespec used{};
+    const bool isKnown = this->process != 0 && ::clock_getcpuclockid(this->process, &clock) == 0 && ::clock_gettime(clock, &used) == 0;
+    return isKnown ? std::chrono::seconds(used.tv_sec) + std::chrono::nanoseconds(used.tv_nsec) : std::chrono::nanoseconds(0);
+}
+
+ProcessorQuota::ProcessorQuota(std::vector<Daemon *> daemons, double share)
+{
+    for (auto *const daemon : daemons) {
+        this->threads.emplace_back([this, daemon, share] { this->run(*daemon, share); });
+    }
+}
+
+ProcessorQuota::~ProcessorQuota()
+{
+    this->isOver = true;
+    for (auto &thread : this->threads) {
+        thread.join();
+    }
+}
+
+void ProcessorQuota::run(Daemon &daemon, double share)
+{
+    constexpr auto Period = std::chrono::milliseconds(100);
+    constexpr auto Look = std::chrono::milliseconds(1);
+    const auto quota = std::chrono::duration_cast<std::chrono::nanoseconds>(Period * share);
+    while (!this->isOver) {
+        const auto until = Clock::now() + Period;
+        const auto usedBefore = daemon.processorTime();
+        bool isStopped = false;
+        while (Clock::now() < until && !this->isOver) {
+            if (!isStopped && daemon.processorTime() - usedBefore >= quota) {
+                daemon.signal(SIGSTOP);
+                isStopped = true;
+            }
+            std::this_thread::sleep_for(Look);
+        }
+        if (isStopped) {
+            daemon.signal(SIGCONT);
+        }
+    }
 }
 
 std::size_t Daemon::memoryMb() const
--- a/review/standins-2/site.h
+++ b/review/standins-2/site.h
@@ -26,6 +26,9 @@
     void signal(int number) const;
     bool hasEnded();
 
+    /** The processor time that the process has used; zero when it has ended. */
+    std::chrono::nanoseconds processorTime() const;
+
     /** The resident memory of the process; zero when it has ended. */
     std::size_t memoryMb() const;
 
@@ -35,7 +38,23 @@
     const std::string settingsFile;
     const std::string logFile;
     const std::string zoneClose;
-    pid_t process = 0;
+    std::atomic<pid_t> process = 0;
+};
+
+/** Gives processes a share of a core as a quota of each tenth of a second, with signals to stop and to continue. */
+class ProcessorQuota
+{
+public:
+    ProcessorQuota(std::vector<Daemon *> daemons, double share);
+    ~ProcessorQuota();
+    ProcessorQuota(const ProcessorQuota &) = delete;
+    ProcessorQuota &operator=(const ProcessorQuota &) = delete;
+
+private:
+    void run(Daemon &daemon, double share);
+
+    std::atomic<bool> isOver = false;
+    std::vector<std::thread> threads;
 };
 
 struct SiteOptions {
--- a/review/standins-2/store.cpp
+++ b/review/standins-2/store.cpp
@@ -12,6 +12,7 @@
 using Json = nlohmann::json;
 
 constexpr auto TransactionTime = std::chrono::milliseconds(5);
+constexpr auto ReadTime = std::chrono::milliseconds(4);
 constexpr std::size_t MostEntries = 100;
 constexpr std::size_t LargestCall = 1'000'000;
 constexpr std::size_t LargestRow = 65'536; ///< row_bytes
@@ -143,6 +144,7 @@
 
 void Store::read(const httplib::Request &request, httplib::Response &response)
 {
+    std::this_thread::sleep_for(ReadTime);
     const auto table = request.get_param_value("table");
     const auto target = request.get_param_value("target");
     const auto limit = std::min(LargestPage, static_cast<std::size_t>(numberOf(request, "limit", LargestPage)));
