--- a/review/standins-2/site.cpp
+++ b/review/standins-2/site.cpp
@@ -171,7 +171,7 @@
     return isKnown ? std::chrono::seconds(used.tv_sec) + std::chrono::nanoseconds(used.tv_nsec) : std::chrono::nanoseconds(0);
 }
 
-ProcessorQuota::ProcessorQuota(std::vector<Daemon *> daemons, double share)
+ProcessorQuota::ProcessorQuota(const std::vector<Daemon *> &daemons, double share)
 {
     for (auto *const daemon : daemons) {
         this->threads.emplace_back([this, daemon, share] { this->run(*daemon, share); });
--- a/review/standins-2/site.h
+++ b/review/standins-2/site.h
@@ -45,7 +45,7 @@
 class ProcessorQuota
 {
 public:
-    ProcessorQuota(std::vector<Daemon *> daemons, double share);
+    ProcessorQuota(const std::vector<Daemon *> &daemons, double share);
     ~ProcessorQuota();
     ProcessorQuota(const ProcessorQuota &) = delete;
     ProcessorQuota &operator=(const ProcessorQuota &) = delete;
