--- a/review/standins-2/case9.cpp
+++ b/review/standins-2/case9.cpp
@@ -1,6 +1,8 @@
-// Executors crash under a work unit, one at a time, each while it is well at work.
+// The owner of a guarantee asks for it while work units that last fill the fleet.
 #include "site.h"
 
+#include <algorithm>
+
 namespace waxwingloft::review {
 
 namespace {
@@ -8,60 +10,67 @@
 using Json = nlohmann::json;
 
 constexpr std::size_t Executors = 11;
-constexpr int Crashes = 5;
-constexpr auto Work = Millis(11'000);
-constexpr auto AtWork = Millis(1500); ///< from a start to the crash
-constexpr auto DownTime = Millis(2000);
-constexpr auto StartTime = Millis(10'000);
-constexpr auto EndTime = Millis(40'000);
-constexpr auto Job = "/queue/00000000000000a1";
-constexpr auto TaskPrefix = "00000000000000a1.";
+constexpr int Accelerators = 8; ///< of an executor
+constexpr auto Work = Millis(2500);
+constexpr auto Calm = Millis(5000);
+constexpr auto ReclaimTime = Millis(3400); ///< reclaim_ms
+constexpr auto Watch = Millis(20'000);
+constexpr auto LastingJob = "/queue/00000000000000d1";
+constexpr auto UrgentJob = "/urgent/00000000000000d2";
+constexpr auto UrgentTask = "00000000000000d2.";
 
-/** The number of the executor at which the job runs; the count of executors while it runs nowhere. */
-std::size_t runningAt(Site &site)
+/** Two queues: a patient one, and one of priority 0 whose tenant has a guarantee of one executor's accelerators. */
+Json settings()
 {
-    std::size_t number = 0;
-    while (number < site.executors() && !site.executor(number).isRunning(TaskPrefix)) {
-        ++number;
-    }
-    return number;
+    auto settings = settingsWithOneRoute();
+    auto urgent = settings["routes"][0];
+    urgent["name"] = "urgent";
+    urgent["path_prefix"] = "/urgent/";
+    urgent["priority"] = 0;
+    settings["routes"][0]["priority"] = 2;
+    settings["routes"].push_back(urgent);
+    settings["tenants"].push_back({{"name", "tenant-2"}, {"api_keys", Json::array({"key-2"})}, {"guaranteed", {{"gpu", Accelerators}}}});
+    return settings;
 }
 
 int play(Record &record)
 {
     SiteOptions options;
-    options.settings = settingsWithOneRoute();
+    options.settings = settings();
     for (std::size_t number = 0; number < Executors; ++number) {
         options.labels.push_back({"a", "r1-" + std::to_string(number / 3)});
     }
     Site site(record, options);
-    const Json step{{"count", 1}, {"cpu", 52'000}, {"mem_mb", 140'000}, {"gpu", 1}, {"estimate_ms", Work.count()}};
-    if (!site.waitUntilReady() || !site.submit(Job, {{"spec", std::to_string(Work.count())}, {"steps", Json::array({step})}})) {
+    if (!site.waitUntilReady()) {
         return CouldNotRun;
     }
-    const auto isFailed = [&site] { return site.stateOf(Job) == "failed"; };
-    for (int crash = 0; hasTrouble() && crash < Crashes; ++crash) {
-        if (!waitFor(StartTime, [&] { return runningAt(site) < site.executors() || isFailed(); }) || isFailed()) {
-            break;
+    constexpr std::size_t Lasting = Executors * Accelerators;
+    if (hasTrouble()) {
+        const Json step{{"count", Lasting}, {"cpu", 4000}, {"mem_mb", 8000}, {"gpu", 1}, {"perpetual", true}};
+        if (!site.submit(LastingJob, {{"spec", "lasts"}, {"steps", Json::array({step})}})) {
+            return CouldNotRun;
         }
-        std::this_thread::sleep_for(AtWork);
-        const auto number = runningAt(site);
-        if (number == site.executors()) {
-            continue;
+        if (!waitFor(Millis(20'000), [&site] { return site.runs.starts().size() >= Lasting; })) {
+            return CouldNotRun;
         }
-        site.executor(number).crash();
-        std::this_thread::sleep_for(DownTime);
-        site.beginExecutor(number);
     }
-    std::string state;
-    waitFor(EndTime, [&] {
-        state = site.stateOf(Job);
-        return state == "completed" || state == "failed" || state == "cancelled";
-    });
-    record.line("GET       " + std::string(Job) + ": the job is shown as \"" + state + "\"");
-    record.line("ends \"failed\" of its work unit: " + std::to_string(site.runs.countEnds(TaskPrefix, "failed")) + " of 4 attempts");
-    const bool hasCause = site.runs.countEnds(TaskPrefix, "failed") >= 4;
-    return (state == "failed" && !hasCause) || state == "cancelled" ? RuleBroken : state == "completed" ? RuleHeld : CouldNotRun;
+    std::this_thread::sleep_for(Calm);
+    const Json step{{"count", 1}, {"cpu", 15'000}, {"mem_mb", 39'000}, {"gpu", Accelerators}, {"estimate_ms", Work.count()}};
+    if (!site.submit(UrgentJob, {{"spec", std::to_string(Work.count())}, {"steps", Json::array({step})}}, "key-2")) {
+        return CouldNotRun;
+    }
+    const auto acceptedAt = record.now();
+    const auto begunAt = [&site]() -> std::optional<Millis> {
+        const auto starts = site.runs.starts();
+        const auto found = std::find_if(starts.begin(), starts.end(), [](const Start &start) { return start.task.starts_with(UrgentTask); });
+        return found == starts.end() ? std::nullopt : std::optional(found->at);
+    };
+    waitFor(Watch, [&begunAt] { return begunAt().has_value(); });
+    const auto begun = begunAt();
+    record.line("GET       " + std::string(UrgentJob) + ": \"" + site.stateOf(UrgentJob) + "\"; the job "
+                + (begun ? "began " + std::to_string((*begun - acceptedAt).count()) + " ms after its acknowledgement"
+                         : "has not begun in " + std::to_string(Watch.count()) + " ms"));
+    return !begun || *begun > acceptedAt + ReclaimTime ? RuleBroken : RuleHeld;
 }
 
 } // namespace
