--- a/tests/platform/parserstest.cpp
+++ b/tests/platform/parserstest.cpp
@@ -166,4 +166,17 @@
     EXPECT_TRUE(holds);
 }
 
+// A count above the largest number of its type was taken for a small one, so that a job of one task was accepted in its place.
+TEST(ParseGraph, ACountThatIsTooLargeStaysTooLarge)
+{
+    for (const std::string body : {R"({"spec":"","steps":[{"count":4294967297}]})",
+                                   R"({"spec":"","steps":[{"count":1}],"times":4294967297})",
+                                   R"({"spec":"","steps":[{"count":18446744073709551615}]})",
+                                   R"({"spec":"","steps":[{"count":-1}]})"}) {
+        const auto graph = parseGraph(body);
+        ASSERT_TRUE(succeeded(graph)) << body;
+        EXPECT_FALSE(succeeded(checkGraph(valueOf(graph), JobBounds()))) << body;
+    }
+}
+
 } // namespace waxwingloft::tests
