--- a/tests/platform/parserstest.cpp
+++ b/tests/platform/parserstest.cpp
@@ -56,6 +56,15 @@
     }
 }
 
+// An id that is no UTF-8 kept the leader from encoding a job's progress, and a long one is stored with each run.
+TEST(ParseHeartbeat, RefusesAnIdThatCannotBeStored)
+{
+    EXPECT_TRUE(succeeded(parseHeartbeat(std::string(200, 'i'), Heartbeat)));
+    for (const auto &id : {std::string(201, 'i'), std::string("i-\xff"), std::string("i 7"), std::string("i\n7")}) {
+        EXPECT_FALSE(succeeded(parseHeartbeat(id, Heartbeat))) << id;
+    }
+}
+
 // A deregister that named an earlier incarnation under the same id was taken for one of the live incarnation.
 TEST(ParseDeregistration, ReadsTheIncarnation)
 {
