table: Tell refusals for good from a table that is away

Both table adapters mapped each status from 400 to 499 to PlatformDown, which callers repeat until it succeeds. A row that is too large is refused each time, so such a transaction was sent for good; it also opened the pause of TableClient for all other calls, and made the table look away.

The new ErrorKind::Rejected stands for 4xx but 408, 412 and 429. It passes through the relay of peers, and ends the settling of a commit whose first answer was lost, as the same transaction cannot have been taken before.

PlatformStoreTest.TellsRefusalsForGoodFromThoseOfAStoreThatIsAway, TableClientTest.ARefusalForGoodIsNeitherRepeatedNorTakenForAnAbsentTable and RelayTableTest.PassesOnARefusalForGood failed before.

--- a/include/waxwingloft/process/error.h
+++ b/include/waxwingloft/process/error.h
@@ -26,11 +26,12 @@
     Ambiguous,
     Damaged,
     Internal,
+    Rejected, ///< the same call is refused whenever it is repeated
 };
 
 template<>
 struct NameTable<ErrorKind> {
-    static constexpr std::array<std::string_view, 16> names = {"invalid-input",
+    static constexpr std::array<std::string_view, 17> names = {"invalid-input",
                                                                "unauthenticated",
                                                                "forbidden",
                                                                "not-found",
@@ -45,7 +46,8 @@
                                                                "platform-down",
                                                                "ambiguous",
                                                                "damaged",
-                                                               "internal"};
+                                                               "internal",
+                                                               "rejected"};
 };
 
 /** A typed error. The message says what is wrong; the remedy says what the reader can do about it. */
--- a/include/waxwingloft/process/tablestore.h
+++ b/include/waxwingloft/process/tablestore.h
@@ -52,7 +52,7 @@
  * The platform's transactional table service.
  *
  * Errors: Conflict when a condition does not hold, PlatformDown when the call surely had no effect,
- * Ambiguous when it may have had one.
+ * Ambiguous when it may have had one, Rejected when a commit had no effect and never will, for instance because a row is too large.
  */
 class TableStore
 {
--- a/src/connection/frontcodec.cpp
+++ b/src/connection/frontcodec.cpp
@@ -28,6 +28,7 @@
     500, // Ambiguous
     500, // Damaged
     500, // Internal
+    413, // Rejected
 };
 
 Result<nlohmann::json> parseObject(const std::string &body)
--- a/src/connection/httptablestore.cpp
+++ b/src/connection/httptablestore.cpp
@@ -10,7 +10,9 @@
 
 constexpr int StatusOk = 200;
 constexpr int StatusNotFound = 404;
+constexpr int StatusTimeout = 408;
 constexpr int StatusConflict = 409;
+constexpr int StatusTooMany = 429;
 constexpr int StatusUnavailable = 503;
 
 std::string escaped(const std::string &text)
@@ -34,11 +36,14 @@
     return makeError(ErrorKind::PlatformDown, "the platform answered with status " + std::to_string(answer.status));
 }
 
-/** Only 503 and refusals of the request say that a commit had no effect. */
+/** Only 503 and refusals of the request say that a commit had no effect; most of the latter are final. */
 Error commitError(const HttpAnswer &answer)
 {
-    const bool hadNoEffect = answer.status == StatusUnavailable || (answer.status >= 400 && answer.status < 500);
-    return hadNoEffect ? statusError(answer) : makeError(ErrorKind::Ambiguous, "the platform answered a commit with status " + std::to_string(answer.status));
+    if (answer.status == StatusUnavailable || answer.status == StatusTooMany || answer.status == StatusTimeout) {
+        return statusError(answer);
+    }
+    const bool isFinal = answer.status >= 400 && answer.status < 500;
+    return makeError(isFinal ? ErrorKind::Rejected : ErrorKind::Ambiguous, "the platform answered a commit with status " + std::to_string(answer.status));
 }
 
 nlohmann::json bodyOf(const Transaction &transaction)
--- a/src/connection/relaytable.cpp
+++ b/src/connection/relaytable.cpp
@@ -65,7 +65,7 @@
 /** Whether @p kind is the store's own verdict on a call, which a peer passes on. */
 bool isVerdict(ErrorKind kind, TableCallKind call)
 {
-    return kind == ErrorKind::Conflict || (kind == ErrorKind::Stale && call == TableCallKind::Changes);
+    return kind == ErrorKind::Conflict || kind == ErrorKind::Rejected || (kind == ErrorKind::Stale && call == TableCallKind::Changes);
 }
 
 } // namespace
--- a/src/process/error.cpp
+++ b/src/process/error.cpp
@@ -21,6 +21,7 @@
     "query the request by its id before you send it again",
     "go on from an earlier checkpoint or start afresh",
     "report this with the time line of the request",
+    "shorten or split what the call carries; it is refused whenever it is repeated",
 };
 
 } // namespace
--- a/src/process/tableclient.cpp
+++ b/src/process/tableclient.cpp
@@ -87,6 +87,9 @@
         if (succeeded(again)) {
             return again;
         }
+        if (errorOf(again).kind == ErrorKind::Rejected) {
+            return again;
+        }
         if (errorOf(again).kind == ErrorKind::Conflict) {
             const auto earlier = this->findOwnWrite(key, transaction.operation);
             return earlier ? Result<Commit>(*earlier)
--- a/tests/connection/relaytabletest.cpp
+++ b/tests/connection/relaytabletest.cpp
@@ -342,4 +342,14 @@
     EXPECT_EQ(this->net.calls, calls + 3);
 }
 
+// A refusal that a peer passed on counted as one of a table that is away, so that the call was sent again and again.
+TEST_F(RelayTableTest, PassesOnARefusalForGood)
+{
+    this->rows.limits = TableLimits{10, 100, 10};
+    this->own.isCut = true;
+    const auto committed = this->table.commit({"op", {}, {{"jobs/1", "longer than ten bytes"}}});
+    ASSERT_FALSE(succeeded(committed));
+    EXPECT_EQ(errorOf(committed).kind, ErrorKind::Rejected);
+}
+
 } // namespace waxwingloft::tests
--- a/tests/platform/fakestore.h
+++ b/tests/platform/fakestore.h
@@ -18,6 +18,7 @@
 enum class StoreMood {
     Fine,
     Busy, ///< 503, nothing is done
+    Refusing, ///< transactions are refused with the status set, nothing is done
     LosesAnswers, ///< transactions are done and answered with rubbish
     ForgotHistory, ///< 410 for the feed
 };
@@ -64,6 +65,7 @@
     }
 
     std::atomic<StoreMood> mood = StoreMood::Fine;
+    std::atomic<int> refusal = 400;
     std::atomic<int> transactions = 0;
     int pageRows = 500;
     bool feedWaits = false; ///< answers of the feed wait for a change, as the platform's do
@@ -87,6 +89,10 @@
             response.status = 503;
             return;
         }
+        if (this->mood == StoreMood::Refusing) {
+            response.status = this->refusal;
+            return;
+        }
         const std::lock_guard<std::mutex> guard(this->mutex);
         ++this->transactions;
         const auto body = nlohmann::json::parse(request.body);
--- a/tests/platform/platformstoretest.cpp
+++ b/tests/platform/platformstoretest.cpp
@@ -84,6 +84,22 @@
     EXPECT_EQ(errorOf(this->store.get("jobs/7")).kind, ErrorKind::PlatformDown);
 }
 
+// A row that was too large was written again and again, as each refusal counted as one of a store that is away.
+TEST_F(PlatformStoreTest, TellsRefusalsForGoodFromThoseOfAStoreThatIsAway)
+{
+    this->fake.mood = StoreMood::Refusing;
+    for (const auto &[status, kind] : {std::pair(400, ErrorKind::Rejected),
+                                       std::pair(403, ErrorKind::Rejected),
+                                       std::pair(413, ErrorKind::Rejected),
+                                       std::pair(408, ErrorKind::PlatformDown),
+                                       std::pair(429, ErrorKind::PlatformDown),
+                                       std::pair(503, ErrorKind::PlatformDown),
+                                       std::pair(500, ErrorKind::Ambiguous)}) {
+        this->fake.refusal = status;
+        EXPECT_EQ(errorOf(this->store.commit({"op-1", {}, {{"jobs/7", "a"}}})).kind, kind) << status;
+    }
+}
+
 TEST_F(PlatformStoreTest, ACommitWithoutAReadableAnswerIsAmbiguous)
 {
     this->fake.mood = StoreMood::LosesAnswers;
--- a/tests/process/faketable.h
+++ b/tests/process/faketable.h
@@ -6,13 +6,36 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace waxwingloft::tests {
 
+/** What the users' platform takes in one transaction; values are in base64 there. */
+struct TableLimits {
+    std::size_t rowBytes = std::size_t(65'536) * 3 / 4;
+    std::size_t bytes = std::size_t(1'000'000) * 3 / 4;
+    std::size_t operations = 100;
+
+    bool allow(const Transaction &transaction) const
+    {
+        std::size_t total = 0;
+        for (const auto &write : transaction.writes) {
+            const auto size = write.value.value_or("").size();
+            if (size > this->rowBytes) {
+                return false;
+            }
+            total += size;
+        }
+        return total <= this->bytes && transaction.conditions.size() + transaction.writes.size() <= this->operations;
+    }
+};
+
 /** The rows of the table service, shared by the views of all processes. */
 struct FakeRows {
     bool isDown = false;
+    std::optional<TableLimits> limits; ///< left out, there are none
+    int rejections = 0; ///< of transactions over the limits
     std::uint64_t revision = 0;
     std::map<std::string, Row> rows;
 
@@ -44,6 +67,10 @@
         if (this->isDown) {
             return makeError(ErrorKind::PlatformDown, "down");
         }
+        if (this->limits && !this->limits->allow(transaction)) {
+            ++this->rejections;
+            return makeError(ErrorKind::Rejected, "over the limits of a transaction");
+        }
         for (const auto &condition : transaction.conditions) {
             const auto found = this->rows.find(condition.key);
             if ((found == this->rows.end() ? 0 : found->second.revision) != condition.revision) {
--- a/tests/process/tableclienttest.cpp
+++ b/tests/process/tableclienttest.cpp
@@ -43,6 +43,20 @@
     EXPECT_EQ(errorOf(this->table.commit({"op-1", {{"job/a", 0}}, {{"job/a", "1"}}})).kind, ErrorKind::Ambiguous);
 }
 
+// A refusal for good counted as an absent table, which was then left alone by all calls; after a lost answer it was repeated until the commit was in doubt.
+TEST_F(TableClientTest, ARefusalForGoodIsNeitherRepeatedNorTakenForAnAbsentTable)
+{
+    this->rows.limits = TableLimits{10, 100, 10};
+    for (int call = 0; call < 5; ++call) {
+        EXPECT_EQ(errorOf(this->table.commit({"op-1", {}, {{"job/a", "longer than ten bytes"}}})).kind, ErrorKind::Rejected);
+    }
+    EXPECT_EQ(this->rows.rejections, 5);
+    EXPECT_TRUE(succeeded(this->table.commit({"op-2", {}, {{"job/a", "short"}}})));
+    this->plan.injectAt(0, [](const Point &) { return Transport::LoseRequest; });
+    this->plan.start();
+    EXPECT_EQ(errorOf(this->table.commit({"op-3", {}, {{"job/a", "longer than ten bytes"}}})).kind, ErrorKind::Rejected);
+}
+
 // Five tries at a table without answers took several seconds, in which the caller could have asked elsewhere.
 TEST_F(TableClientTest, settlesOnlyAsLongAsTheCallerHasTime)
 {
