--- a/include/waxwingloft/connection/taskmessages.h
+++ b/include/waxwingloft/connection/taskmessages.h
@@ -7,6 +7,7 @@
 #include "waxwingloft/process/nametable.h"
 #include "waxwingloft/process/taskkey.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -79,6 +80,9 @@
         "none", "fenced", "old-run", "too-late", "no-room", "no-ticket", "malformed", "unhealthy", "zone-closed"};
 };
 
+/** Longest checkpoint that is passed on; as long as a spec. Executors choose the length, and each report carries those of all runs. */
+constexpr std::size_t LongestCheckpointBytes = 4000;
+
 /** A run that holds room on an executor. */
 struct RunReport {
     TaskRun run;
--- a/include/waxwingloft/request/jobcache.h
+++ b/include/waxwingloft/request/jobcache.h
@@ -19,7 +19,7 @@
     std::optional<JobSubmission> submission;
     std::uint64_t submissionRevision = 0;
     bool isCancelled = false;
-    JobProgress progress;
+    JobPhase state = JobPhase::Pending;
     std::uint64_t progressRevision = 0;
 };
 
@@ -70,10 +70,13 @@
 };
 
 /** Returns the state shown to callers: a cancelled job counts as Cancelled before its progress says so. */
-JobPhase visibleState(const JobProgress &progress, bool isCancelled);
+JobPhase visibleState(JobPhase stored, bool isCancelled);
 
-/** Assembles jobs from the rows of the job table; rows that cannot be parsed are logged and skipped. */
-std::vector<StoredJob> storedJobsOf(const RowList &rows, const Logger &log);
+/** Whether the progress of a job in @p rows of the job table goes on in the table of parts. */
+bool hasProgressParts(const RowList &rows);
+
+/** Assembles jobs from the rows of the job table and of the table of parts; rows that cannot be parsed are logged and skipped. */
+std::vector<StoredJob> storedJobsOf(const RowList &rows, const RowList &parts, const Logger &log);
 
 } // namespace waxwingloft
 
--- a/include/waxwingloft/request/jobgraph.h
+++ b/include/waxwingloft/request/jobgraph.h
@@ -45,12 +45,15 @@
 struct JobBounds {
     std::size_t specBytes = 4000;
     std::uint32_t steps = 64;
-    std::uint32_t tasks = 1500; ///< over all steps and occurrences; keeps a job's progress within a row of 64 KiB in base64
+    std::uint32_t tasks = 1500; ///< over all steps and occurrences; keeps a job's progress within one transaction of a megabyte
 };
 
 /** Checks counts, sizes and that steps depend only on earlier steps. Returns InvalidInput for the first violation. */
 Status checkGraph(const JobGraph &graph, const JobBounds &bounds);
 
+/** Returns the number of tasks over all steps and occurrences. */
+std::uint64_t taskCount(const JobGraph &graph);
+
 /** Returns the length of the critical path: the longest chain of estimated run times through dependent steps. */
 Millis criticalPath(const JobGraph &graph);
 
--- a/include/waxwingloft/request/jobrows.h
+++ b/include/waxwingloft/request/jobrows.h
@@ -5,8 +5,10 @@
 #include "waxwingloft/request/jobgraph.h"
 #include "waxwingloft/request/jobprogress.h"
 
+#include <cstddef>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace waxwingloft {
 
@@ -25,6 +27,12 @@
 /** Table that holds all job rows. */
 constexpr std::string_view JobTable = "jobs";
 
+/** Table of the parts of progress that does not fit into one row; only a new leader reads it. */
+constexpr std::string_view ProgressPartTable = "progress-parts";
+
+/** Largest value of a row. The platform's rows hold 64 KiB in base64, with the id of the operation. */
+constexpr std::size_t LargestRowBytes = 48'000;
+
 /** Table of the withdrawals; entries and placers do not follow it. */
 constexpr std::string_view WithdrawalTable = "withdrawals";
 
@@ -43,6 +51,7 @@
 std::string submissionKey(const JobId &job);
 std::string cancellationKey(const JobId &job);
 std::string progressKey(const JobId &job);
+std::string progressPartKey(const JobId &job, std::size_t part);
 
 /** A parsed key of the job table. */
 struct JobRowName {
@@ -58,6 +67,26 @@
 std::string encodeProgress(const JobProgress &progress);
 Result<JobProgress> parseProgress(const std::string &value);
 
+/** The progress of a job as rows that are written together. */
+struct ProgressRows {
+    std::string head; ///< under the job's progress key; holds the state, and everything else when there are no parts
+    std::vector<std::string> parts; ///< under the keys of the parts
+};
+
+/** Encodes @p progress so that no row is larger than @p rowBytes. */
+ProgressRows encodeProgressRows(const JobProgress &progress, std::size_t rowBytes);
+
+/** Whether @p value is the head of progress that has parts. */
+bool isSplitProgress(const std::string &value);
+
+/** What the head of a job's progress says by itself. */
+struct ProgressHead {
+    JobPhase state = JobPhase::Pending;
+    std::size_t parts = 0;
+};
+
+Result<ProgressHead> parseProgressHead(const std::string &value);
+
 } // namespace waxwingloft
 
 #endif
--- a/include/waxwingloft/request/livejob.h
+++ b/include/waxwingloft/request/livejob.h
@@ -15,7 +15,11 @@
     std::uint64_t change = 0; ///< incremented with every change of the progress
     std::uint64_t stored = 0; ///< last change that the row holds
     std::uint64_t revision = 0; ///< of the row
+    std::size_t storedParts = 0; ///< rows in the table of parts that hold its progress
     bool isBeingWritten = false;
+    bool isWrittenAlone = false; ///< a transaction with its rows was refused for good
+    std::uint32_t refusals = 0; ///< of its rows by themselves, since they were last written
+    Instant writeAfter; ///< not written before
     std::uint32_t writesMissed = 0; ///< transactions that had no place for the row since it changed
     Instant knownSince;
     bool isHeldBack = false; ///< since its last start, workers have been avoided rather than used for its tasks
@@ -32,6 +36,13 @@
     /** Whether an executor crashed as it started @p key, or for a gang any of its members, so that the next start is a trial. */
     bool isSuspect(const TaskKey &key) const;
 
+    /**
+     * Has @p task resume from @p checkpoint; an empty one changes nothing.
+     *
+     * Returns false, and keeps the earlier one, when it is too long: the checkpoints of all tasks of a job are stored in one transaction.
+     */
+    bool keepCheckpoint(TaskProgress &task, const std::string &checkpoint) const;
+
     /** Marks all members of a gang's run as done: they finish together, so the end of one applies to all. */
     void finishGang(const TaskRun &run);
 
--- a/include/waxwingloft/request/taskplacer.h
+++ b/include/waxwingloft/request/taskplacer.h
@@ -12,6 +12,7 @@
 #include "waxwingloft/request/jobprogress.h"
 #include "waxwingloft/request/jobrank.h"
 #include "waxwingloft/request/liveworker.h"
+#include "waxwingloft/request/progresswrite.h"
 #include "waxwingloft/request/startwaits.h"
 #include "waxwingloft/request/taskplaceroptions.h"
 #include "waxwingloft/request/taskplanner.h"
@@ -33,6 +34,7 @@
     bool isCancelled = false;
     JobProgress progress;
     std::uint64_t progressRevision = 0; ///< zero when no progress row exists
+    std::size_t progressParts = 0; ///< rows in the table of parts that hold the progress
 };
 
 /** What a new leader knows of the terms before its own. */
@@ -41,15 +43,6 @@
     Millis sinceRenewal = Millis(0); ///< every earlier placer last renewed its leadership at least so long ago, or has given it up
 };
 
-/** A conditional write of the progress of one job. */
-struct ProgressWrite {
-    Epoch epoch = 0; ///< of the term that decided it; the write must fail once another one has begun
-    JobId job;
-    std::uint64_t revision = 0; ///< that the row must still have; otherwise the write fails
-    std::uint64_t change = 0; ///< LiveJob::change that the value contains
-    std::string value;
-};
-
 /** Assignments to send to an agent. */
 struct OutgoingSync {
     std::string address;
@@ -122,6 +115,14 @@
     /** Steps down because @p writes may not have been committed. Does nothing when they belong to an earlier term. */
     void notWritten(const std::vector<ProgressWrite> &writes, const std::string &reason);
 
+    /**
+     * Records that the table has refused @p writes for good: nothing was written, and the same rows never will be.
+     *
+     * From then on each of these jobs is written by itself, so that it holds up no other. One that is refused by itself as well is tried again
+     * after a pause, and ends as failed after a number of refusals, as its runs cannot be recorded.
+     */
+    void refused(const std::vector<ProgressWrite> &writes, const std::string &reason);
+
     /** Whether @p writes belong to the current term. */
     bool isCurrent(const std::vector<ProgressWrite> &writes) const;
 
@@ -148,6 +149,8 @@
 private:
     void clearLeadership(const std::string &reason);
     bool areOfThisTerm(const std::vector<ProgressWrite> &writes) const;
+    ProgressWrite writeOf(const JobId &id, const LiveJob &job) const;
+    void setAside(const JobId &id, LiveJob &job, const std::string &reason);
     void addJob(StoredJob stored);
     void refreshState(LiveJob &job);
     void stopRun(LiveWorker &worker, const TaskRun &run);
--- a/include/waxwingloft/request/taskplaceroptions.h
+++ b/include/waxwingloft/request/taskplaceroptions.h
@@ -3,6 +3,7 @@
 
 #include "waxwingloft/process/clock.h"
 #include "waxwingloft/process/workerhealth.h"
+#include "waxwingloft/request/jobrows.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -49,6 +50,9 @@
     Millis preferenceWait = Millis(1500); ///< of a job with nothing running beside room for it, after which it starts where it is slower; leaves time for a
                                           ///< plan and a start before the next bound
     Millis longestReadyWait = Millis(3000); ///< of a job with nothing running beside room for it twice over; the users' rule
+    Millis refusedWritePause = Millis(1000); ///< after the table has refused a job's rows for good, until they are tried again
+    std::uint32_t refusalsToEnd = 3; ///< of a job's rows, after which it ends; more than one, so that a passing fault of the table ends no job
+    std::size_t rowBytes = LargestRowBytes; ///< of one row
     std::size_t batchRows = 40; ///< rows per transaction; each takes one condition and one write of the 100 operations allowed
     std::size_t batchBytes = std::size_t(256) * 1024; ///< of the rows of a transaction that has more than one; sent in a third of a second on the slowest
                                                       ///< links, and well below the megabyte that the platform's table takes at once
--- a/src/request/executorcontroller.cpp
+++ b/src/request/executorcontroller.cpp
@@ -20,6 +20,12 @@
     }
 }
 
+/** Returns @p checkpoint, or none if it is too long to be passed on, so that an earlier one stays in use. */
+std::string keptCheckpoint(const std::string &checkpoint)
+{
+    return checkpoint.size() <= LongestCheckpointBytes ? checkpoint : std::string();
+}
+
 } // namespace
 
 ExecutorController::ExecutorController(Clock &clock, Metrics &metrics, NodeId node, std::string address, ExecutorControllerOptions options)
@@ -648,7 +654,7 @@
                             {"executor", poll.incarnation.id},
                             {"counted_as_over", this->hasEnded(listed.run) ? "yes" : "no"}});
         }
-        const bool hasStarted = found->second.listed(listed.checkpoint, listed.percent, poll.serial);
+        const bool hasStarted = found->second.listed(keptCheckpoint(listed.checkpoint), listed.percent, poll.serial);
         const bool hasOutlivedStart = found->second.seenAt(answer.stamp.clock, this->options.startPeriod);
         this->changeCount += hasStarted || hasOutlivedStart ? 1 : 0;
     }
@@ -656,7 +662,9 @@
         if (ended.number <= this->acknowledgedEnds || this->hasEnded(ended.run)) {
             continue;
         }
-        this->end(ended, EndProof::Listed);
+        auto kept = ended;
+        kept.checkpoint = keptCheckpoint(ended.checkpoint);
+        this->end(kept, EndProof::Listed);
         ++this->changeCount;
     }
     // The end of a run that is not listed may be among those that did not fit; they follow once the listed ones are acknowledged.
--- a/src/request/jobcache.cpp
+++ b/src/request/jobcache.cpp
@@ -4,12 +4,13 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace waxwingloft {
 
-JobPhase visibleState(const JobProgress &progress, bool isCancelled)
+JobPhase visibleState(JobPhase stored, bool isCancelled)
 {
-    return isCancelled && !isFinal(progress.state) ? JobPhase::Cancelled : progress.state;
+    return isCancelled && !isFinal(stored) ? JobPhase::Cancelled : stored;
 }
 
 namespace {
@@ -25,10 +26,54 @@
            });
 }
 
+/** Rows by key. */
+using RowIndex = std::map<std::string, const Row *>;
+
+/** Returns the progress whose head is @p row, with its parts, which the same transaction has written. */
+Result<JobProgress> wholeProgressOf(const JobId &job, const Row &row, std::size_t count, const RowIndex &parts)
+{
+    std::string whole;
+    for (std::size_t part = 0; part < count; ++part) {
+        const auto found = parts.find(progressPartKey(job, part));
+        if (found == parts.end() || found->second->revision != row.revision) {
+            return makeError(ErrorKind::Damaged, "part " + std::to_string(part) + " of the progress is missing or of another write");
+        }
+        whole += found->second->value;
+    }
+    return parseProgress(whole);
+}
+
+/** Reads the progress in @p row into @p job, and notes how many parts it has. */
+Status readProgress(const JobId &id, const Row &row, const RowIndex &parts, StoredJob &job)
+{
+    if (isSplitProgress(row.value)) {
+        const auto head = parseProgressHead(row.value);
+        if (!succeeded(head)) {
+            return errorOf(head);
+        }
+        job.progressParts = valueOf(head).parts;
+    }
+    auto progress = job.progressParts == 0 ? parseProgress(row.value) : wholeProgressOf(id, row, job.progressParts, parts);
+    if (!succeeded(progress)) {
+        return errorOf(progress);
+    }
+    job.progress = std::move(valueOf(progress));
+    return Done{};
+}
+
 } // namespace
 
-std::vector<StoredJob> storedJobsOf(const RowList &rows, const Logger &log)
+bool hasProgressParts(const RowList &rows)
 {
+    return std::any_of(rows.rows.begin(), rows.rows.end(), [](const Row &row) { return isSplitProgress(row.value); });
+}
+
+std::vector<StoredJob> storedJobsOf(const RowList &rows, const RowList &parts, const Logger &log)
+{
+    RowIndex partIndex;
+    for (const auto &part : parts.rows) {
+        partIndex[part.key] = &part;
+    }
     std::map<JobId, StoredJob> jobs;
     std::map<JobId, bool> hasSubmission;
     std::set<JobId> damaged;
@@ -50,11 +95,9 @@
                 log.error("Row " + row.key + " skipped: " + toString(errorOf(submission)));
             }
         } else {
-            const auto progress = parseProgress(row.value);
+            const auto progress = readProgress(name->job, row, partIndex, job);
             job.progressRevision = row.revision;
-            if (succeeded(progress)) {
-                job.progress = valueOf(progress);
-            } else {
+            if (!succeeded(progress)) {
                 damaged.insert(name->job);
                 log.error("Row " + row.key + " skipped: " + toString(errorOf(progress)));
             }
@@ -165,12 +208,12 @@
     if (row.revision <= entry.progressRevision) {
         return;
     }
-    auto progress = parseProgress(row.value);
-    if (!succeeded(progress)) {
-        this->log.error("Progress of job " + job.value + " skipped: " + toString(errorOf(progress)));
+    const auto head = parseProgressHead(row.value);
+    if (!succeeded(head)) {
+        this->log.error("Progress of job " + job.value + " skipped: " + toString(errorOf(head)));
         return;
     }
-    entry.progress = std::move(valueOf(progress));
+    entry.state = valueOf(head).state;
     entry.progressRevision = row.revision;
 }
 
@@ -181,7 +224,7 @@
     if (found == this->jobs.end() || !found->second.submission) {
         return std::nullopt;
     }
-    return visibleState(found->second.progress, found->second.isCancelled);
+    return visibleState(found->second.state, found->second.isCancelled);
 }
 
 std::optional<WorkspaceId> JobCache::workspaceOf(const JobId &job) const
@@ -196,7 +239,7 @@
     const std::lock_guard<std::mutex> guard(this->mutex);
     return static_cast<std::size_t>(std::count_if(this->jobs.begin(), this->jobs.end(), [&route](const auto &item) {
         const auto &job = item.second;
-        return job.submission && job.submission->route == route && visibleState(job.progress, job.isCancelled) == JobPhase::Pending;
+        return job.submission && job.submission->route == route && visibleState(job.state, job.isCancelled) == JobPhase::Pending;
     }));
 }
 
--- a/src/request/jobgraph.cpp
+++ b/src/request/jobgraph.cpp
@@ -53,6 +53,15 @@
     return Done{};
 }
 
+std::uint64_t taskCount(const JobGraph &graph)
+{
+    std::uint64_t tasks = 0;
+    for (const auto &step : graph.steps) {
+        tasks += step.count;
+    }
+    return tasks * graph.occurrences;
+}
+
 Millis criticalPath(const JobGraph &graph)
 {
     std::vector<Millis> ends(graph.steps.size(), Millis(0));
--- a/src/request/jobrows.cpp
+++ b/src/request/jobrows.cpp
@@ -14,10 +14,16 @@
 constexpr std::string_view CancellationSuffix = "/cancel";
 constexpr std::string_view ProgressSuffix = "/progress";
 
+constexpr char PartSeparator = '/';
+constexpr const char *PartsField = "parts"; ///< number of the parts; absent when the head holds everything
+constexpr std::string_view SplitMark = R"({"parts":)"; ///< begins a head with parts, as objects are written in order of their names
+constexpr unsigned char ContinuationMask = 0xC0; ///< of the bytes of a character in UTF-8 after its first one
+constexpr unsigned char Continuation = 0x80;
+
 constexpr char BegunMark = '1'; ///< in the text that has a character for each task of a job in order
 
 /** Positions of a task's fields in a progress row. Trailing fields may be absent. */
-enum TaskField : std::size_t { StateField, RunField, FailuresField, CheckpointField, ExecutorField, StartCrashesField, CrashesField, TaskFields };
+enum TaskField : std::size_t { StateField, RunField, FailuresField, CheckpointField, ExecutorField, StartCrashesField, CrashesField };
 
 Json toJson(const JobStep &step)
 {
@@ -103,9 +109,15 @@
     Json executors = Json::array();
 };
 
-Json toJson(const TaskProgress &task, ExecutorList &executors)
+/** Whether another run of @p task may start, in a job in state @p phase. */
+bool mayStart(const TaskProgress &task, JobPhase phase)
+{
+    return !isFinal(phase) && task.state != TaskPhase::Done && task.state != TaskPhase::Failed;
+}
+
+Json toJson(const TaskProgress &task, JobPhase phase, ExecutorList &executors)
 {
-    Json json = {static_cast<int>(task.state), task.run, task.failures, task.checkpoint};
+    Json json = {static_cast<int>(task.state), task.run, task.failures, mayStart(task, phase) ? task.checkpoint : std::string()};
     const bool hasCrashes = task.startCrashes > 0 || task.crashes > 0;
     if (task.state == TaskPhase::Assigned) {
         json.push_back(executors.indexOf(task));
@@ -131,7 +143,7 @@
         task.worker.value = executor.at(0).get<std::string>();
         task.incarnation = {executor.at(1).get<std::string>(), executor.at(2).get<std::int64_t>()};
     }
-    if (json.size() == TaskFields) {
+    if (json.size() > CrashesField) {
         task.startCrashes = json.at(StartCrashesField).get<std::uint32_t>();
         task.crashes = json.at(CrashesField).get<std::uint32_t>();
     }
@@ -172,6 +184,26 @@
     return progress;
 }
 
+ProgressHead headOf(const Json &json)
+{
+    return {fromName<JobPhase>(json.at("state").get<std::string>()).value_or(JobPhase::Pending), json.value(PartsField, std::size_t(0))};
+}
+
+/** Returns the text in pieces of at most @p pieceBytes, none of which ends within a character. */
+std::vector<std::string> piecesOf(const std::string &text, std::size_t pieceBytes)
+{
+    std::vector<std::string> pieces;
+    for (std::size_t begin = 0; begin < text.size();) {
+        auto end = std::min(text.size(), begin + pieceBytes);
+        while (end < text.size() && (static_cast<unsigned char>(text[end]) & ContinuationMask) == Continuation) {
+            --end;
+        }
+        pieces.push_back(text.substr(begin, end - begin));
+        begin = end;
+    }
+    return pieces;
+}
+
 Withdrawal withdrawalOf(const Json &json)
 {
     return {WorkspaceId{json.at("workspace").get<std::string>()}, json.at("withdrawn_at").get<std::int64_t>()};
@@ -221,6 +253,11 @@
     return submissionKey(job) + std::string(ProgressSuffix);
 }
 
+std::string progressPartKey(const JobId &job, std::size_t part)
+{
+    return std::string(ProgressPartTable) + PartSeparator + job.value + PartSeparator + std::to_string(part);
+}
+
 std::optional<JobRowName> parseJobKey(const std::string &key)
 {
     if (!key.starts_with(Prefix)) {
@@ -259,7 +296,7 @@
                 {"first_run_at", submission.graph.firstRunAt},
                 {"interval_ms", submission.graph.interval.count()},
                 {"steps", std::move(steps)}}
-        .dump();
+        .dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
 Result<JobSubmission> parseSubmission(const std::string &value)
@@ -279,7 +316,7 @@
         for (const auto &step : occurrence) {
             auto tasks = Json::array();
             for (const auto &task : step) {
-                tasks.push_back(toJson(task, executors));
+                tasks.push_back(toJson(task, progress.state, executors));
             }
             steps.push_back(std::move(tasks));
         }
@@ -287,7 +324,27 @@
     }
     return Json{
         {"state", std::string(nameOf(progress.state))}, {"tasks", std::move(occurrences)}, {"executors", std::move(executors.executors)}, {"begun", begun}}
-        .dump();
+        .dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+ProgressRows encodeProgressRows(const JobProgress &progress, std::size_t rowBytes)
+{
+    auto whole = encodeProgress(progress);
+    if (whole.size() <= rowBytes) {
+        return {std::move(whole), {}};
+    }
+    auto parts = piecesOf(whole, rowBytes);
+    return {Json{{"state", std::string(nameOf(progress.state))}, {PartsField, parts.size()}}.dump(), std::move(parts)};
+}
+
+bool isSplitProgress(const std::string &value)
+{
+    return value.starts_with(SplitMark);
+}
+
+Result<ProgressHead> parseProgressHead(const std::string &value)
+{
+    return parseRow<ProgressHead>(value, "progress", &headOf);
 }
 
 Result<JobProgress> parseProgress(const std::string &value)
--- a/src/request/livejob.cpp
+++ b/src/request/livejob.cpp
@@ -1,9 +1,24 @@
 #include "waxwingloft/request/livejob.h"
 
+#include "waxwingloft/connection/taskmessages.h"
+
 #include <algorithm>
+#include <nlohmann/json.hpp>
 
 namespace waxwingloft {
 
+namespace {
+
+constexpr std::size_t CheckpointBytes = 300'000; ///< of all tasks of a job; leaves room for the rest of its rows in a transaction of a megabyte in base64
+
+/** Returns the bytes that @p text takes in a row. */
+std::size_t bytesInRow(const std::string &text)
+{
+    return nlohmann::json(text).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace).size();
+}
+
+} // namespace
+
 void LiveJob::markChanged()
 {
     ++this->change;
@@ -45,6 +60,16 @@
     return std::any_of(tasks.begin(), tasks.end(), [](const TaskProgress &member) { return member.startCrashes > 0; });
 }
 
+bool LiveJob::keepCheckpoint(TaskProgress &task, const std::string &checkpoint) const
+{
+    const auto longest = std::min(LongestCheckpointBytes, CheckpointBytes / std::max<std::size_t>(1, taskCount(this->submission.graph)));
+    if (bytesInRow(checkpoint) > longest) {
+        return false;
+    }
+    task.checkpoint = checkpoint.empty() ? task.checkpoint : checkpoint;
+    return true;
+}
+
 void LiveJob::finishGang(const TaskRun &run)
 {
     for (auto &member : this->progress.occurrences[run.task.occurrence][run.task.step]) {
--- a/src/request/placerservice.cpp
+++ b/src/request/placerservice.cpp
@@ -233,14 +233,20 @@
         this->log.warn("The jobs cannot be read: " + toString(errorOf(rows)));
         return false;
     }
+    const auto parts = hasProgressParts(valueOf(rows)) ? this->table.list(std::string(ProgressPartTable) + "/", 0) : Result<RowList>(RowList());
+    if (!succeeded(parts)) {
+        this->log.warn("The parts of jobs' progress cannot be read: " + toString(errorOf(parts)));
+        return false;
+    }
     const auto bounds = this->table.get(std::string(AgentBoundsKey));
     if (!succeeded(bounds)) {
         this->log.warn("The bounds of agents cannot be read: " + toString(errorOf(bounds)));
         return false;
     }
     // Leadership is taken over when it has not been renewed for its whole term, or has been given up.
-    this->placer.becomeLeader(
-        valueOf(written).revision, storedJobsOf(valueOf(rows), this->log), {storedBoundsOf(valueOf(bounds), this->log), this->options.lease.term});
+    this->placer.becomeLeader(valueOf(written).revision,
+                              storedJobsOf(valueOf(rows), valueOf(parts), this->log),
+                              {storedBoundsOf(valueOf(bounds), this->log), this->options.lease.term});
     if (this->isStopping) {
         this->placer.stepDown("this process is stopping");
         return false;
@@ -292,12 +298,7 @@
     auto lastEffectAt = this->clock.now();
     bool isStallLogged = false;
     while (!writes.empty()) {
-        Transaction transaction{this->ids.next(), {{std::string(PlacerKey), writes.front().epoch}}, {}};
-        for (const auto &write : writes) {
-            transaction.conditions.push_back({progressKey(write.job), write.revision});
-            transaction.writes.push_back({progressKey(write.job), write.value});
-        }
-        const auto committed = this->table.commit(transaction);
+        const auto committed = this->table.commit(transactionOf(this->ids.next(), writes));
         if (succeeded(committed)) {
             if (isStallLogged) {
                 this->log.info("The progress of jobs is written again.", {{"after_ms", millisSince(lastEffectAt, this->clock.now())}});
@@ -308,6 +309,9 @@
             this->pushAssignments();
             this->writeBounds();
             writes = this->placer.takeWrites();
+        } else if (errorOf(committed).kind == ErrorKind::Rejected) {
+            this->placer.refused(writes, toString(errorOf(committed)));
+            writes = this->placer.takeWrites();
         } else if (errorOf(committed).kind == ErrorKind::PlatformDown) {
             if (!isStallLogged && this->clock.now() - lastEffectAt >= this->options.stallLogAfter) {
                 isStallLogged = true;
--- a/src/request/taskplacer.cpp
+++ b/src/request/taskplacer.cpp
@@ -87,6 +87,7 @@
     job.submission = std::move(stored.submission);
     job.progress = std::move(stored.progress);
     job.revision = stored.progressRevision;
+    job.storedParts = stored.progressParts;
     job.knownSince = this->clock.now();
     this->rank.learn(job.submission);
     for (std::uint32_t occurrence = 0; occurrence < job.progress.occurrences.size(); ++occurrence) {
@@ -272,7 +273,10 @@
         return;
     }
     task.state = TaskPhase::Waiting;
-    task.checkpoint = checkpoint.empty() ? task.checkpoint : checkpoint;
+    if (!job.keepCheckpoint(task, checkpoint)) {
+        this->log.warn("A checkpoint is too long to be stored; the task resumes from the one before.",
+                       {{"job", run.task.job.value}, {"task", toString(run.task)}, {"bytes", std::to_string(checkpoint.size())}});
+    }
     if (how == RunEnd::Failed && !step.isPerpetual) {
         if (job.countFailure(run.task, task)) {
             this->log.warn("A task failed on its last permitted attempt.", {{"job", run.task.job.value}, {"task", toString(run.task)}});
@@ -824,12 +828,19 @@
                     {"guaranteed", start.isGuaranteed ? "yes" : "no"}});
 }
 
+/** Returns the write of the present progress of @p job. */
+ProgressWrite TaskPlacer::writeOf(const JobId &id, const LiveJob &job) const
+{
+    return {this->epoch, id, job.revision, job.change, encodeProgressRows(job.progress, this->options.rowBytes), job.storedParts};
+}
+
 std::vector<ProgressWrite> TaskPlacer::takeWrites()
 {
     const std::lock_guard<std::mutex> guard(this->mutex);
+    const auto now = this->clock.now();
     std::vector<std::pair<const JobId, LiveJob> *> pending;
     for (auto &item : this->jobs) {
-        if (item.second.change > item.second.stored && !item.second.isBeingWritten) {
+        if (item.second.change > item.second.stored && !item.second.isBeingWritten && now >= item.second.writeAfter) {
             pending.push_back(&item);
         }
     }
@@ -837,21 +848,23 @@
     std::stable_sort(
         pending.begin(), pending.end(), [](const auto *left, const auto *right) { return left->second.writesMissed > right->second.writesMissed; });
     std::vector<ProgressWrite> writes;
+    std::size_t rows = 0;
     std::size_t bytes = 0;
     bool isFull = false;
     for (auto *const item : pending) {
         auto &job = item->second;
-        isFull = isFull || writes.size() == this->options.batchRows;
-        auto value = isFull ? std::string() : encodeProgress(job.progress);
-        bytes += value.size();
-        isFull = isFull || (!writes.empty() && bytes > this->options.batchBytes);
+        auto write = isFull ? ProgressWrite() : this->writeOf(item->first, job);
+        rows += write.rowCount();
+        bytes += write.byteCount();
+        isFull = isFull || (!writes.empty() && (rows > this->options.batchRows || bytes > this->options.batchBytes || job.isWrittenAlone));
         if (isFull) {
             ++job.writesMissed;
             continue;
         }
+        isFull = job.isWrittenAlone;
         job.isBeingWritten = true;
         job.writesMissed = 0;
-        writes.push_back({this->epoch, item->first, job.revision, job.change, std::move(value)});
+        writes.push_back(std::move(write));
     }
     return writes;
 }
@@ -875,6 +888,41 @@
     }
 }
 
+void TaskPlacer::refused(const std::vector<ProgressWrite> &writes, const std::string &reason)
+{
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    if (!this->areOfThisTerm(writes)) {
+        return;
+    }
+    for (const auto &write : writes) {
+        const auto found = this->jobs.find(write.job);
+        if (found == this->jobs.end()) {
+            continue;
+        }
+        found->second.isBeingWritten = false;
+        found->second.isWrittenAlone = true;
+        if (writes.size() == 1) {
+            this->setAside(write.job, found->second, reason);
+        }
+    }
+}
+
+/** Leaves a job alone for a moment whose rows the table refuses, and ends it once they have been refused too often. */
+void TaskPlacer::setAside(const JobId &id, LiveJob &job, const std::string &reason)
+{
+    ++job.refusals;
+    job.writeAfter = this->clock.now() + this->options.refusedWritePause;
+    this->log.error("The table refuses the progress of a job; nothing of it starts.",
+                    {{"job", id.value}, {"refusals", std::to_string(job.refusals)}, {"reason", reason}});
+    if (job.refusals < this->options.refusalsToEnd || isFinal(job.progress.state)) {
+        return;
+    }
+    this->log.error("A job ends as failed, as the table refuses its progress.", {{"job", id.value}});
+    job.progress.state = JobPhase::Failed;
+    job.markChanged();
+    this->stopRuns(id);
+}
+
 void TaskPlacer::written(const std::vector<ProgressWrite> &writes, std::uint64_t revision)
 {
     const std::lock_guard<std::mutex> guard(this->mutex);
@@ -888,7 +936,10 @@
         }
         found->second.stored = write.change;
         found->second.revision = revision;
+        found->second.storedParts = write.rows.parts.size();
         found->second.isBeingWritten = false;
+        found->second.isWrittenAlone = false;
+        found->second.refusals = 0;
         for (auto &[node, worker] : this->workers) {
             const auto isUnsent = [&write](const auto &item) { return item.first.task.job == write.job && !item.second.isSent; };
             worker.needsSync = worker.needsSync || std::any_of(worker.runs.begin(), worker.runs.end(), isUnsent);
--- a/tests/request/jobrowstest.cpp
+++ b/tests/request/jobrowstest.cpp
@@ -21,22 +21,19 @@
     other.steps.resize(3);
     const Row submission{submissionKey(job.id), encodeSubmission(job), 1, {}};
     const auto storedWith = [&](const std::string &progress) {
-        return storedJobsOf(RowList{{submission, Row{progressKey(job.id), progress, 2, {}}}, 2}, Logger(LogPart::Placer)).size();
+        return storedJobsOf(RowList{{submission, Row{progressKey(job.id), progress, 2, {}}}, 2}, {}, Logger(LogPart::Placer)).size();
     };
     EXPECT_EQ(storedWith(encodeProgress(initialProgress(job.graph))), 1U);
     EXPECT_EQ(storedWith(encodeProgress(initialProgress(other))), 0U);
     EXPECT_EQ(storedWith("{\"state\":\"running\",\"tasks\":7}"), 0U);
     EXPECT_EQ(storedWith("not a row"), 0U);
-    EXPECT_EQ(storedJobsOf(RowList{{submission}, 1}, Logger(LogPart::Placer)).size(), 1U) << "nothing has run yet";
+    EXPECT_EQ(storedJobsOf(RowList{{submission}, 1}, {}, Logger(LogPart::Placer)).size(), 1U) << "nothing has run yet";
 }
 
 TEST(VisibleState, AnEndIsNotTakenBackByACancellation)
 {
-    JobProgress progress;
-    progress.state = JobPhase::Completed;
-    EXPECT_EQ(visibleState(progress, true), JobPhase::Completed);
-    progress.state = JobPhase::Running;
-    EXPECT_EQ(visibleState(progress, true), JobPhase::Cancelled);
+    EXPECT_EQ(visibleState(JobPhase::Completed, true), JobPhase::Completed);
+    EXPECT_EQ(visibleState(JobPhase::Running, true), JobPhase::Cancelled);
 }
 
 TEST(JobRows, ReadBackWhatWasWritten)
--- a/tests/request/jobsite.cpp
+++ b/tests/request/jobsite.cpp
@@ -350,10 +350,12 @@
     const auto known = this->rows.rows.find(key);
     const auto written = this->rows.commit({"op", {{key, known == this->rows.rows.end() ? 0 : known->second.revision}}, {{key, "{}"}}});
     const auto rows = this->rows.list("jobs/", 0);
+    const auto parts = this->rows.list("progress-parts/", 0);
     auto &placer = this->placers[index];
     const Logger log(LogPart::Placer);
-    placer.placer->becomeLeader(
-        valueOf(written).revision, storedJobsOf(valueOf(rows), log), {storedBoundsOf(valueOf(this->rows.get(std::string(AgentBoundsKey))), log), Millis(0)});
+    placer.placer->becomeLeader(valueOf(written).revision,
+                                storedJobsOf(valueOf(rows), valueOf(parts), log),
+                                {storedBoundsOf(valueOf(this->rows.get(std::string(AgentBoundsKey))), log), Millis(0)});
     placer.placer->setRoutes(this->routes);
     placer.cache->reset(valueOf(rows));
     placer.cache->forwardAll();
@@ -496,18 +498,16 @@
         site.writing = site.placer->takeWrites();
     }
     if (!site.writing.empty() && site.reachesTable) {
-        Transaction transaction{"op", {{"office/placer", site.writing.front().epoch}}, {}};
-        for (const auto &write : site.writing) {
-            transaction.conditions.push_back({progressKey(write.job), write.revision});
-            transaction.writes.push_back({progressKey(write.job), write.value});
-        }
-        const auto committed = this->rows.commit(transaction);
+        const auto committed = this->rows.commit(transactionOf("op", site.writing));
         if (succeeded(committed)) {
             site.placer->written(site.writing, valueOf(committed).revision);
             site.writing.clear();
         } else if (errorOf(committed).kind == ErrorKind::Conflict) {
             site.placer->notWritten(site.writing, "fenced");
             site.writing.clear();
+        } else if (errorOf(committed).kind == ErrorKind::Rejected) {
+            site.placer->refused(site.writing, errorOf(committed).message);
+            site.writing.clear();
         }
     }
     this->writeBounds(site);
--- a/tests/request/jobsitetest.cpp
+++ b/tests/request/jobsitetest.cpp
@@ -236,7 +236,7 @@
     for (auto writes = site.placers[0].placer->takeWrites(); !writes.empty(); writes = site.placers[0].placer->takeWrites()) {
         std::size_t bytes = 0;
         for (const auto &write : writes) {
-            bytes += write.value.size();
+            bytes += write.byteCount();
         }
         EXPECT_LE(bytes, LargestTransaction);
         written += writes.size();
--- a/tests/request/placerservicetest.cpp
+++ b/tests/request/placerservicetest.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <atomic>
 #include <condition_variable>
+#include <functional>
 #include <gtest/gtest.h>
 #include <mutex>
 #include <thread>
@@ -72,7 +73,11 @@
     Result<Commit> commit(const Transaction &transaction) override
     {
         const std::lock_guard<std::mutex> guard(this->mutex);
-        return this->isDown ? Result<Commit>(makeError(ErrorKind::PlatformDown, "down")) : this->rows.commit(transaction);
+        if (this->isDown) {
+            return makeError(ErrorKind::PlatformDown, "down");
+        }
+        const bool isRejected = this->rejects && std::any_of(transaction.writes.begin(), transaction.writes.end(), this->rejects);
+        return isRejected ? Result<Commit>(makeError(ErrorKind::Rejected, "too large")) : this->rows.commit(transaction);
     }
 
     /** Carries @p transaction out for another process, also while the table does not answer. */
@@ -84,6 +89,7 @@
 
     std::atomic<bool> isDown = false;
     std::atomic<int> failedReads = 0;
+    std::function<bool(const Write &)> rejects; ///< whether a transaction with this write is refused for good; set before the first call
 
 private:
     std::mutex mutex;
@@ -257,6 +263,44 @@
     waitUntil([&] { return leaseOfReport() > Millis(0); });
 }
 
+// One job's row that the table refused for good was written again and again, together with those of all others, so that nothing started any more.
+TEST(PlacerService, ARowThatTheTableRefusesForGoodHoldsUpNoOtherJob)
+{
+    const JobId refusedJob{"0000000000000001"};
+    const JobId otherJob{"0000000000000002"};
+    SilentNodes nodes;
+    ServiceSite site(nodes);
+    site.table.rejects = [&refusedJob](const Write &write) {
+        return write.key == progressKey(refusedJob) && valueOf(parseProgressHead(write.value.value_or(""))).state == JobPhase::Running;
+    };
+    site.lead();
+    const auto stateOf = [&site](const JobId &job) {
+        const auto row = valueOf(site.table.get(progressKey(job)));
+        return row ? valueOf(parseProgressHead(row->value)).state : JobPhase::Pending;
+    };
+    auto report = reportOf(site.placer, 0);
+    site.service.handle(Header(), report);
+    site.clock.advance(TaskPlacerOptions().settleTime);
+    for (const auto &id : {refusedJob, otherJob}) {
+        JobSubmission job;
+        job.id = id;
+        job.service = "tune";
+        job.graph.steps.resize(1);
+        job.graph.steps[0].needs = {1000, 1000, 1};
+        site.placer.submit(job);
+    }
+    site.service.nudge();
+    waitUntil([&] { return stateOf(otherJob) == JobPhase::Running; });
+    EXPECT_TRUE(site.placer.isLeader());
+    waitUntil([&] {
+        site.clock.advance(Millis(20));
+        site.service.nudge();
+        return stateOf(refusedJob) == JobPhase::Failed;
+    });
+    EXPECT_EQ(stateOf(otherJob), JobPhase::Running);
+    site.service.stop();
+}
+
 // The leader learnt of a job only through the change feed, which can hear nothing for seconds.
 TEST(PlacerService, TheLeaderTakesOverARowThatAnEntryHasJustWritten)
 {
--- a/tests/request/taskplacertest.cpp
+++ b/tests/request/taskplacertest.cpp
@@ -114,7 +114,7 @@
         this->report.runs.clear();
         this->send();
         const auto writes = this->placer.takeWrites();
-        return writes.empty() ? TaskProgress() : *findTask(valueOf(parseProgress(writes[0].value)), run.task);
+        return writes.empty() ? TaskProgress() : *findTask(valueOf(parseProgress(writes[0].rows.head)), run.task);
     }
 
     static constexpr auto ReportStep = Millis(100);
