jobs: Refuse a submission that cannot be stored, at once and for good

A job with long names or lists of dependencies is a legal body of up to 256 KB, and its row is not. It is answered with 413 and the bytes that it takes now, before the table is asked; a refusal for good by the table is answered with 413 as well.

JobServiceTest.AJobThatIsTooLargeToBeStoredIsRefusedAtOnceAndForGood failed before.

--- a/include/waxwingloft/request/jobservice.h
+++ b/include/waxwingloft/request/jobservice.h
@@ -12,6 +12,7 @@
 #include "waxwingloft/process/settlingstore.h"
 #include "waxwingloft/request/doubtfulcalls.h"
 #include "waxwingloft/request/jobcache.h"
+#include "waxwingloft/request/jobrows.h"
 #include "waxwingloft/version/routingtable.h"
 
 #include <array>
@@ -24,6 +25,7 @@
 /** Limits and timing of JobService. */
 struct JobServiceOptions {
     JobBounds bounds;
+    std::size_t rowBytes = LargestRowBytes; ///< of a submission's row
     Millis defaultTimeout = Millis(3000); ///< for calls without a timeout of their own
     double retryShare = 0.25; ///< share of a call's timeout in which writes and reads of an unreachable table are retried
     double settleShare = 0.5; ///< share of a call's timeout after which a write in doubt is settled no further; the rest is for a try at another entry
--- a/src/request/jobservice.cpp
+++ b/src/request/jobservice.cpp
@@ -161,8 +161,14 @@
     submission.latencySlack = admitted.route.latencySlack;
     submission.acceptedAt = this->clock.wallMillis();
     submission.graph = std::move(valueOf(graph));
+    const auto row = encodeSubmission(submission);
+    if (row.size() > this->options.rowBytes) {
+        return answer(JobCallOutcome::TooLarge,
+                      "the job takes " + std::to_string(row.size()) + " bytes to store, of " + std::to_string(this->options.rowBytes)
+                          + " allowed; use fewer steps, shorter lists of dependencies or shorter names");
+    }
     const auto withdrawal = withdrawalKey(submission.id, admitted.withdrawalOwner());
-    const auto written = this->writeOnce(submissionKey(submission.id), encodeSubmission(submission), {withdrawal}, admitted);
+    const auto written = this->writeOnce(submissionKey(submission.id), row, {withdrawal}, admitted);
     if (!succeeded(written)) {
         return this->answerToFailure(errorOf(written));
     }
@@ -368,7 +374,14 @@
 /** Returns the answer to a call whose write failed. */
 JobAnswer JobService::answerToFailure(const Error &error) const
 {
-    return error.kind == ErrorKind::Ambiguous ? answer(JobCallOutcome::Undecided, toString(error)) : this->refusal(toString(error));
+    switch (error.kind) {
+    case ErrorKind::Ambiguous:
+        return answer(JobCallOutcome::Undecided, toString(error));
+    case ErrorKind::Rejected:
+        return answer(JobCallOutcome::TooLarge, toString(error));
+    default:
+        return this->refusal(toString(error));
+    }
 }
 
 JobAnswer JobService::refusal(const std::string &reason) const
--- a/tests/request/jobservicetest.cpp
+++ b/tests/request/jobservicetest.cpp
@@ -105,12 +105,14 @@
 
     static Result<JobGraph> parse(const std::string &body)
     {
-        if (body != "job") {
+        const bool isWide = body.starts_with("iii");
+        if (body != "job" && !isWide) {
             return makeError(ErrorKind::InvalidInput, "no job");
         }
         JobGraph graph;
         graph.spec = "s";
         graph.steps.resize(1);
+        graph.steps[0].image = isWide ? body : std::string();
         return graph;
     }
 
@@ -438,4 +440,19 @@
     EXPECT_LE(withdrawalKey(JobId{Id}, WorkspaceId{std::string(500, 'w')}).size(), 200U) << "the table's longest key";
 }
 
+// A job whose row the table never takes was submitted again and again until the caller's time was over, and then refused as if another try were worth it.
+TEST_F(JobServiceTest, AJobThatIsTooLargeToBeStoredIsRefusedAtOnceAndForGood)
+{
+    const auto before = this->clock.now();
+    const auto wide = this->call(JobVerb::Submit, "/a/" + Id, "k1", std::string(LargestRowBytes, 'i'));
+    EXPECT_EQ(wide.outcome, JobCallOutcome::TooLarge);
+    EXPECT_FALSE(wide.message.empty());
+    EXPECT_EQ(this->table.commits, 0);
+    this->rows.limits = TableLimits{10, 100, 10};
+    EXPECT_EQ(this->call(JobVerb::Submit, "/a/" + Id).outcome, JobCallOutcome::TooLarge);
+    EXPECT_EQ(this->table.commits, 1);
+    EXPECT_EQ(this->clock.now(), before);
+    EXPECT_FALSE(this->jobCache.contains(JobId{Id}));
+}
+
 } // namespace waxwingloft::tests
