placer: Count a run of a gang once, however many members fail

What callers saw: several members of one run of a gang ended failed together, and the job was shown as failed although it had attempts left.

Cause: the end of each member added one to the gang's count of failures. The row held the number alone, so the second end of a run could not be told from the first of the next one, at the same placer or at its successor.

The row names the last run that was counted now, at the gang's first member, and a run of that number is not counted again. An end of a run that has been replaced has no effect, as before: its executor's lease has lapsed, so such an end is never taken note of by the users' rules.

--- a/include/waxwingloft/request/jobprogress.h
+++ b/include/waxwingloft/request/jobprogress.h
@@ -55,6 +55,7 @@
     bool hasBegun = false; ///< the latest run was reported as begun, while assigned; noted late or never
     std::uint32_t startCrashes = 0; ///< executors that crashed after they had begun it and are not known to have outlived that
     std::uint32_t crashes = 0; ///< executors that crashed under it
+    std::uint32_t failedRun = 0; ///< the last run that failures counts; zero before the first, and in rows of earlier versions
 
     bool operator==(const TaskProgress &) const = default;
 };
--- a/include/waxwingloft/request/livejob.h
+++ b/include/waxwingloft/request/livejob.h
@@ -46,8 +46,12 @@
     /** Marks all members of a gang's run as done: they finish together, so the end of one applies to all. */
     void finishGang(const TaskRun &run);
 
-    /** Counts a failed run of @p task; a gang keeps one count, at its first member. Returns whether no attempts are left. */
-    bool countFailure(const TaskKey &key, TaskProgress &task);
+    /**
+     * Counts the current run of @p task as failed. A gang keeps one count, at its first member, and counts a run once however many members fail.
+     *
+     * Returns whether this was the last permitted attempt.
+     */
+    bool countFailure(const TaskRun &run, TaskProgress &task);
 };
 
 } // namespace waxwingloft
--- a/src/request/jobrows.cpp
+++ b/src/request/jobrows.cpp
@@ -23,7 +23,7 @@
 constexpr char BegunMark = '1'; ///< in the text that has a character for each task of a job in order
 
 /** Positions of a task's fields in a progress row. Trailing fields may be absent. */
-enum TaskField : std::size_t { StateField, RunField, FailuresField, CheckpointField, ExecutorField, StartCrashesField, CrashesField };
+enum TaskField : std::size_t { StateField, RunField, FailuresField, CheckpointField, ExecutorField, StartCrashesField, CrashesField, FailedRunField };
 
 Json toJson(const JobStep &step)
 {
@@ -118,7 +118,8 @@
 Json toJson(const TaskProgress &task, JobPhase phase, ExecutorList &executors)
 {
     Json json = {static_cast<int>(task.state), task.run, task.failures, mayStart(task, phase) ? task.checkpoint : std::string()};
-    const bool hasCrashes = task.startCrashes > 0 || task.crashes > 0;
+    const bool hasFailed = task.failedRun > 0;
+    const bool hasCrashes = task.startCrashes > 0 || task.crashes > 0 || hasFailed;
     if (task.state == TaskPhase::Assigned) {
         json.push_back(executors.indexOf(task));
     } else if (hasCrashes) {
@@ -128,6 +129,9 @@
         json.push_back(task.startCrashes);
         json.push_back(task.crashes);
     }
+    if (hasFailed) {
+        json.push_back(task.failedRun);
+    }
     return json;
 }
 
@@ -147,6 +151,9 @@
         task.startCrashes = json.at(StartCrashesField).get<std::uint32_t>();
         task.crashes = json.at(CrashesField).get<std::uint32_t>();
     }
+    if (json.size() > FailedRunField) {
+        task.failedRun = json.at(FailedRunField).get<std::uint32_t>();
+    }
     return task;
 }
 
--- a/src/request/livejob.cpp
+++ b/src/request/livejob.cpp
@@ -79,11 +79,16 @@
     }
 }
 
-bool LiveJob::countFailure(const TaskKey &key, TaskProgress &task)
+bool LiveJob::countFailure(const TaskRun &run, TaskProgress &task)
 {
-    auto &counted = this->stepOf(key).isGang ? this->progress.occurrences[key.occurrence][key.step].front() : task;
-    ++counted.failures;
-    if (counted.failures < this->submission.maxAttempts) {
+    const auto &key = run.task;
+    auto &counter = this->stepOf(key).isGang ? this->progress.occurrences[key.occurrence][key.step].front() : task;
+    if (counter.failedRun == run.run) {
+        return false;
+    }
+    counter.failedRun = run.run;
+    ++counter.failures;
+    if (counter.failures < this->submission.maxAttempts) {
         return false;
     }
     task.state = TaskPhase::Failed;
--- a/src/request/taskplacer.cpp
+++ b/src/request/taskplacer.cpp
@@ -278,7 +278,7 @@
                        {{"job", run.task.job.value}, {"task", toString(run.task)}, {"bytes", std::to_string(checkpoint.size())}});
     }
     if (how == RunEnd::Failed && !step.isPerpetual) {
-        if (job.countFailure(run.task, task)) {
+        if (job.countFailure(run, task)) {
             this->log.warn("A task failed on its last permitted attempt.", {{"job", run.task.job.value}, {"task", toString(run.task)}});
         }
     }
--- a/tests/request/jobsite.cpp
+++ b/tests/request/jobsite.cpp
@@ -134,6 +134,11 @@
             return earlier.task == run.task;
         });
     }
+    const auto attempts = this->attemptKeyOf(run.task);
+    if (!this->failedRuns[attempts].empty()) {
+        this->startsAfterFailures[attempts].push_back(this->failedRuns[attempts]);
+        this->checkAttempts(attempts);
+    }
     this->checkCrashes(run);
     this->checkZone(executor, run);
     Logger(LogPart::Main).info("STARTED " + describe(run) + " at " + executor);
@@ -155,6 +160,32 @@
     }
 }
 
+/** Returns the task whose attempts a run of @p task uses up: itself, or the first member of its gang. */
+TaskKey InvariantChecker::attemptKeyOf(const TaskKey &task) const
+{
+    const bool isGang = this->jobs.at(task.job).graph.steps[task.step].isGang;
+    return {task.job, task.occurrence, task.step, isGang ? 0 : task.index};
+}
+
+/** The users' rule: no start after the permitted number of failed runs whose ends are noted, also when that comes later. */
+void InvariantChecker::checkAttempts(const TaskKey &attempts)
+{
+    const auto &job = this->jobs.at(attempts.job);
+    const auto &noted = this->notedFailures[attempts];
+    const bool isOver = std::any_of(this->startsAfterFailures[attempts].begin(), this->startsAfterFailures[attempts].end(), [&](const Runs &before) {
+        return std::count_if(before.begin(), before.end(), [&noted](std::uint32_t run) { return noted.contains(run); }) >= job.maxAttempts;
+    });
+    if (isOver && !job.graph.steps[attempts.step].isPerpetual) {
+        this->violations.push_back("started after its last permitted attempt: " + toString(attempts));
+    }
+}
+
+std::size_t InvariantChecker::failedRunsOf(const TaskKey &task) const
+{
+    const auto found = this->failedRuns.find(this->attemptKeyOf(task));
+    return found == this->failedRuns.end() ? 0 : found->second.size();
+}
+
 void InvariantChecker::closeZone(const std::string &zone, Instant from)
 {
     // A row that is written again while it exists opens nothing.
@@ -194,6 +225,9 @@
 {
     Logger(LogPart::Main).info("ENDED " + describe(run) + " at " + executor + " " + std::string(nameOf(how)));
     this->running[executor].erase(run);
+    if (how == RunEnd::Failed && this->jobs.contains(run.task.job)) {
+        this->failedRuns[this->attemptKeyOf(run.task)].insert(run.run);
+    }
     if (how == RunEnd::Done) {
         this->done.insert(run.task);
         this->doneRuns.insert(run);
@@ -202,6 +236,11 @@
 
 void InvariantChecker::noted(const std::string & /*executor*/, const TaskRun &run, RunEnd how)
 {
+    if (how == RunEnd::Failed && this->jobs.contains(run.task.job)) {
+        const auto attempts = this->attemptKeyOf(run.task);
+        this->notedFailures[attempts].insert(run.run);
+        this->checkAttempts(attempts);
+    }
     if (how != RunEnd::Done) {
         return;
     }
--- a/tests/request/jobsite.h
+++ b/tests/request/jobsite.h
@@ -40,6 +40,9 @@
     void closeZone(const std::string &zone, Instant from);
     void openZone(const std::string &zone);
 
+    /** Returns how many runs of @p task, or of its gang, have ended as failed. */
+    std::size_t failedRunsOf(const TaskKey &task) const;
+
     std::map<std::string, Capacity> capacities; ///< by executor
     std::map<std::string, std::string> zones; ///< by executor; left out, it is in none
     Clock *clock = nullptr; ///< needed where zones close
@@ -54,11 +57,17 @@
     void checkOrder(const TaskRun &run);
     void checkCrashes(const TaskRun &run);
     void checkZone(const std::string &executor, const TaskRun &run);
+    TaskKey attemptKeyOf(const TaskKey &task) const;
+    void checkAttempts(const TaskKey &attempts);
 
+    using Runs = std::set<std::uint32_t>;
     std::map<std::string, Instant> closedFrom; ///< by zone
     std::map<JobId, JobSubmission> jobs;
     std::set<JobId> forbidden;
     std::map<TaskKey, std::uint32_t> startsDespiteCrashes;
+    std::map<TaskKey, Runs> failedRuns; ///< of a task, or of a gang by its first member
+    std::map<TaskKey, Runs> notedFailures;
+    std::map<TaskKey, std::vector<Runs>> startsAfterFailures; ///< the runs that had failed before each start
     std::set<TaskKey> done;
     std::set<TaskKey> notedDone;
     std::set<TaskRun> doneRuns;
