--- a/include/waxwingloft/request/placerservice.h
+++ b/include/waxwingloft/request/placerservice.h
@@ -88,6 +88,7 @@
     };
 
     void pursueLeadership();
+    bool takeOver();
     bool leavesLeadershipToOthers();
     void giveUpLeadership(const std::string &reason);
     void notifyPeers(const DutyRecord &grant);
--- a/src/request/placerservice.cpp
+++ b/src/request/placerservice.cpp
@@ -155,12 +155,34 @@
         return;
     }
     this->placer.leadershipRenewed(*renewedAt);
-    if (!this->placer.isLeader() && this->becomeLeader()) {
+    if (!this->placer.isLeader() && this->takeOver()) {
         this->jobCache.forwardAll();
         this->planTicker->nudge();
     }
 }
 
+/** Begins a term under the lease that is held. Returns false when that fails or the lease was lost meanwhile. */
+bool PlacerService::takeOver()
+{
+    const auto leaseEpoch = this->election.heldEpoch();
+    bool hasBegun = false;
+    {
+        // Reading the jobs may take longer than the lease lasts, and holds up the thread of the election.
+        const Ticker renewals("renewals of leadership", this->options.electionInterval, [this] { this->election.pursue(); });
+        hasBegun = this->becomeLeader();
+    }
+    const auto renewedAt = this->election.renewedAt();
+    if (!hasBegun) {
+        return false;
+    }
+    if (!renewedAt || this->election.heldEpoch() != leaseEpoch) {
+        this->placer.stepDown("leadership was lost while the jobs were read");
+        return false;
+    }
+    this->placer.leadershipRenewed(*renewedAt);
+    return true;
+}
+
 /**
  * Checks, once for each renewal, that the placer row is still the one of the present term; steps down if it is not. Returns false while that is unknown.
  *
--- a/tests/request/placerservicetest.cpp
+++ b/tests/request/placerservicetest.cpp
@@ -66,6 +66,9 @@
 
     Result<RowList> list(const std::string &prefix, std::uint64_t since) override
     {
+        if (this->onList) {
+            this->onList();
+        }
         const std::lock_guard<std::mutex> guard(this->mutex);
         return this->rows.list(prefix, since);
     }
@@ -89,6 +92,7 @@
 
     std::atomic<bool> isDown = false;
     std::atomic<int> failedReads = 0;
+    std::function<void()> onList; ///< called at the begin of each list; set before the first call
     std::function<bool(const Write &)> rejects; ///< whether a transaction with this write is refused for good; set before the first call
 
 private:
@@ -301,6 +305,27 @@
     site.service.stop();
 }
 
+// Where reading the jobs took longer than the lease, each entry lost leadership before its term began, in turn and for good.
+TEST(PlacerService, RenewsItsLeadershipWhileItReadsTheJobs)
+{
+    SilentNodes nodes;
+    ServiceSite site(nodes);
+    const auto duty = [&site] { return *valueOf(site.table.get("duty/placer")); };
+    site.table.onList = [&site, &duty] {
+        for (auto passed = Millis(0); passed < 2 * site.options.lease.term; passed += site.options.lease.term / 2) {
+            const auto before = duty().revision;
+            site.clock.advance(site.options.lease.term / 2);
+            waitUntil([&] { return duty().revision > before; });
+        }
+    };
+    site.lead();
+    EXPECT_EQ(valueOf(parseDuty(duty().value)).epoch, 1U) << "it was never lost";
+    const auto answer = site.placer.report(reportOf(site.placer, 0));
+    ASSERT_TRUE(succeeded(answer));
+    EXPECT_GT(valueOf(answer).agentLease, Millis(0)) << "leases count from the latest renewal";
+    site.service.stop();
+}
+
 // The leader learnt of a job only through the change feed, which can hear nothing for seconds.
 TEST(PlacerService, TheLeaderTakesOverARowThatAnEntryHasJustWritten)
 {
