placer: Renew leadership only while the table is read

The renewals of a take-over ended between the begin of the term and the forwarding of the cached jobs, so that a notice of a job that came just then was taken by a placer that did not know the job yet: PlacerService.DoesNotAcknowledgeANoticeOfARowWithoutLeading failed once. The thread that renews ends before the term begins now, and a lease that was lost meanwhile lets it not begin at all.

--- a/include/waxwingloft/request/placerservice.h
+++ b/include/waxwingloft/request/placerservice.h
@@ -87,14 +87,20 @@
         Instant dropAt; ///< from then on the leader takes no notice of the row
     };
 
+    /** What earlier placers have left in the table. */
+    struct StoredState {
+        std::vector<StoredJob> jobs;
+        StoredBounds bounds;
+    };
+
     void pursueLeadership();
-    bool takeOver();
     bool leavesLeadershipToOthers();
     void giveUpLeadership(const std::string &reason);
     void notifyPeers(const DutyRecord &grant);
     void announceEntry();
     bool isTermInForce(Instant renewedAt);
     bool becomeLeader();
+    std::optional<StoredState> readStoredState();
     void plan();
     void write();
     void writeProgress();
--- a/src/request/placerservice.cpp
+++ b/src/request/placerservice.cpp
@@ -155,34 +155,12 @@
         return;
     }
     this->placer.leadershipRenewed(*renewedAt);
-    if (!this->placer.isLeader() && this->takeOver()) {
+    if (!this->placer.isLeader() && this->becomeLeader()) {
         this->jobCache.forwardAll();
         this->planTicker->nudge();
     }
 }
 
-/** Begins a term under the lease that is held. Returns false when that fails or the lease was lost meanwhile. */
-bool PlacerService::takeOver()
-{
-    const auto leaseEpoch = this->election.heldEpoch();
-    bool hasBegun = false;
-    {
-        // Reading the jobs may take longer than the lease lasts, and holds up the thread of the election.
-        const Ticker renewals("renewals of leadership", this->options.electionInterval, [this] { this->election.pursue(); });
-        hasBegun = this->becomeLeader();
-    }
-    const auto renewedAt = this->election.renewedAt();
-    if (!hasBegun) {
-        return false;
-    }
-    if (!renewedAt || this->election.heldEpoch() != leaseEpoch) {
-        this->placer.stepDown("leadership was lost while the jobs were read");
-        return false;
-    }
-    this->placer.leadershipRenewed(*renewedAt);
-    return true;
-}
-
 /**
  * Checks, once for each renewal, that the placer row is still the one of the present term; steps down if it is not. Returns false while that is unknown.
  *
@@ -250,30 +228,46 @@
         this->log.warn("The placer row cannot be written: " + toString(errorOf(written)));
         return false;
     }
+    const auto leaseEpoch = this->election.heldEpoch();
+    auto state = this->readStoredState();
+    const auto renewedAt = this->election.renewedAt();
+    if (!state) {
+        return false;
+    }
+    if (!renewedAt || this->election.heldEpoch() != leaseEpoch) {
+        this->log.warn("Leadership was lost while the jobs were read.");
+        return false;
+    }
+    this->placer.leadershipRenewed(*renewedAt);
+    // Leadership is taken over when it has not been renewed for its whole term, or has been given up.
+    this->placer.becomeLeader(valueOf(written).revision, std::move(state->jobs), {std::move(state->bounds), this->options.lease.term});
+    if (this->isStopping) {
+        this->placer.stepDown("this process is stopping");
+        return false;
+    }
+    return true;
+}
+
+/** Reads what a new leader must know. Renews leadership meanwhile, as that may take longer than the lease lasts and holds up the thread of the election. */
+std::optional<PlacerService::StoredState> PlacerService::readStoredState()
+{
+    const Ticker renewals("renewals of leadership", this->options.electionInterval, [this] { this->election.pursue(); });
     const auto rows = this->table.list(std::string(JobTable) + "/", 0);
     if (!succeeded(rows)) {
         this->log.warn("The jobs cannot be read: " + toString(errorOf(rows)));
-        return false;
+        return std::nullopt;
     }
     const auto parts = hasProgressParts(valueOf(rows)) ? this->table.list(std::string(ProgressPartTable) + "/", 0) : Result<RowList>(RowList());
     if (!succeeded(parts)) {
         this->log.warn("The parts of jobs' progress cannot be read: " + toString(errorOf(parts)));
-        return false;
+        return std::nullopt;
     }
     const auto bounds = this->table.get(std::string(AgentBoundsKey));
     if (!succeeded(bounds)) {
         this->log.warn("The bounds of agents cannot be read: " + toString(errorOf(bounds)));
-        return false;
-    }
-    // Leadership is taken over when it has not been renewed for its whole term, or has been given up.
-    this->placer.becomeLeader(valueOf(written).revision,
-                              storedJobsOf(valueOf(rows), valueOf(parts), this->log),
-                              {storedBoundsOf(valueOf(bounds), this->log), this->options.lease.term});
-    if (this->isStopping) {
-        this->placer.stepDown("this process is stopping");
-        return false;
+        return std::nullopt;
     }
-    return true;
+    return StoredState{storedJobsOf(valueOf(rows), valueOf(parts), this->log), storedBoundsOf(valueOf(bounds), this->log)};
 }
 
 void PlacerService::plan()
