placer: End no job for refusals while the table refuses everything

A job whose rows the table refuses three times for good ends as failed. Where the table, or something in front of it, refuses whatever it is sent for three seconds, that would have been all jobs. Refusals count only if leadership was renewed since the last one, which shows that the table takes other writes.

TaskPlacer.RefusalsEndAJobOnlyWhileTheTableTakesOtherWrites guards it.

--- a/include/waxwingloft/request/livejob.h
+++ b/include/waxwingloft/request/livejob.h
@@ -18,7 +18,8 @@
     std::size_t storedParts = 0; ///< rows in the table of parts that hold its progress
     bool isBeingWritten = false;
     bool isWrittenAlone = false; ///< a transaction with its rows was refused for good
-    std::uint32_t refusals = 0; ///< of its rows by themselves, since they were last written
+    std::uint32_t refusals = 0; ///< of its rows by themselves, since they were last written, while the table took other writes
+    Instant refusedAt; ///< the last time
     Instant writeAfter; ///< not written before
     std::uint32_t writesMissed = 0; ///< transactions that had no place for the row since it changed
     Instant knownSince;
--- a/include/waxwingloft/request/taskplacer.h
+++ b/include/waxwingloft/request/taskplacer.h
@@ -119,7 +119,8 @@
      * Records that the table has refused @p writes for good: nothing was written, and the same rows never will be.
      *
      * From then on each of these jobs is written by itself, so that it holds up no other. One that is refused by itself as well is tried again
-     * after a pause, and ends as failed after a number of refusals, as its runs cannot be recorded.
+     * after a pause, and ends as failed after a number of refusals, as its runs cannot be recorded. Refusals count only while leadership is renewed,
+     * as a table that refuses everything says nothing of a job.
      */
     void refused(const std::vector<ProgressWrite> &writes, const std::string &reason);
 
@@ -186,6 +187,7 @@
     mutable std::mutex mutex;
     Epoch epoch = 0;
     Instant leaderSince;
+    Instant renewedAt; ///< when the last renewal of leadership was sent
     Instant grantsUntil;
     JobRank rank;
     WorkerHealth health;
--- a/src/request/taskplacer.cpp
+++ b/src/request/taskplacer.cpp
@@ -143,6 +143,7 @@
 void TaskPlacer::leadershipRenewed(Instant sentAt)
 {
     const std::lock_guard<std::mutex> guard(this->mutex);
+    this->renewedAt = sentAt;
     this->grantsUntil = sentAt + this->options.grantPeriod;
 }
 
@@ -910,8 +911,10 @@
 /** Leaves a job alone for a moment whose rows the table refuses, and ends it once they have been refused too often. */
 void TaskPlacer::setAside(const JobId &id, LiveJob &job, const std::string &reason)
 {
-    ++job.refusals;
-    job.writeAfter = this->clock.now() + this->options.refusedWritePause;
+    const auto now = this->clock.now();
+    job.refusals += this->renewedAt > job.refusedAt ? 1 : 0;
+    job.refusedAt = now;
+    job.writeAfter = now + this->options.refusedWritePause;
     this->log.error("The table refuses the progress of a job; nothing of it starts.",
                     {{"job", id.value}, {"refusals", std::to_string(job.refusals)}, {"reason", reason}});
     if (job.refusals < this->options.refusalsToEnd || isFinal(job.progress.state)) {
--- a/tests/request/taskplacertest.cpp
+++ b/tests/request/taskplacertest.cpp
@@ -126,6 +126,30 @@
 
 } // namespace
 
+// All jobs would have ended in a time in which the table refuses whatever it is sent.
+TEST(TaskPlacer, RefusalsEndAJobOnlyWhileTheTableTakesOtherWrites)
+{
+    OnePlacer site;
+    site.place(oneStep(1, Half));
+    const auto stateAfterRefusals = [&site](bool isRenewed) {
+        auto writes = site.placer.takeWrites();
+        for (std::uint32_t round = 0; round <= TaskPlacerOptions().refusalsToEnd; ++round) {
+            site.placer.refused(writes, "refused");
+            site.clock.advance(TaskPlacerOptions().refusedWritePause);
+            if (isRenewed) {
+                site.placer.leadershipRenewed(site.clock.now());
+            }
+            writes = site.placer.takeWrites();
+        }
+        const auto state = valueOf(parseProgressHead(writes.at(0).rows.head)).state;
+        site.placer.refused(writes, "refused");
+        site.clock.advance(TaskPlacerOptions().refusedWritePause);
+        return state;
+    };
+    EXPECT_EQ(stateAfterRefusals(false), JobPhase::Running);
+    EXPECT_EQ(stateAfterRefusals(true), JobPhase::Failed);
+}
+
 TEST(TaskPlacer, TimeBeforeTheStartDoesNotCountAsAStall)
 {
     OnePlacer site;
