--- a/review/standins-3/cases.cpp
+++ b/review/standins-3/cases.cpp
@@ -165,7 +165,7 @@
         const auto before = std::count_if(fresh.begin(), fresh.end(), [&site](const std::string &job) { return site.startsOf(job).empty(); });
         for (std::size_t entry = 0; entry < 3; ++entry) {
             const auto waiting = site.waitingAt(entry);
-            if (waiting >= 0 && 2 * waiting < before) {
+            if (waiting >= 0 && std::int64_t(2) * waiting < before) {
                 site.say("MIXED: " + std::to_string(before) + " jobs were accepted over " + std::to_string(after) + " ms ago and haven't begun, but "
                          + std::to_string(waiting) + " are shown as waiting");
                 result = RuleBroken;
@@ -175,13 +175,69 @@
     return result;
 }
 
+/** The jobs of a day have ended; the entries are then started again, and one that outgrows its memory is killed, as the platform does. */
+int endedJobs(Site &site)
+{
+    constexpr std::size_t JobsOfADay = 77'300; ///< 0.895 a second, the sum of the three kinds
+    constexpr std::size_t JobsOfAMinute = 54;
+    constexpr std::size_t Entries = 3;
+    constexpr std::int64_t WatchMs = 70'000;
+    constexpr std::int64_t RestartMs = 1000;
+    constexpr std::int64_t MemoryLimitKb = std::int64_t(260) * 1024; ///< memory_mb
+    constexpr std::size_t KillsOfAMachine = 3;
+    constexpr std::size_t MachinesToBreak = 2;
+    const std::string job = "9999000000000001";
+    if (site.submit(job, jobOf("work 300 " + std::string(291, 'x'), {{"count", 5}, {"estimate_ms", 300}})).status != 200) {
+        throw std::runtime_error("the job was not accepted");
+    }
+    while (site.stateOf(job) != "completed") {
+        site.sleepUntil(site.elapsed() + 200);
+    }
+    site.sleepUntil(site.elapsed() + 1000);
+    for (std::size_t entry = 0; entry < Entries; ++entry) {
+        site.killEntry(entry);
+    }
+    site.copyEndedJob(job, hasTrouble() ? JobsOfADay : JobsOfAMinute);
+    std::array<std::size_t, Entries> kills{};
+    std::array<std::int64_t, Entries> startAt{};
+    std::array<bool, Entries> isUp{};
+    const auto until = site.elapsed() + WatchMs;
+    while (site.elapsed() < until) {
+        for (std::size_t entry = 0; entry < Entries; ++entry) {
+            if (!isUp.at(entry) && site.elapsed() >= startAt.at(entry)) {
+                site.startEntry(entry);
+                isUp.at(entry) = true;
+            }
+            const auto memory = isUp.at(entry) ? site.memoryOf(entry) : 0;
+            if (memory > MemoryLimitKb) {
+                site.say("entry " + std::to_string(entry) + " uses " + std::to_string(memory) + " kB");
+                site.killEntry(entry);
+                isUp.at(entry) = false;
+                startAt.at(entry) = site.elapsed() + RestartMs;
+                ++kills.at(entry);
+            }
+        }
+        site.sleepUntil(site.elapsed() + PollMs);
+    }
+    for (std::size_t entry = 0; entry < Entries; ++entry) {
+        site.say("entry " + std::to_string(entry) + " was killed " + std::to_string(kills.at(entry)) + " times, and uses "
+                 + std::to_string(isUp.at(entry) ? site.memoryOf(entry) : 0) + " kB");
+    }
+    return static_cast<std::size_t>(std::count_if(kills.begin(), kills.end(), [](std::size_t times) { return times >= KillsOfAMachine; })) >= MachinesToBreak
+        ? RuleBroken
+        : RuleHeld;
+}
+
 struct Case {
     std::string name;
     int (*run)(Site &);
 };
 
-const std::array<Case, 4> Cases = {
-    {{"machine-lost", &machineLost}, {"repeated-crashes", &repeatedCrashes}, {"whole-spec", &wholeSpec}, {"silent-executor", &silentExecutor}}};
+const std::array<Case, 5> Cases = {{{"machine-lost", &machineLost},
+                                    {"repeated-crashes", &repeatedCrashes},
+                                    {"whole-spec", &wholeSpec},
+                                    {"silent-executor", &silentExecutor},
+                                    {"ended-jobs", &endedJobs}}};
 
 } // namespace
 
--- a/review/standins-3/site.cpp
+++ b/review/standins-3/site.cpp
@@ -12,6 +12,7 @@
 #include <fcntl.h>
 #include <filesystem>
 #include <httplib.h>
+#include <iomanip>
 #include <sstream>
 #include <stdexcept>
 #include <sys/prctl.h>
@@ -252,6 +253,59 @@
     }
 }
 
+void Site::copyEndedJob(const std::string &job, std::size_t count)
+{
+    constexpr std::size_t JobsInTransaction = 40;
+    httplib::Client client(hostOf(this->store), portOf(this->store));
+    client.set_keep_alive(true);
+    client.set_tcp_nodelay(true);
+    const auto answer = client.Get("/waxwingloft/rows-get?table=jobs&part=&from=" + job + "&limit=3");
+    const auto rows = Json::parse(answer->body).at("rows");
+    std::map<std::string, std::string> originals;
+    std::size_t bytes = 0;
+    for (const auto &row : rows) {
+        const auto key = row.at("key").get<std::string>();
+        if (key.starts_with(job)) {
+            absl::Base64Unescape(row.at("value").get<std::string>(), &originals[key]);
+            bytes += originals[key].size();
+        }
+    }
+    for (std::size_t done = 0; done < count;) {
+        auto copies = Json::array();
+        for (std::size_t end = std::min(count, done + JobsInTransaction); done < end; ++done) {
+            std::ostringstream id;
+            id << std::hex << std::setw(16) << std::setfill('0') << done + 1;
+            for (const auto &[key, value] : originals) {
+                const auto copy = absl::StrReplaceAll(value, {{job, id.str()}});
+                copies.push_back({{"table", "jobs"}, {"part", ""}, {"key", absl::StrReplaceAll(key, {{job, id.str()}})}, {"value", absl::Base64Escape(copy)}});
+            }
+        }
+        client.Post("/operator/rows-tx", Json{{"set_keys", copies}}.dump(), "application/json");
+    }
+    this->say("the rows of a job that has ended, " + std::to_string(originals.size()) + " of " + std::to_string(bytes) + " bytes in all, were written "
+              + std::to_string(count) + " times under other ids");
+}
+
+void Site::killEntry(std::size_t index)
+{
+    this->say("entry " + this->entries.at(index).name + " is killed");
+    this->signal(this->entries.at(index).name, SIGKILL, true);
+}
+
+void Site::startEntry(std::size_t index)
+{
+    this->say("entry " + this->entries.at(index).name + " starts");
+    this->startDaemon(this->entries.at(index), "entry");
+}
+
+std::int64_t Site::memoryOf(std::size_t index) const
+{
+    constexpr std::string_view Field = "VmRSS:";
+    const auto status = readFile("/proc/" + std::to_string(this->processes.at(this->entries.at(index).name)) + "/status");
+    const auto at = status.find(Field);
+    return at == std::string::npos ? 0 : std::strtol(status.c_str() + at + Field.size(), nullptr, 10);
+}
+
 bool Site::isReady(const Machine &entry) const
 {
     const auto &address = entry.settings.at("listen.ready");
--- a/review/standins-3/site.h
+++ b/review/standins-3/site.h
@@ -88,6 +88,18 @@
     /** Writes the notes of all executors to the record. */
     void recordNotes();
 
+    /** Kills the entry @p index. */
+    void killEntry(std::size_t index);
+
+    /** Starts the entry @p index again. */
+    void startEntry(std::size_t index);
+
+    /** Returns the memory of the entry @p index in kilobytes. */
+    std::int64_t memoryOf(std::size_t index) const;
+
+    /** Writes @p count copies of the rows of @p job, which has ended, under ids of their own, as if as many jobs like it had been run. */
+    void copyEndedJob(const std::string &job, std::size_t count);
+
 private:
     struct Machine {
         std::string name;
