--- a/review/standins-3/cases.cpp
+++ b/review/standins-3/cases.cpp
@@ -201,6 +201,10 @@
     std::array<std::size_t, Entries> kills{};
     std::array<std::int64_t, Entries> startAt{};
     std::array<bool, Entries> isUp{};
+    const std::string ordinary = "9999000000000002";
+    const auto submitAt = site.elapsed() + WatchMs / 4;
+    bool isSubmitted = false;
+    bool isAccepted = false;
     const auto until = site.elapsed() + WatchMs;
     while (site.elapsed() < until) {
         for (std::size_t entry = 0; entry < Entries; ++entry) {
@@ -217,12 +221,18 @@
                 ++kills.at(entry);
             }
         }
+        if (!isSubmitted && site.elapsed() >= submitAt) {
+            isSubmitted = true;
+            isAccepted = site.submit(ordinary, jobOf("work 300", Json::object())).status == 200;
+        }
         site.sleepUntil(site.elapsed() + PollMs);
     }
     for (std::size_t entry = 0; entry < Entries; ++entry) {
         site.say("entry " + std::to_string(entry) + " was killed " + std::to_string(kills.at(entry)) + " times, and uses "
                  + std::to_string(isUp.at(entry) ? site.memoryOf(entry) : 0) + " kB");
     }
+    site.say(std::string("an ordinary job that was handed in meanwhile was ") + (isAccepted ? "accepted" : "not accepted") + " and "
+             + (site.startsOf(ordinary).empty() ? "has not begun " : "has begun within ") + std::to_string(site.elapsed() - submitAt) + " ms");
     return static_cast<std::size_t>(std::count_if(kills.begin(), kills.end(), [](std::size_t times) { return times >= KillsOfAMachine; })) >= MachinesToBreak
         ? RuleBroken
         : RuleHeld;
