--- a/review/standins-3/cases.cpp
+++ b/review/standins-3/cases.cpp
@@ -231,8 +231,8 @@
         site.say("entry " + std::to_string(entry) + " was killed " + std::to_string(kills.at(entry)) + " times, and uses "
                  + std::to_string(isUp.at(entry) ? site.memoryOf(entry) : 0) + " kB");
     }
-    site.say(std::string("an ordinary job that was handed in meanwhile was ") + (isAccepted ? "accepted" : "not accepted") + " and "
-             + (site.startsOf(ordinary).empty() ? "has not begun " : "has begun within ") + std::to_string(site.elapsed() - submitAt) + " ms");
+    const auto begun = site.startsOf(ordinary).empty() ? "has not begun " + std::to_string(site.elapsed() - submitAt) + " ms later" : std::string("has begun");
+    site.say(std::string("an ordinary job that was handed in meanwhile was ") + (isAccepted ? "accepted" : "not accepted") + " and " + begun);
     return static_cast<std::size_t>(std::count_if(kills.begin(), kills.end(), [](std::size_t times) { return times >= KillsOfAMachine; })) >= MachinesToBreak
         ? RuleBroken
         : RuleHeld;
