connection: Send all bytes of a string between processes

The same held for checkpoints, labels, ids, keys of rows and errors in every message.

Cause: the setters of Cap'n Proto's Text take a kj::StringPtr, to which a std::string converts through c_str(), so that it ends at its first zero byte. Rows and calls to executors are JSON and were whole, which rules them out.

All strings of all messages go through toText() now, which keeps the length. The form of the messages is the same, and readers have always taken the whole text, so that processes of both versions understand each other.

--- a/src/connection/messagecodec.cpp
+++ b/src/connection/messagecodec.cpp
@@ -13,6 +13,7 @@
 using codec::decode;
 using codec::encode;
 using codec::textOf;
+using codec::toText;
 
 /** Writes each alternative into the union of the message. */
 struct MessageEncoder {
@@ -159,7 +160,7 @@
 
     void operator()(const NudgePlacer &message)
     {
-        this->builder.setNudgePlacer(message.region);
+        this->builder.setNudgePlacer(toText(message.region));
     }
 };
 
@@ -205,8 +206,8 @@
 
 void encodeHeader(const Header &header, wire::Header::Builder builder)
 {
-    builder.setFrom(header.from.value);
-    builder.setAddress(header.address);
+    builder.setFrom(toText(header.from.value));
+    builder.setAddress(toText(header.address));
     encode(header.time, builder.initTime());
     builder.setSettingsVersion(header.settingsVersion);
 }
--- a/src/connection/private/recordcodec.h
+++ b/src/connection/private/recordcodec.h
@@ -9,6 +9,9 @@
 /** Returns a copy of a text on the wire. */
 std::string textOf(capnp::Text::Reader text);
 
+/** Returns a view of @p text for the wire. Without it Cap'n Proto takes a std::string as a C string, which ends at the first zero byte. */
+capnp::Text::Reader toText(const std::string &text);
+
 /** Returns a view of @p bytes for the wire. */
 capnp::Data::Reader bytesOf(const std::string &bytes);
 
--- a/src/connection/recordcodec.cpp
+++ b/src/connection/recordcodec.cpp
@@ -12,6 +12,11 @@
     return {reinterpret_cast<const char *>(data.begin()), data.size()};
 }
 
+capnp::Text::Reader toText(const std::string &text)
+{
+    return {text.c_str(), text.size()};
+}
+
 std::string textOf(capnp::Text::Reader text)
 {
     return {text.begin(), text.size()};
@@ -31,8 +36,8 @@
 void encode(const Error &error, wire::Error::Builder builder)
 {
     builder.setKind(static_cast<std::uint8_t>(error.kind));
-    builder.setMessage(error.message);
-    builder.setRemedy(error.remedy);
+    builder.setMessage(toText(error.message));
+    builder.setRemedy(toText(error.remedy));
 }
 
 Error decode(wire::Error::Reader reader)
@@ -54,11 +59,11 @@
 
 void encode(const Dispatch &dispatch, wire::Dispatch::Builder builder)
 {
-    builder.setAttempt(dispatch.attempt.value);
-    builder.setWorkspace(dispatch.workspace.value);
-    builder.setRequest(dispatch.request.value);
-    builder.setKind(dispatch.kind.value);
-    builder.setTeam(dispatch.team.value);
+    builder.setAttempt(toText(dispatch.attempt.value));
+    builder.setWorkspace(toText(dispatch.workspace.value));
+    builder.setRequest(toText(dispatch.request.value));
+    builder.setKind(toText(dispatch.kind.value));
+    builder.setTeam(toText(dispatch.team.value));
     builder.setTeamVersion(dispatch.teamVersion);
     builder.setIncarnation(dispatch.incarnation);
     builder.setIdempotent(dispatch.idempotent);
@@ -84,7 +89,7 @@
 
 void encode(const QueryAttempt &query, wire::QueryAttempt::Builder builder)
 {
-    builder.setAttempt(query.attempt.value);
+    builder.setAttempt(toText(query.attempt.value));
     builder.setIncarnation(query.incarnation);
     builder.setAgeMs(query.age.count());
     builder.setWaitMs(query.wait.count());
@@ -97,7 +102,7 @@
 
 void encode(const AttemptReply &reply, wire::AttemptReply::Builder builder)
 {
-    builder.setAttempt(reply.attempt.value);
+    builder.setAttempt(toText(reply.attempt.value));
     builder.setState(static_cast<std::uint8_t>(reply.state));
     builder.setOutcome(static_cast<std::uint8_t>(reply.outcome));
     encode(reply.error, builder.initError());
@@ -121,8 +126,8 @@
 
 void encode(const GangMember &member, wire::GangMember::Builder builder)
 {
-    builder.setNode(member.node.value);
-    builder.setAddress(member.address);
+    builder.setNode(toText(member.node.value));
+    builder.setAddress(toText(member.address));
     builder.setIncarnation(member.incarnation);
     builder.setTasks(member.tasks);
 }
@@ -134,14 +139,14 @@
 
 void encode(const PrepareGang &prepare, wire::PrepareGang::Builder builder)
 {
-    builder.setJob(prepare.job.value);
-    builder.setAttempt(prepare.attempt.value);
-    builder.setRegion(prepare.region);
+    builder.setJob(toText(prepare.job.value));
+    builder.setAttempt(toText(prepare.attempt.value));
+    builder.setRegion(toText(prepare.region));
     builder.setEpoch(prepare.epoch);
-    builder.setWorkspace(prepare.workspace.value);
-    builder.setTeam(prepare.team.value);
+    builder.setWorkspace(toText(prepare.workspace.value));
+    builder.setTeam(toText(prepare.team.value));
     builder.setTeamVersion(prepare.teamVersion);
-    builder.setKind(prepare.kind.value);
+    builder.setKind(toText(prepare.kind.value));
     encode(prepare.perTask, builder.initPerTask());
     auto members = builder.initMembers(static_cast<unsigned>(prepare.members.size()));
     for (unsigned index = 0; index < members.size(); ++index) {
@@ -149,7 +154,7 @@
     }
     builder.setReserveForMs(prepare.reserveFor.count());
     builder.setTaskLeaseMs(prepare.taskLease.count());
-    builder.setCheckpoint(prepare.checkpoint);
+    builder.setCheckpoint(toText(prepare.checkpoint));
     builder.setPayload(bytesOf(prepare.payload));
 }
 
@@ -177,8 +182,8 @@
 
 void encode(const StartGang &start, wire::StartGang::Builder builder)
 {
-    builder.setJob(start.job.value);
-    builder.setAttempt(start.attempt.value);
+    builder.setJob(toText(start.job.value));
+    builder.setAttempt(toText(start.attempt.value));
     builder.setEpoch(start.epoch);
 }
 
@@ -189,8 +194,8 @@
 
 void encode(const StopGang &stop, wire::StopGang::Builder builder)
 {
-    builder.setJob(stop.job.value);
-    builder.setAttempt(stop.attempt.value);
+    builder.setJob(toText(stop.job.value));
+    builder.setAttempt(toText(stop.attempt.value));
     builder.setEpoch(stop.epoch);
     builder.setIncarnation(stop.incarnation);
     builder.setGraceMs(stop.grace.count());
@@ -203,9 +208,9 @@
 
 void encode(const RenewGang &renew, wire::RenewGang::Builder builder)
 {
-    builder.setJob(renew.job.value);
-    builder.setAttempt(renew.attempt.value);
-    builder.setMember(renew.member.value);
+    builder.setJob(toText(renew.job.value));
+    builder.setAttempt(toText(renew.attempt.value));
+    builder.setMember(toText(renew.member.value));
     builder.setState(static_cast<std::uint8_t>(renew.state));
 }
 
@@ -217,11 +222,11 @@
 
 void encode(const GangReply &reply, wire::GangReply::Builder builder)
 {
-    builder.setJob(reply.job.value);
-    builder.setAttempt(reply.attempt.value);
+    builder.setJob(toText(reply.job.value));
+    builder.setAttempt(toText(reply.attempt.value));
     builder.setState(static_cast<std::uint8_t>(reply.state));
     builder.setMustStop(reply.mustStop);
-    builder.setCheckpoint(reply.checkpoint);
+    builder.setCheckpoint(toText(reply.checkpoint));
     encode(reply.error, builder.initError());
     builder.setRefused(reply.refused);
 }
@@ -241,7 +246,7 @@
 
 void encode(const AskReport &ask, wire::AskReport::Builder builder)
 {
-    builder.setRegion(ask.region);
+    builder.setRegion(toText(ask.region));
     builder.setEpoch(ask.epoch);
 }
 
@@ -256,9 +261,9 @@
     auto gangs = builder.initGangs(static_cast<unsigned>(report.gangs.size()));
     for (unsigned index = 0; index < gangs.size(); ++index) {
         const auto &gang = report.gangs[index];
-        gangs[index].setJob(gang.job.value);
-        gangs[index].setAttempt(gang.attempt.value);
-        gangs[index].setWorkspace(gang.workspace.value);
+        gangs[index].setJob(toText(gang.job.value));
+        gangs[index].setAttempt(toText(gang.attempt.value));
+        gangs[index].setWorkspace(toText(gang.workspace.value));
         gangs[index].setState(static_cast<std::uint8_t>(gang.state));
         gangs[index].setTasks(gang.tasks);
         encode(gang.perTask, gangs[index].initPerTask());
@@ -281,18 +286,18 @@
 
 void encode(const Member &member, wire::Member::Builder builder)
 {
-    builder.setNode(member.node.value);
+    builder.setNode(toText(member.node.value));
     builder.setIncarnation(member.incarnation);
     builder.setRole(static_cast<std::uint8_t>(member.role));
     builder.setState(static_cast<std::uint8_t>(member.state));
     auto location = builder.initLocation();
-    location.setRegion(member.location.region);
-    location.setDataCentre(member.location.dataCentre);
-    location.setRack(member.location.rack);
-    builder.setRpcAddress(member.rpcAddress);
+    location.setRegion(toText(member.location.region));
+    location.setDataCentre(toText(member.location.dataCentre));
+    location.setRack(toText(member.location.rack));
+    builder.setRpcAddress(toText(member.rpcAddress));
     auto kinds = builder.initKinds(static_cast<unsigned>(member.kinds.size()));
     for (unsigned index = 0; index < kinds.size(); ++index) {
-        kinds.set(index, member.kinds[index].value);
+        kinds.set(index, toText(member.kinds[index].value));
     }
     builder.setSlots(member.slots);
     encode(member.resources, builder.initResources());
@@ -318,7 +323,7 @@
 
 void encode(const Heartbeat &heartbeat, wire::Heartbeat::Builder builder)
 {
-    builder.setShard(heartbeat.shard);
+    builder.setShard(toText(heartbeat.shard));
     encode(heartbeat.member, builder.initMember());
 }
 
@@ -329,7 +334,7 @@
 
 void encode(const MembersDelta &delta, wire::MembersDelta::Builder builder)
 {
-    builder.setShard(delta.shard);
+    builder.setShard(toText(delta.shard));
     builder.setBook(delta.book);
     builder.setSince(delta.since);
     builder.setRevision(delta.revision);
@@ -355,10 +360,10 @@
     builder.setVersion(delta.version);
     auto teams = builder.initTeams(static_cast<unsigned>(delta.teams.size()));
     for (unsigned index = 0; index < teams.size(); ++index) {
-        teams[index].setTeam(delta.teams[index].team.value);
+        teams[index].setTeam(toText(delta.teams[index].team.value));
         teams[index].setVersion(delta.teams[index].version);
-        teams[index].setJson(delta.teams[index].value.dump());
-        teams[index].setChangedBy(delta.teams[index].changedBy);
+        teams[index].setJson(toText(delta.teams[index].value.dump()));
+        teams[index].setChangedBy(toText(delta.teams[index].changedBy));
     }
 }
 
@@ -377,11 +382,11 @@
     for (unsigned index = 0; index < builder.size(); ++index) {
         const auto &event = batch.events[index];
         encode(event.time, builder[index].initTime());
-        builder[index].setNode(event.node);
+        builder[index].setNode(toText(event.node));
         builder[index].setKind(static_cast<std::uint8_t>(event.kind));
-        builder[index].setSubject(event.subject);
-        builder[index].setWorkspace(event.workspace);
-        builder[index].setDetail(event.detail);
+        builder[index].setSubject(toText(event.subject));
+        builder[index].setWorkspace(toText(event.workspace));
+        builder[index].setDetail(toText(event.detail));
     }
 }
 
--- a/src/connection/tablecodec.cpp
+++ b/src/connection/tablecodec.cpp
@@ -8,16 +8,16 @@
 
 void encode(const Transaction &transaction, wire::Transaction::Builder builder)
 {
-    builder.setOperation(transaction.operation);
+    builder.setOperation(toText(transaction.operation));
     auto conditions = builder.initConditions(static_cast<unsigned>(transaction.conditions.size()));
     for (unsigned index = 0; index < conditions.size(); ++index) {
-        conditions[index].setKey(transaction.conditions[index].key);
+        conditions[index].setKey(toText(transaction.conditions[index].key));
         conditions[index].setRevision(transaction.conditions[index].revision);
     }
     auto writes = builder.initWrites(static_cast<unsigned>(transaction.writes.size()));
     for (unsigned index = 0; index < writes.size(); ++index) {
         const auto &write = transaction.writes[index];
-        writes[index].setKey(write.key);
+        writes[index].setKey(toText(write.key));
         writes[index].setHasValue(write.value.has_value());
         if (write.value) {
             writes[index].setValue(bytesOf(*write.value));
@@ -43,10 +43,10 @@
 
 void encode(const RowChange &change, wire::Row::Builder builder)
 {
-    builder.setKey(change.row.key);
+    builder.setKey(toText(change.row.key));
     builder.setValue(bytesOf(change.row.value));
     builder.setRevision(change.row.revision);
-    builder.setOperation(change.row.operation);
+    builder.setOperation(toText(change.row.operation));
     builder.setRemoved(change.isRemoved);
 }
 
@@ -60,7 +60,7 @@
 void encode(const RelayTableCall &call, wire::RelayTableCall::Builder builder)
 {
     builder.setKind(static_cast<std::uint8_t>(call.kind));
-    builder.setKey(call.key);
+    builder.setKey(toText(call.key));
     builder.setSince(call.since);
     encode(call.transaction, builder.initTransaction());
 }
--- a/src/connection/taskcodec.cpp
+++ b/src/connection/taskcodec.cpp
@@ -8,7 +8,7 @@
 
 void encode(const TaskRun &run, wire::TaskRun::Builder builder)
 {
-    builder.setTask(toString(run.task));
+    builder.setTask(toText(toString(run.task)));
     builder.setRun(run.run);
 }
 
@@ -31,7 +31,7 @@
 
 void encode(const ExecutorIncarnation &incarnation, wire::ExecutorLife::Builder builder)
 {
-    builder.setId(incarnation.id);
+    builder.setId(toText(incarnation.id));
     builder.setStartedAt(incarnation.startedAt);
 }
 
@@ -44,7 +44,7 @@
 {
     encode(report.run, builder.initRun());
     builder.setPhase(static_cast<std::uint8_t>(report.phase));
-    builder.setCheckpoint(report.checkpoint);
+    builder.setCheckpoint(toText(report.checkpoint));
     builder.setPercent(report.percent);
     builder.setStartEffect(static_cast<std::uint8_t>(report.startEffect));
 }
@@ -63,7 +63,7 @@
     builder.setNumber(report.number);
     encode(report.run, builder.initRun());
     builder.setEnd(static_cast<std::uint8_t>(report.end));
-    builder.setCheckpoint(report.checkpoint);
+    builder.setCheckpoint(toText(report.checkpoint));
     builder.setRefusal(static_cast<std::uint8_t>(report.refusal));
 }
 
@@ -81,8 +81,8 @@
     encode(assignment.run, builder.initRun());
     encode(assignment.needs, builder.initNeeds());
     builder.setHasOrder(assignment.hasOrder);
-    builder.setSpec(assignment.spec);
-    builder.setCheckpoint(assignment.checkpoint);
+    builder.setSpec(toText(assignment.spec));
+    builder.setCheckpoint(toText(assignment.checkpoint));
 }
 
 Assignment decode(wire::Assignment::Reader reader)
@@ -113,20 +113,20 @@
 
 void encode(const AgentReport &report, wire::AgentReport::Builder builder)
 {
-    builder.setNode(report.node.value);
-    builder.setAddress(report.address);
+    builder.setNode(toText(report.node.value));
+    builder.setAddress(toText(report.address));
     builder.setGeneration(report.generation);
     builder.setSequence(report.sequence);
     builder.setEpoch(report.epoch);
     encode(report.incarnation, builder.initLife());
-    builder.setService(report.service);
-    builder.setZone(report.zone);
+    builder.setService(toText(report.service));
+    builder.setZone(toText(report.zone));
     builder.setDraining(report.isDraining);
     builder.setReachable(report.isReachable);
     encode(report.capacity, builder.initCapacity());
     auto labels = builder.initLabels(static_cast<unsigned>(report.labels.size()));
     for (unsigned index = 0; index < labels.size(); ++index) {
-        labels.set(index, report.labels[index]);
+        labels.set(index, toText(report.labels[index]));
     }
     builder.setSyncSequence(report.syncSequence);
     encodeList(report.runs, builder.initRuns(static_cast<unsigned>(report.runs.size())));
--- a/tests/request/jobrowstest.cpp
+++ b/tests/request/jobrowstest.cpp
@@ -66,6 +66,27 @@
     EXPECT_FALSE(succeeded(parseSubmission("{}")));
 }
 
+TEST(JobRows, KeepAllBytesOfSpecsLabelsAndCheckpoints)
+{
+    using namespace std::string_literals;
+    const auto text = "a\0b\n\x1f\u00e9\0"s;
+    JobSubmission job;
+    job.id = JobId{"1"};
+    job.graph.spec = text;
+    job.graph.steps.resize(1);
+    job.graph.steps[0].count = 1;
+    job.graph.steps[0].requiredLabel = text;
+    job.graph.steps[0].dataRack = text;
+    const auto read = parseSubmission(encodeSubmission(job));
+    ASSERT_TRUE(succeeded(read));
+    EXPECT_EQ(valueOf(read).graph.spec, text);
+    EXPECT_EQ(valueOf(read).graph.steps[0].requiredLabel, text);
+    EXPECT_EQ(valueOf(read).graph.steps[0].dataRack, text);
+    auto progress = initialProgress(job.graph);
+    progress.occurrences[0][0][0].checkpoint = text;
+    EXPECT_EQ(valueOf(parseProgress(encodeProgress(progress))), progress);
+}
+
 TEST(JobRows, TheProgressOfTheLargestJobFitsARow)
 {
     constexpr std::size_t LargestRow = 65'536 * 3 / 4;
