process: Escape control characters in log lines

A value with a zero byte, such as a checkpoint of an executor, took the rest of its line and the end of the line from the log, as the console's appender hands lines on as C strings; line ends within a value became spaces.

Control characters are written as in JSON now.

--- a/include/waxwingloft/process/logger.h
+++ b/include/waxwingloft/process/logger.h
@@ -38,6 +38,9 @@
 /** Values that a decision went by, in the order in which they are written. */
 using LogFields = std::initializer_list<LogField>;
 
+/** Returns the part of a log line that tells what happened, in which quotes, backslashes and control characters are escaped as in JSON. */
+std::string logLine(const std::string &sentence, LogFields fields);
+
 /**
  * Sends the process's log to standard output, a line of key="value" pairs for each entry. Call once, at start.
  * @p infoLinesPerSecond bounds informative lines; the default is ten times what a busy placer of the users' sites writes.
--- a/src/process/logger.cpp
+++ b/src/process/logger.cpp
@@ -21,16 +21,20 @@
     return instance;
 }
 
-/** Escapes what would end a quoted value or a line. */
+/** Escapes what would end a quoted value or a line: a zero byte ends it too, as the console takes a line as a C string. */
 void appendQuoted(std::string &line, std::string_view text)
 {
+    constexpr std::string_view Digits = "0123456789abcdef";
     line += '"';
     for (const char character : text) {
+        const auto code = static_cast<unsigned char>(character);
         if (character == '"' || character == '\\') {
             line += '\\';
             line += character;
-        } else if (character == '\n' || character == '\r') {
-            line += ' ';
+        } else if (code < ' ') {
+            line += "\\u00";
+            line += Digits[code / Digits.size()];
+            line += Digits[code % Digits.size()];
         } else {
             line += character;
         }
@@ -38,7 +42,14 @@
     line += '"';
 }
 
-std::string composed(const std::string &sentence, LogFields fields)
+std::int64_t currentSecond()
+{
+    return std::chrono::duration_cast<std::chrono::seconds>(std::chrono::steady_clock::now().time_since_epoch()).count();
+}
+
+} // namespace
+
+std::string logLine(const std::string &sentence, LogFields fields)
 {
     std::string line = "what=";
     appendQuoted(line, sentence);
@@ -51,13 +62,6 @@
     return line;
 }
 
-std::int64_t currentSecond()
-{
-    return std::chrono::duration_cast<std::chrono::seconds>(std::chrono::steady_clock::now().time_since_epoch()).count();
-}
-
-} // namespace
-
 void openLog(const std::string &node, const std::string &level, std::uint32_t infoLinesPerSecond)
 {
     budget().setBound(infoLinesPerSecond);
@@ -118,17 +122,17 @@
     if (leftOut > 0) {
         this->warn("Informative lines were left out to bound the log.", {{"lines", std::to_string(leftOut)}});
     }
-    LOG4CXX_INFO(log4cxx::Logger::getLogger(this->name), composed(sentence, fields));
+    LOG4CXX_INFO(log4cxx::Logger::getLogger(this->name), logLine(sentence, fields));
 }
 
 void Logger::warn(const std::string &sentence, LogFields fields) const
 {
-    LOG4CXX_WARN(log4cxx::Logger::getLogger(this->name), composed(sentence, fields));
+    LOG4CXX_WARN(log4cxx::Logger::getLogger(this->name), logLine(sentence, fields));
 }
 
 void Logger::error(const std::string &sentence, LogFields fields) const
 {
-    LOG4CXX_ERROR(log4cxx::Logger::getLogger(this->name), composed(sentence, fields));
+    LOG4CXX_ERROR(log4cxx::Logger::getLogger(this->name), logLine(sentence, fields));
 }
 
 } // namespace waxwingloft
