connection: Refuse a worker's checkpoint that no start can carry

A checkpoint of a worker (our own interface) that is not UTF-8 was stored, and each later start of its gang threw while the body with resume_from was written.

Such a checkpoint is refused when it is read, with a line in the log, and the one before stays in use. Without the check HttpWorkerTest.RefusesACheckpointThatNoStartCanCarry gets the bytes.

--- a/src/connection/httpbackend.cpp
+++ b/src/connection/httpbackend.cpp
@@ -17,6 +17,17 @@
     return {{"processors", resources.processors}, {"memory_gb", resources.memoryGb}, {"accelerators", resources.accelerators}};
 }
 
+/** Whether @p text can be written into a JSON body. */
+bool isUtf8(const std::string &text)
+{
+    try {
+        static_cast<void>(nlohmann::json(text).dump());
+        return true;
+    } catch (const nlohmann::json::type_error &) {
+        return false;
+    }
+}
+
 Status statusOf(const Result<std::string> &answer)
 {
     return succeeded(answer) ? Status(Done{}) : Status(errorOf(answer));
@@ -87,7 +98,11 @@
 
 Result<std::string> HttpWorker::checkpoint(const std::string &id)
 {
-    return this->post("/v1/tasks/" + id + "/checkpoint", "{}");
+    auto bytes = this->post("/v1/tasks/" + id + "/checkpoint", "{}");
+    if (succeeded(bytes) && !isUtf8(valueOf(bytes))) {
+        return makeError(ErrorKind::InvalidInput, "the checkpoint of task " + id + " is not UTF-8, so that no worker could go on from it", "encode it as text");
+    }
+    return bytes;
 }
 
 Status HttpWorker::throttle(const std::string &id)
--- a/src/request/gangagent.cpp
+++ b/src/request/gangagent.cpp
@@ -1,5 +1,6 @@
 #include "waxwingloft/request/gangagent.h"
 
+#include "waxwingloft/process/logger.h"
 #include "waxwingloft/request/checkpointframe.h"
 
 #include <algorithm>
@@ -480,6 +481,8 @@
     const auto startedAt = this->context.clock.now();
     const auto bytes = this->context.worker.checkpoint(attempt.value);
     if (!succeeded(bytes)) {
+        Logger(LogPart::Gangs)
+            .warn("A checkpoint is not kept; the one before stays in use.", {{"attempt", attempt.value}, {"reason", toString(errorOf(bytes))}});
         return;
     }
     JobId job;
