request: Wait for a silent agent's runs until the ends that its calls name

A machine with an executor and its agent is lost for good.

Cause: agent and placer took the lease of a call without an answer to count from the moment at which it is carried out, up to 12 s late.

So the agent keeps the latest end that any call has named, and the placer waits for one agent lease and one longest lease after the last report, 9.3 s, for all runs that the agent may have received. The budget of late calls, its reserve of 2 s, the list of agents with open calls and the marks of begun runs rested on the other reading and are removed.

--- a/include/waxwingloft/connection/taskmessages.h
+++ b/include/waxwingloft/connection/taskmessages.h
@@ -120,8 +120,7 @@
     std::uint64_t syncSequence = 0; ///< of the last assignments that the agent took over
     std::vector<RunReport> runs;
     std::vector<EndReport> ends;
-    bool hasOpenCalls = false; ///< the executor may still carry out a call without an answer that asked for a lease
-    Millis budgetLeft = Millis(0); ///< for which answers to earlier reports, also of other placers, allow leases to keep runs alive
+    Millis longestLeaseLeft = Millis(0); ///< for which answers to earlier reports, also of other placers, allow leases to keep runs alive
 };
 
 /** A run that an executor is to have. */
--- a/include/waxwingloft/request/agentrun.h
+++ b/include/waxwingloft/request/agentrun.h
@@ -87,9 +87,6 @@
     /** Returns what is known of the effect of its start. */
     StartEffect startEffect() const;
 
-    /** Whether a start of it without an answer may still begin it. */
-    bool mayBeginLate() const;
-
     /** Whether its absence from the lists that poll @p serial returned proves that it is over. */
     bool isOverIfUnlisted(std::uint64_t serial) const;
 
--- a/include/waxwingloft/request/boundsledger.h
+++ b/include/waxwingloft/request/boundsledger.h
@@ -29,7 +29,7 @@
     void begin(const StoredBounds &stored);
 
     /** Whether a lease for @p agent keeps to all bounds that the table may hold. */
-    bool allowsLease(const NodeId &agent, bool hasOpenCalls) const;
+    bool allowsLease(const NodeId &agent) const;
 
     /** Asks for a write without delay, because a lease waits for it. */
     void requestWrite();
--- a/include/waxwingloft/request/executorcontroller.h
+++ b/include/waxwingloft/request/executorcontroller.h
@@ -28,7 +28,7 @@
     bool isStop = false;
     ExecutorIncarnation incarnation;
     StartOrder start; ///< for a stop, only the run and the token are used
-    LeaseCall lease; ///< that a start asks for
+    Instant leaseEndsBy; ///< of the lease that a start asks for
 };
 
 /** A list poll to send to the executor. */
@@ -36,7 +36,7 @@
     ExecutorIncarnation incarnation;
     RunListQuery question;
     std::uint64_t serial = 0; ///< increases with each poll
-    LeaseCall lease; ///< that it asks for, if the question does
+    Instant leaseEndsBy; ///< of the lease that it asks for, if the question does
     bool isOfCandidate = false; ///< asks whether an incarnation that is not in use is live
     bool isOfLeaver = false; ///< goes to an incarnation that said that it is about to end
 };
@@ -166,7 +166,6 @@
     bool hasStartWithoutLease = false; ///< a start is due, for which no lease may be asked at the moment
     std::map<TaskRun, AgentRun> runs;
     std::vector<EndReport> ends;
-    bool openCallsReported = false; ///< in the last report
     std::set<TaskRun> reportedEnds; ///< in the last report
     std::set<TaskRun> answeredEnds; ///< in the last report that the placer answered
 };
--- a/include/waxwingloft/request/executorcontrolleroptions.h
+++ b/include/waxwingloft/request/executorcontrolleroptions.h
@@ -11,8 +11,6 @@
     Millis startLease = Millis(1000); ///< of a start beside other runs, whose renewals keep the lease
     Millis leaseReserve = Millis(100); ///< by which a lease may last longer, as the executor's clock falls behind since its last answer
     Millis longestLease = Millis(6000); ///< that an executor grants, on its own clock; also to an order meant for its previous incarnation
-    Millis longestLateness = Millis(12'000); ///< after which a call without an answer is carried out no more; the platform's largest
-    Millis lateCallReserve = Millis(2000); ///< by which the placer waits longer for the runs of a silent agent, so that renewals can be long beside a late call
     double clockDrift = 0.02; ///< largest share by which an executor's clock may be slow
     Millis renewalInterval = Millis(500); ///< least time between two renewals; one follows each poll that stayed open
     Millis pollWait = Millis(1000); ///< how long a list poll stays open; allows several renewals within a lease
--- a/include/waxwingloft/request/executorlease.h
+++ b/include/waxwingloft/request/executorlease.h
@@ -3,49 +3,37 @@
 
 #include "waxwingloft/process/clock.h"
 
-#include <vector>
-
 namespace waxwingloft {
 
 /**
  * When the lease of everything on an executor is known to have expired.
  *
- * A call that asks for a lease extends it from the moment at which it is carried out, by at most the longest lease. An
- * answered call was carried out before its answer, a call without one is carried out within the longest lateness or
- * never, and nothing is known of a call whose answer is pending. What has lapsed is not revived by a later extension.
+ * A call that asks for a lease names its end on the executor's clock. Whenever it is carried out, what runs there or begins by it ends by then;
+ * a start that is carried out later begins nothing. Nothing is known of a call whose answer is pending.
  *
  * Its life span is that of the executor's incarnation. Not thread safe.
  */
 class ExecutorLease
 {
 public:
-    /** Leases last at most @p longestLease on this clock; calls without an answer are carried out within @p longestLateness. */
-    ExecutorLease(Millis longestLease, Millis longestLateness);
-
-    /** Begins anew; leases that others have granted end by @p grantedUntil. */
-    void restart(Instant grantedUntil);
+    /** Begins anew; leases that others have asked for end by @p end. */
+    void restart(Instant end);
 
     /** Records that a call which asks for a lease is on its way. */
     void callSent();
 
-    /** Records that a call which asked for a lease was answered. */
-    void callAnswered(Instant now);
+    /** Records that the call was answered, or may be carried out without an answer; the lease that it asked for ends by @p end. */
+    void callEnded(Instant end);
 
-    /** Records that a call which asked for a lease got no answer; unless it @p mayTakeEffect, it grants nothing. */
-    void callFailed(Instant now, bool mayTakeEffect);
+    /** Records that the call surely had no effect. */
+    void callDropped();
 
-    /** Whether all runs that had begun by now have lapsed. */
+    /** Whether all runs have lapsed, also those that a start without an answer may have begun. */
     bool hasExpired(Instant now) const;
 
-    /** Whether also all runs have lapsed that an unanswered start may have begun. */
-    bool hasExpiredForLateStarts(Instant now) const;
-
 private:
-    Millis longestLease;
-    Millis longestLateness;
     int pending = 0; ///< calls whose answer is pending
-    Instant grantedUntil; ///< end of the leases of answered calls
-    std::vector<Instant> carriedOutBy; ///< of each call without an answer, in ascending order
+    Instant end; ///< of all leases that were asked for
 };
 
 } // namespace waxwingloft
--- a/include/waxwingloft/request/jobprogress.h
+++ b/include/waxwingloft/request/jobprogress.h
@@ -52,7 +52,6 @@
     std::string checkpoint; ///< to resume from; empty to start from the beginning
     NodeId worker; ///< agent of the latest run, while assigned
     ExecutorIncarnation incarnation; ///< executor of the latest run, while assigned
-    bool hasBegun = false; ///< the latest run was reported as begun, while assigned; noted late or never
     std::uint32_t startCrashes = 0; ///< executors that crashed after they had begun it and are not known to have outlived that
     std::uint32_t crashes = 0; ///< executors that crashed under it
     std::uint32_t failedRun = 0; ///< the last run that failures counts; zero before the first, and in rows of earlier versions
--- a/include/waxwingloft/request/leasegranter.h
+++ b/include/waxwingloft/request/leasegranter.h
@@ -6,7 +6,6 @@
 #include "waxwingloft/process/error.h"
 #include "waxwingloft/request/executorcontrolleroptions.h"
 #include "waxwingloft/request/executorlease.h"
-#include "waxwingloft/request/leasebudget.h"
 
 #include <optional>
 
@@ -15,14 +14,15 @@
 /** A lease to ask for. */
 struct DueLease {
     Millis end; ///< on the executor's clock
-    LeaseCall call;
+    Instant endsBy; ///< the latest end on the agent's clock
 };
 
 /**
  * Which leases an agent asks for at its executor, on whose clock they end, and when they are known to have expired.
  *
- * A lease is asked for only while the agent holds an agent lease, with a reading of the executor's clock that is
- * so young that the lease lasts no longer than is assumed, and within the LeaseBudget. Not thread safe.
+ * A lease is asked for only while the agent holds an agent lease, and with a reading of the executor's clock that is
+ * so young that the lease lasts no longer than is assumed. So all leases end within the longest one after the agent lease, which is what the
+ * placer waits for. Not thread safe.
  */
 class LeaseGranter
 {
@@ -35,8 +35,8 @@
     /** Earlier processes of this agent, and late orders to an earlier incarnation, may have granted leases until @p now, which the executor still holds. */
     void assumeLongestLease(Instant now);
 
-    /** Prolongs the agent lease; an earlier end changes nothing. @p openCallsReported says that the report it answers named the open calls. */
-    void prolongAgentLease(Instant until, bool openCallsReported);
+    /** Prolongs the agent lease; an earlier end changes nothing. */
+    void prolongAgentLease(Instant until);
 
     /** Takes the executor's time from an answer that arrived at @p now. */
     void readClock(const ExecutorStamp &stamp, Instant now);
@@ -50,25 +50,19 @@
     /** Whether the last renewal is old enough for the next one, whether or not that may be asked for. */
     bool isRenewalDue(Instant now) const;
 
-    /** Records the answer to a call that asked for a lease. */
+    /** Records the answer to a call that asked for a lease which ends by @p endsBy. */
     template<typename Answer>
-    void callEnded(const LeaseCall &call, const Result<Answer> &answer, Instant now)
+    void callEnded(Instant endsBy, const Result<Answer> &answer)
     {
-        if (succeeded(answer)) {
-            this->lease.callAnswered(now);
-            this->budget.callAnswered(call, now);
+        if (succeeded(answer) || mayTakeEffect(errorOf(answer).kind)) {
+            this->lease.callEnded(endsBy);
         } else {
-            const bool takesEffect = mayTakeEffect(errorOf(answer).kind);
-            this->lease.callFailed(now, takesEffect);
-            this->budget.callFailed(call, now, takesEffect);
+            this->lease.callDropped();
         }
     }
 
-    /** Whether a call without an answer may still be carried out. */
-    bool hasOpenCalls(Instant now);
-
     /** Returns for how long earlier answers to reports allow leases to keep runs alive. */
-    Millis budgetLeft(Instant now) const;
+    Millis longestLeft(Instant now) const;
 
     /** Records that a renewal was answered. */
     void renewed(Instant now);
@@ -78,11 +72,10 @@
 
 private:
     bool mayAsk(Instant now) const;
-    DueLease take(Millis length, Millis reserved, Instant now);
+    DueLease take(Millis lease, Instant now);
 
     const ExecutorControllerOptions options;
     ExecutorLease lease;
-    LeaseBudget budget;
     Instant agentLeaseUntil;
     Instant renewedAt; ///< when the last renewal was answered
     std::optional<Millis> clockOffset; ///< executor's clock minus the agent's
--- a/include/waxwingloft/request/liveworker.h
+++ b/include/waxwingloft/request/liveworker.h
@@ -20,9 +20,8 @@
     bool isSent = false; ///< may have reached its agent
     std::optional<Instant> expectedEnd;
     std::uint32_t percent = 0;
-    bool isRunning = false; ///< was reported as started by its executor, or the row says so
+    bool isRunning = false; ///< was reported as started by its executor
     bool hasBegun = false; ///< was reported as running, not only as stopping
-    bool isBegunNoted = false; ///< the job's progress says that it has begun
     std::optional<StartEffect> startEffect; ///< as last reported to this leader, or nothing; stays Outlived
     Instant lastProgressAt; ///< when it was first reported as running or its percentage last rose
     Millis estimate = Millis(0);
@@ -59,9 +58,7 @@
     AgentReport last;
     bool isKnown = false; ///< has reported to this leader
     Instant lastReportAt;
-    Instant begunRunsEndBy; ///< of an agent that falls silent
-    Instant allRunsEndBy; ///< also those that may begin late
-    bool mayHaveOpenCalls = false; ///< they were allowed for in begunRunsEndBy
+    Instant runsEndBy; ///< if its agent falls silent
     bool isLeaseWithheld = false; ///< the last report got no lease, as the stored bounds do not allow for it
     bool isZoneClosed = false; ///< as of the last plan or report
     Instant pausedUntil; ///< gets no new work until then
--- a/include/waxwingloft/request/taskplacer.h
+++ b/include/waxwingloft/request/taskplacer.h
@@ -164,12 +164,11 @@
     void handleEnds(LiveWorker &worker, const AgentReport &report);
     void endUnknownRuns(LiveWorker &worker, const AgentReport &report);
     void rebindRuns(LiveWorker &worker, const AgentReport &report);
-    void loseRuns(LiveWorker &worker, const std::string &reason, bool onlyBegun = false);
-    Millis runsLastAfter(Millis lateness) const;
+    void loseRuns(LiveWorker &worker, const std::string &reason);
+    Millis runsLastAfterReport() const;
     void boundUnreportedRuns(const Takeover &takeover);
     void boundRuns(LiveWorker &worker, const AgentReport &report, bool isFirst);
     AgentBounds wantedBounds(Instant now) const;
-    void noteBegunRuns(Instant now);
     void expireUnresponsive(Instant now);
 
     bool isSettled(Instant now) const;
--- a/include/waxwingloft/request/taskplaceroptions.h
+++ b/include/waxwingloft/request/taskplaceroptions.h
@@ -15,11 +15,8 @@
 struct TaskPlacerOptions {
     Millis agentLease = Millis(3000); ///< time after a report in which an agent may renew its executor's lease
     Millis longestLease = Millis(6020); ///< executor lease on our clock, for an executor whose clock runs 2% slow
-    Millis longestLateness = Millis(12'000); ///< after which an executor carries out a call without an answer no more; the platform's largest
-    Millis lateCallReserve = Millis(2000); ///< added for silent agents, as their renewals leave it to calls that are carried out late
     Millis margin = Millis(300); ///< for rounding and the latency of an answer
     Millis grantPeriod = Millis(4000); ///< agent leases are granted so long after the last renewal; with both leases, work survives a table outage of 9 s
-    Millis begunNoteAfter = Millis(1500); ///< from its assignment, after which a run that has begun is noted in its row; spares short runs the write
     Millis settleTime = Millis(400); ///< after becoming leader, for the agents to report
     Millis maxReportAge = Millis(2000); ///< an agent whose last report is older gets no new work
     Millis refusalPause = Millis(500); ///< without new work for a worker that refused a start because it was unhealthy or full
--- a/proto/node.capnp
+++ b/proto/node.capnp
@@ -61,6 +61,7 @@
   node @0 :Text; address @1 :Text; generation @2 :UInt64; sequence @3 :UInt64; epoch @4 :UInt64; life @5 :ExecutorLife;
   service @6 :Text; zone @7 :Text; draining @8 :Bool; reachable @9 :Bool; capacity @10 :Capacity; labels @11 :List(Text);
   syncSequence @12 :UInt64; runs @13 :List(RunReport); ends @14 :List(EndReport);
+  # openCalls is not set any more: it told the version before that late calls may prolong leases.
   openCalls @15 :Bool; budgetLeftMs @16 :Int64; drainLeftMs @17 :Int64 = -1; coldLeftMs @18 :Int64;
 }
 struct Assignment { run @0 :TaskRun; needs @1 :Capacity; hasOrder @2 :Bool; spec @3 :Text; checkpoint @4 :Text; }
--- a/src/connection/taskcodec.cpp
+++ b/src/connection/taskcodec.cpp
@@ -131,8 +131,7 @@
     builder.setSyncSequence(report.syncSequence);
     encodeList(report.runs, builder.initRuns(static_cast<unsigned>(report.runs.size())));
     encodeList(report.ends, builder.initEnds(static_cast<unsigned>(report.ends.size())));
-    builder.setOpenCalls(report.hasOpenCalls);
-    builder.setBudgetLeftMs(report.budgetLeft.count());
+    builder.setBudgetLeftMs(report.longestLeaseLeft.count());
     if (report.drainTimeLeft) {
         builder.setDrainLeftMs(report.drainTimeLeft->count());
     }
@@ -159,8 +158,7 @@
     report.syncSequence = reader.getSyncSequence();
     report.runs = decodeList<RunReport>(reader.getRuns());
     report.ends = decodeList<EndReport>(reader.getEnds());
-    report.hasOpenCalls = reader.getOpenCalls();
-    report.budgetLeft = Millis(reader.getBudgetLeftMs());
+    report.longestLeaseLeft = Millis(reader.getBudgetLeftMs());
     if (reader.getDrainLeftMs() >= 0) {
         report.drainTimeLeft = Millis(reader.getDrainLeftMs());
     }
--- a/src/request/agentbounds.cpp
+++ b/src/request/agentbounds.cpp
@@ -9,17 +9,13 @@
 
 using Json = nlohmann::json;
 
-constexpr std::size_t MaxListed = 400; ///< agents of each kind; keeps the row below 48 KB with names of 50 bytes
+constexpr std::size_t MaxListed = 400; ///< agents; keeps the row below 48 KB with names of 50 bytes
 
 AgentBounds boundsOf(const Json &json)
 {
     AgentBounds bounds;
-    bounds.isComplete = json.at("complete").get<bool>();
-    for (const auto &agent : json.at("open")) {
-        bounds.open.insert(NodeId{agent.get<std::string>()});
-    }
     for (const auto &item : json.at("silent")) {
-        bounds.silent[NodeId{item.at(0).get<std::string>()}] = {Millis(item.at(1).get<std::int64_t>()), Millis(item.at(2).get<std::int64_t>())};
+        bounds.silent[NodeId{item.at(0).get<std::string>()}] = Millis(item.at(1).get<std::int64_t>());
     }
     return bounds;
 }
@@ -41,20 +37,14 @@
 
 std::string encodeAgentBounds(const AgentBounds &bounds)
 {
-    const bool isComplete = bounds.isComplete && bounds.open.size() <= MaxListed;
-    auto open = Json::array();
-    if (isComplete) {
-        for (const auto &agent : bounds.open) {
-            open.push_back(agent.value);
-        }
-    }
     auto silent = Json::array();
-    for (const auto &[agent, runs] : bounds.silent) {
+    for (const auto &[agent, left] : bounds.silent) {
         if (silent.size() < MaxListed) {
-            silent.push_back({agent.value, runs.begun.count(), runs.all.count()});
+            // Earlier versions read two times, of which the second is for runs that may begin late, and what says that no other agents need them.
+            silent.push_back({agent.value, left.count(), left.count()});
         }
     }
-    return Json{{"complete", isComplete}, {"open", std::move(open)}, {"silent", std::move(silent)}}.dump();
+    return Json{{"complete", true}, {"open", Json::array()}, {"silent", std::move(silent)}}.dump();
 }
 
 Result<AgentBounds> parseAgentBounds(const std::string &value)
--- a/src/request/agentrun.cpp
+++ b/src/request/agentrun.cpp
@@ -154,11 +154,6 @@
     return this->mayHaveStarted() ? StartEffect::Unanswered : StartEffect::NotStarted;
 }
 
-bool AgentRun::mayBeginLate() const
-{
-    return this->openStart;
-}
-
 bool AgentRun::isOverIfUnlisted(std::uint64_t serial) const
 {
     return this->closedFrom != 0 && serial >= this->closedFrom && !this->isInFlight;
--- a/src/request/boundsledger.cpp
+++ b/src/request/boundsledger.cpp
@@ -17,11 +17,9 @@
     this->revision = stored.revision;
 }
 
-bool BoundsLedger::allowsLease(const NodeId &agent, bool hasOpenCalls) const
+bool BoundsLedger::allowsLease(const NodeId &agent) const
 {
-    return std::all_of(this->possible.begin(), this->possible.end(), [&agent, hasOpenCalls](const AgentBounds &bounds) {
-        return !bounds.silent.contains(agent) && (!hasOpenCalls || bounds.mayHaveOpenCalls(agent));
-    });
+    return std::none_of(this->possible.begin(), this->possible.end(), [&agent](const AgentBounds &bounds) { return bounds.silent.contains(agent); });
 }
 
 void BoundsLedger::requestWrite()
--- a/src/request/executorcontroller.cpp
+++ b/src/request/executorcontroller.cpp
@@ -171,7 +171,7 @@
         const bool isNewTerm = sync.epoch > this->highestEpoch;
         if (sync.epoch >= this->highestEpoch) {
             // A placer that only announces its term has not applied the report.
-            this->leases.prolongAgentLease(sentAt + sync.agentLease, sync.incarnation.isKnown() && this->openCallsReported);
+            this->leases.prolongAgentLease(sentAt + sync.agentLease);
             this->answeredEnds = sync.incarnation.isKnown() ? this->reportedEnds : this->answeredEnds;
             hasChanges = this->permission.answered(sync, sentAt) && this->isWaitingForPermission;
         }
@@ -313,7 +313,7 @@
         orders.push_back({isStop,
                           this->latest->incarnation,
                           {run, entry.startSpec(), entry.latestCheckpoint(), lease ? lease->end : Millis(0), this->fencingToken()},
-                          lease ? lease->call : LeaseCall()});
+                          lease ? lease->endsBy : now});
     }
     for (const auto &[run, reason] : returned) {
         const auto proof = reason == RefusalReason::NoRoom ? EndProof::NoRoom : EndProof::NeverOrdered;
@@ -389,7 +389,7 @@
         if (!this->latest || this->latest->incarnation != order.incarnation) {
             return;
         }
-        this->leases.callEnded(order.lease, answer, this->clock.now());
+        this->leases.callEnded(order.leaseEndsBy, answer);
         const auto found = this->runs.find(order.start.run);
         if (found == this->runs.end()) {
             return;
@@ -489,7 +489,7 @@
     poll.question.acknowledgedEnds = this->firstListedEnd != 0 && this->firstListedEnd <= this->acknowledgedEnds ? this->acknowledgedEnds : 0;
     if (const auto renewal = this->takeRenewal()) {
         poll.question.leaseEnd = renewal->end;
-        poll.lease = renewal->call;
+        poll.leaseEndsBy = renewal->endsBy;
     }
     const bool isStopOpen = std::any_of(this->runs.begin(), this->runs.end(), [](const auto &item) { return item.second.isStopWanted(); });
     // A renewal that is held back goes out with the first poll after the placer has answered.
@@ -504,7 +504,7 @@
 /**
  * Returns the lease to request with the next poll; none for an executor that leaves.
  *
- * A renewal without an answer may still take effect, so none follows an unanswered poll either.
+ * None follows an unanswered poll either, so that the lease of an executor that may have crashed runs out.
  */
 std::optional<DueLease> ExecutorController::takeRenewal()
 {
@@ -522,7 +522,7 @@
             isApplied = this->candidateAnswered(poll, answer);
         } else if (this->latest && this->latest->incarnation == poll.incarnation) {
             if (poll.question.leaseEnd) {
-                this->leases.callEnded(poll.lease, answer, this->clock.now());
+                this->leases.callEnded(poll.leaseEndsBy, answer);
             }
             const auto startedAt = succeeded(answer) ? valueOf(answer).stamp.startedAt : std::nullopt;
             const bool isOfAnother = startedAt && *startedAt != poll.incarnation.startedAt;
@@ -608,22 +608,11 @@
 /** Ends the runs that are known to have lapsed, as the executor does not answer. */
 void ExecutorController::endLapsedRuns()
 {
-    const auto now = this->clock.now();
-    const bool hasExpired = this->leases.expiry().hasExpired(now);
-    const bool hasExpiredForLateStarts = this->leases.expiry().hasExpiredForLateStarts(now);
-    std::vector<TaskRun> lapsed;
-    for (const auto &[run, entry] : this->runs) {
-        if (entry.mayBeginLate() ? hasExpiredForLateStarts : hasExpired) {
-            lapsed.push_back(run);
-        }
-    }
-    if (lapsed.empty()) {
+    if (this->runs.empty() || !this->leases.expiry().hasExpired(this->clock.now())) {
         return;
     }
-    this->log.warn("The lease of executor " + this->latest->incarnation.id + " has expired; " + std::to_string(lapsed.size()) + " runs count as ended.");
-    for (const auto &run : lapsed) {
-        this->end(this->runs.at(run).inferredEnd(run, RunEnd::Lapsed), EndProof::LeaseExpired);
-    }
+    this->log.warn("The lease of executor " + this->latest->incarnation.id + " has expired; " + std::to_string(this->runs.size()) + " runs count as ended.");
+    this->endAll(EndProof::LeaseExpired);
     ++this->changeCount;
 }
 
@@ -743,9 +732,7 @@
         report.runs.push_back(entry.report(run));
     }
     report.ends = this->ends;
-    report.hasOpenCalls = this->leases.hasOpenCalls(this->clock.now());
-    report.budgetLeft = this->leases.budgetLeft(this->clock.now());
-    this->openCallsReported = report.hasOpenCalls;
+    report.longestLeaseLeft = this->leases.longestLeft(this->clock.now());
     this->permission.reported();
     this->reportedEnds.clear();
     for (const auto &end : this->ends) {
--- a/src/request/executorlease.cpp
+++ b/src/request/executorlease.cpp
@@ -4,17 +4,10 @@
 
 namespace waxwingloft {
 
-ExecutorLease::ExecutorLease(Millis longestLease, Millis longestLateness)
-    : longestLease(longestLease)
-    , longestLateness(longestLateness)
-{
-}
-
-void ExecutorLease::restart(Instant grantedUntil)
+void ExecutorLease::restart(Instant end)
 {
     this->pending = 0;
-    this->grantedUntil = grantedUntil;
-    this->carriedOutBy.clear();
+    this->end = end;
 }
 
 void ExecutorLease::callSent()
@@ -22,33 +15,20 @@
     ++this->pending;
 }
 
-void ExecutorLease::callAnswered(Instant now)
+void ExecutorLease::callEnded(Instant end)
 {
     --this->pending;
-    this->grantedUntil = std::max(this->grantedUntil, now + this->longestLease);
-    std::erase_if(this->carriedOutBy, [now](Instant latest) { return latest <= now; });
+    this->end = std::max(this->end, end);
 }
 
-void ExecutorLease::callFailed(Instant now, bool mayTakeEffect)
+void ExecutorLease::callDropped()
 {
     --this->pending;
-    if (mayTakeEffect) {
-        this->carriedOutBy.push_back(now + this->longestLateness);
-    }
 }
 
 bool ExecutorLease::hasExpired(Instant now) const
 {
-    auto end = this->grantedUntil;
-    for (const auto latest : this->carriedOutBy) {
-        end = std::max(end, std::min(end, latest) + this->longestLease);
-    }
-    return this->pending == 0 && now >= end;
-}
-
-bool ExecutorLease::hasExpiredForLateStarts(Instant now) const
-{
-    return this->hasExpired(now) && (this->carriedOutBy.empty() || now >= this->carriedOutBy.back() + this->longestLease);
+    return this->pending == 0 && now >= this->end;
 }
 
 } // namespace waxwingloft
--- a/src/request/jobrows.cpp
+++ b/src/request/jobrows.cpp
@@ -20,8 +20,6 @@
 constexpr unsigned char ContinuationMask = 0xC0; ///< of the bytes of a character in UTF-8 after its first one
 constexpr unsigned char Continuation = 0x80;
 
-constexpr char BegunMark = '1'; ///< in the text that has a character for each task of a job in order
-
 /** Positions of a task's fields in a progress row. Trailing fields may be absent. */
 enum TaskField : std::size_t { StateField, RunField, FailuresField, CheckpointField, ExecutorField, StartCrashesField, CrashesField, FailedRunField };
 
@@ -182,12 +180,6 @@
         }
         progress.occurrences.push_back(std::move(occurrence));
     }
-    const auto begun = json.value("begun", std::string());
-    std::size_t place = 0;
-    forEachTask(progress, [&begun, &place](TaskProgress &task) {
-        task.hasBegun = place < begun.size() && begun[place] == BegunMark;
-        ++place;
-    });
     return progress;
 }
 
@@ -314,9 +306,6 @@
 std::string encodeProgress(const JobProgress &progress)
 {
     ExecutorList executors;
-    std::string begun;
-    forEachTask(progress, [&begun](const TaskProgress &task) { begun += task.state == TaskPhase::Assigned && task.hasBegun ? BegunMark : '0'; });
-    begun.erase(begun.find_last_of(BegunMark) + 1);
     auto occurrences = Json::array();
     for (const auto &occurrence : progress.occurrences) {
         auto steps = Json::array();
@@ -329,9 +318,8 @@
         }
         occurrences.push_back(std::move(steps));
     }
-    return Json{
-        {"state", std::string(nameOf(progress.state))}, {"tasks", std::move(occurrences)}, {"executors", std::move(executors.executors)}, {"begun", begun}}
-        .dump(-1, ' ', false, Json::error_handler_t::replace);
+    return Json{{"state", std::string(nameOf(progress.state))}, {"tasks", std::move(occurrences)}, {"executors", std::move(executors.executors)}}.dump(
+        -1, ' ', false, Json::error_handler_t::replace);
 }
 
 ProgressRows encodeProgressRows(const JobProgress &progress, std::size_t rowBytes)
--- a/src/request/leasegranter.cpp
+++ b/src/request/leasegranter.cpp
@@ -1,7 +1,6 @@
 #include "waxwingloft/request/leasegranter.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace waxwingloft {
 
@@ -13,18 +12,10 @@
     return Millis(static_cast<std::int64_t>(static_cast<double>(duration.count()) / (1.0 - drift)));
 }
 
-/** Returns the longest duration on an executor's clock that lasts no longer than @p duration on this one. */
-Millis onTheirClock(Millis duration, double drift)
-{
-    return Millis(static_cast<std::int64_t>(std::round(static_cast<double>(duration.count()) * (1.0 - drift))));
-}
-
 } // namespace
 
 LeaseGranter::LeaseGranter(const ExecutorControllerOptions &options, Instant now)
     : options(options)
-    , lease(onOurClock(options.lease + options.leaseReserve, options.clockDrift), options.longestLateness)
-    , budget(onOurClock(options.lease + options.leaseReserve, options.clockDrift), options.longestLateness, options.lateCallReserve)
     , agentLeaseUntil(now)
     , renewedAt(now - options.renewalInterval)
 {
@@ -39,15 +30,12 @@
 
 void LeaseGranter::assumeLongestLease(Instant now)
 {
-    const auto until = now + onOurClock(this->options.longestLease, this->options.clockDrift);
-    this->lease.restart(until);
-    this->budget.restart(until);
+    this->lease.restart(now + onOurClock(this->options.longestLease, this->options.clockDrift));
 }
 
-void LeaseGranter::prolongAgentLease(Instant until, bool openCallsReported)
+void LeaseGranter::prolongAgentLease(Instant until)
 {
     this->agentLeaseUntil = std::max(this->agentLeaseUntil, until);
-    this->budget.raise(until, openCallsReported);
 }
 
 void LeaseGranter::readClock(const ExecutorStamp &stamp, Instant now)
@@ -65,36 +53,22 @@
     return now < this->agentLeaseUntil && this->clockOffset && now < this->clockOffsetAt + longestClockAge;
 }
 
-DueLease LeaseGranter::take(Millis length, Millis reserved, Instant now)
+DueLease LeaseGranter::take(Millis lease, Instant now)
 {
-    const LeaseCall call{length, reserved};
     this->lease.callSent();
-    this->budget.callSent(call, now);
-    const auto asked = onTheirClock(length, this->options.clockDrift) - this->options.leaseReserve;
-    return {std::chrono::duration_cast<Millis>(now.time_since_epoch()) + *this->clockOffset + asked, call};
+    const auto theirNow = std::chrono::duration_cast<Millis>(now.time_since_epoch()) + *this->clockOffset;
+    return {theirNow + lease, now + onOurClock(lease + this->options.leaseReserve, this->options.clockDrift)};
 }
 
 std::optional<DueLease> LeaseGranter::takeStartLease(Instant now, bool isAlone)
 {
-    if (!this->mayAsk(now)) {
-        return std::nullopt;
-    }
-    if (isAlone && !this->budget.hasPendingCalls()) {
-        return this->take(this->budget.longestAlone(now), Millis(0), now);
-    }
     // Renewals keep the lease of an executor with other runs, so a start needs one only to be valid when it arrives.
-    const auto longest = this->budget.longestNext(now);
-    const auto length = std::min(longest, onOurClock(this->options.startLease + this->options.leaseReserve, this->options.clockDrift));
-    return length <= onOurClock(this->options.startLease, this->options.clockDrift) ? std::nullopt : std::optional(this->take(length, length, now));
+    return this->mayAsk(now) ? std::optional(this->take(isAlone ? this->options.lease : this->options.startLease, now)) : std::nullopt;
 }
 
 std::optional<DueLease> LeaseGranter::takeRenewal(Instant now)
 {
-    if (!this->mayAsk(now) || !this->isRenewalDue(now)) {
-        return std::nullopt;
-    }
-    const auto length = this->budget.longestNext(now);
-    return length <= this->options.renewalInterval ? std::nullopt : std::optional(this->take(length, length, now));
+    return this->mayAsk(now) && this->isRenewalDue(now) ? std::optional(this->take(this->options.lease, now)) : std::nullopt;
 }
 
 bool LeaseGranter::isRenewalDue(Instant now) const
@@ -102,14 +76,10 @@
     return now >= this->renewedAt + this->options.renewalInterval;
 }
 
-bool LeaseGranter::hasOpenCalls(Instant now)
-{
-    return this->budget.hasOpenCalls(now);
-}
-
-Millis LeaseGranter::budgetLeft(Instant now) const
+Millis LeaseGranter::longestLeft(Instant now) const
 {
-    return std::max(Millis(0), std::chrono::ceil<Millis>(this->budget.limit() - now));
+    const auto latestEnd = this->agentLeaseUntil + onOurClock(this->options.lease + this->options.leaseReserve, this->options.clockDrift);
+    return std::max(Millis(0), std::chrono::ceil<Millis>(latestEnd - now));
 }
 
 void LeaseGranter::renewed(Instant now)
--- a/src/request/taskplacer.cpp
+++ b/src/request/taskplacer.cpp
@@ -103,8 +103,6 @@
                 const TaskRun run{{id, occurrence, step, index}, task.run};
                 auto live = liveRunOf(job, step, this->clock.now());
                 live.isSent = true;
-                live.isRunning = task.hasBegun;
-                live.isBegunNoted = task.hasBegun;
                 worker.runs[run] = live;
             }
         }
@@ -427,17 +425,11 @@
 /** Sets until when the runs of a worker may be live if this report is its last. The first report tells what earlier placers have allowed, too. */
 void TaskPlacer::boundRuns(LiveWorker &worker, const AgentReport &report, bool isFirst)
 {
-    const auto now = this->clock.now();
-    const auto granted = this->runsLastAfter(report.hasOpenCalls ? this->options.longestLateness : Millis(0));
-    const auto begunEndBy = now + std::max(granted, report.budgetLeft + this->options.margin);
-    worker.begunRunsEndBy = isFirst ? begunEndBy : std::max(worker.begunRunsEndBy, begunEndBy);
-    worker.allRunsEndBy = std::max(worker.begunRunsEndBy, now + this->runsLastAfter(this->options.longestLateness));
-    // The margin was added to what the agent reported, whose own limit is at most that of a usual lease.
-    worker.mayHaveOpenCalls = worker.begunRunsEndBy > now + this->runsLastAfter(Millis(0)) + this->options.margin;
-    const bool isAllowed = this->bounds.allowsLease(report.node, worker.mayHaveOpenCalls);
+    const auto endBy = this->clock.now() + std::max(this->runsLastAfterReport(), report.longestLeaseLeft + this->options.margin);
+    worker.runsEndBy = isFirst ? endBy : std::max(worker.runsEndBy, endBy);
+    const bool isAllowed = this->bounds.allowsLease(report.node);
     if (!isAllowed && !worker.isLeaseWithheld) {
-        this->log.info("An agent gets no lease until the bounds of its runs are written.",
-                       {{"agent", report.node.value}, {"open_calls", worker.mayHaveOpenCalls ? "yes" : "no"}});
+        this->log.info("An agent gets no lease until the bounds of its runs are written.", {{"agent", report.node.value}});
     }
     worker.isLeaseWithheld = !isAllowed;
 }
@@ -507,7 +499,7 @@
 }
 
 /** Ends the runs that are assigned to an incarnation of an executor that is known to have ended. */
-void TaskPlacer::loseRuns(LiveWorker &worker, const std::string &reason, bool onlyBegun)
+void TaskPlacer::loseRuns(LiveWorker &worker, const std::string &reason)
 {
     std::map<TaskRun, std::string> checkpoints;
     for (const auto &run : worker.last.runs) {
@@ -515,9 +507,6 @@
     }
     std::vector<TaskRun> lost;
     for (const auto &[run, live] : worker.runs) {
-        if (onlyBegun && live.isSent && !live.isRunning) {
-            continue;
-        }
         const auto job = this->jobs.find(run.task.job);
         const auto *const task = job == this->jobs.end() ? nullptr : findTask(job->second.progress, run.task);
         if (task == nullptr || task->run != run.run || task->incarnation == worker.last.incarnation) {
@@ -535,13 +524,12 @@
 /**
  * Returns how long after a report the runs of an agent that then falls silent may be live.
  *
- * The agent asks for leases only within its agent lease, and sees to it (LeaseBudget) that all runs that it reported as begun are over one
- * executor lease after it, unless it reported that calls without an answer may be carried out with the longest lateness. A start that it sends
- * within its agent lease may always be that late.
+ * The agent asks for leases only within its agent lease. Each names its end on the executor's clock, so that a call which is carried out late keeps
+ * nothing alive beyond that end, and begins nothing after it.
  */
-Millis TaskPlacer::runsLastAfter(Millis lateness) const
+Millis TaskPlacer::runsLastAfterReport() const
 {
-    return this->options.agentLease + lateness + this->options.longestLease + this->options.lateCallReserve + this->options.margin;
+    return this->options.agentLease + this->options.longestLease + this->options.margin;
 }
 
 /**
@@ -556,21 +544,12 @@
     const auto lastGrant = this->leaderSince + std::max(Millis(0), this->options.grantPeriod - takeover.sinceRenewal);
     for (auto &[node, worker] : this->workers) {
         const auto silent = stored.silent.find(node);
-        worker.mayHaveOpenCalls = stored.mayHaveOpenCalls(node);
-        if (silent != stored.silent.end()) {
-            worker.begunRunsEndBy = this->leaderSince + silent->second.begun;
-            worker.allRunsEndBy = this->leaderSince + silent->second.all;
-        } else {
-            worker.begunRunsEndBy = lastGrant + this->runsLastAfter(worker.mayHaveOpenCalls ? this->options.longestLateness : Millis(0));
-            worker.allRunsEndBy = lastGrant + this->runsLastAfter(this->options.longestLateness);
-        }
+        worker.runsEndBy = silent != stored.silent.end() ? this->leaderSince + silent->second : lastGrant + this->runsLastAfterReport();
         this->log.info("Runs known from rows count as over if their agent does not report.",
                        {{"agent", node.value},
                         {"runs", std::to_string(worker.runs.size())},
-                        {"begun_after_ms", std::to_string(std::chrono::duration_cast<Millis>(worker.begunRunsEndBy - this->leaderSince).count())},
-                        {"all_after_ms", std::to_string(std::chrono::duration_cast<Millis>(worker.allRunsEndBy - this->leaderSince).count())},
-                        {"silent_before", silent == stored.silent.end() ? "no" : "yes"},
-                        {"open_calls", worker.mayHaveOpenCalls ? "possible" : "no"}});
+                        {"after_ms", std::to_string(std::chrono::duration_cast<Millis>(worker.runsEndBy - this->leaderSince).count())},
+                        {"silent_before", silent == stored.silent.end() ? "no" : "yes"}});
     }
 }
 
@@ -578,15 +557,10 @@
 AgentBounds TaskPlacer::wantedBounds(Instant now) const
 {
     AgentBounds wanted;
-    wanted.isComplete = true;
     for (const auto &[node, worker] : this->workers) {
-        if (worker.mayHaveOpenCalls) {
-            wanted.open.insert(node);
-        }
         const auto lastHeardAt = worker.isKnown ? worker.lastReportAt : this->leaderSince;
         if (!worker.runs.empty() && now - lastHeardAt >= this->options.maxReportAge) {
-            const auto until = [now](Instant end) { return std::max(Millis(0), std::chrono::ceil<Millis>(end - now)); };
-            wanted.silent[node] = {until(worker.begunRunsEndBy), until(worker.allRunsEndBy)};
+            wanted.silent[node] = std::max(Millis(0), std::chrono::ceil<Millis>(worker.runsEndBy - now));
         }
     }
     return wanted;
@@ -629,39 +603,16 @@
     return this->epoch != 0 && this->bounds.isWriteRequested();
 }
 
-/** Notes in the jobs' progress which runs have begun, because a successor need not wait for late starts of these. */
-void TaskPlacer::noteBegunRuns(Instant now)
-{
-    for (auto &[node, worker] : this->workers) {
-        for (auto &[run, live] : worker.runs) {
-            const auto job = this->jobs.find(run.task.job);
-            if (live.isBegunNoted || !live.hasBegun || now - live.assignedAt < this->options.begunNoteAfter || job == this->jobs.end()) {
-                continue;
-            }
-            live.isBegunNoted = true;
-            auto *const task = findTask(job->second.progress, run.task);
-            if (task != nullptr && task->state == TaskPhase::Assigned && task->run == run.run) {
-                task->hasBegun = true;
-                job->second.markChanged();
-            }
-        }
-    }
-}
-
 /** Ends the runs of unresponsive agents when they are certain to be over, and removes agents without any. */
 void TaskPlacer::expireUnresponsive(Instant now)
 {
     for (auto item = this->workers.begin(); item != this->workers.end();) {
         auto &worker = item->second;
-        const bool isAllOver = now >= worker.allRunsEndBy;
-        if (now >= worker.begunRunsEndBy && !worker.runs.empty()) {
-            this->loseRuns(worker, "agent " + item->first.value + " has not reported within its agent lease and executor lease", !isAllOver);
-        }
-        const bool isOver = now >= worker.begunRunsEndBy && (worker.runs.empty() || isAllOver);
-        if (!isOver) {
+        if (now < worker.runsEndBy) {
             ++item;
             continue;
         }
+        this->loseRuns(worker, "agent " + item->first.value + " has not reported within its agent lease and executor lease");
         // A row that was not written since a replacement names an earlier incarnation, which is over as well.
         while (!worker.runs.empty()) {
             const auto run = worker.runs.begin()->first;
@@ -687,7 +638,6 @@
     }
     this->expireUnresponsive(now);
     this->applyZones(now);
-    this->noteBegunRuns(now);
     if (!this->isSettled(now)) {
         return;
     }
@@ -813,7 +763,6 @@
         auto &task = step[index];
         task.state = TaskPhase::Assigned;
         task.run = (isGang ? gangRun : task.run) + 1;
-        task.hasBegun = false;
         task.worker = worker.last.node;
         task.incarnation = worker.last.incarnation;
         worker.runs[{{start.job, start.occurrence, start.step, index}, task.run}] = liveRunOf(job, start.step, now);
