tests: Give the fields of tasks in two tests their meaning again

The value of the mark is taken out, so that each test fills what it did before.

Two tests of late starts shared eleven lines; loseExecutorAfterALateStart serves both, with the same steps and assertions.

--- a/tests/request/crashtest.cpp
+++ b/tests/request/crashtest.cpp
@@ -336,7 +336,7 @@
     auto &tasks = progress.occurrences[0][0];
     tasks[0].startCrashes = 1;
     tasks[0].crashes = 2;
-    tasks[1] = {TaskPhase::Assigned, 4, 0, "c", NodeId{"agent"}, {"executor", 5}, 0, 3};
+    tasks[1] = {TaskPhase::Assigned, 4, 0, "c", NodeId{"agent"}, {"executor", 5}, 3};
     const auto parsed = parseProgress(encodeProgress(progress));
     ASSERT_TRUE(succeeded(parsed));
     EXPECT_EQ(valueOf(parsed), progress);
--- a/tests/request/jobsitetest.cpp
+++ b/tests/request/jobsitetest.cpp
@@ -728,23 +728,31 @@
     expectNoViolations(site);
 }
 
+/** Makes each executor carry out its first start @p lateBy after it was sent, submits a task and cuts its executor off after that start. Returns its agent. */
+SiteAgent &loseExecutorAfterALateStart(JobSite &site, Millis lateBy)
+{
+    makeRunsLast(site);
+    for (auto &agent : site.agents) {
+        agent.executor->clockRate = 0.98;
+        agent.executor->lateBy = lateBy;
+        agent.executor->drawFate = fatesInTurn({OrderFate::Delayed});
+    }
+    const auto job = site.submit(oneStep(1, Whole));
+    while (site.progressOf(job).occurrences.empty() || site.progressOf(job).occurrences[0][0][0].state != TaskPhase::Assigned) {
+        site.advance(Millis(10));
+    }
+    site.advance(Millis(20));
+    auto &agent = holderOf(site, job);
+    agent.executor->isUnreachable = true;
+    return agent;
+}
+
 // The start of a run that counted as over could still begin it.
 TEST(JobSite, AStartThatAnUnresponsiveExecutorGetsLateRunsNothingTwice)
 {
     for (const auto lateBy : LateStarts) {
         JobSite site(2);
-        makeRunsLast(site);
-        for (auto &agent : site.agents) {
-            agent.executor->clockRate = 0.98;
-            agent.executor->lateBy = lateBy;
-            agent.executor->drawFate = fatesInTurn({OrderFate::Delayed});
-        }
-        const auto job = site.submit(oneStep(1, Whole));
-        while (site.progressOf(job).occurrences.empty() || site.progressOf(job).occurrences[0][0][0].state != TaskPhase::Assigned) {
-            site.advance(Millis(10));
-        }
-        site.advance(Millis(20));
-        holderOf(site, job).executor->isUnreachable = true;
+        loseExecutorAfterALateStart(site, lateBy);
         site.advance(Millis(40'000));
         EXPECT_EQ(runningIn(site), 1U) << lateBy.count();
         expectNoViolations(site);
@@ -767,31 +775,12 @@
     expectNoViolations(site);
 }
 
-/** Cuts off an agent whose first start will be carried out @p lateBy after it was sent, and its executor from it. */
-void loseContactAfterALateStart(JobSite &site, Millis lateBy)
-{
-    makeRunsLast(site);
-    for (auto &agent : site.agents) {
-        agent.executor->clockRate = 0.98;
-        agent.executor->lateBy = lateBy;
-        agent.executor->drawFate = fatesInTurn({OrderFate::Delayed});
-    }
-    const auto job = site.submit(oneStep(1, Whole));
-    while (site.progressOf(job).occurrences.empty() || site.progressOf(job).occurrences[0][0][0].state != TaskPhase::Assigned) {
-        site.advance(Millis(10));
-    }
-    site.advance(Millis(20));
-    auto &agent = holderOf(site, job);
-    agent.executor->isUnreachable = true;
-    agent.isCut = true;
-}
-
 // The runs of an agent that does not report counted as over while its unanswered start could still begin one.
 TEST(JobSite, AStartThatArrivesLateAfterItsAgentStoppedRunsNothingTwice)
 {
     for (const auto lateBy : LateStarts) {
         JobSite site(2);
-        loseContactAfterALateStart(site, lateBy);
+        loseExecutorAfterALateStart(site, lateBy).isCut = true;
         site.advance(Millis(60'000));
         EXPECT_EQ(runningIn(site), 1U) << lateBy.count();
         expectNoViolations(site);
@@ -803,7 +792,7 @@
 {
     for (const auto lateBy : LateStarts) {
         JobSite site(2);
-        loseContactAfterALateStart(site, lateBy);
+        loseExecutorAfterALateStart(site, lateBy).isCut = true;
         site.elect(1);
         site.advance(Millis(60'000));
         EXPECT_EQ(runningIn(site), 1U) << lateBy.count();
--- a/tests/request/largejobtest.cpp
+++ b/tests/request/largejobtest.cpp
@@ -25,7 +25,7 @@
     for (std::size_t index = 0; index < tasks.size(); ++index) {
         const auto name = std::to_string(index);
         tasks[index] = {
-            TaskPhase::Assigned, 12, 3, std::string(checkpointBytes, 'c'), NodeId{"side-ahmedabad-a-" + name}, {"i-bee5ed781d" + name, 1777817382535}, true};
+            TaskPhase::Assigned, 12, 3, std::string(checkpointBytes, 'c'), NodeId{"side-ahmedabad-a-" + name}, {"i-bee5ed781d" + name, 1777817382535}};
     }
     return progress;
 }
