tests: Share the handler that answers every message with itself

WholeTextTest brought a second copy of RpcNodeTest's EchoHandler. Both take it from echohandler.h now; their assertions are the same.

--- a/tests/connection/rpcnodetest.cpp
+++ b/tests/connection/rpcnodetest.cpp
@@ -1,4 +1,5 @@
 #include "waxwingloft/connection/rpcnode.h"
+#include "echohandler.h"
 
 #include <arpa/inet.h>
 #include <atomic>
@@ -29,16 +30,6 @@
     std::atomic<SettingsVersion> lastVersion = 0;
 };
 
-/** Answers every message with itself. */
-class EchoHandler : public MessageHandler
-{
-public:
-    Message handle(const Header & /*header*/, const Message &message) override
-    {
-        return message;
-    }
-};
-
 /** Throws on each message. */
 class ThrowingHandler : public MessageHandler
 {
--- a/tests/connection/wholetexttest.cpp
+++ b/tests/connection/wholetexttest.cpp
@@ -1,3 +1,4 @@
+#include "echohandler.h"
 #include "waxwingloft/connection/rpcnode.h"
 
 #include <functional>
@@ -245,16 +246,6 @@
     Header last;
 };
 
-/** Answers every message with itself. */
-class EchoHandler : public MessageHandler
-{
-public:
-    Message handle(const Header & /*header*/, const Message &message) override
-    {
-        return message;
-    }
-};
-
 /** Appends one message of each alternative from @p Index on. */
 template<std::size_t Index = 0>
 void appendMessages(std::vector<Message> &messages)
